--- /dev/null
+++ b/src/admission/refusal.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/names.h"
+
+#include <cstdint>
+#include <string>
+
+namespace lacewingwharf {
+
+/** Why a call was not run. */
+enum class RefusalReason
+{
+  NoConfiguration,
+  NoRoute,
+  NoEndpoint,
+  EntryConcurrency,
+  EntryRate,
+  OwnerConcurrency,
+  OwnerRate,
+  BodyBytes,
+  QueueFull,
+  QueueWait,
+  DeadlinePassed,
+  Displaced,
+  Draining,
+  RetryBudget,
+  DepthExceeded,
+  Quarantined,
+  ClaimUnavailable,
+  Overload,
+  NotConnected,
+  Fenced,
+  ShuttingDown
+};
+
+inline constexpr auto kRefusalReasonNames = MakeNameTable<RefusalReason>(
+  { { RefusalReason::NoConfiguration, "no-configuration" },
+    { RefusalReason::NoRoute, "no-route" },
+    { RefusalReason::NoEndpoint, "no-endpoint" },
+    { RefusalReason::EntryConcurrency, "entry-concurrency" },
+    { RefusalReason::EntryRate, "entry-rate" },
+    { RefusalReason::OwnerConcurrency, "owner-concurrency" },
+    { RefusalReason::OwnerRate, "owner-rate" },
+    { RefusalReason::BodyBytes, "body-bytes" },
+    { RefusalReason::QueueFull, "queue-full" },
+    { RefusalReason::QueueWait, "queue-wait" },
+    { RefusalReason::DeadlinePassed, "deadline-passed" },
+    { RefusalReason::Displaced, "displaced" },
+    { RefusalReason::Draining, "draining" },
+    { RefusalReason::RetryBudget, "retry-budget" },
+    { RefusalReason::DepthExceeded, "depth-exceeded" },
+    { RefusalReason::Quarantined, "quarantined" },
+    { RefusalReason::ClaimUnavailable, "claim-unavailable" },
+    { RefusalReason::Overload, "overload" },
+    { RefusalReason::NotConnected, "not-connected" },
+    { RefusalReason::Fenced, "fenced" },
+    { RefusalReason::ShuttingDown, "shutting-down" } });
+
+/** A refusal that names whose limit was met and by how much. */
+struct Refusal
+{
+  RefusalReason reason = RefusalReason::Overload;
+  std::string entry;
+  std::string owner;
+  std::int64_t bound = 0; // In the unit of the limit.
+  std::int64_t seen = 0;
+  Millis retryAfter = 0; // 0 means unknown.
+};
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/catalogue/entry.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/names.h"
+#include "common/result.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lacewingwharf {
+
+enum class EntryKind
+{
+  Service,
+  Route,
+  Owner
+};
+
+/** Classes of work, most important first. */
+enum class WorkClass
+{
+  Critical,
+  Interactive,
+  Internal,
+  Batch
+};
+
+enum class HttpMethod
+{
+  Get,
+  Head,
+  Options,
+  Put,
+  Delete,
+  Post,
+  Patch
+};
+
+inline constexpr auto kEntryKindNames =
+  MakeNameTable<EntryKind>({ { EntryKind::Service, "service" },
+                             { EntryKind::Route, "route" },
+                             { EntryKind::Owner, "owner" } });
+
+inline constexpr auto kWorkClassNames =
+  MakeNameTable<WorkClass>({ { WorkClass::Critical, "critical" },
+                             { WorkClass::Interactive, "interactive" },
+                             { WorkClass::Internal, "internal" },
+                             { WorkClass::Batch, "batch" } });
+
+inline constexpr auto kHttpMethodNames =
+  MakeNameTable<HttpMethod>({ { HttpMethod::Get, "GET" },
+                              { HttpMethod::Head, "HEAD" },
+                              { HttpMethod::Options, "OPTIONS" },
+                              { HttpMethod::Put, "PUT" },
+                              { HttpMethod::Delete, "DELETE" },
+                              { HttpMethod::Post, "POST" },
+                              { HttpMethod::Patch, "PATCH" } });
+
+enum class CatalogueErrorCode
+{
+  BadJson,
+  BadField,
+  DanglingReference,
+  DuplicateMatch,
+  IncompleteChange,
+  WrongBase,
+  HashMismatch
+};
+
+inline constexpr auto kCatalogueErrorNames = MakeNameTable<CatalogueErrorCode>(
+  { { CatalogueErrorCode::BadJson, "bad-json" },
+    { CatalogueErrorCode::BadField, "bad-field" },
+    { CatalogueErrorCode::DanglingReference, "dangling-reference" },
+    { CatalogueErrorCode::DuplicateMatch, "duplicate-match" },
+    { CatalogueErrorCode::IncompleteChange, "incomplete-change" },
+    { CatalogueErrorCode::WrongBase, "wrong-base" },
+    { CatalogueErrorCode::HashMismatch, "hash-mismatch" } });
+
+/** Why catalogue content was refused; entry is empty for the whole. */
+struct CatalogueError
+{
+  CatalogueErrorCode code = CatalogueErrorCode::BadJson;
+  std::string entry;
+  std::string detail;
+};
+
+template<typename Value>
+using CatalogueResult = Result<Value, CatalogueError>;
+
+/** What the work of an entry may claim; 0 means no limit. */
+struct Limits
+{
+  int concurrency = 0;
+  int ratePerSecond = 0;
+  Millis deadline = 5000;
+  Millis queueWait = 500;
+  std::int64_t bodyBytes = 1048576;
+  int retries = 1;
+};
+
+/** Which requests a route entry takes. */
+struct RouteMatch
+{
+  std::string path;
+  std::vector<HttpMethod> methods; // Empty means all.
+};
+
+/** Entries that are accepted together or not at all. */
+struct ChangeSet
+{
+  std::string id;
+  int size = 0;
+};
+
+/** One entry of the catalogue. */
+struct Entry
+{
+  std::string name;
+  EntryKind kind = EntryKind::Service;
+  std::string owner;
+  WorkClass workClass = WorkClass::Interactive;
+  std::string service; // Routes only.
+  RouteMatch match;    // Routes only.
+  std::optional<bool> idempotent;
+  Limits limits;
+  std::optional<ChangeSet> changeSet;
+
+  /** Unclear means non-idempotent. */
+  bool IsIdempotent(HttpMethod aMethod) const;
+};
+
+/** Refuses unknown keys, so that a misspelt limit is not silently ignored. */
+CatalogueResult<Entry> ParseEntry(std::string_view aName,
+                                  std::string_view aJson);
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/catalogue/snapshot.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "catalogue/entry.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lacewingwharf {
+
+class Snapshot;
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+/** An entry with the text and platform revision it was accepted at. */
+struct AcceptedEntry
+{
+  Entry entry;
+  std::int64_t revision = 0;
+  std::string text;
+};
+
+using AcceptedEntries =
+  std::map<std::string, std::shared_ptr<const AcceptedEntry>, std::less<>>;
+
+/** Where a version stands in the history of the platform's store. */
+struct VersionStamp
+{
+  std::int64_t version = 0;
+  std::int64_t storeEpoch = 0;
+  std::int64_t floorRevision = 0;
+};
+
+/**
+ * One whole, immutable version of the catalogue. It can only be built valid:
+ * no route refers to a service that is missing from the same snapshot.
+ */
+class Snapshot
+{
+public:
+  static CatalogueResult<SnapshotPtr> Build(VersionStamp aStamp,
+                                            AcceptedEntries aEntries);
+
+  /** Version 0 with no entries. */
+  static SnapshotPtr Empty();
+
+  std::int64_t Version() const;
+  const VersionStamp& Stamp() const;
+
+  /** Hash of version stamp and all entry names, revisions and texts. */
+  std::uint64_t ContentHash() const;
+  const AcceptedEntries& Entries() const;
+
+  /** Null when there is no such entry. */
+  const AcceptedEntry* Find(std::string_view aName) const;
+
+  /** The route entry with the longest path prefix, or null. */
+  const Entry* MatchRoute(HttpMethod aMethod, std::string_view aPath) const;
+
+  /** The owner entry that limits aOwner, or null. */
+  const Entry* OwnerLimits(std::string_view aOwner) const;
+
+private:
+  Snapshot() = default;
+
+  VersionStamp stamp;
+  std::uint64_t contentHash = 0;
+  AcceptedEntries entries;
+  std::multimap<std::string, const Entry*, std::less<>> routesByPath;
+  std::map<std::string, const Entry*, std::less<>> ownerLimits;
+};
+
+inline std::int64_t Snapshot::Version() const
+{
+  return this->stamp.version;
+}
+
+inline const VersionStamp& Snapshot::Stamp() const
+{
+  return this->stamp;
+}
+
+inline std::uint64_t Snapshot::ContentHash() const
+{
+  return this->contentHash;
+}
+
+inline const AcceptedEntries& Snapshot::Entries() const
+{
+  return this->entries;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/common/clock.cpp
@@ -0,0 +1,49 @@
+#include "common/clock.h"
+
+#include <chrono>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+template<typename ChronoClock>
+double MillisOf()
+{
+  const auto sinceEpoch = ChronoClock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(sinceEpoch).count();
+}
+
+} // namespace
+
+Clock::Clock(Source aSource)
+  : source(std::move(aSource))
+{
+}
+
+Clock Clock::Steady()
+{
+  return Clock(MillisOf<std::chrono::steady_clock>);
+}
+
+Clock Clock::Wall()
+{
+  return Clock(MillisOf<std::chrono::system_clock>);
+}
+
+ManualClock::ManualClock(Millis aStart)
+  : now(std::make_shared<double>(static_cast<double>(aStart)))
+{
+}
+
+Clock ManualClock::View() const
+{
+  return Clock([value = this->now] { return *value; });
+}
+
+void ManualClock::Advance(double aMillis)
+{
+  *this->now += aMillis;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/common/clock.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace lacewingwharf {
+
+/** Milliseconds, for deadlines, intervals and time stamps. */
+using Millis = std::int64_t;
+
+/**
+ * A source of time in milliseconds. Decisions take it by value, so that tests
+ * can run them on a manual clock.
+ */
+class Clock
+{
+public:
+  using Source = std::function<double()>;
+
+  explicit Clock(Source aSource);
+
+  /** Monotonic time of this process. */
+  static Clock Steady();
+
+  /** Time since the Unix epoch; for records that outlive the process. */
+  static Clock Wall();
+
+  Millis Now() const;
+
+  /** Fractional milliseconds, for latencies below one millisecond. */
+  double PreciseNow() const;
+
+private:
+  Source source;
+};
+
+/** A clock that only moves when told to; for tests and simulations. */
+class ManualClock
+{
+public:
+  explicit ManualClock(Millis aStart = 0);
+
+  /** A clock that reads this one; it stays valid after this one is gone. */
+  Clock View() const;
+  void Advance(double aMillis);
+
+private:
+  std::shared_ptr<double> now;
+};
+
+inline Millis Clock::Now() const
+{
+  return static_cast<Millis>(this->source());
+}
+
+inline double Clock::PreciseNow() const
+{
+  return this->source();
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/endpointview.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lacewingwharf {
+
+enum class EndpointState
+{
+  Starting,
+  Ready,
+  Draining
+};
+
+/** How far a failure domain is from this daemon; nearer is preferred. */
+enum class Distance
+{
+  SameDomain,
+  SameRegion,
+  OtherRegion
+};
+
+/** One backend server as seen by this daemon, with its destination daemon. */
+struct EndpointInfo
+{
+  std::string host;
+  std::string address; // Of the destination daemon.
+  int peerPort = 0;
+  std::int64_t incarnation = 0; // Of the destination daemon.
+  std::string domain;
+  Distance distance = Distance::SameDomain;
+  int port = 0; // Of the backend server on its host.
+  int slots = 0;
+  EndpointState state = EndpointState::Ready;
+};
+
+/** What is known of a service in one failure domain. */
+struct DomainLoad
+{
+  std::string domain;
+  Distance distance = Distance::SameDomain;
+  int ready = 0;
+  int slots = 0;
+  int freeSlots = 0;
+  double slowdown = 1.0;
+};
+
+/** Endpoints and domain loads of one service. */
+struct ServiceView
+{
+  std::vector<EndpointInfo> endpoints; // Ready only; sorted by host and port.
+  std::vector<DomainLoad> domains;     // Sorted by distance, then name.
+  int totalSlots = 0;                  // Over all domains.
+};
+
+/**
+ * All endpoints that this daemon may route to. Immutable; the control thread
+ * builds a new one when membership changes.
+ */
+struct EndpointView
+{
+  std::map<std::string, ServiceView, std::less<>> services;
+};
+
+using EndpointViewPtr = std::shared_ptr<const EndpointView>;
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/peer/peer.thrift
@@ -0,0 +1,281 @@
+/**
+ * Messages between daemons. Every frame and every datagram is one Envelope in
+ * the compact protocol. Field numbers are never reused; a change that an older
+ * daemon cannot read raises kProtocolVersion.
+ */
+namespace cpp lacewingwharf.wire
+
+const i32 PROTOCOL_VERSION = 1
+
+enum SessionKind {
+  CONTROL = 1
+  CALLS = 2
+}
+
+enum EndpointState {
+  STARTING = 1
+  READY = 2
+  DRAINING = 3
+}
+
+/** In merge order: at equal incarnation and sequence the higher one wins. */
+enum MemberState {
+  ALIVE = 1
+  SUSPECT = 2
+  DEAD = 3
+  LEFT = 4
+}
+
+enum CallOutcome {
+  DONE = 1
+  NOT_RUN = 2
+  UNKNOWN = 3
+}
+
+struct Hello {
+  1: i32 protocol
+  2: string host
+  3: i64 incarnation
+  4: string region
+  5: string domain
+  6: SessionKind kind
+}
+
+struct Endpoint {
+  1: string serviceName
+  2: i32 port
+  3: i32 slots
+  4: i32 connections
+  5: EndpointState state
+}
+
+struct MemberRecord {
+  1: string host
+  2: string address
+  3: i32 peerPort
+  4: string region
+  5: string domain
+  6: i64 incarnation
+  7: i64 sequence
+  8: MemberState state
+  9: list<Endpoint> endpoints
+}
+
+struct QuarantineMark {
+  1: i64 digest
+  2: i32 losses
+  3: i32 remainingMillis
+}
+
+struct Ping {
+  1: i64 sequence
+  2: string host
+  3: i64 version
+  4: list<MemberRecord> updates
+  5: list<QuarantineMark> marks
+  /** Set when the ping is sent for another member; its Ack goes there. */
+  6: optional string onBehalfOf
+}
+
+struct Ack {
+  1: i64 sequence
+  2: string host
+  3: i64 version
+  4: list<MemberRecord> updates
+  5: list<QuarantineMark> marks
+}
+
+struct PingRequest {
+  1: i64 sequence
+  2: string host
+  3: string target
+}
+
+struct MemberSync {
+  1: list<MemberRecord> records
+  2: bool isReply
+}
+
+struct SampledEndpoint {
+  1: string host
+  2: string address
+  3: i32 peerPort
+  4: i32 slots
+  5: i64 incarnation
+}
+
+struct ServiceSummary {
+  1: string serviceName
+  2: i32 ready
+  3: i32 slots
+  4: i32 freeSlots
+  /** Mean of time in system over service time, times 100. */
+  5: i32 slowdownPercent
+  6: list<SampledEndpoint> sample
+}
+
+struct DomainSummary {
+  1: string region
+  2: string domain
+  /** Higher wins; wall-clock milliseconds of the feeder that made it. */
+  3: i64 stamp
+  4: list<ServiceSummary> services
+  /** A few members of the domain that can be asked for anything else. */
+  5: list<MemberRecord> contacts
+}
+
+/** One changed entry of the catalogue; text is its JSON. */
+struct EntryText {
+  1: string name
+  2: i64 revision
+  3: string text
+}
+
+/** A delta when base > 0 or version is 1, else a whole snapshot. */
+struct ConfigBody {
+  1: i64 base
+  2: i64 version
+  3: i64 contentHash
+  4: i64 storeEpoch
+  5: i64 floorRevision
+  6: list<EntryText> changed
+  7: list<string> removed
+  8: bool whole
+}
+
+struct ConfigPush {
+  /** Root of the distribution tree along which this push travels. */
+  1: string root
+  2: ConfigBody body
+}
+
+struct ConfigFetch {
+  1: i64 held
+}
+
+struct ConfigAnswer {
+  1: i64 held
+  2: list<ConfigBody> bodies
+  /** Positive when the peer is busy: ask again after this time. */
+  3: i32 retryAfterMillis
+}
+
+struct CallRequest {
+  1: string callId
+  2: string entry
+  3: string serviceName
+  4: i32 port
+  5: string method
+  6: string target
+  7: map<string, string> headers
+  8: binary body
+  9: i64 remainingMillis
+  10: bool idempotent
+  11: i32 depth
+  12: string callerHost
+  13: i64 version
+  /** Digest of method, path and body or of the key; for the quarantine. */
+  14: i64 digest
+}
+
+struct CallAnswer {
+  1: string callId
+  2: CallOutcome outcome
+  3: i32 status
+  4: map<string, string> headers
+  5: binary body
+  6: i64 bodyHash
+  7: string reason
+  8: string owner
+  9: string limit
+  10: i32 retryAfterMillis
+  /** Load of the endpoint when the answer left. */
+  11: i32 running
+  12: i32 waiting
+  13: i32 slots
+  14: bool serverLost
+  15: i32 serviceMicros
+}
+
+struct CallCancel {
+  1: string callId
+}
+
+struct CallQuery {
+  1: string callId
+  /** Incarnation of the destination that the call was sent to. */
+  2: i64 incarnation
+}
+
+enum ClaimState {
+  HELD = 1
+  DONE = 2
+  RELEASED = 3
+}
+
+enum ClaimResult {
+  GRANTED = 1
+  DUPLICATE = 2
+  UNAVAILABLE = 3
+}
+
+struct ClaimRequest {
+  1: i64 keyHash
+  2: string holder
+  3: ClaimState wanted
+}
+
+struct ClaimAnswer {
+  1: i64 keyHash
+  2: string holder
+  3: ClaimResult result
+}
+
+struct EntryReport {
+  1: string entry
+  2: string owner
+  3: i64 calls
+  4: i64 refused
+  5: i64 slow
+  6: i32 p50Micros
+  7: i32 p99Micros
+  /** The limit most often met, with its bound and the value seen. */
+  8: string limit
+  9: i64 bound
+  10: i64 seen
+  11: i64 sinceWallMillis
+  12: list<string> callers
+  13: i64 unknown
+}
+
+struct StatusReport {
+  1: string host
+  2: string domain
+  3: i64 version
+  4: list<EntryReport> entries
+}
+
+struct Heartbeat {
+  1: i64 sequence
+}
+
+/** Exactly one field is set. */
+struct Envelope {
+  1: optional Hello hello
+  2: optional Ping ping
+  3: optional Ack ack
+  4: optional PingRequest pingRequest
+  5: optional MemberSync memberSync
+  6: optional DomainSummary domainSummary
+  7: optional ConfigPush configPush
+  8: optional ConfigFetch configFetch
+  9: optional ConfigAnswer configAnswer
+  10: optional CallRequest callRequest
+  11: optional CallAnswer callAnswer
+  12: optional CallCancel callCancel
+  13: optional CallQuery callQuery
+  14: optional ClaimRequest claimRequest
+  15: optional ClaimAnswer claimAnswer
+  16: optional StatusReport statusReport
+  17: optional Heartbeat heartbeat
+}
