--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/log.h"
+
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+/** An IP address and a port, as written in the settings. */
+struct SocketAddress
+{
+  std::string address;
+  int port = 0;
+};
+
+/** All settings of the daemon with their defaults; times in milliseconds. */
+struct Settings
+{
+  // [daemon]
+  std::string host;
+  std::string address;
+  std::string region;
+  std::string domain;
+  LogLevel logLevel = LogLevel::Info;
+  Millis stopLimit = 30000;
+
+  // [peer]
+  int peerPort = 7100;
+
+  // [http]
+  int callPort = 8080;
+  int adminPort = 8081;
+  int maxBodyBytes = 4194304;
+  int maxConnections = 2000;
+
+  // [platform]
+  SocketAddress platform;
+  std::string platformRegion;
+  Millis platformTimeout = 2000;
+  int platformCallsPerSecond = 20;
+
+  // [membership]
+  std::vector<SocketAddress> peers;
+  Millis gossipInterval = 1000;
+  Millis suspicionTime = 3000;
+  Millis endpointTimeout = 3000;
+
+  // [distribution]
+  int feeders = 2;
+  int fanout = 8;
+  Millis startWait = 2000;
+
+  // [claims]
+  Millis claimRetention = 86400000;
+  Millis claimWait = 1000;
+
+  // [status]
+  Millis reportInterval = 5000;
+};
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/settings/settingskeys.cpp
@@ -0,0 +1,204 @@
+#include "settings/settingskeys.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <limits>
+#include <ranges>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr std::int64_t kMaxPort = 65535;
+constexpr std::int64_t kHourMillis = 3600000;
+
+std::string_view Trim(std::string_view aText)
+{
+  const auto first = aText.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
+}
+
+std::optional<std::int64_t> ParseNumber(std::string_view aText,
+                                        std::int64_t aLow,
+                                        std::int64_t aHigh)
+{
+  std::int64_t value = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, value);
+  const bool isWhole = parsed.ec == std::errc() && parsed.ptr == end;
+  if (!isWhole || value < aLow || value > aHigh) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+bool IsIpAddress(const std::string& aText)
+{
+  in_addr parsed{};
+  return inet_pton(AF_INET, aText.c_str(), &parsed) == 1;
+}
+
+std::optional<SocketAddress> ParseSocketAddress(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string address(aText.substr(0, colon));
+  const auto port = ParseNumber(aText.substr(colon + 1), 1, kMaxPort);
+  if (!port || !IsIpAddress(address)) {
+    return std::nullopt;
+  }
+  return SocketAddress{ address, static_cast<int>(*port) };
+}
+
+bool IsName(std::string_view aText)
+{
+  constexpr std::size_t kMaxName = 63;
+  const auto isAllowed = [](unsigned char aChar) {
+    return std::isalnum(aChar) != 0 || aChar == '-' || aChar == '.' ||
+           aChar == '_' || aChar >= 0x80;
+  };
+  return !aText.empty() && aText.size() <= kMaxName &&
+         std::ranges::all_of(aText, isAllowed);
+}
+
+SettingsKey NameKey(std::string_view aSection,
+                    std::string_view aName,
+                    std::string Settings::*aMember)
+{
+  return { aSection,
+           aName,
+           true,
+           "a name of letters, digits, '-', '.' and '_'",
+           [aMember](Settings& aSettings, std::string_view aText) {
+             if (!IsName(aText)) {
+               return false;
+             }
+             aSettings.*aMember = std::string(aText);
+             return true;
+           } };
+}
+
+template<typename Number>
+SettingsKey NumberKey(std::string_view aSection,
+                      std::string_view aName,
+                      Number Settings::*aMember,
+                      std::int64_t aLow,
+                      std::int64_t aHigh,
+                      bool aIsRequired = false)
+{
+  return { aSection,
+           aName,
+           aIsRequired,
+           fmt::format("a whole number from {} to {}", aLow, aHigh),
+           [=](Settings& aSettings, std::string_view aText) {
+             const auto value = ParseNumber(aText, aLow, aHigh);
+             if (!value) {
+               return false;
+             }
+             aSettings.*aMember = static_cast<Number>(*value);
+             return true;
+           } };
+}
+
+bool AssignAddress(Settings& aSettings, std::string_view aText)
+{
+  std::string address(aText);
+  if (!IsIpAddress(address)) {
+    return false;
+  }
+  aSettings.address = std::move(address);
+  return true;
+}
+
+bool AssignPlatform(Settings& aSettings, std::string_view aText)
+{
+  const auto address = ParseSocketAddress(aText);
+  if (address) {
+    aSettings.platform = *address;
+  }
+  return address.has_value();
+}
+
+bool AssignPeers(Settings& aSettings, std::string_view aText)
+{
+  std::vector<SocketAddress> peers;
+  for (const auto part : std::views::split(aText, ',')) {
+    const auto address =
+      ParseSocketAddress(Trim(std::string_view(part.begin(), part.end())));
+    if (!address) {
+      return false;
+    }
+    peers.push_back(*address);
+  }
+  aSettings.peers = std::move(peers);
+  return true;
+}
+
+std::vector<SettingsKey> MakeKeys()
+{
+  return {
+    NameKey("daemon", "host", &Settings::host),
+    { "daemon", "address", true, "an IPv4 address", AssignAddress },
+    NameKey("daemon", "region", &Settings::region),
+    NameKey("daemon", "domain", &Settings::domain),
+    { "daemon",
+      "loglevel",
+      false,
+      "debug, info, warning or error",
+      [](Settings& aSettings, std::string_view aText) {
+        return Log::ParseLevel(aText, aSettings.logLevel);
+      } },
+    NumberKey("daemon", "stoplimit", &Settings::stopLimit, 100, kHourMillis),
+    NumberKey("peer", "port", &Settings::peerPort, 1, kMaxPort),
+    NumberKey("http", "callport", &Settings::callPort, 1, kMaxPort),
+    NumberKey("http", "adminport", &Settings::adminPort, 1, kMaxPort),
+    NumberKey("http", "maxbodybytes", &Settings::maxBodyBytes, 1024, 8 << 20),
+    NumberKey("http", "maxconnections", &Settings::maxConnections, 1, 60000),
+    { "platform", "address", true, "IPV4:PORT", AssignPlatform },
+    NameKey("platform", "region", &Settings::platformRegion),
+    NumberKey("platform", "timeout", &Settings::platformTimeout, 50, 60000),
+    NumberKey(
+      "platform", "callspersecond", &Settings::platformCallsPerSecond, 1, 1000),
+    { "membership",
+      "peers",
+      false,
+      "a comma-separated list of IPV4:PORT",
+      AssignPeers },
+    NumberKey(
+      "membership", "gossipinterval", &Settings::gossipInterval, 50, 60000),
+    NumberKey("membership", "suspicion", &Settings::suspicionTime, 200, 600000),
+    NumberKey(
+      "membership", "endpointtimeout", &Settings::endpointTimeout, 200, 600000),
+    NumberKey("distribution", "feeders", &Settings::feeders, 1, 16),
+    NumberKey("distribution", "fanout", &Settings::fanout, 2, 64),
+    NumberKey("distribution", "startwait", &Settings::startWait, 100, 60000),
+    NumberKey("claims",
+              "retention",
+              &Settings::claimRetention,
+              60000,
+              30 * 24 * kHourMillis),
+    NumberKey("claims", "wait", &Settings::claimWait, 50, 60000),
+    NumberKey(
+      "status", "reportinterval", &Settings::reportInterval, 200, 600000),
+  };
+}
+
+} // namespace
+
+const std::vector<SettingsKey>& SettingsKeys()
+{
+  static const std::vector<SettingsKey> sKeys = MakeKeys();
+  return sKeys;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/settings/settingsreader_test.cpp
@@ -0,0 +1,67 @@
+#include "settings/settingsreader.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingwharf;
+
+namespace {
+
+constexpr std::string_view kComplete = "[daemon]\n"
+                                       "host = host-1\n"
+                                       "address = 127.0.1.1\n"
+                                       "region = de-cymru\n"
+                                       "domain = caerfyrddin\n"
+                                       "[platform]\n"
+                                       "address = 127.0.0.1:7000\n"
+                                       "region = de-cymru\n";
+
+} // namespace
+
+// Guards against defaults that replace values from the file.
+Test(settingsreader, ReadsACompleteFile)
+{
+  const auto settings =
+    ParseSettings(std::string(kComplete) +
+                  "[membership]\npeers = 127.0.1.1:7100, 127.0.1.2:7100\n");
+  cr_assert(settings.has_value());
+  cr_assert_eq(settings.value().host, "host-1");
+  cr_assert_eq(settings.value().platform.port, 7000);
+  cr_assert_eq(settings.value().peers.size(), 2U);
+  cr_assert_eq(settings.value().feeders, 2);
+}
+
+// Guards against a daemon that starts on a misspelt key, and against having
+// to run it once per fault.
+Test(settingsreader, ReportsAllFaultsWithTheirLines)
+{
+  const auto settings = ParseSettings("[daemon]\n"
+                                      "host = host-1\n"
+                                      "adress = 127.0.1.1\n"
+                                      "region = a b\n"
+                                      "[peer]\n"
+                                      "port = 70000\n"
+                                      "port = 7000\n");
+  cr_assert(settings.has_error());
+  const SettingsErrors& errors = settings.error();
+  const auto count = [&errors](SettingsErrorCode aCode, int aLine) {
+    return std::ranges::count_if(errors, [=](const SettingsError& aError) {
+      return aError.code == aCode && aError.line == aLine;
+    });
+  };
+  cr_expect_eq(count(SettingsErrorCode::UnknownKey, 3), 1);
+  cr_expect_eq(count(SettingsErrorCode::BadValue, 4), 1);
+  cr_expect_eq(count(SettingsErrorCode::BadValue, 6), 1);
+  cr_expect_eq(count(SettingsErrorCode::Duplicate, 7), 1);
+  cr_expect_eq(count(SettingsErrorCode::MissingKey, 0), 4);
+}
+
+// Guards against a file that is not INI being taken as empty settings.
+Test(settingsreader, ReportsSyntaxErrors)
+{
+  const auto settings = ParseSettings("[daemon\nhost\n");
+  cr_assert(settings.has_error());
+
+  cr_expect(std::ranges::any_of(settings.error(), [](const auto& aError) {
+    return aError.code == SettingsErrorCode::Syntax && aError.line == 1;
+  }));
+}
