Use Mozilla's format without overrides

Cause: two options overrode the return type's line of the base style. Conclusion: formatter and style name agree.

--- a/src/catalogue/delta.h
+++ b/src/catalogue/delta.h
@@ -31,12 +31,15 @@
   bool isWhole = false;
 };
 
-Delta DeltaBetween(const Snapshot& aBase, const Snapshot& aNext);
+Delta
+DeltaBetween(const Snapshot& aBase, const Snapshot& aNext);
 
-Delta WholeOf(const Snapshot& aSnapshot);
+Delta
+WholeOf(const Snapshot& aSnapshot);
 
 /** Checks base and content hash; the result is a valid whole snapshot. */
-CatalogueResult<SnapshotPtr> Apply(const Snapshot& aBase, const Delta& aDelta);
+CatalogueResult<SnapshotPtr>
+Apply(const Snapshot& aBase, const Delta& aDelta);
 
 /** JSON text of accepted/N and snapshot/N in the platform. */
 struct AcceptedObject
@@ -46,8 +49,10 @@
   std::string nonce;
 };
 
-std::string EncodeAccepted(const AcceptedObject& aObject);
+std::string
+EncodeAccepted(const AcceptedObject& aObject);
 
-CatalogueResult<AcceptedObject> DecodeAccepted(std::string_view aText);
+CatalogueResult<AcceptedObject>
+DecodeAccepted(std::string_view aText);
 
 } // namespace lacewingwharf
--- a/src/catalogue/entry.h
+++ b/src/catalogue/entry.h
@@ -133,7 +133,7 @@
 };
 
 /** Refuses unknown keys, so that a misspelt limit is not silently ignored. */
-CatalogueResult<Entry> ParseEntry(std::string_view aName,
-                                  std::string_view aJson);
+CatalogueResult<Entry>
+ParseEntry(std::string_view aName, std::string_view aJson);
 
 } // namespace lacewingwharf
--- a/src/catalogue/snapshot.h
+++ b/src/catalogue/snapshot.h
@@ -72,22 +72,26 @@
   std::map<std::string, const Entry*, std::less<>> ownerLimits;
 };
 
-inline std::int64_t Snapshot::Version() const
+inline std::int64_t
+Snapshot::Version() const
 {
   return this->stamp.version;
 }
 
-inline const VersionStamp& Snapshot::Stamp() const
+inline const VersionStamp&
+Snapshot::Stamp() const
 {
   return this->stamp;
 }
 
-inline std::uint64_t Snapshot::ContentHash() const
+inline std::uint64_t
+Snapshot::ContentHash() const
 {
   return this->contentHash;
 }
 
-inline const AcceptedEntries& Snapshot::Entries() const
+inline const AcceptedEntries&
+Snapshot::Entries() const
 {
   return this->entries;
 }
--- a/src/common/clock.cpp
+++ b/src/common/clock.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 template<typename ChronoClock>
-double MillisOf()
+double
+MillisOf()
 {
   const auto sinceEpoch = ChronoClock::now().time_since_epoch();
   return std::chrono::duration<double, std::milli>(sinceEpoch).count();
@@ -21,12 +22,14 @@
 {
 }
 
-Clock Clock::Steady()
+Clock
+Clock::Steady()
 {
   return Clock(MillisOf<std::chrono::steady_clock>);
 }
 
-Clock Clock::Wall()
+Clock
+Clock::Wall()
 {
   return Clock(MillisOf<std::chrono::system_clock>);
 }
@@ -36,12 +39,14 @@
 {
 }
 
-Clock ManualClock::View() const
+Clock
+ManualClock::View() const
 {
   return Clock([value = this->now] { return *value; });
 }
 
-void ManualClock::Advance(double aMillis)
+void
+ManualClock::Advance(double aMillis)
 {
   *this->now += aMillis;
 }
--- a/src/common/clock.h
+++ b/src/common/clock.h
@@ -49,12 +49,14 @@
   std::shared_ptr<double> now;
 };
 
-inline Millis Clock::Now() const
+inline Millis
+Clock::Now() const
 {
   return static_cast<Millis>(this->source());
 }
 
-inline double Clock::PreciseNow() const
+inline double
+Clock::PreciseNow() const
 {
   return this->source();
 }
--- a/src/common/eventloop.cpp
+++ b/src/common/eventloop.cpp
@@ -26,12 +26,14 @@
   this->Stop();
 }
 
-void EventLoop::Start()
+void
+EventLoop::Start()
 {
   this->thread = std::jthread([this] { this->Loop(); });
 }
 
-void EventLoop::Stop()
+void
+EventLoop::Stop()
 {
   this->tasks.Close();
   if (this->thread.joinable()) {
@@ -39,12 +41,14 @@
   }
 }
 
-bool EventLoop::Post(Task aTask)
+bool
+EventLoop::Post(Task aTask)
 {
   return this->tasks.Push(std::move(aTask));
 }
 
-bool EventLoop::Run(const Task& aTask)
+bool
+EventLoop::Run(const Task& aTask)
 {
   auto done = std::make_shared<std::promise<void>>();
   auto ended = done->get_future();
@@ -58,7 +62,8 @@
   return posted;
 }
 
-void EventLoop::Loop()
+void
+EventLoop::Loop()
 {
   pthread_setname_np(pthread_self(), this->name.c_str());
   Millis nextTick = this->clock.Now() + this->tickInterval;
--- a/src/common/eventloop.h
+++ b/src/common/eventloop.h
@@ -53,7 +53,8 @@
   std::jthread thread;
 };
 
-inline std::uint64_t EventLoop::Overflows() const
+inline std::uint64_t
+EventLoop::Overflows() const
 {
   return this->tasks.Overflows();
 }
--- a/src/common/hash.cpp
+++ b/src/common/hash.cpp
@@ -9,17 +9,20 @@
 
 namespace lacewingwharf {
 
-std::uint64_t Hash64(std::string_view aBytes, std::uint64_t aSeed)
+std::uint64_t
+Hash64(std::string_view aBytes, std::uint64_t aSeed)
 {
   return XXH64(aBytes.data(), aBytes.size(), aSeed);
 }
 
-std::string HexOf(std::uint64_t aValue)
+std::string
+HexOf(std::uint64_t aValue)
 {
   return fmt::format("{:016x}", aValue);
 }
 
-std::uint64_t ValueOfHex(std::string_view aText)
+std::uint64_t
+ValueOfHex(std::string_view aText)
 {
   std::uint64_t value = 0;
   const char* const end = aText.data() + aText.size();
@@ -27,8 +30,8 @@
   return parsed.ptr == end ? value : 0;
 }
 
-std::vector<std::string> RendezvousOrder(std::string_view aKey,
-                                         std::vector<std::string> aMembers)
+std::vector<std::string>
+RendezvousOrder(std::string_view aKey, std::vector<std::string> aMembers)
 {
   const std::uint64_t seed = Hash64(aKey);
   std::vector<std::pair<std::uint64_t, std::string>> weighted;
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -21,12 +21,14 @@
 
 } // namespace
 
-void Log::SetLevel(LogLevel aLevel)
+void
+Log::SetLevel(LogLevel aLevel)
 {
   sLevel = aLevel;
 }
 
-bool Log::ParseLevel(std::string_view aName, LogLevel& aLevel)
+bool
+Log::ParseLevel(std::string_view aName, LogLevel& aLevel)
 {
   const auto level = kLevelNames.ValueOf(aName);
   if (!level) {
@@ -36,12 +38,14 @@
   return true;
 }
 
-bool Log::IsEnabled(LogLevel aLevel)
+bool
+Log::IsEnabled(LogLevel aLevel)
 {
   return aLevel >= sLevel.load(std::memory_order_relaxed);
 }
 
-void Log::WriteLine(LogLevel aLevel, const std::string& aMessage) const
+void
+Log::WriteLine(LogLevel aLevel, const std::string& aMessage) const
 {
   const auto now = std::chrono::system_clock::now();
   const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/common/names.h
+++ b/src/common/names.h
@@ -43,8 +43,8 @@
 
 /** Deduces the size, so that tables read as plain lists of rows. */
 template<typename Enum, std::size_t Size>
-constexpr NameTable<Enum, Size> MakeNameTable(
-  const std::pair<Enum, std::string_view> (&aRows)[Size])
+constexpr NameTable<Enum, Size>
+MakeNameTable(const std::pair<Enum, std::string_view> (&aRows)[Size])
 {
   return NameTable<Enum, Size>(std::to_array(aRows));
 }
--- a/src/common/random.cpp
+++ b/src/common/random.cpp
@@ -5,20 +5,23 @@
 
 namespace lacewingwharf {
 
-Random SeededRandom(std::uint64_t aSeed)
+Random
+SeededRandom(std::uint64_t aSeed)
 {
   return
     [engine = std::make_shared<std::mt19937_64>(aSeed)] { return (*engine)(); };
 }
 
-Random SystemRandom()
+Random
+SystemRandom()
 {
   std::random_device device;
   const std::uint64_t high = device();
   return SeededRandom(high << 32U | device());
 }
 
-std::uint64_t RandomBelow(const Random& aRandom, std::uint64_t aBound)
+std::uint64_t
+RandomBelow(const Random& aRandom, std::uint64_t aBound)
 {
   return aRandom() % aBound;
 }
--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -17,7 +17,8 @@
 constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kHourMillis = 3600000;
 
-std::string_view Trim(std::string_view aText)
+std::string_view
+Trim(std::string_view aText)
 {
   const auto first = aText.find_first_not_of(" \t");
   if (first == std::string_view::npos) {
@@ -26,9 +27,8 @@
   return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
 }
 
-std::optional<std::int64_t> ParseNumber(std::string_view aText,
-                                        std::int64_t aLow,
-                                        std::int64_t aHigh)
+std::optional<std::int64_t>
+ParseNumber(std::string_view aText, std::int64_t aLow, std::int64_t aHigh)
 {
   std::int64_t value = 0;
   const char* const end = aText.data() + aText.size();
@@ -40,13 +40,15 @@
   return value;
 }
 
-bool IsIpAddress(const std::string& aText)
+bool
+IsIpAddress(const std::string& aText)
 {
   in_addr parsed{};
   return inet_pton(AF_INET, aText.c_str(), &parsed) == 1;
 }
 
-std::optional<SocketAddress> ParseSocketAddress(std::string_view aText)
+std::optional<SocketAddress>
+ParseSocketAddress(std::string_view aText)
 {
   const auto colon = aText.rfind(':');
   if (colon == std::string_view::npos) {
@@ -60,7 +62,8 @@
   return SocketAddress{ address, static_cast<int>(*port) };
 }
 
-bool IsName(std::string_view aText)
+bool
+IsName(std::string_view aText)
 {
   constexpr std::size_t kMaxName = 63;
   const auto isAllowed = [](unsigned char aChar) {
@@ -71,9 +74,10 @@
          std::ranges::all_of(aText, isAllowed);
 }
 
-SettingsKey NameKey(std::string_view aSection,
-                    std::string_view aName,
-                    std::string Settings::*aMember)
+SettingsKey
+NameKey(std::string_view aSection,
+        std::string_view aName,
+        std::string Settings::*aMember)
 {
   return { aSection,
            aName,
@@ -89,12 +93,13 @@
 }
 
 template<typename Number>
-SettingsKey NumberKey(std::string_view aSection,
-                      std::string_view aName,
-                      Number Settings::*aMember,
-                      std::int64_t aLow,
-                      std::int64_t aHigh,
-                      bool aIsRequired = false)
+SettingsKey
+NumberKey(std::string_view aSection,
+          std::string_view aName,
+          Number Settings::*aMember,
+          std::int64_t aLow,
+          std::int64_t aHigh,
+          bool aIsRequired = false)
 {
   return { aSection,
            aName,
@@ -110,7 +115,8 @@
            } };
 }
 
-bool AssignAddress(Settings& aSettings, std::string_view aText)
+bool
+AssignAddress(Settings& aSettings, std::string_view aText)
 {
   std::string address(aText);
   if (!IsIpAddress(address)) {
@@ -120,7 +126,8 @@
   return true;
 }
 
-bool AssignPlatform(Settings& aSettings, std::string_view aText)
+bool
+AssignPlatform(Settings& aSettings, std::string_view aText)
 {
   const auto address = ParseSocketAddress(aText);
   if (address) {
@@ -129,7 +136,8 @@
   return address.has_value();
 }
 
-bool AssignPeers(Settings& aSettings, std::string_view aText)
+bool
+AssignPeers(Settings& aSettings, std::string_view aText)
 {
   std::vector<SocketAddress> peers;
   for (const auto part : std::views::split(aText, ',')) {
@@ -144,7 +152,8 @@
   return true;
 }
 
-std::vector<SettingsKey> MakeKeys()
+std::vector<SettingsKey>
+MakeKeys()
 {
   return {
     NameKey("daemon", "host", &Settings::host),
@@ -195,7 +204,8 @@
 
 } // namespace
 
-const std::vector<SettingsKey>& SettingsKeys()
+const std::vector<SettingsKey>&
+SettingsKeys()
 {
   static const std::vector<SettingsKey> sKeys = MakeKeys();
   return sKeys;
--- a/src/settings/settingskeys.h
+++ b/src/settings/settingskeys.h
@@ -25,6 +25,7 @@
 };
 
 /** Every key of the settings file. */
-const std::vector<SettingsKey>& SettingsKeys();
+const std::vector<SettingsKey>&
+SettingsKeys();
 
 } // namespace lacewingwharf
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -46,7 +46,8 @@
   std::set<const SettingsKey*> seen;
 };
 
-Result<Settings, SettingsErrors> Reading::Run()
+Result<Settings, SettingsErrors>
+Reading::Run()
 {
   const int badLine = ini_parse_stream(NextLine, this, OnKey, this);
   if (badLine > 0) {
@@ -63,7 +64,8 @@
 
 // inih does not tell the handler its line, so the lines are counted as they
 // are handed out.
-char* Reading::NextLine(char* aBuffer, int aSize, void* aSelf)
+char*
+Reading::NextLine(char* aBuffer, int aSize, void* aSelf)
 {
   auto& self = *static_cast<Reading*>(aSelf);
   if (self.rest.empty()) {
@@ -83,18 +85,20 @@
   return aBuffer;
 }
 
-int Reading::OnKey(void* aSelf,
-                   const char* aSection,
-                   const char* aName,
-                   const char* aValue)
+int
+Reading::OnKey(void* aSelf,
+               const char* aSection,
+               const char* aName,
+               const char* aValue)
 {
   static_cast<Reading*>(aSelf)->Assign(aSection, aName, aValue);
   return 1;
 }
 
-void Reading::Assign(std::string_view aSection,
-                     std::string_view aName,
-                     std::string_view aValue)
+void
+Reading::Assign(std::string_view aSection,
+                std::string_view aName,
+                std::string_view aValue)
 {
   const std::string label = fmt::format("[{}] {}", aSection, aName);
   const auto key = std::ranges::find_if(
@@ -117,12 +121,14 @@
   }
 }
 
-void Reading::AddError(SettingsErrorCode aCode, int aLine, std::string aDetail)
+void
+Reading::AddError(SettingsErrorCode aCode, int aLine, std::string aDetail)
 {
   this->errors.push_back({ aCode, aLine, std::move(aDetail) });
 }
 
-void Reading::CheckMissing()
+void
+Reading::CheckMissing()
 {
   std::ranges::for_each(SettingsKeys(), [this](const SettingsKey& aKey) {
     if (aKey.isRequired && !this->seen.contains(&aKey)) {
@@ -135,12 +141,14 @@
 
 } // namespace
 
-Result<Settings, SettingsErrors> ParseSettings(std::string_view aText)
+Result<Settings, SettingsErrors>
+ParseSettings(std::string_view aText)
 {
   return Reading(aText).Run();
 }
 
-Result<Settings, SettingsErrors> ReadSettings(const std::string& aFile)
+Result<Settings, SettingsErrors>
+ReadSettings(const std::string& aFile)
 {
   std::ifstream stream(aFile);
   if (!stream) {
@@ -152,7 +160,8 @@
   return ParseSettings(text.str());
 }
 
-std::string DescribeError(const std::string& aFile, const SettingsError& aError)
+std::string
+DescribeError(const std::string& aFile, const SettingsError& aError)
 {
   return fmt::format("{}:{}: {}: {}",
                      aFile,
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -39,12 +39,14 @@
 /** All faults of the file at once, so that one run shows what to mend. */
 using SettingsErrors = std::vector<SettingsError>;
 
-Result<Settings, SettingsErrors> ReadSettings(const std::string& aFile);
+Result<Settings, SettingsErrors>
+ReadSettings(const std::string& aFile);
 
-Result<Settings, SettingsErrors> ParseSettings(std::string_view aText);
+Result<Settings, SettingsErrors>
+ParseSettings(std::string_view aText);
 
 /** "FILE:LINE: unknown key: [peer] prot" */
-std::string DescribeError(const std::string& aFile,
-                          const SettingsError& aError);
+std::string
+DescribeError(const std::string& aFile, const SettingsError& aError);
 
 } // namespace lacewingwharf
