Add the calls of entry and destination daemon and the command-line tool

Cause: a call needs one owner at each end, and operators a tool. Change: EntryCalls owns route choice, deadline, retries and the one answer; DestinationCalls runs each call id at most once and answers questions about its fate; lacewingwharfctl edits entries conditionally and inspects daemons. Conclusion: to be proved when the daemon is assembled.

--- a/src/admission/refusal.h
+++ b/src/admission/refusal.h
@@ -31,6 +31,7 @@
   Overload,
   NotConnected,
   Fenced,
+  CallerLeft,
   ShuttingDown
 };
 
@@ -55,6 +56,7 @@
     { RefusalReason::Overload, "overload" },
     { RefusalReason::NotConnected, "not-connected" },
     { RefusalReason::Fenced, "fenced" },
+    { RefusalReason::CallerLeft, "caller-left" },
     { RefusalReason::ShuttingDown, "shutting-down" } });
 
 /** A refusal that names whose limit was met and by how much. */
--- /dev/null
+++ b/src/ctl/options.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/names.h"
+#include "common/result.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+enum class CtlCommand
+{
+  Put,
+  Get,
+  List,
+  Delete,
+  Check,
+  Status,
+  Explain,
+  Wait
+};
+
+inline constexpr auto kCtlCommandNames =
+  MakeNameTable<CtlCommand>({ { CtlCommand::Put, "put" },
+                              { CtlCommand::Get, "get" },
+                              { CtlCommand::List, "list" },
+                              { CtlCommand::Delete, "delete" },
+                              { CtlCommand::Check, "check" },
+                              { CtlCommand::Status, "status" },
+                              { CtlCommand::Explain, "explain" },
+                              { CtlCommand::Wait, "wait" } });
+
+/** Exit codes of lacewingwharfctl. */
+enum class ExitCode
+{
+  Ok = 0,
+  PlatformFailed = 1,
+  Usage = 2,
+  Conflict = 3,
+  Rejected = 4,
+  TimedOut = 5,
+  NotFound = 6
+};
+
+/** The parsed command line. */
+struct CtlOptions
+{
+  CtlCommand command = CtlCommand::List;
+  std::vector<std::string> arguments;
+  std::string platform;             // IPV4:PORT
+  std::vector<std::string> daemons; // Admin IPV4:PORT of each.
+  std::optional<std::int64_t> expectedRevision;
+  std::string changeId;
+  std::int64_t version = 0;
+  Millis timeout = 15000;
+  bool isForced = false;
+  bool isJson = false;
+  bool wantsHelp = false;
+};
+
+/** A command line that cannot be carried out. */
+struct UsageError
+{
+  std::string message;
+};
+
+Result<CtlOptions, UsageError>
+ParseCtlOptions(int aCount, char** aArguments);
+
+/** The text of --help. */
+std::string
+CtlHelp();
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/callrequest.cpp
@@ -0,0 +1,105 @@
+#include "execution/callrequest.h"
+
+#include "common/hash.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace lacewingwharf {
+
+namespace {
+
+std::optional<std::int64_t>
+NumberHeader(const HttpHeaders& aHeaders, const char* aName)
+{
+  const auto header = aHeaders.find(aName);
+  if (header == aHeaders.end()) {
+    return std::nullopt;
+  }
+  std::int64_t value = 0;
+  const std::string& text = header->second;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+// The seeds keep digests of keys and of requests apart.
+constexpr std::uint64_t kKeySeed = 1;
+constexpr std::uint64_t kRequestSeed = 2;
+
+std::uint64_t
+HashOfKey(const EntryCall& aCall, const std::string& aKey)
+{
+  return Hash64(aCall.entry->name + '\n' + aKey, kKeySeed);
+}
+
+std::uint64_t
+HashOfRequest(const HttpRequest& aHttp)
+{
+  const std::string head = aHttp.method + ' ' + aHttp.target + '\n';
+  return Hash64(aHttp.body, Hash64(head, kRequestSeed));
+}
+
+} // namespace
+
+void
+ReadRequest(EntryCall& aCall, Millis aNow)
+{
+  const HttpHeaders& headers = aCall.http.headers;
+  const auto method = kHttpMethodNames.ValueOf(aCall.http.method);
+  aCall.isIdempotent = method && aCall.entry->IsIdempotent(*method);
+  aCall.depth =
+    static_cast<int>(NumberHeader(headers, kDepthHeader).value_or(0));
+  const Millis limit = aCall.entry->limits.deadline;
+  const Millis asked = NumberHeader(headers, kDeadlineHeader).value_or(limit);
+  aCall.deadlineAt = aNow + std::min(limit, asked);
+  const auto key = headers.find(kKeyHeader);
+  if (key == headers.end()) {
+    aCall.digest = HashOfRequest(aCall.http);
+    return;
+  }
+  aCall.digest = HashOfKey(aCall, key->second);
+  if (!aCall.isIdempotent) {
+    aCall.keyHash = aCall.digest;
+  }
+}
+
+wire::CallRequest
+RequestMessage(const EntryCall& aCall,
+               const std::string& aHost,
+               Millis aRemaining)
+{
+  wire::CallRequest request;
+  request.callId = aCall.attempt.id;
+  request.entry = aCall.entry->name;
+  request.serviceName = aCall.entry->service;
+  request.port = aCall.attempt.endpoint.port;
+  request.method = aCall.http.method;
+  request.target = aCall.http.target;
+  const HttpHeaders headers = EndToEndHeaders(aCall.http.headers);
+  request.headers.insert(headers.begin(), headers.end());
+  request.headers[kCallIdHeader] = aCall.id;
+  request.headers[kDepthHeader] = fmt::format("{}", aCall.depth + 1);
+  request.body = aCall.http.body;
+  request.remainingMillis = aRemaining;
+  request.idempotent = aCall.isIdempotent;
+  request.depth = aCall.depth;
+  request.callerHost = aHost;
+  request.version = aCall.snapshot->Version();
+  request.digest = static_cast<std::int64_t>(aCall.digest);
+  return request;
+}
+
+std::int64_t
+BodyHash(const std::string& aBody)
+{
+  return static_cast<std::int64_t>(Hash64(aBody));
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/callrequest.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "execution/entrycall.h"
+#include "peer_types.h"
+
+#include <cstdint>
+#include <string>
+
+namespace lacewingwharf {
+
+/** Longest chain of calls that cause one another. */
+inline constexpr int kMaxDepth = 20;
+
+/**
+ * Fills in what the request itself says: depth, idempotency, deadline, digest
+ * and key. The entry must be set.
+ */
+void
+ReadRequest(EntryCall& aCall, Millis aNow);
+
+/** The message for the current attempt. */
+wire::CallRequest
+RequestMessage(const EntryCall& aCall,
+               const std::string& aHost,
+               Millis aRemaining);
+
+/** Hash of the answer body that travels with it. */
+std::int64_t
+BodyHash(const std::string& aBody);
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/destinationcalls.cpp
@@ -0,0 +1,352 @@
+#include "execution/destinationcalls.h"
+
+#include "common/log.h"
+#include "execution/callrequest.h"
+#include "execution/outcome.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("slots");
+
+wire::CallAnswer
+NotRun(const std::string& aCallId, const Refusal& aRefusal)
+{
+  wire::CallAnswer answer;
+  answer.callId = aCallId;
+  answer.outcome = wire::CallOutcome::NOT_RUN;
+  answer.reason = kRefusalReasonNames.NameOf(aRefusal.reason);
+  answer.owner = aRefusal.owner;
+  answer.bound = aRefusal.bound;
+  answer.seen = aRefusal.seen;
+  answer.retryAfterMillis = static_cast<std::int32_t>(aRefusal.retryAfter);
+  return answer;
+}
+
+wire::CallAnswer
+NotRun(const std::string& aCallId, RefusalReason aReason)
+{
+  Refusal refusal;
+  refusal.reason = aReason;
+  return NotRun(aCallId, refusal);
+}
+
+wire::CallAnswer
+Unknown(const std::string& aCallId, const std::string& aReason)
+{
+  wire::CallAnswer answer;
+  answer.callId = aCallId;
+  answer.outcome = wire::CallOutcome::UNKNOWN;
+  answer.reason = aReason;
+  return answer;
+}
+
+} // namespace
+
+DestinationCalls::DestinationCalls(DestinationCallsConfig aConfig,
+                                   Clock aClock,
+                                   DestinationCallsHooks aHooks)
+  : config(std::move(aConfig))
+  , clock(aClock)
+  , hooks(std::move(aHooks))
+  , admission(this->config.host,
+              aClock,
+              { [this](const std::string& aId) { this->Start(aId); },
+                [this](const std::string& aId, const Refusal& aRefusal) {
+                  this->RefuseCall(aId, aRefusal);
+                } })
+{
+}
+
+DestinationCalls::~DestinationCalls() = default;
+
+void
+DestinationCalls::SetConfiguration(SnapshotPtr aSnapshot, EndpointViewPtr aView)
+{
+  this->snapshot = aSnapshot;
+  this->admission.SetConfiguration(std::move(aSnapshot), std::move(aView));
+}
+
+void
+DestinationCalls::HandleRequest(SessionId aOrigin, wire::CallRequest aRequest)
+{
+  const std::string id = aRequest.callId;
+  if (this->calls.contains(id)) {
+    kLog.Info("call {} is known or fenced and was not started again", id);
+    return;
+  }
+  const AcceptedEntry* const accepted =
+    this->snapshot ? this->snapshot->Find(aRequest.entry) : nullptr;
+  if (accepted == nullptr) {
+    this->hooks.answer(aOrigin, NotRun(id, RefusalReason::NoRoute));
+    return;
+  }
+  const auto digest = static_cast<std::uint64_t>(aRequest.digest);
+  if (this->hooks.isQuarantined(digest)) {
+    this->hooks.answer(aOrigin, NotRun(id, RefusalReason::Quarantined));
+    return;
+  }
+  Call call;
+  call.origin = aOrigin;
+  call.deadlineAt = this->clock.Now() + aRequest.remainingMillis;
+  AdmissionRequest admissionRequest;
+  admissionRequest.callId = id;
+  admissionRequest.entry = accepted->entry.name;
+  admissionRequest.owner = accepted->entry.owner;
+  admissionRequest.workClass = accepted->entry.workClass;
+  admissionRequest.service = aRequest.serviceName;
+  admissionRequest.port = aRequest.port;
+  admissionRequest.deadlineAt = call.deadlineAt;
+  admissionRequest.queueWait = accepted->entry.limits.queueWait;
+  call.request = std::move(aRequest);
+  this->calls.emplace(id, std::move(call));
+  ++this->inFlight;
+  this->admission.Offer(std::move(admissionRequest));
+}
+
+void
+DestinationCalls::Start(const std::string& aCallId)
+{
+  Call& call = this->calls.at(aCallId);
+  call.stage = Stage::Running;
+  call.startedAt = this->clock.PreciseNow();
+  kLog.Info("call {} entry={} runs on {}:{}",
+            aCallId,
+            call.request.entry,
+            call.request.serviceName,
+            call.request.port);
+  if (this->hooks.submit(this->ExchangeOf(call))) {
+    return;
+  }
+  ExchangeResult result;
+  result.id = aCallId;
+  result.end = ExchangeEnd::NotConnected;
+  result.detail = "the queue to the HTTP client is full";
+  this->HandleExchange(std::move(result));
+}
+
+void
+DestinationCalls::RefuseCall(const std::string& aCallId,
+                             const Refusal& aRefusal)
+{
+  Call& call = this->calls.at(aCallId);
+  kLog.Info("call {} entry={} owner={} not run: {}",
+            aCallId,
+            call.request.entry,
+            aRefusal.owner,
+            DescribeLimit(aRefusal));
+  this->Finish(aCallId, call, NotRun(aCallId, aRefusal));
+}
+
+HttpExchange
+DestinationCalls::ExchangeOf(const Call& aCall) const
+{
+  const wire::CallRequest& request = aCall.request;
+  const Millis remaining = aCall.deadlineAt - this->clock.Now();
+  HttpExchange exchange;
+  exchange.id = request.callId;
+  exchange.url = fmt::format(
+    "http://{}:{}{}", this->config.address, request.port, request.target);
+  exchange.request.method = request.method;
+  exchange.request.target = request.target;
+  exchange.request.headers =
+    HttpHeaders(request.headers.begin(), request.headers.end());
+  exchange.request.headers[kDeadlineHeader] = fmt::format("{}", remaining);
+  exchange.request.body = request.body;
+  exchange.timeLimit = std::max<Millis>(remaining, 1);
+  exchange.needsNewConnection = !request.idempotent;
+  return exchange;
+}
+
+void
+DestinationCalls::HandleExchange(ExchangeResult aResult)
+{
+  const auto found = this->calls.find(aResult.id);
+  if (found == this->calls.end() || found->second.stage != Stage::Running) {
+    return;
+  }
+  const std::string id = aResult.id;
+  Call& call = found->second;
+  const double serviceMillis = this->clock.PreciseNow() - call.startedAt;
+  wire::CallAnswer answer = this->AnswerOf(call, std::move(aResult));
+  constexpr double kMicrosPerMilli = 1000;
+  answer.serviceMicros =
+    static_cast<std::int32_t>(serviceMillis * kMicrosPerMilli);
+  this->AddLoad(call, answer);
+  this->Finish(id, call, std::move(answer));
+  this->admission.Finish(id, serviceMillis);
+}
+
+wire::CallAnswer
+DestinationCalls::AnswerOf(const Call& aCall, ExchangeResult aResult)
+{
+  const std::string& id = aCall.request.callId;
+  switch (aResult.end) {
+    case ExchangeEnd::Answered: {
+      wire::CallAnswer answer;
+      answer.callId = id;
+      answer.outcome = wire::CallOutcome::DONE;
+      answer.status = aResult.answer.status;
+      answer.headers.insert(aResult.answer.headers.begin(),
+                            aResult.answer.headers.end());
+      answer.body = std::move(aResult.answer.body);
+      answer.bodyHash = BodyHash(answer.body);
+      return answer;
+    }
+    case ExchangeEnd::NotConnected: {
+      kLog.Warning("call {} not run: {}", id, aResult.detail);
+      return NotRun(id, RefusalReason::NotConnected);
+    }
+    case ExchangeEnd::Cut: {
+      kLog.Warning("call {} was cut: {}", id, aResult.detail);
+      wire::CallAnswer answer = Unknown(id, "cut-answer");
+      this->CheckServerLost(aCall, answer);
+      return answer;
+    }
+    case ExchangeEnd::TimedOut:
+      return Unknown(id, "deadline-while-running");
+    default:
+      return Unknown(id, "cancelled-while-running");
+  }
+}
+
+void
+DestinationCalls::CheckServerLost(const Call& aCall, wire::CallAnswer& aAnswer)
+{
+  if (this->hooks.isListening(aCall.request.port)) {
+    return;
+  }
+  aAnswer.serverLost = true;
+  kLog.Warning("backend server {}:{} was lost while it ran call {}",
+               aCall.request.serviceName,
+               aCall.request.port,
+               aCall.request.callId);
+  this->hooks.serverLost(static_cast<std::uint64_t>(aCall.request.digest));
+}
+
+void
+DestinationCalls::Finish(const std::string& aCallId,
+                         Call& aCall,
+                         wire::CallAnswer aAnswer)
+{
+  --this->inFlight;
+  const SessionId origin = aCall.origin;
+  if (aCall.request.idempotent) {
+    this->calls.erase(aCallId);
+  } else {
+    this->Keep(aCall, aAnswer);
+  }
+  this->hooks.answer(origin, std::move(aAnswer));
+}
+
+void
+DestinationCalls::Keep(Call& aCall, const wire::CallAnswer& aAnswer)
+{
+  const std::string& id = aAnswer.callId;
+  aCall.stage = Stage::Finished;
+  aCall.request = {};
+  aCall.answer = aAnswer;
+  this->finishedQueue.emplace_back(this->clock.Now() + this->config.keepAnswers,
+                                   id);
+  this->keptAnswers.push_back(id);
+  this->keptBytes += aAnswer.body.size();
+  // The id stays, so that the call is not run again; only its answer goes.
+  while (this->keptBytes > this->config.keepBytes) {
+    Call& oldest = this->calls.at(this->keptAnswers.front());
+    this->keptBytes -= oldest.answer.body.size();
+    oldest.answer = Unknown(this->keptAnswers.front(), "answer-not-kept");
+    this->keptAnswers.pop_front();
+  }
+}
+
+void
+DestinationCalls::AddLoad(const Call& aCall, wire::CallAnswer& aAnswer) const
+{
+  const EndpointLoad load =
+    this->admission.LoadOf(aCall.request.serviceName, aCall.request.port);
+  aAnswer.running = load.running;
+  aAnswer.waiting = load.waiting;
+  aAnswer.slots = load.slots;
+}
+
+void
+DestinationCalls::HandleCancel(const std::string& aCallId)
+{
+  const auto found = this->calls.find(aCallId);
+  if (found == this->calls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  if (call.stage == Stage::Running) {
+    this->hooks.cancel(aCallId);
+    return;
+  }
+  if (call.stage == Stage::Waiting && this->admission.Withdraw(aCallId)) {
+    this->Finish(aCallId, call, NotRun(aCallId, RefusalReason::CallerLeft));
+  }
+}
+
+void
+DestinationCalls::HandleQuery(SessionId aOrigin, const wire::CallQuery& aQuery)
+{
+  if (aQuery.incarnation != this->config.incarnation) {
+    this->hooks.answer(aOrigin, Unknown(aQuery.callId, "daemon-restarted"));
+    return;
+  }
+  const auto found = this->calls.find(aQuery.callId);
+  if (found == this->calls.end()) {
+    Call fence;
+    fence.stage = Stage::Fenced;
+    this->calls.emplace(aQuery.callId, std::move(fence));
+    this->fenceQueue.emplace_back(this->clock.Now() + this->config.keepFences,
+                                  aQuery.callId);
+    kLog.Info("call {} never arrived and is fenced", aQuery.callId);
+    this->hooks.answer(aOrigin, NotRun(aQuery.callId, RefusalReason::Fenced));
+    return;
+  }
+  Call& call = found->second;
+  if (call.stage == Stage::Finished) {
+    this->hooks.answer(aOrigin, call.answer);
+    return;
+  }
+  if (call.stage == Stage::Fenced) {
+    this->hooks.answer(aOrigin, NotRun(aQuery.callId, RefusalReason::Fenced));
+    return;
+  }
+  call.origin = aOrigin;
+}
+
+void
+DestinationCalls::Tick()
+{
+  this->admission.Tick();
+  this->ForgetOld();
+}
+
+void
+DestinationCalls::ForgetOld()
+{
+  const Millis now = this->clock.Now();
+  while (!this->finishedQueue.empty() &&
+         this->finishedQueue.front().first <= now) {
+    const std::string& id = this->finishedQueue.front().second;
+    this->keptBytes -= this->calls.at(id).answer.body.size();
+    if (!this->keptAnswers.empty() && this->keptAnswers.front() == id) {
+      this->keptAnswers.pop_front();
+    }
+    this->calls.erase(id);
+    this->finishedQueue.pop_front();
+  }
+  while (!this->fenceQueue.empty() && this->fenceQueue.front().first <= now) {
+    this->calls.erase(this->fenceQueue.front().second);
+    this->fenceQueue.pop_front();
+  }
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/destinationcalls.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "admission/admission.h"
+#include "catalogue/snapshot.h"
+#include "common/clock.h"
+#include "peer/peernetwork.h"
+#include "peer_types.h"
+#include "proxy/httpclient.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace lacewingwharf {
+
+/** Fixed facts of the destination daemon. */
+struct DestinationCallsConfig
+{
+  std::string host;
+  std::string address;
+  std::int64_t incarnation = 0;
+
+  /**
+   * How long the answer of a non-idempotent call is kept for an entry daemon
+   * that lost its session; idempotent calls are simply tried again.
+   */
+  Millis keepAnswers = 30000;
+  std::size_t keepBytes = 16U << 20U;
+
+  /** How long a fenced call id is remembered. */
+  Millis keepFences = 600000;
+};
+
+/** What the destination daemon's calls need from the rest of the daemon. */
+struct DestinationCallsHooks
+{
+  /** aOrigin 0 is the entry part of this same daemon. */
+  std::function<void(SessionId aOrigin, wire::CallAnswer)> answer;
+  std::function<bool(HttpExchange)> submit;
+  std::function<void(const std::string& aCallId)> cancel;
+  std::function<bool(std::uint64_t aDigest)> isQuarantined;
+  std::function<void(std::uint64_t aDigest)> serverLost;
+
+  /** Whether something still listens on a port of this host. */
+  std::function<bool(int aPort)> isListening;
+};
+
+/**
+ * The calls for backend servers on this host. Each call id is run at most
+ * once: known ids are dropped and fenced ids are never run.
+ */
+class DestinationCalls
+{
+public:
+  DestinationCalls(DestinationCallsConfig aConfig,
+                   Clock aClock,
+                   DestinationCallsHooks aHooks);
+  ~DestinationCalls();
+
+  void SetConfiguration(SnapshotPtr aSnapshot, EndpointViewPtr aView);
+  Admission& Slots();
+
+  void HandleRequest(SessionId aOrigin, wire::CallRequest aRequest);
+  void HandleCancel(const std::string& aCallId);
+  void HandleQuery(SessionId aOrigin, const wire::CallQuery& aQuery);
+  void HandleExchange(ExchangeResult aResult);
+  void Tick();
+
+  /** Calls that wait or run. */
+  std::size_t InFlight() const;
+
+private:
+  enum class Stage
+  {
+    Waiting,
+    Running,
+    Finished,
+    Fenced
+  };
+
+  struct Call
+  {
+    Stage stage = Stage::Waiting;
+    SessionId origin = 0;
+    wire::CallRequest request;
+    Millis deadlineAt = 0;
+    double startedAt = 0;
+    wire::CallAnswer answer; // When finished.
+  };
+
+  void Start(const std::string& aCallId);
+  void RefuseCall(const std::string& aCallId, const Refusal& aRefusal);
+  HttpExchange ExchangeOf(const Call& aCall) const;
+  wire::CallAnswer AnswerOf(const Call& aCall, ExchangeResult aResult);
+  void CheckServerLost(const Call& aCall, wire::CallAnswer& aAnswer);
+  void Finish(const std::string& aCallId,
+              Call& aCall,
+              wire::CallAnswer aAnswer);
+  void AddLoad(const Call& aCall, wire::CallAnswer& aAnswer) const;
+  void Keep(Call& aCall, const wire::CallAnswer& aAnswer);
+  void ForgetOld();
+
+  DestinationCallsConfig config;
+  Clock clock;
+  DestinationCallsHooks hooks;
+  SnapshotPtr snapshot;
+  Admission admission;
+  std::unordered_map<std::string, Call> calls;
+  std::deque<std::pair<Millis, std::string>> finishedQueue;
+  std::deque<std::pair<Millis, std::string>> fenceQueue;
+  std::deque<std::string> keptAnswers; // Oldest first.
+  std::size_t keptBytes = 0;
+  std::size_t inFlight = 0;
+};
+
+inline Admission&
+DestinationCalls::Slots()
+{
+  return this->admission;
+}
+
+inline std::size_t
+DestinationCalls::InFlight() const
+{
+  return this->inFlight;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/entrycalls.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "admission/retrybudget.h"
+#include "common/clock.h"
+#include "common/random.h"
+#include "execution/entrycall.h"
+#include "peer/peernetwork.h"
+#include "peer_types.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewingwharf {
+
+/** Fixed facts of the entry daemon. */
+struct EntryCallsConfig
+{
+  std::string host;
+  std::int64_t incarnation = 0;
+  Millis claimWait = 1000;
+
+  /** How long a destination may be asked for the fate of a call. */
+  Millis queryWait = 2000;
+};
+
+/** What the entry daemon's calls need from the rest of the daemon. */
+struct EntryCallsHooks
+{
+  std::function<void(RequestId, HttpAnswer)> answer;
+  std::function<bool(const PeerAddress&, wire::Envelope)> send;
+
+  /** Hands a call to the destination part of this same daemon. */
+  std::function<bool(wire::Envelope)> sendLocal;
+
+  std::function<bool(std::uint64_t aKeyHash, const std::string& aHolder)> claim;
+  std::function<
+    void(std::uint64_t aKeyHash, const std::string& aHolder, Outcome)>
+    settleClaim;
+  std::function<bool(std::uint64_t aDigest)> isQuarantined;
+  std::function<bool(std::uint64_t aDigest)> hasLostServer;
+
+  /** Called once for each call, when its ending is known. */
+  std::function<void(const EntryCall&, const Ending&)> ended;
+};
+
+/**
+ * The calls that entered at this daemon: route choice, deadlines, retries and
+ * the one answer each caller gets. Runs on the calls thread.
+ */
+class EntryCalls
+{
+public:
+  EntryCalls(EntryCallsConfig aConfig,
+             Clock aClock,
+             Random aRandom,
+             EntryCallsHooks aHooks);
+  ~EntryCalls();
+
+  void SetSnapshot(SnapshotPtr aSnapshot);
+  void SetView(EndpointViewPtr aView);
+
+  void Begin(RequestId aRequest, HttpRequest aHttp);
+  void CallerLeft(RequestId aRequest);
+  void HandleClaim(const std::string& aHolder, wire::ClaimResult::type aResult);
+  void HandleAnswer(wire::CallAnswer aAnswer);
+
+  /** aNeverOpened: no frame can have reached the other side. */
+  void HandleSessionLost(const PeerAddress& aRemote, bool aNeverOpened);
+  void Tick();
+
+  /** No new calls from now on; those in flight go on. */
+  void StopIntake();
+  std::size_t InFlight() const;
+
+private:
+  EntryCallPtr Admit(RequestId aRequest, HttpRequest aHttp);
+  bool PassesChecks(const EntryCallPtr& aCall);
+  void StartAttempt(const EntryCallPtr& aCall);
+  bool Dispatch(const EntryCall& aCall);
+  void Observe(const EntryCall& aCall,
+               CallEnd aEnd,
+               const wire::CallAnswer& aAnswer);
+  void HandleDone(const EntryCallPtr& aCall, wire::CallAnswer aAnswer);
+  void HandleNotRun(const EntryCallPtr& aCall, const wire::CallAnswer& aAnswer);
+  void HandleUnknown(const EntryCallPtr& aCall, const std::string& aReason);
+  void LoseAttempt(const EntryCallPtr& aCall, bool aNeverOpened);
+  bool MayRetry(EntryCall& aCall, bool aIsFree);
+  void SendQuery(EntryCall& aCall);
+  void SendCancel(const EntryCall& aCall);
+  void CheckTime(const EntryCallPtr& aCall);
+  void Refuse(const EntryCallPtr& aCall, const Refusal& aRefusal);
+  void RefuseReason(const EntryCallPtr& aCall,
+                    RefusalReason aReason,
+                    std::int64_t aBound,
+                    std::int64_t aSeen);
+  void End(const EntryCallPtr& aCall,
+           HttpAnswer aAnswer,
+           const Ending& aEnding);
+  Millis Remaining(const EntryCall& aCall) const;
+
+  EntryCallsConfig config;
+  Clock clock;
+  EntryCallsHooks hooks;
+  ServerChooser chooser;
+  SnapshotPtr snapshot;
+  std::uint64_t nextCall = 1;
+  bool isStopping = false;
+  std::unordered_map<std::string, EntryCallPtr> calls;    // By call id.
+  std::unordered_map<std::string, EntryCallPtr> attempts; // By attempt id.
+  std::unordered_map<RequestId, EntryCallPtr> requests;
+  RetryBudget retryBudget;
+};
+
+inline std::size_t
+EntryCalls::InFlight() const
+{
+  return this->calls.size();
+}
+
+} // namespace lacewingwharf
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -3479,6 +3479,14 @@
 void CallAnswer::__set_serviceMicros(const int32_t val) {
   this->serviceMicros = val;
 }
+
+void CallAnswer::__set_bound(const int64_t val) {
+  this->bound = val;
+}
+
+void CallAnswer::__set_seen(const int64_t val) {
+  this->seen = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj)
 {
   obj.printTo(out);
@@ -3644,6 +3652,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bound);
+          this->__isset.bound = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->seen);
+          this->__isset.seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3730,6 +3754,14 @@
   xfer += oprot->writeI32(this->serviceMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("bound", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->bound);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seen", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->seen);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3752,6 +3784,8 @@
   swap(a.slots, b.slots);
   swap(a.serverLost, b.serverLost);
   swap(a.serviceMicros, b.serviceMicros);
+  swap(a.bound, b.bound);
+  swap(a.seen, b.seen);
   swap(a.__isset, b.__isset);
 }
 
@@ -3771,6 +3805,8 @@
   slots = other126.slots;
   serverLost = other126.serverLost;
   serviceMicros = other126.serviceMicros;
+  bound = other126.bound;
+  seen = other126.seen;
   __isset = other126.__isset;
 }
 CallAnswer& CallAnswer::operator=(const CallAnswer& other127) {
@@ -3789,6 +3825,8 @@
   slots = other127.slots;
   serverLost = other127.serverLost;
   serviceMicros = other127.serviceMicros;
+  bound = other127.bound;
+  seen = other127.seen;
   __isset = other127.__isset;
   return *this;
 }
@@ -3810,6 +3848,8 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "serverLost=" << to_string(serverLost);
   out << ", " << "serviceMicros=" << to_string(serviceMicros);
+  out << ", " << "bound=" << to_string(bound);
+  out << ", " << "seen=" << to_string(seen);
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -1402,7 +1402,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallAnswer__isset {
-  _CallAnswer__isset() : callId(false), outcome(false), status(false), headers(false), body(false), bodyHash(false), reason(false), owner(false), limit(false), retryAfterMillis(false), running(false), waiting(false), slots(false), serverLost(false), serviceMicros(false) {}
+  _CallAnswer__isset() : callId(false), outcome(false), status(false), headers(false), body(false), bodyHash(false), reason(false), owner(false), limit(false), retryAfterMillis(false), running(false), waiting(false), slots(false), serverLost(false), serviceMicros(false), bound(false), seen(false) {}
   bool callId :1;
   bool outcome :1;
   bool status :1;
@@ -1418,6 +1418,8 @@
   bool slots :1;
   bool serverLost :1;
   bool serviceMicros :1;
+  bool bound :1;
+  bool seen :1;
 } _CallAnswer__isset;
 
 class CallAnswer : public virtual ::apache::thrift::TBase {
@@ -1439,7 +1441,9 @@
                waiting(0),
                slots(0),
                serverLost(0),
-               serviceMicros(0) {
+               serviceMicros(0),
+               bound(0),
+               seen(0) {
   }
 
   virtual ~CallAnswer() noexcept;
@@ -1465,6 +1469,11 @@
   int32_t slots;
   bool serverLost;
   int32_t serviceMicros;
+  /**
+   * The bound of the limit that refused the call, and the value seen.
+   */
+  int64_t bound;
+  int64_t seen;
 
   _CallAnswer__isset __isset;
 
@@ -1498,6 +1507,10 @@
 
   void __set_serviceMicros(const int32_t val);
 
+  void __set_bound(const int64_t val);
+
+  void __set_seen(const int64_t val);
+
   bool operator == (const CallAnswer & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -1530,6 +1543,10 @@
       return false;
     if (!(serviceMicros == rhs.serviceMicros))
       return false;
+    if (!(bound == rhs.bound))
+      return false;
+    if (!(seen == rhs.seen))
+      return false;
     return true;
   }
   bool operator != (const CallAnswer &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -195,6 +195,9 @@
   13: i32 slots
   14: bool serverLost
   15: i32 serviceMicros
+  /** The bound of the limit that refused the call, and the value seen. */
+  16: i64 bound
+  17: i64 seen
 }
 
 struct CallCancel {
