Add the seed list and the calls thread of the daemon

Cause: a daemon without known peers has to find its failure domain. Change: SeedList reads and writes seeds/DOMAIN; CallsService joins entry and destination calls with the HTTP server and client. Conclusion: part of assembling the daemon.

--- /dev/null
+++ b/src/daemon/callsservice.cpp
@@ -0,0 +1,360 @@
+#include "daemon/callsservice.h"
+
+#include "common/log.h"
+#include "common/random.h"
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+#include <ace/Time_Value.h>
+
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("calls");
+constexpr std::size_t kRingCapacity = 16384;
+constexpr Millis kTickInterval = 10;
+constexpr Millis kMarksInterval = 200;
+constexpr std::size_t kMaxAnswerBytes = 7U << 20U; // Fits a peer frame.
+
+/** Whether something accepts connections on a port of this host. */
+bool
+IsListening(const std::string& aAddress, int aPort)
+{
+  constexpr suseconds_t kBoundMicros = 20000;
+  ACE_SOCK_Stream stream;
+  ACE_SOCK_Connector connector;
+  const ACE_Time_Value bound(0, kBoundMicros);
+  const ACE_INET_Addr remote(static_cast<u_short>(aPort), aAddress.c_str());
+  const bool isConnected = connector.connect(stream, remote, &bound) == 0;
+  const bool isRefused = !isConnected && errno == ECONNREFUSED;
+  stream.close();
+  return !isRefused;
+}
+
+HttpServerConfig
+ServerConfig(const Settings& aSettings)
+{
+  HttpServerConfig config;
+  config.address = aSettings.address;
+  config.port = aSettings.callPort;
+  config.maxBodyBytes = static_cast<std::size_t>(aSettings.maxBodyBytes);
+  config.maxConnections = static_cast<unsigned int>(aSettings.maxConnections);
+  return config;
+}
+
+EntryCallsConfig
+EntryConfig(const Settings& aSettings, std::int64_t aIncarnation)
+{
+  EntryCallsConfig config;
+  config.host = aSettings.host;
+  config.incarnation = aIncarnation;
+  config.claimWait = aSettings.claimWait;
+  return config;
+}
+
+DestinationCallsConfig
+DestinationConfig(const Settings& aSettings, std::int64_t aIncarnation)
+{
+  DestinationCallsConfig config;
+  config.host = aSettings.host;
+  config.address = aSettings.address;
+  config.incarnation = aIncarnation;
+  return config;
+}
+
+} // namespace
+
+CallsService::CallsService(const Settings& aSettings,
+                           std::int64_t aIncarnation,
+                           CallsServiceHooks aHooks)
+  : settings(aSettings)
+  , hooks(std::move(aHooks))
+  , clock(Clock::Steady())
+  , quarantine(this->clock)
+  , stats(this->clock)
+  , server(ServerConfig(aSettings),
+           { [this](RequestId aRequest, HttpRequest aData) {
+              this->BeginCall(aRequest, std::move(aData));
+            },
+             [this](RequestId aRequest) {
+               this->loop.Post(
+                 [this, aRequest] { this->entryCalls.CallerLeft(aRequest); });
+             } })
+  , client(
+      [this](ExchangeResult aResult) {
+        this->loop.Post([this, result = std::move(aResult)]() mutable {
+          this->destinationCalls.HandleExchange(std::move(result));
+        });
+      },
+      kMaxAnswerBytes)
+  , entryCalls(EntryConfig(aSettings, aIncarnation),
+               this->clock,
+               SystemRandom(),
+               this->EntryHooks())
+  , destinationCalls(DestinationConfig(aSettings, aIncarnation),
+                     this->clock,
+                     this->DestinationHooks())
+  , loop("calls", kRingCapacity, kTickInterval, [this] { this->Tick(); })
+{
+}
+
+CallsService::~CallsService()
+{
+  this->Stop();
+}
+
+EntryCallsHooks
+CallsService::EntryHooks()
+{
+  EntryCallsHooks entryHooks;
+  entryHooks.answer = [this](RequestId aRequest, HttpAnswer aAnswer) {
+    this->server.Answer(aRequest, std::move(aAnswer));
+  };
+  entryHooks.send = this->hooks.send;
+  // Posted rather than called, so that a refusal by this same daemon does not
+  // re-enter the call that is being sent.
+  entryHooks.sendLocal = [this](wire::Envelope aEnvelope) {
+    return this->loop.Post([this, envelope = std::move(aEnvelope)]() mutable {
+      this->HandleMessage(0, std::move(envelope));
+    });
+  };
+  entryHooks.claim = this->hooks.claim;
+  entryHooks.settleClaim = this->hooks.settleClaim;
+  entryHooks.isQuarantined = [this](std::uint64_t aDigest) {
+    return this->quarantine.IsRefused(aDigest);
+  };
+  entryHooks.hasLostServer = [this](std::uint64_t aDigest) {
+    return this->quarantine.RunsAlone(aDigest);
+  };
+  entryHooks.ended = [this](const EntryCall& aCall, const Ending& aEnding) {
+    this->RecordEnd(aCall, aEnding);
+  };
+  return entryHooks;
+}
+
+DestinationCallsHooks
+CallsService::DestinationHooks()
+{
+  DestinationCallsHooks destinationHooks;
+  destinationHooks.answer = [this](SessionId aOrigin,
+                                   wire::CallAnswer aAnswer) {
+    this->AnswerOrigin(aOrigin, std::move(aAnswer));
+  };
+  destinationHooks.submit = [this](HttpExchange aExchange) {
+    return this->client.Submit(std::move(aExchange));
+  };
+  destinationHooks.cancel = [this](const std::string& aCallId) {
+    this->client.Cancel(aCallId);
+  };
+  destinationHooks.isQuarantined = [this](std::uint64_t aDigest) {
+    return this->quarantine.IsRefused(aDigest);
+  };
+  destinationHooks.serverLost = [this](std::uint64_t aDigest) {
+    this->quarantine.ServerLost(aDigest);
+    this->marksDueAt = 0;
+  };
+  destinationHooks.isListening = [this](int aPort) {
+    return IsListening(this->settings.address, aPort);
+  };
+  return destinationHooks;
+}
+
+bool
+CallsService::Start()
+{
+  this->loop.Start();
+  this->client.Start();
+  if (this->server.Start()) {
+    return true;
+  }
+  kLog.Error("cannot listen for callers on {}:{}",
+             this->settings.address,
+             this->settings.callPort);
+  return false;
+}
+
+void
+CallsService::StopIntake()
+{
+  this->server.StopIntake();
+  this->loop.Post([this] { this->entryCalls.StopIntake(); });
+}
+
+void
+CallsService::Stop()
+{
+  this->server.Stop();
+  this->client.Stop();
+  this->loop.Stop();
+}
+
+void
+CallsService::BeginCall(RequestId aRequest, HttpRequest aRequestData)
+{
+  const bool posted =
+    this->loop.Post([this, aRequest, data = std::move(aRequestData)]() mutable {
+      this->entryCalls.Begin(aRequest, std::move(data));
+    });
+  if (posted) {
+    return;
+  }
+  kLog.Warning("request {} not run: the ring of the calls thread is full",
+               aRequest);
+  Ending ending;
+  ending.outcome = Outcome::NotRun;
+  ending.status = StatusOf(RefusalReason::Overload);
+  ending.reason = kRefusalReasonNames.NameOf(RefusalReason::Overload);
+  this->server.Answer(aRequest, MakeAnswer(ending));
+}
+
+void
+CallsService::HandlePeerEvent(PeerEvent aEvent)
+{
+  this->loop.Post([this, event = std::move(aEvent)]() mutable {
+    if (event.kind == PeerEventKind::SessionLost) {
+      this->entryCalls.HandleSessionLost(event.remote, !event.wasOpen);
+      return;
+    }
+    this->HandleMessage(event.session, std::move(event.envelope));
+  });
+}
+
+void
+CallsService::HandleMessage(SessionId aSession, wire::Envelope aEnvelope)
+{
+  if (aEnvelope.__isset.callRequest) {
+    this->destinationCalls.HandleRequest(aSession,
+                                         std::move(aEnvelope.callRequest));
+  } else if (aEnvelope.__isset.callAnswer) {
+    this->entryCalls.HandleAnswer(std::move(aEnvelope.callAnswer));
+  } else if (aEnvelope.__isset.callCancel) {
+    this->destinationCalls.HandleCancel(aEnvelope.callCancel.callId);
+  } else if (aEnvelope.__isset.callQuery) {
+    this->destinationCalls.HandleQuery(aSession, aEnvelope.callQuery);
+  } else {
+    kLog.Warning("session {} sent a message that is not for calls", aSession);
+  }
+}
+
+void
+CallsService::AnswerOrigin(SessionId aOrigin, wire::CallAnswer aAnswer)
+{
+  wire::Envelope envelope;
+  envelope.__set_callAnswer(std::move(aAnswer));
+  if (aOrigin != 0) {
+    this->hooks.reply(aOrigin, std::move(envelope));
+    return;
+  }
+  this->loop.Post([this, envelope = std::move(envelope)]() mutable {
+    this->HandleMessage(0, std::move(envelope));
+  });
+}
+
+void
+CallsService::SetConfiguration(SnapshotPtr aSnapshot, EndpointViewPtr aView)
+{
+  this->loop.Post(
+    [this, snapshot = std::move(aSnapshot), view = std::move(aView)] {
+      this->entryCalls.SetSnapshot(snapshot);
+      this->entryCalls.SetView(view);
+      this->destinationCalls.SetConfiguration(snapshot, view);
+    });
+}
+
+void
+CallsService::SetEndpoint(const std::string& aService,
+                          int aPort,
+                          int aSlots,
+                          int aConnections,
+                          EndpointState aState)
+{
+  this->loop.Post([=, this] {
+    this->destinationCalls.Slots().SetEndpoint(
+      aService, aPort, aSlots, aConnections, aState);
+  });
+}
+
+void
+CallsService::RemoveEndpoint(const std::string& aService, int aPort)
+{
+  this->loop.Post([=, this] {
+    this->destinationCalls.Slots().RemoveEndpoint(aService, aPort);
+  });
+}
+
+void
+CallsService::HandleClaim(const std::string& aHolder,
+                          wire::ClaimResult::type aResult)
+{
+  this->loop.Post(
+    [=, this] { this->entryCalls.HandleClaim(aHolder, aResult); });
+}
+
+void
+CallsService::MergeMarks(std::vector<wire::QuarantineMark> aMarks)
+{
+  if (aMarks.empty()) {
+    return;
+  }
+  this->loop.Post(
+    [this, incoming = std::move(aMarks)] { this->quarantine.Merge(incoming); });
+}
+
+std::vector<wire::QuarantineMark>
+CallsService::Marks() const
+{
+  const std::lock_guard lock(this->marksMutex);
+  return this->marks;
+}
+
+std::size_t
+CallsService::InFlight()
+{
+  std::size_t count = 0;
+  this->loop.Run([this, &count] {
+    count = this->entryCalls.InFlight() + this->destinationCalls.InFlight();
+  });
+  return count + this->server.InFlight();
+}
+
+bool
+CallsService::Run(
+  const std::function<void(EntryStats&, const DestinationCalls&)>& aRead)
+{
+  return this->loop.Run(
+    [this, &aRead] { aRead(this->stats, this->destinationCalls); });
+}
+
+void
+CallsService::Tick()
+{
+  this->entryCalls.Tick();
+  this->destinationCalls.Tick();
+  if (this->clock.Now() < this->marksDueAt) {
+    return;
+  }
+  this->marksDueAt = this->clock.Now() + kMarksInterval;
+  const std::lock_guard lock(this->marksMutex);
+  this->marks = this->quarantine.Marks();
+}
+
+void
+CallsService::RecordEnd(const EntryCall& aCall, const Ending& aEnding)
+{
+  if (aCall.entry == nullptr) {
+    return;
+  }
+  EndedCall ended;
+  ended.entry = aCall.entry->name;
+  ended.owner = aCall.entry->owner;
+  ended.workClass = aCall.entry->workClass;
+  ended.caller = aCall.http.callerAddress;
+  ended.latencyMillis = this->clock.PreciseNow() - aCall.startedAt;
+  this->stats.Record(ended);
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/daemon/callsservice.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "common/eventloop.h"
+#include "execution/destinationcalls.h"
+#include "execution/entrycalls.h"
+#include "execution/quarantine.h"
+#include "peer/peernetwork.h"
+#include "proxy/httpclient.h"
+#include "proxy/httpserver.h"
+#include "settings/settings.h"
+#include "status/entrystats.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+/** What the calls thread needs from the rest of the daemon. */
+struct CallsServiceHooks
+{
+  std::function<bool(const PeerAddress&, wire::Envelope)> send;
+  std::function<void(SessionId, wire::Envelope)> reply;
+  std::function<bool(std::uint64_t aKeyHash, const std::string& aHolder)> claim;
+  std::function<
+    void(std::uint64_t aKeyHash, const std::string& aHolder, Outcome)>
+    settleClaim;
+};
+
+/**
+ * The calls thread with the HTTP server for callers and the HTTP client for
+ * backend servers. Its public functions may be called from any thread.
+ */
+class CallsService
+{
+public:
+  CallsService(const Settings& aSettings,
+               std::int64_t aIncarnation,
+               CallsServiceHooks aHooks);
+  ~CallsService();
+
+  bool Start();
+
+  /** Refuses new calls; those in flight go on. */
+  void StopIntake();
+  void Stop();
+
+  void HandlePeerEvent(PeerEvent aEvent);
+  void SetConfiguration(SnapshotPtr aSnapshot, EndpointViewPtr aView);
+  void SetEndpoint(const std::string& aService,
+                   int aPort,
+                   int aSlots,
+                   int aConnections,
+                   EndpointState aState);
+  void RemoveEndpoint(const std::string& aService, int aPort);
+  void HandleClaim(const std::string& aHolder, wire::ClaimResult::type aResult);
+  void MergeMarks(std::vector<wire::QuarantineMark> aMarks);
+
+  /** Quarantine marks as of the last tick. */
+  std::vector<wire::QuarantineMark> Marks() const;
+
+  /** Calls that entered here or run here and have not ended. */
+  std::size_t InFlight();
+
+  /** Reads on the calls thread what status and metrics need. */
+  bool Run(
+    const std::function<void(EntryStats&, const DestinationCalls&)>& aRead);
+  std::uint64_t Overflows() const;
+
+private:
+  EntryCallsHooks EntryHooks();
+  DestinationCallsHooks DestinationHooks();
+  void Tick();
+  void HandleMessage(SessionId aSession, wire::Envelope aEnvelope);
+  void AnswerOrigin(SessionId aOrigin, wire::CallAnswer aAnswer);
+  void BeginCall(RequestId aRequest, HttpRequest aRequestData);
+  void RecordEnd(const EntryCall& aCall, const Ending& aEnding);
+
+  Settings settings;
+  CallsServiceHooks hooks;
+  Clock clock;
+  Quarantine quarantine;
+  EntryStats stats;
+  HttpServer server;
+  HttpClient client;
+  EntryCalls entryCalls;
+  DestinationCalls destinationCalls;
+  mutable std::mutex marksMutex;
+  std::vector<wire::QuarantineMark> marks;
+  Millis marksDueAt = 0;
+  EventLoop loop; // Last, so that its thread ends before what it uses.
+};
+
+inline std::uint64_t
+CallsService::Overflows() const
+{
+  return this->loop.Overflows();
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/seedlist.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "common/clock.h"
+#include "peer/peernetwork.h"
+#include "platform/platformjob.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+/**
+ * The object seeds/DOMAIN: where a daemon without peers finds its failure
+ * domain. Feeders write it, rarely, so that its cost does not grow with the
+ * fleet.
+ */
+class SeedList
+{
+public:
+  SeedList(std::string aDomain, Clock aClock, SubmitPlatformJob aSubmit);
+
+  /** What the platform last said; empty until a read has succeeded. */
+  const std::vector<PeerAddress>& Peers() const;
+
+  /** Reads the object when the daemon knows no other member. */
+  void ReadWhenAlone(bool aIsAlone);
+
+  /** Writes a few live members when they changed; for feeders. */
+  void Publish(const std::vector<PeerAddress>& aMembers);
+
+private:
+  struct State
+  {
+    std::vector<PeerAddress> peers;
+    bool isBusy = false;
+  };
+
+  std::string domain;
+  Clock clock;
+  SubmitPlatformJob submit;
+  std::shared_ptr<State> state = std::make_shared<State>();
+  std::string published;
+  Millis nextRead = 0;
+  Millis nextWrite = 0;
+};
+
+inline const std::vector<PeerAddress>&
+SeedList::Peers() const
+{
+  return this->state->peers;
+}
+
+} // namespace lacewingwharf
