--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 # Needs the package thrift-compiler; the result is committed.
 generate:
-	thrift --gen cpp:no_skeleton -out src/peer/gen-cpp src/peer/peer.thrift
+	thrift --gen cpp:no_skeleton,moveable_types -out src/peer/gen-cpp src/peer/peer.thrift
 
 clean:
 	rm -rf $(BUILD)
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -371,14 +371,33 @@
   kind = other1.kind;
   __isset = other1.__isset;
 }
-Hello& Hello::operator=(const Hello& other2) {
+Hello::Hello(Hello&& other2) noexcept {
   protocol = other2.protocol;
-  host = other2.host;
+  host = std::move(other2.host);
   incarnation = other2.incarnation;
-  region = other2.region;
-  domain = other2.domain;
+  region = std::move(other2.region);
+  domain = std::move(other2.domain);
   kind = other2.kind;
   __isset = other2.__isset;
+}
+Hello& Hello::operator=(const Hello& other3) {
+  protocol = other3.protocol;
+  host = other3.host;
+  incarnation = other3.incarnation;
+  region = other3.region;
+  domain = other3.domain;
+  kind = other3.kind;
+  __isset = other3.__isset;
+  return *this;
+}
+Hello& Hello::operator=(Hello&& other4) noexcept {
+  protocol = other4.protocol;
+  host = std::move(other4.host);
+  incarnation = other4.incarnation;
+  region = std::move(other4.region);
+  domain = std::move(other4.domain);
+  kind = other4.kind;
+  __isset = other4.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -479,9 +498,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast3;
-          xfer += iprot->readI32(ecast3);
-          this->state = static_cast<EndpointState::type>(ecast3);
+          int32_t ecast5;
+          xfer += iprot->readI32(ecast5);
+          this->state = static_cast<EndpointState::type>(ecast5);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -539,21 +558,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Endpoint::Endpoint(const Endpoint& other4) {
-  serviceName = other4.serviceName;
-  port = other4.port;
-  slots = other4.slots;
-  connections = other4.connections;
-  state = other4.state;
-  __isset = other4.__isset;
+Endpoint::Endpoint(const Endpoint& other6) {
+  serviceName = other6.serviceName;
+  port = other6.port;
+  slots = other6.slots;
+  connections = other6.connections;
+  state = other6.state;
+  __isset = other6.__isset;
+}
+Endpoint::Endpoint(Endpoint&& other7) noexcept {
+  serviceName = std::move(other7.serviceName);
+  port = other7.port;
+  slots = other7.slots;
+  connections = other7.connections;
+  state = other7.state;
+  __isset = other7.__isset;
+}
+Endpoint& Endpoint::operator=(const Endpoint& other8) {
+  serviceName = other8.serviceName;
+  port = other8.port;
+  slots = other8.slots;
+  connections = other8.connections;
+  state = other8.state;
+  __isset = other8.__isset;
+  return *this;
 }
-Endpoint& Endpoint::operator=(const Endpoint& other5) {
-  serviceName = other5.serviceName;
-  port = other5.port;
-  slots = other5.slots;
-  connections = other5.connections;
-  state = other5.state;
-  __isset = other5.__isset;
+Endpoint& Endpoint::operator=(Endpoint&& other9) noexcept {
+  serviceName = std::move(other9.serviceName);
+  port = other9.port;
+  slots = other9.slots;
+  connections = other9.connections;
+  state = other9.state;
+  __isset = other9.__isset;
   return *this;
 }
 void Endpoint::printTo(std::ostream& out) const {
@@ -693,9 +729,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast6;
-          xfer += iprot->readI32(ecast6);
-          this->state = static_cast<MemberState::type>(ecast6);
+          int32_t ecast10;
+          xfer += iprot->readI32(ecast10);
+          this->state = static_cast<MemberState::type>(ecast10);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -705,14 +741,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size7;
-            ::apache::thrift::protocol::TType _etype10;
-            xfer += iprot->readListBegin(_etype10, _size7);
-            this->endpoints.resize(_size7);
-            uint32_t _i11;
-            for (_i11 = 0; _i11 < _size7; ++_i11)
+            uint32_t _size11;
+            ::apache::thrift::protocol::TType _etype14;
+            xfer += iprot->readListBegin(_etype14, _size11);
+            this->endpoints.resize(_size11);
+            uint32_t _i15;
+            for (_i15 = 0; _i15 < _size11; ++_i15)
             {
-              xfer += this->endpoints[_i11].read(iprot);
+              xfer += this->endpoints[_i15].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -773,10 +809,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<Endpoint> ::const_iterator _iter12;
-    for (_iter12 = this->endpoints.begin(); _iter12 != this->endpoints.end(); ++_iter12)
+    std::vector<Endpoint> ::const_iterator _iter16;
+    for (_iter16 = this->endpoints.begin(); _iter16 != this->endpoints.end(); ++_iter16)
     {
-      xfer += (*_iter12).write(oprot);
+      xfer += (*_iter16).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -801,29 +837,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other13) {
-  host = other13.host;
-  address = other13.address;
-  peerPort = other13.peerPort;
-  region = other13.region;
-  domain = other13.domain;
-  incarnation = other13.incarnation;
-  sequence = other13.sequence;
-  state = other13.state;
-  endpoints = other13.endpoints;
-  __isset = other13.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other14) {
-  host = other14.host;
-  address = other14.address;
-  peerPort = other14.peerPort;
-  region = other14.region;
-  domain = other14.domain;
-  incarnation = other14.incarnation;
-  sequence = other14.sequence;
-  state = other14.state;
-  endpoints = other14.endpoints;
-  __isset = other14.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other17) {
+  host = other17.host;
+  address = other17.address;
+  peerPort = other17.peerPort;
+  region = other17.region;
+  domain = other17.domain;
+  incarnation = other17.incarnation;
+  sequence = other17.sequence;
+  state = other17.state;
+  endpoints = other17.endpoints;
+  __isset = other17.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other18) noexcept {
+  host = std::move(other18.host);
+  address = std::move(other18.address);
+  peerPort = other18.peerPort;
+  region = std::move(other18.region);
+  domain = std::move(other18.domain);
+  incarnation = other18.incarnation;
+  sequence = other18.sequence;
+  state = other18.state;
+  endpoints = std::move(other18.endpoints);
+  __isset = other18.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other19) {
+  host = other19.host;
+  address = other19.address;
+  peerPort = other19.peerPort;
+  region = other19.region;
+  domain = other19.domain;
+  incarnation = other19.incarnation;
+  sequence = other19.sequence;
+  state = other19.state;
+  endpoints = other19.endpoints;
+  __isset = other19.__isset;
+  return *this;
+}
+MemberRecord& MemberRecord::operator=(MemberRecord&& other20) noexcept {
+  host = std::move(other20.host);
+  address = std::move(other20.address);
+  peerPort = other20.peerPort;
+  region = std::move(other20.region);
+  domain = std::move(other20.domain);
+  incarnation = other20.incarnation;
+  sequence = other20.sequence;
+  state = other20.state;
+  endpoints = std::move(other20.endpoints);
+  __isset = other20.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -951,17 +1012,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineMark::QuarantineMark(const QuarantineMark& other15) noexcept {
-  digest = other15.digest;
-  losses = other15.losses;
-  remainingMillis = other15.remainingMillis;
-  __isset = other15.__isset;
+QuarantineMark::QuarantineMark(const QuarantineMark& other21) noexcept {
+  digest = other21.digest;
+  losses = other21.losses;
+  remainingMillis = other21.remainingMillis;
+  __isset = other21.__isset;
+}
+QuarantineMark::QuarantineMark(QuarantineMark&& other22) noexcept {
+  digest = other22.digest;
+  losses = other22.losses;
+  remainingMillis = other22.remainingMillis;
+  __isset = other22.__isset;
 }
-QuarantineMark& QuarantineMark::operator=(const QuarantineMark& other16) noexcept {
-  digest = other16.digest;
-  losses = other16.losses;
-  remainingMillis = other16.remainingMillis;
-  __isset = other16.__isset;
+QuarantineMark& QuarantineMark::operator=(const QuarantineMark& other23) noexcept {
+  digest = other23.digest;
+  losses = other23.losses;
+  remainingMillis = other23.remainingMillis;
+  __isset = other23.__isset;
+  return *this;
+}
+QuarantineMark& QuarantineMark::operator=(QuarantineMark&& other24) noexcept {
+  digest = other24.digest;
+  losses = other24.losses;
+  remainingMillis = other24.remainingMillis;
+  __isset = other24.__isset;
   return *this;
 }
 void QuarantineMark::printTo(std::ostream& out) const {
@@ -1058,14 +1132,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->updates.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->updates.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->updates[_i21].read(iprot);
+              xfer += this->updates[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1078,14 +1152,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->marks.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->marks.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->marks.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->marks[_i26].read(iprot);
+              xfer += this->marks[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1134,10 +1208,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter27;
-    for (_iter27 = this->updates.begin(); _iter27 != this->updates.end(); ++_iter27)
+    std::vector<MemberRecord> ::const_iterator _iter35;
+    for (_iter35 = this->updates.begin(); _iter35 != this->updates.end(); ++_iter35)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1146,10 +1220,10 @@
   xfer += oprot->writeFieldBegin("marks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->marks.size()));
-    std::vector<QuarantineMark> ::const_iterator _iter28;
-    for (_iter28 = this->marks.begin(); _iter28 != this->marks.end(); ++_iter28)
+    std::vector<QuarantineMark> ::const_iterator _iter36;
+    for (_iter36 = this->marks.begin(); _iter36 != this->marks.end(); ++_iter36)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter36).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1176,23 +1250,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Ping::Ping(const Ping& other29) {
-  sequence = other29.sequence;
-  host = other29.host;
-  version = other29.version;
-  updates = other29.updates;
-  marks = other29.marks;
-  onBehalfOf = other29.onBehalfOf;
-  __isset = other29.__isset;
-}
-Ping& Ping::operator=(const Ping& other30) {
-  sequence = other30.sequence;
-  host = other30.host;
-  version = other30.version;
-  updates = other30.updates;
-  marks = other30.marks;
-  onBehalfOf = other30.onBehalfOf;
-  __isset = other30.__isset;
+Ping::Ping(const Ping& other37) {
+  sequence = other37.sequence;
+  host = other37.host;
+  version = other37.version;
+  updates = other37.updates;
+  marks = other37.marks;
+  onBehalfOf = other37.onBehalfOf;
+  __isset = other37.__isset;
+}
+Ping::Ping(Ping&& other38) noexcept {
+  sequence = other38.sequence;
+  host = std::move(other38.host);
+  version = other38.version;
+  updates = std::move(other38.updates);
+  marks = std::move(other38.marks);
+  onBehalfOf = std::move(other38.onBehalfOf);
+  __isset = other38.__isset;
+}
+Ping& Ping::operator=(const Ping& other39) {
+  sequence = other39.sequence;
+  host = other39.host;
+  version = other39.version;
+  updates = other39.updates;
+  marks = other39.marks;
+  onBehalfOf = other39.onBehalfOf;
+  __isset = other39.__isset;
+  return *this;
+}
+Ping& Ping::operator=(Ping&& other40) noexcept {
+  sequence = other40.sequence;
+  host = std::move(other40.host);
+  version = other40.version;
+  updates = std::move(other40.updates);
+  marks = std::move(other40.marks);
+  onBehalfOf = std::move(other40.onBehalfOf);
+  __isset = other40.__isset;
   return *this;
 }
 void Ping::printTo(std::ostream& out) const {
@@ -1287,14 +1380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->updates.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->updates.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->updates[_i35].read(iprot);
+              xfer += this->updates[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1307,14 +1400,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->marks.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->marks.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->marks.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->marks[_i40].read(iprot);
+              xfer += this->marks[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1355,10 +1448,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter41;
-    for (_iter41 = this->updates.begin(); _iter41 != this->updates.end(); ++_iter41)
+    std::vector<MemberRecord> ::const_iterator _iter51;
+    for (_iter51 = this->updates.begin(); _iter51 != this->updates.end(); ++_iter51)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1367,10 +1460,10 @@
   xfer += oprot->writeFieldBegin("marks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->marks.size()));
-    std::vector<QuarantineMark> ::const_iterator _iter42;
-    for (_iter42 = this->marks.begin(); _iter42 != this->marks.end(); ++_iter42)
+    std::vector<QuarantineMark> ::const_iterator _iter52;
+    for (_iter52 = this->marks.begin(); _iter52 != this->marks.end(); ++_iter52)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1391,21 +1484,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Ack::Ack(const Ack& other43) {
-  sequence = other43.sequence;
-  host = other43.host;
-  version = other43.version;
-  updates = other43.updates;
-  marks = other43.marks;
-  __isset = other43.__isset;
-}
-Ack& Ack::operator=(const Ack& other44) {
-  sequence = other44.sequence;
-  host = other44.host;
-  version = other44.version;
-  updates = other44.updates;
-  marks = other44.marks;
-  __isset = other44.__isset;
+Ack::Ack(const Ack& other53) {
+  sequence = other53.sequence;
+  host = other53.host;
+  version = other53.version;
+  updates = other53.updates;
+  marks = other53.marks;
+  __isset = other53.__isset;
+}
+Ack::Ack(Ack&& other54) noexcept {
+  sequence = other54.sequence;
+  host = std::move(other54.host);
+  version = other54.version;
+  updates = std::move(other54.updates);
+  marks = std::move(other54.marks);
+  __isset = other54.__isset;
+}
+Ack& Ack::operator=(const Ack& other55) {
+  sequence = other55.sequence;
+  host = other55.host;
+  version = other55.version;
+  updates = other55.updates;
+  marks = other55.marks;
+  __isset = other55.__isset;
+  return *this;
+}
+Ack& Ack::operator=(Ack&& other56) noexcept {
+  sequence = other56.sequence;
+  host = std::move(other56.host);
+  version = other56.version;
+  updates = std::move(other56.updates);
+  marks = std::move(other56.marks);
+  __isset = other56.__isset;
   return *this;
 }
 void Ack::printTo(std::ostream& out) const {
@@ -1529,17 +1639,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PingRequest::PingRequest(const PingRequest& other45) {
-  sequence = other45.sequence;
-  host = other45.host;
-  target = other45.target;
-  __isset = other45.__isset;
+PingRequest::PingRequest(const PingRequest& other57) {
+  sequence = other57.sequence;
+  host = other57.host;
+  target = other57.target;
+  __isset = other57.__isset;
+}
+PingRequest::PingRequest(PingRequest&& other58) noexcept {
+  sequence = other58.sequence;
+  host = std::move(other58.host);
+  target = std::move(other58.target);
+  __isset = other58.__isset;
 }
-PingRequest& PingRequest::operator=(const PingRequest& other46) {
-  sequence = other46.sequence;
-  host = other46.host;
-  target = other46.target;
-  __isset = other46.__isset;
+PingRequest& PingRequest::operator=(const PingRequest& other59) {
+  sequence = other59.sequence;
+  host = other59.host;
+  target = other59.target;
+  __isset = other59.__isset;
+  return *this;
+}
+PingRequest& PingRequest::operator=(PingRequest&& other60) noexcept {
+  sequence = other60.sequence;
+  host = std::move(other60.host);
+  target = std::move(other60.target);
+  __isset = other60.__isset;
   return *this;
 }
 void PingRequest::printTo(std::ostream& out) const {
@@ -1595,14 +1718,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->records.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->records.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->records[_i51].read(iprot);
+              xfer += this->records[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1639,10 +1762,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter52;
-    for (_iter52 = this->records.begin(); _iter52 != this->records.end(); ++_iter52)
+    std::vector<MemberRecord> ::const_iterator _iter66;
+    for (_iter66 = this->records.begin(); _iter66 != this->records.end(); ++_iter66)
     {
-      xfer += (*_iter52).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1664,15 +1787,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberSync::MemberSync(const MemberSync& other53) {
-  records = other53.records;
-  isReply = other53.isReply;
-  __isset = other53.__isset;
+MemberSync::MemberSync(const MemberSync& other67) {
+  records = other67.records;
+  isReply = other67.isReply;
+  __isset = other67.__isset;
 }
-MemberSync& MemberSync::operator=(const MemberSync& other54) {
-  records = other54.records;
-  isReply = other54.isReply;
-  __isset = other54.__isset;
+MemberSync::MemberSync(MemberSync&& other68) noexcept {
+  records = std::move(other68.records);
+  isReply = other68.isReply;
+  __isset = other68.__isset;
+}
+MemberSync& MemberSync::operator=(const MemberSync& other69) {
+  records = other69.records;
+  isReply = other69.isReply;
+  __isset = other69.__isset;
+  return *this;
+}
+MemberSync& MemberSync::operator=(MemberSync&& other70) noexcept {
+  records = std::move(other70.records);
+  isReply = other70.isReply;
+  __isset = other70.__isset;
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -1827,21 +1961,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SampledEndpoint::SampledEndpoint(const SampledEndpoint& other55) {
-  host = other55.host;
-  address = other55.address;
-  peerPort = other55.peerPort;
-  slots = other55.slots;
-  incarnation = other55.incarnation;
-  __isset = other55.__isset;
+SampledEndpoint::SampledEndpoint(const SampledEndpoint& other71) {
+  host = other71.host;
+  address = other71.address;
+  peerPort = other71.peerPort;
+  slots = other71.slots;
+  incarnation = other71.incarnation;
+  __isset = other71.__isset;
+}
+SampledEndpoint::SampledEndpoint(SampledEndpoint&& other72) noexcept {
+  host = std::move(other72.host);
+  address = std::move(other72.address);
+  peerPort = other72.peerPort;
+  slots = other72.slots;
+  incarnation = other72.incarnation;
+  __isset = other72.__isset;
+}
+SampledEndpoint& SampledEndpoint::operator=(const SampledEndpoint& other73) {
+  host = other73.host;
+  address = other73.address;
+  peerPort = other73.peerPort;
+  slots = other73.slots;
+  incarnation = other73.incarnation;
+  __isset = other73.__isset;
+  return *this;
 }
-SampledEndpoint& SampledEndpoint::operator=(const SampledEndpoint& other56) {
-  host = other56.host;
-  address = other56.address;
-  peerPort = other56.peerPort;
-  slots = other56.slots;
-  incarnation = other56.incarnation;
-  __isset = other56.__isset;
+SampledEndpoint& SampledEndpoint::operator=(SampledEndpoint&& other74) noexcept {
+  host = std::move(other74.host);
+  address = std::move(other74.address);
+  peerPort = other74.peerPort;
+  slots = other74.slots;
+  incarnation = other74.incarnation;
+  __isset = other74.__isset;
   return *this;
 }
 void SampledEndpoint::printTo(std::ostream& out) const {
@@ -1955,14 +2106,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->sample.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->sample.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->sample[_i61].read(iprot);
+              xfer += this->sample[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2011,10 +2162,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<SampledEndpoint> ::const_iterator _iter62;
-    for (_iter62 = this->sample.begin(); _iter62 != this->sample.end(); ++_iter62)
+    std::vector<SampledEndpoint> ::const_iterator _iter80;
+    for (_iter80 = this->sample.begin(); _iter80 != this->sample.end(); ++_iter80)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2036,23 +2187,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceSummary::ServiceSummary(const ServiceSummary& other63) {
-  serviceName = other63.serviceName;
-  ready = other63.ready;
-  slots = other63.slots;
-  freeSlots = other63.freeSlots;
-  slowdownPercent = other63.slowdownPercent;
-  sample = other63.sample;
-  __isset = other63.__isset;
-}
-ServiceSummary& ServiceSummary::operator=(const ServiceSummary& other64) {
-  serviceName = other64.serviceName;
-  ready = other64.ready;
-  slots = other64.slots;
-  freeSlots = other64.freeSlots;
-  slowdownPercent = other64.slowdownPercent;
-  sample = other64.sample;
-  __isset = other64.__isset;
+ServiceSummary::ServiceSummary(const ServiceSummary& other81) {
+  serviceName = other81.serviceName;
+  ready = other81.ready;
+  slots = other81.slots;
+  freeSlots = other81.freeSlots;
+  slowdownPercent = other81.slowdownPercent;
+  sample = other81.sample;
+  __isset = other81.__isset;
+}
+ServiceSummary::ServiceSummary(ServiceSummary&& other82) noexcept {
+  serviceName = std::move(other82.serviceName);
+  ready = other82.ready;
+  slots = other82.slots;
+  freeSlots = other82.freeSlots;
+  slowdownPercent = other82.slowdownPercent;
+  sample = std::move(other82.sample);
+  __isset = other82.__isset;
+}
+ServiceSummary& ServiceSummary::operator=(const ServiceSummary& other83) {
+  serviceName = other83.serviceName;
+  ready = other83.ready;
+  slots = other83.slots;
+  freeSlots = other83.freeSlots;
+  slowdownPercent = other83.slowdownPercent;
+  sample = other83.sample;
+  __isset = other83.__isset;
+  return *this;
+}
+ServiceSummary& ServiceSummary::operator=(ServiceSummary&& other84) noexcept {
+  serviceName = std::move(other84.serviceName);
+  ready = other84.ready;
+  slots = other84.slots;
+  freeSlots = other84.freeSlots;
+  slowdownPercent = other84.slowdownPercent;
+  sample = std::move(other84.sample);
+  __isset = other84.__isset;
   return *this;
 }
 void ServiceSummary::printTo(std::ostream& out) const {
@@ -2147,14 +2317,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->services.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->services.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->services[_i69].read(iprot);
+              xfer += this->services[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2167,14 +2337,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->contacts.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->contacts.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->contacts.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->contacts[_i74].read(iprot);
+              xfer += this->contacts[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2215,10 +2385,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceSummary> ::const_iterator _iter75;
-    for (_iter75 = this->services.begin(); _iter75 != this->services.end(); ++_iter75)
+    std::vector<ServiceSummary> ::const_iterator _iter95;
+    for (_iter95 = this->services.begin(); _iter95 != this->services.end(); ++_iter95)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2227,10 +2397,10 @@
   xfer += oprot->writeFieldBegin("contacts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contacts.size()));
-    std::vector<MemberRecord> ::const_iterator _iter76;
-    for (_iter76 = this->contacts.begin(); _iter76 != this->contacts.end(); ++_iter76)
+    std::vector<MemberRecord> ::const_iterator _iter96;
+    for (_iter96 = this->contacts.begin(); _iter96 != this->contacts.end(); ++_iter96)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2251,21 +2421,38 @@
   swap(a.__isset, b.__isset);
 }
 
-DomainSummary::DomainSummary(const DomainSummary& other77) {
-  region = other77.region;
-  domain = other77.domain;
-  stamp = other77.stamp;
-  services = other77.services;
-  contacts = other77.contacts;
-  __isset = other77.__isset;
-}
-DomainSummary& DomainSummary::operator=(const DomainSummary& other78) {
-  region = other78.region;
-  domain = other78.domain;
-  stamp = other78.stamp;
-  services = other78.services;
-  contacts = other78.contacts;
-  __isset = other78.__isset;
+DomainSummary::DomainSummary(const DomainSummary& other97) {
+  region = other97.region;
+  domain = other97.domain;
+  stamp = other97.stamp;
+  services = other97.services;
+  contacts = other97.contacts;
+  __isset = other97.__isset;
+}
+DomainSummary::DomainSummary(DomainSummary&& other98) noexcept {
+  region = std::move(other98.region);
+  domain = std::move(other98.domain);
+  stamp = other98.stamp;
+  services = std::move(other98.services);
+  contacts = std::move(other98.contacts);
+  __isset = other98.__isset;
+}
+DomainSummary& DomainSummary::operator=(const DomainSummary& other99) {
+  region = other99.region;
+  domain = other99.domain;
+  stamp = other99.stamp;
+  services = other99.services;
+  contacts = other99.contacts;
+  __isset = other99.__isset;
+  return *this;
+}
+DomainSummary& DomainSummary::operator=(DomainSummary&& other100) noexcept {
+  region = std::move(other100.region);
+  domain = std::move(other100.domain);
+  stamp = other100.stamp;
+  services = std::move(other100.services);
+  contacts = std::move(other100.contacts);
+  __isset = other100.__isset;
   return *this;
 }
 void DomainSummary::printTo(std::ostream& out) const {
@@ -2389,17 +2576,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryText::EntryText(const EntryText& other79) {
-  name = other79.name;
-  revision = other79.revision;
-  text = other79.text;
-  __isset = other79.__isset;
+EntryText::EntryText(const EntryText& other101) {
+  name = other101.name;
+  revision = other101.revision;
+  text = other101.text;
+  __isset = other101.__isset;
+}
+EntryText::EntryText(EntryText&& other102) noexcept {
+  name = std::move(other102.name);
+  revision = other102.revision;
+  text = std::move(other102.text);
+  __isset = other102.__isset;
+}
+EntryText& EntryText::operator=(const EntryText& other103) {
+  name = other103.name;
+  revision = other103.revision;
+  text = other103.text;
+  __isset = other103.__isset;
+  return *this;
 }
-EntryText& EntryText::operator=(const EntryText& other80) {
-  name = other80.name;
-  revision = other80.revision;
-  text = other80.text;
-  __isset = other80.__isset;
+EntryText& EntryText::operator=(EntryText&& other104) noexcept {
+  name = std::move(other104.name);
+  revision = other104.revision;
+  text = std::move(other104.text);
+  __isset = other104.__isset;
   return *this;
 }
 void EntryText::printTo(std::ostream& out) const {
@@ -2519,14 +2719,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->changed.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->changed.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += this->changed[_i85].read(iprot);
+              xfer += this->changed[_i109].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2539,14 +2739,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->removed.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->removed.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += iprot->readString(this->removed[_i90]);
+              xfer += iprot->readString(this->removed[_i114]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2603,10 +2803,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<EntryText> ::const_iterator _iter91;
-    for (_iter91 = this->changed.begin(); _iter91 != this->changed.end(); ++_iter91)
+    std::vector<EntryText> ::const_iterator _iter115;
+    for (_iter115 = this->changed.begin(); _iter115 != this->changed.end(); ++_iter115)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2615,10 +2815,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter92;
-    for (_iter92 = this->removed.begin(); _iter92 != this->removed.end(); ++_iter92)
+    std::vector<std::string> ::const_iterator _iter116;
+    for (_iter116 = this->removed.begin(); _iter116 != this->removed.end(); ++_iter116)
     {
-      xfer += oprot->writeString((*_iter92));
+      xfer += oprot->writeString((*_iter116));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2646,27 +2846,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigBody::ConfigBody(const ConfigBody& other93) {
-  base = other93.base;
-  version = other93.version;
-  contentHash = other93.contentHash;
-  storeEpoch = other93.storeEpoch;
-  floorRevision = other93.floorRevision;
-  changed = other93.changed;
-  removed = other93.removed;
-  whole = other93.whole;
-  __isset = other93.__isset;
-}
-ConfigBody& ConfigBody::operator=(const ConfigBody& other94) {
-  base = other94.base;
-  version = other94.version;
-  contentHash = other94.contentHash;
-  storeEpoch = other94.storeEpoch;
-  floorRevision = other94.floorRevision;
-  changed = other94.changed;
-  removed = other94.removed;
-  whole = other94.whole;
-  __isset = other94.__isset;
+ConfigBody::ConfigBody(const ConfigBody& other117) {
+  base = other117.base;
+  version = other117.version;
+  contentHash = other117.contentHash;
+  storeEpoch = other117.storeEpoch;
+  floorRevision = other117.floorRevision;
+  changed = other117.changed;
+  removed = other117.removed;
+  whole = other117.whole;
+  __isset = other117.__isset;
+}
+ConfigBody::ConfigBody(ConfigBody&& other118) noexcept {
+  base = other118.base;
+  version = other118.version;
+  contentHash = other118.contentHash;
+  storeEpoch = other118.storeEpoch;
+  floorRevision = other118.floorRevision;
+  changed = std::move(other118.changed);
+  removed = std::move(other118.removed);
+  whole = other118.whole;
+  __isset = other118.__isset;
+}
+ConfigBody& ConfigBody::operator=(const ConfigBody& other119) {
+  base = other119.base;
+  version = other119.version;
+  contentHash = other119.contentHash;
+  storeEpoch = other119.storeEpoch;
+  floorRevision = other119.floorRevision;
+  changed = other119.changed;
+  removed = other119.removed;
+  whole = other119.whole;
+  __isset = other119.__isset;
+  return *this;
+}
+ConfigBody& ConfigBody::operator=(ConfigBody&& other120) noexcept {
+  base = other120.base;
+  version = other120.version;
+  contentHash = other120.contentHash;
+  storeEpoch = other120.storeEpoch;
+  floorRevision = other120.floorRevision;
+  changed = std::move(other120.changed);
+  removed = std::move(other120.removed);
+  whole = other120.whole;
+  __isset = other120.__isset;
   return *this;
 }
 void ConfigBody::printTo(std::ostream& out) const {
@@ -2776,15 +2999,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other95) {
-  root = other95.root;
-  body = other95.body;
-  __isset = other95.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other121) {
+  root = other121.root;
+  body = other121.body;
+  __isset = other121.__isset;
+}
+ConfigPush::ConfigPush(ConfigPush&& other122) noexcept {
+  root = std::move(other122.root);
+  body = std::move(other122.body);
+  __isset = other122.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other96) {
-  root = other96.root;
-  body = other96.body;
-  __isset = other96.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other123) {
+  root = other123.root;
+  body = other123.body;
+  __isset = other123.__isset;
+  return *this;
+}
+ConfigPush& ConfigPush::operator=(ConfigPush&& other124) noexcept {
+  root = std::move(other124.root);
+  body = std::move(other124.body);
+  __isset = other124.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -2871,13 +3105,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFetch::ConfigFetch(const ConfigFetch& other97) noexcept {
-  held = other97.held;
-  __isset = other97.__isset;
+ConfigFetch::ConfigFetch(const ConfigFetch& other125) noexcept {
+  held = other125.held;
+  __isset = other125.__isset;
 }
-ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other98) noexcept {
-  held = other98.held;
-  __isset = other98.__isset;
+ConfigFetch::ConfigFetch(ConfigFetch&& other126) noexcept {
+  held = other126.held;
+  __isset = other126.__isset;
+}
+ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other127) noexcept {
+  held = other127.held;
+  __isset = other127.__isset;
+  return *this;
+}
+ConfigFetch& ConfigFetch::operator=(ConfigFetch&& other128) noexcept {
+  held = other128.held;
+  __isset = other128.__isset;
   return *this;
 }
 void ConfigFetch::printTo(std::ostream& out) const {
@@ -2943,14 +3186,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bodies.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->bodies.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->bodies.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->bodies[_i103].read(iprot);
+              xfer += this->bodies[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2991,10 +3234,10 @@
   xfer += oprot->writeFieldBegin("bodies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->bodies.size()));
-    std::vector<ConfigBody> ::const_iterator _iter104;
-    for (_iter104 = this->bodies.begin(); _iter104 != this->bodies.end(); ++_iter104)
+    std::vector<ConfigBody> ::const_iterator _iter134;
+    for (_iter134 = this->bodies.begin(); _iter134 != this->bodies.end(); ++_iter134)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter134).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3017,17 +3260,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigAnswer::ConfigAnswer(const ConfigAnswer& other105) {
-  held = other105.held;
-  bodies = other105.bodies;
-  retryAfterMillis = other105.retryAfterMillis;
-  __isset = other105.__isset;
+ConfigAnswer::ConfigAnswer(const ConfigAnswer& other135) {
+  held = other135.held;
+  bodies = other135.bodies;
+  retryAfterMillis = other135.retryAfterMillis;
+  __isset = other135.__isset;
+}
+ConfigAnswer::ConfigAnswer(ConfigAnswer&& other136) noexcept {
+  held = other136.held;
+  bodies = std::move(other136.bodies);
+  retryAfterMillis = other136.retryAfterMillis;
+  __isset = other136.__isset;
+}
+ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other137) {
+  held = other137.held;
+  bodies = other137.bodies;
+  retryAfterMillis = other137.retryAfterMillis;
+  __isset = other137.__isset;
+  return *this;
 }
-ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other106) {
-  held = other106.held;
-  bodies = other106.bodies;
-  retryAfterMillis = other106.retryAfterMillis;
-  __isset = other106.__isset;
+ConfigAnswer& ConfigAnswer::operator=(ConfigAnswer&& other138) noexcept {
+  held = other138.held;
+  bodies = std::move(other138.bodies);
+  retryAfterMillis = other138.retryAfterMillis;
+  __isset = other138.__isset;
   return *this;
 }
 void ConfigAnswer::printTo(std::ostream& out) const {
@@ -3179,17 +3435,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _ktype108;
-            ::apache::thrift::protocol::TType _vtype109;
-            xfer += iprot->readMapBegin(_ktype108, _vtype109, _size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _ktype140;
+            ::apache::thrift::protocol::TType _vtype141;
+            xfer += iprot->readMapBegin(_ktype140, _vtype141, _size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              std::string _key112;
-              xfer += iprot->readString(_key112);
-              std::string& _val113 = this->headers[_key112];
-              xfer += iprot->readString(_val113);
+              std::string _key144;
+              xfer += iprot->readString(_key144);
+              std::string& _val145 = this->headers[_key144];
+              xfer += iprot->readString(_val145);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3298,11 +3554,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter114;
-    for (_iter114 = this->headers.begin(); _iter114 != this->headers.end(); ++_iter114)
+    std::map<std::string, std::string> ::const_iterator _iter146;
+    for (_iter146 = this->headers.begin(); _iter146 != this->headers.end(); ++_iter146)
     {
-      xfer += oprot->writeString(_iter114->first);
-      xfer += oprot->writeString(_iter114->second);
+      xfer += oprot->writeString(_iter146->first);
+      xfer += oprot->writeString(_iter146->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3360,39 +3616,74 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other115) {
-  callId = other115.callId;
-  entry = other115.entry;
-  serviceName = other115.serviceName;
-  port = other115.port;
-  method = other115.method;
-  target = other115.target;
-  headers = other115.headers;
-  body = other115.body;
-  remainingMillis = other115.remainingMillis;
-  idempotent = other115.idempotent;
-  depth = other115.depth;
-  callerHost = other115.callerHost;
-  version = other115.version;
-  digest = other115.digest;
-  __isset = other115.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other116) {
-  callId = other116.callId;
-  entry = other116.entry;
-  serviceName = other116.serviceName;
-  port = other116.port;
-  method = other116.method;
-  target = other116.target;
-  headers = other116.headers;
-  body = other116.body;
-  remainingMillis = other116.remainingMillis;
-  idempotent = other116.idempotent;
-  depth = other116.depth;
-  callerHost = other116.callerHost;
-  version = other116.version;
-  digest = other116.digest;
-  __isset = other116.__isset;
+CallRequest::CallRequest(const CallRequest& other147) {
+  callId = other147.callId;
+  entry = other147.entry;
+  serviceName = other147.serviceName;
+  port = other147.port;
+  method = other147.method;
+  target = other147.target;
+  headers = other147.headers;
+  body = other147.body;
+  remainingMillis = other147.remainingMillis;
+  idempotent = other147.idempotent;
+  depth = other147.depth;
+  callerHost = other147.callerHost;
+  version = other147.version;
+  digest = other147.digest;
+  __isset = other147.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other148) noexcept {
+  callId = std::move(other148.callId);
+  entry = std::move(other148.entry);
+  serviceName = std::move(other148.serviceName);
+  port = other148.port;
+  method = std::move(other148.method);
+  target = std::move(other148.target);
+  headers = std::move(other148.headers);
+  body = std::move(other148.body);
+  remainingMillis = other148.remainingMillis;
+  idempotent = other148.idempotent;
+  depth = other148.depth;
+  callerHost = std::move(other148.callerHost);
+  version = other148.version;
+  digest = other148.digest;
+  __isset = other148.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other149) {
+  callId = other149.callId;
+  entry = other149.entry;
+  serviceName = other149.serviceName;
+  port = other149.port;
+  method = other149.method;
+  target = other149.target;
+  headers = other149.headers;
+  body = other149.body;
+  remainingMillis = other149.remainingMillis;
+  idempotent = other149.idempotent;
+  depth = other149.depth;
+  callerHost = other149.callerHost;
+  version = other149.version;
+  digest = other149.digest;
+  __isset = other149.__isset;
+  return *this;
+}
+CallRequest& CallRequest::operator=(CallRequest&& other150) noexcept {
+  callId = std::move(other150.callId);
+  entry = std::move(other150.entry);
+  serviceName = std::move(other150.serviceName);
+  port = other150.port;
+  method = std::move(other150.method);
+  target = std::move(other150.target);
+  headers = std::move(other150.headers);
+  body = std::move(other150.body);
+  remainingMillis = other150.remainingMillis;
+  idempotent = other150.idempotent;
+  depth = other150.depth;
+  callerHost = std::move(other150.callerHost);
+  version = other150.version;
+  digest = other150.digest;
+  __isset = other150.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -3517,9 +3808,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast117;
-          xfer += iprot->readI32(ecast117);
-          this->outcome = static_cast<CallOutcome::type>(ecast117);
+          int32_t ecast151;
+          xfer += iprot->readI32(ecast151);
+          this->outcome = static_cast<CallOutcome::type>(ecast151);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3537,17 +3828,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _ktype119;
-            ::apache::thrift::protocol::TType _vtype120;
-            xfer += iprot->readMapBegin(_ktype119, _vtype120, _size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _ktype153;
+            ::apache::thrift::protocol::TType _vtype154;
+            xfer += iprot->readMapBegin(_ktype153, _vtype154, _size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              std::string _key123;
-              xfer += iprot->readString(_key123);
-              std::string& _val124 = this->headers[_key123];
-              xfer += iprot->readString(_val124);
+              std::string _key157;
+              xfer += iprot->readString(_key157);
+              std::string& _val158 = this->headers[_key157];
+              xfer += iprot->readString(_val158);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3676,11 +3967,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter125;
-    for (_iter125 = this->headers.begin(); _iter125 != this->headers.end(); ++_iter125)
+    std::map<std::string, std::string> ::const_iterator _iter159;
+    for (_iter159 = this->headers.begin(); _iter159 != this->headers.end(); ++_iter159)
     {
-      xfer += oprot->writeString(_iter125->first);
-      xfer += oprot->writeString(_iter125->second);
+      xfer += oprot->writeString(_iter159->first);
+      xfer += oprot->writeString(_iter159->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3755,41 +4046,78 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other126) {
-  callId = other126.callId;
-  outcome = other126.outcome;
-  status = other126.status;
-  headers = other126.headers;
-  body = other126.body;
-  bodyHash = other126.bodyHash;
-  reason = other126.reason;
-  owner = other126.owner;
-  limit = other126.limit;
-  retryAfterMillis = other126.retryAfterMillis;
-  running = other126.running;
-  waiting = other126.waiting;
-  slots = other126.slots;
-  serverLost = other126.serverLost;
-  serviceMicros = other126.serviceMicros;
-  __isset = other126.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other160) {
+  callId = other160.callId;
+  outcome = other160.outcome;
+  status = other160.status;
+  headers = other160.headers;
+  body = other160.body;
+  bodyHash = other160.bodyHash;
+  reason = other160.reason;
+  owner = other160.owner;
+  limit = other160.limit;
+  retryAfterMillis = other160.retryAfterMillis;
+  running = other160.running;
+  waiting = other160.waiting;
+  slots = other160.slots;
+  serverLost = other160.serverLost;
+  serviceMicros = other160.serviceMicros;
+  __isset = other160.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other161) noexcept {
+  callId = std::move(other161.callId);
+  outcome = other161.outcome;
+  status = other161.status;
+  headers = std::move(other161.headers);
+  body = std::move(other161.body);
+  bodyHash = other161.bodyHash;
+  reason = std::move(other161.reason);
+  owner = std::move(other161.owner);
+  limit = std::move(other161.limit);
+  retryAfterMillis = other161.retryAfterMillis;
+  running = other161.running;
+  waiting = other161.waiting;
+  slots = other161.slots;
+  serverLost = other161.serverLost;
+  serviceMicros = other161.serviceMicros;
+  __isset = other161.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other162) {
+  callId = other162.callId;
+  outcome = other162.outcome;
+  status = other162.status;
+  headers = other162.headers;
+  body = other162.body;
+  bodyHash = other162.bodyHash;
+  reason = other162.reason;
+  owner = other162.owner;
+  limit = other162.limit;
+  retryAfterMillis = other162.retryAfterMillis;
+  running = other162.running;
+  waiting = other162.waiting;
+  slots = other162.slots;
+  serverLost = other162.serverLost;
+  serviceMicros = other162.serviceMicros;
+  __isset = other162.__isset;
+  return *this;
 }
-CallAnswer& CallAnswer::operator=(const CallAnswer& other127) {
-  callId = other127.callId;
-  outcome = other127.outcome;
-  status = other127.status;
-  headers = other127.headers;
-  body = other127.body;
-  bodyHash = other127.bodyHash;
-  reason = other127.reason;
-  owner = other127.owner;
-  limit = other127.limit;
-  retryAfterMillis = other127.retryAfterMillis;
-  running = other127.running;
-  waiting = other127.waiting;
-  slots = other127.slots;
-  serverLost = other127.serverLost;
-  serviceMicros = other127.serviceMicros;
-  __isset = other127.__isset;
+CallAnswer& CallAnswer::operator=(CallAnswer&& other163) noexcept {
+  callId = std::move(other163.callId);
+  outcome = other163.outcome;
+  status = other163.status;
+  headers = std::move(other163.headers);
+  body = std::move(other163.body);
+  bodyHash = other163.bodyHash;
+  reason = std::move(other163.reason);
+  owner = std::move(other163.owner);
+  limit = std::move(other163.limit);
+  retryAfterMillis = other163.retryAfterMillis;
+  running = other163.running;
+  waiting = other163.waiting;
+  slots = other163.slots;
+  serverLost = other163.serverLost;
+  serviceMicros = other163.serviceMicros;
+  __isset = other163.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -3889,13 +4217,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other128) {
-  callId = other128.callId;
-  __isset = other128.__isset;
+CallCancel::CallCancel(const CallCancel& other164) {
+  callId = other164.callId;
+  __isset = other164.__isset;
+}
+CallCancel::CallCancel(CallCancel&& other165) noexcept {
+  callId = std::move(other165.callId);
+  __isset = other165.__isset;
+}
+CallCancel& CallCancel::operator=(const CallCancel& other166) {
+  callId = other166.callId;
+  __isset = other166.__isset;
+  return *this;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other129) {
-  callId = other129.callId;
-  __isset = other129.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other167) noexcept {
+  callId = std::move(other167.callId);
+  __isset = other167.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -3998,15 +4335,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallQuery::CallQuery(const CallQuery& other130) {
-  callId = other130.callId;
-  incarnation = other130.incarnation;
-  __isset = other130.__isset;
+CallQuery::CallQuery(const CallQuery& other168) {
+  callId = other168.callId;
+  incarnation = other168.incarnation;
+  __isset = other168.__isset;
+}
+CallQuery::CallQuery(CallQuery&& other169) noexcept {
+  callId = std::move(other169.callId);
+  incarnation = other169.incarnation;
+  __isset = other169.__isset;
+}
+CallQuery& CallQuery::operator=(const CallQuery& other170) {
+  callId = other170.callId;
+  incarnation = other170.incarnation;
+  __isset = other170.__isset;
+  return *this;
 }
-CallQuery& CallQuery::operator=(const CallQuery& other131) {
-  callId = other131.callId;
-  incarnation = other131.incarnation;
-  __isset = other131.__isset;
+CallQuery& CallQuery::operator=(CallQuery&& other171) noexcept {
+  callId = std::move(other171.callId);
+  incarnation = other171.incarnation;
+  __isset = other171.__isset;
   return *this;
 }
 void CallQuery::printTo(std::ostream& out) const {
@@ -4079,9 +4427,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast132;
-          xfer += iprot->readI32(ecast132);
-          this->wanted = static_cast<ClaimState::type>(ecast132);
+          int32_t ecast172;
+          xfer += iprot->readI32(ecast172);
+          this->wanted = static_cast<ClaimState::type>(ecast172);
           this->__isset.wanted = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4129,17 +4477,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other133) {
-  keyHash = other133.keyHash;
-  holder = other133.holder;
-  wanted = other133.wanted;
-  __isset = other133.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other173) {
+  keyHash = other173.keyHash;
+  holder = other173.holder;
+  wanted = other173.wanted;
+  __isset = other173.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other174) noexcept {
+  keyHash = other174.keyHash;
+  holder = std::move(other174.holder);
+  wanted = other174.wanted;
+  __isset = other174.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other175) {
+  keyHash = other175.keyHash;
+  holder = other175.holder;
+  wanted = other175.wanted;
+  __isset = other175.__isset;
+  return *this;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other134) {
-  keyHash = other134.keyHash;
-  holder = other134.holder;
-  wanted = other134.wanted;
-  __isset = other134.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other176) noexcept {
+  keyHash = other176.keyHash;
+  holder = std::move(other176.holder);
+  wanted = other176.wanted;
+  __isset = other176.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -4213,9 +4574,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast135;
-          xfer += iprot->readI32(ecast135);
-          this->result = static_cast<ClaimResult::type>(ecast135);
+          int32_t ecast177;
+          xfer += iprot->readI32(ecast177);
+          this->result = static_cast<ClaimResult::type>(ecast177);
           this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4263,17 +4624,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other136) {
-  keyHash = other136.keyHash;
-  holder = other136.holder;
-  result = other136.result;
-  __isset = other136.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other178) {
+  keyHash = other178.keyHash;
+  holder = other178.holder;
+  result = other178.result;
+  __isset = other178.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other137) {
-  keyHash = other137.keyHash;
-  holder = other137.holder;
-  result = other137.result;
-  __isset = other137.__isset;
+ClaimAnswer::ClaimAnswer(ClaimAnswer&& other179) noexcept {
+  keyHash = other179.keyHash;
+  holder = std::move(other179.holder);
+  result = other179.result;
+  __isset = other179.__isset;
+}
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other180) {
+  keyHash = other180.keyHash;
+  holder = other180.holder;
+  result = other180.result;
+  __isset = other180.__isset;
+  return *this;
+}
+ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other181) noexcept {
+  keyHash = other181.keyHash;
+  holder = std::move(other181.holder);
+  result = other181.result;
+  __isset = other181.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
@@ -4461,14 +4835,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callers.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->callers.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->callers.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += iprot->readString(this->callers[_i142]);
+              xfer += iprot->readString(this->callers[_i186]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4549,10 +4923,10 @@
   xfer += oprot->writeFieldBegin("callers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->callers.size()));
-    std::vector<std::string> ::const_iterator _iter143;
-    for (_iter143 = this->callers.begin(); _iter143 != this->callers.end(); ++_iter143)
+    std::vector<std::string> ::const_iterator _iter187;
+    for (_iter187 = this->callers.begin(); _iter187 != this->callers.end(); ++_iter187)
     {
-      xfer += oprot->writeString((*_iter143));
+      xfer += oprot->writeString((*_iter187));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4585,37 +4959,70 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryReport::EntryReport(const EntryReport& other144) {
-  entry = other144.entry;
-  owner = other144.owner;
-  calls = other144.calls;
-  refused = other144.refused;
-  slow = other144.slow;
-  p50Micros = other144.p50Micros;
-  p99Micros = other144.p99Micros;
-  limit = other144.limit;
-  bound = other144.bound;
-  seen = other144.seen;
-  sinceWallMillis = other144.sinceWallMillis;
-  callers = other144.callers;
-  unknown = other144.unknown;
-  __isset = other144.__isset;
-}
-EntryReport& EntryReport::operator=(const EntryReport& other145) {
-  entry = other145.entry;
-  owner = other145.owner;
-  calls = other145.calls;
-  refused = other145.refused;
-  slow = other145.slow;
-  p50Micros = other145.p50Micros;
-  p99Micros = other145.p99Micros;
-  limit = other145.limit;
-  bound = other145.bound;
-  seen = other145.seen;
-  sinceWallMillis = other145.sinceWallMillis;
-  callers = other145.callers;
-  unknown = other145.unknown;
-  __isset = other145.__isset;
+EntryReport::EntryReport(const EntryReport& other188) {
+  entry = other188.entry;
+  owner = other188.owner;
+  calls = other188.calls;
+  refused = other188.refused;
+  slow = other188.slow;
+  p50Micros = other188.p50Micros;
+  p99Micros = other188.p99Micros;
+  limit = other188.limit;
+  bound = other188.bound;
+  seen = other188.seen;
+  sinceWallMillis = other188.sinceWallMillis;
+  callers = other188.callers;
+  unknown = other188.unknown;
+  __isset = other188.__isset;
+}
+EntryReport::EntryReport(EntryReport&& other189) noexcept {
+  entry = std::move(other189.entry);
+  owner = std::move(other189.owner);
+  calls = other189.calls;
+  refused = other189.refused;
+  slow = other189.slow;
+  p50Micros = other189.p50Micros;
+  p99Micros = other189.p99Micros;
+  limit = std::move(other189.limit);
+  bound = other189.bound;
+  seen = other189.seen;
+  sinceWallMillis = other189.sinceWallMillis;
+  callers = std::move(other189.callers);
+  unknown = other189.unknown;
+  __isset = other189.__isset;
+}
+EntryReport& EntryReport::operator=(const EntryReport& other190) {
+  entry = other190.entry;
+  owner = other190.owner;
+  calls = other190.calls;
+  refused = other190.refused;
+  slow = other190.slow;
+  p50Micros = other190.p50Micros;
+  p99Micros = other190.p99Micros;
+  limit = other190.limit;
+  bound = other190.bound;
+  seen = other190.seen;
+  sinceWallMillis = other190.sinceWallMillis;
+  callers = other190.callers;
+  unknown = other190.unknown;
+  __isset = other190.__isset;
+  return *this;
+}
+EntryReport& EntryReport::operator=(EntryReport&& other191) noexcept {
+  entry = std::move(other191.entry);
+  owner = std::move(other191.owner);
+  calls = other191.calls;
+  refused = other191.refused;
+  slow = other191.slow;
+  p50Micros = other191.p50Micros;
+  p99Micros = other191.p99Micros;
+  limit = std::move(other191.limit);
+  bound = other191.bound;
+  seen = other191.seen;
+  sinceWallMillis = other191.sinceWallMillis;
+  callers = std::move(other191.callers);
+  unknown = other191.unknown;
+  __isset = other191.__isset;
   return *this;
 }
 void EntryReport::printTo(std::ostream& out) const {
@@ -4713,14 +5120,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->entries.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->entries.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->entries[_i150].read(iprot);
+              xfer += this->entries[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4761,10 +5168,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<EntryReport> ::const_iterator _iter151;
-    for (_iter151 = this->entries.begin(); _iter151 != this->entries.end(); ++_iter151)
+    std::vector<EntryReport> ::const_iterator _iter197;
+    for (_iter197 = this->entries.begin(); _iter197 != this->entries.end(); ++_iter197)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4784,19 +5191,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReport::StatusReport(const StatusReport& other152) {
-  host = other152.host;
-  domain = other152.domain;
-  version = other152.version;
-  entries = other152.entries;
-  __isset = other152.__isset;
+StatusReport::StatusReport(const StatusReport& other198) {
+  host = other198.host;
+  domain = other198.domain;
+  version = other198.version;
+  entries = other198.entries;
+  __isset = other198.__isset;
+}
+StatusReport::StatusReport(StatusReport&& other199) noexcept {
+  host = std::move(other199.host);
+  domain = std::move(other199.domain);
+  version = other199.version;
+  entries = std::move(other199.entries);
+  __isset = other199.__isset;
+}
+StatusReport& StatusReport::operator=(const StatusReport& other200) {
+  host = other200.host;
+  domain = other200.domain;
+  version = other200.version;
+  entries = other200.entries;
+  __isset = other200.__isset;
+  return *this;
 }
-StatusReport& StatusReport::operator=(const StatusReport& other153) {
-  host = other153.host;
-  domain = other153.domain;
-  version = other153.version;
-  entries = other153.entries;
-  __isset = other153.__isset;
+StatusReport& StatusReport::operator=(StatusReport&& other201) noexcept {
+  host = std::move(other201.host);
+  domain = std::move(other201.domain);
+  version = other201.version;
+  entries = std::move(other201.entries);
+  __isset = other201.__isset;
   return *this;
 }
 void StatusReport::printTo(std::ostream& out) const {
@@ -4885,13 +5307,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other154) noexcept {
-  sequence = other154.sequence;
-  __isset = other154.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other202) noexcept {
+  sequence = other202.sequence;
+  __isset = other202.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other155) noexcept {
-  sequence = other155.sequence;
-  __isset = other155.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other203) noexcept {
+  sequence = other203.sequence;
+  __isset = other203.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other204) noexcept {
+  sequence = other204.sequence;
+  __isset = other204.__isset;
+  return *this;
+}
+Heartbeat& Heartbeat::operator=(Heartbeat&& other205) noexcept {
+  sequence = other205.sequence;
+  __isset = other205.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -5283,45 +5714,86 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other156) {
-  hello = other156.hello;
-  ping = other156.ping;
-  ack = other156.ack;
-  pingRequest = other156.pingRequest;
-  memberSync = other156.memberSync;
-  domainSummary = other156.domainSummary;
-  configPush = other156.configPush;
-  configFetch = other156.configFetch;
-  configAnswer = other156.configAnswer;
-  callRequest = other156.callRequest;
-  callAnswer = other156.callAnswer;
-  callCancel = other156.callCancel;
-  callQuery = other156.callQuery;
-  claimRequest = other156.claimRequest;
-  claimAnswer = other156.claimAnswer;
-  statusReport = other156.statusReport;
-  heartbeat = other156.heartbeat;
-  __isset = other156.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other157) {
-  hello = other157.hello;
-  ping = other157.ping;
-  ack = other157.ack;
-  pingRequest = other157.pingRequest;
-  memberSync = other157.memberSync;
-  domainSummary = other157.domainSummary;
-  configPush = other157.configPush;
-  configFetch = other157.configFetch;
-  configAnswer = other157.configAnswer;
-  callRequest = other157.callRequest;
-  callAnswer = other157.callAnswer;
-  callCancel = other157.callCancel;
-  callQuery = other157.callQuery;
-  claimRequest = other157.claimRequest;
-  claimAnswer = other157.claimAnswer;
-  statusReport = other157.statusReport;
-  heartbeat = other157.heartbeat;
-  __isset = other157.__isset;
+Envelope::Envelope(const Envelope& other206) {
+  hello = other206.hello;
+  ping = other206.ping;
+  ack = other206.ack;
+  pingRequest = other206.pingRequest;
+  memberSync = other206.memberSync;
+  domainSummary = other206.domainSummary;
+  configPush = other206.configPush;
+  configFetch = other206.configFetch;
+  configAnswer = other206.configAnswer;
+  callRequest = other206.callRequest;
+  callAnswer = other206.callAnswer;
+  callCancel = other206.callCancel;
+  callQuery = other206.callQuery;
+  claimRequest = other206.claimRequest;
+  claimAnswer = other206.claimAnswer;
+  statusReport = other206.statusReport;
+  heartbeat = other206.heartbeat;
+  __isset = other206.__isset;
+}
+Envelope::Envelope(Envelope&& other207) noexcept {
+  hello = std::move(other207.hello);
+  ping = std::move(other207.ping);
+  ack = std::move(other207.ack);
+  pingRequest = std::move(other207.pingRequest);
+  memberSync = std::move(other207.memberSync);
+  domainSummary = std::move(other207.domainSummary);
+  configPush = std::move(other207.configPush);
+  configFetch = std::move(other207.configFetch);
+  configAnswer = std::move(other207.configAnswer);
+  callRequest = std::move(other207.callRequest);
+  callAnswer = std::move(other207.callAnswer);
+  callCancel = std::move(other207.callCancel);
+  callQuery = std::move(other207.callQuery);
+  claimRequest = std::move(other207.claimRequest);
+  claimAnswer = std::move(other207.claimAnswer);
+  statusReport = std::move(other207.statusReport);
+  heartbeat = std::move(other207.heartbeat);
+  __isset = other207.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other208) {
+  hello = other208.hello;
+  ping = other208.ping;
+  ack = other208.ack;
+  pingRequest = other208.pingRequest;
+  memberSync = other208.memberSync;
+  domainSummary = other208.domainSummary;
+  configPush = other208.configPush;
+  configFetch = other208.configFetch;
+  configAnswer = other208.configAnswer;
+  callRequest = other208.callRequest;
+  callAnswer = other208.callAnswer;
+  callCancel = other208.callCancel;
+  callQuery = other208.callQuery;
+  claimRequest = other208.claimRequest;
+  claimAnswer = other208.claimAnswer;
+  statusReport = other208.statusReport;
+  heartbeat = other208.heartbeat;
+  __isset = other208.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other209) noexcept {
+  hello = std::move(other209.hello);
+  ping = std::move(other209.ping);
+  ack = std::move(other209.ack);
+  pingRequest = std::move(other209.pingRequest);
+  memberSync = std::move(other209.memberSync);
+  domainSummary = std::move(other209.domainSummary);
+  configPush = std::move(other209.configPush);
+  configFetch = std::move(other209.configFetch);
+  configAnswer = std::move(other209.configAnswer);
+  callRequest = std::move(other209.callRequest);
+  callAnswer = std::move(other209.callAnswer);
+  callCancel = std::move(other209.callCancel);
+  callQuery = std::move(other209.callQuery);
+  claimRequest = std::move(other209.claimRequest);
+  claimAnswer = std::move(other209.claimAnswer);
+  statusReport = std::move(other209.statusReport);
+  heartbeat = std::move(other209.heartbeat);
+  __isset = other209.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -174,7 +174,9 @@
  public:
 
   Hello(const Hello&);
+  Hello(Hello&&) noexcept;
   Hello& operator=(const Hello&);
+  Hello& operator=(Hello&&) noexcept;
   Hello() noexcept
         : protocol(0),
           host(),
@@ -255,7 +257,9 @@
  public:
 
   Endpoint(const Endpoint&);
+  Endpoint(Endpoint&&) noexcept;
   Endpoint& operator=(const Endpoint&);
+  Endpoint& operator=(Endpoint&&) noexcept;
   Endpoint() noexcept
            : serviceName(),
              port(0),
@@ -334,7 +338,9 @@
  public:
 
   MemberRecord(const MemberRecord&);
+  MemberRecord(MemberRecord&&) noexcept;
   MemberRecord& operator=(const MemberRecord&);
+  MemberRecord& operator=(MemberRecord&&) noexcept;
   MemberRecord() noexcept
                : host(),
                  address(),
@@ -430,7 +436,9 @@
  public:
 
   QuarantineMark(const QuarantineMark&) noexcept;
+  QuarantineMark(QuarantineMark&&) noexcept;
   QuarantineMark& operator=(const QuarantineMark&) noexcept;
+  QuarantineMark& operator=(QuarantineMark&&) noexcept;
   QuarantineMark() noexcept
                  : digest(0),
                    losses(0),
@@ -490,7 +498,9 @@
  public:
 
   Ping(const Ping&);
+  Ping(Ping&&) noexcept;
   Ping& operator=(const Ping&);
+  Ping& operator=(Ping&&) noexcept;
   Ping() noexcept
        : sequence(0),
          host(),
@@ -570,7 +580,9 @@
  public:
 
   Ack(const Ack&);
+  Ack(Ack&&) noexcept;
   Ack& operator=(const Ack&);
+  Ack& operator=(Ack&&) noexcept;
   Ack() noexcept
       : sequence(0),
         host(),
@@ -637,7 +649,9 @@
  public:
 
   PingRequest(const PingRequest&);
+  PingRequest(PingRequest&&) noexcept;
   PingRequest& operator=(const PingRequest&);
+  PingRequest& operator=(PingRequest&&) noexcept;
   PingRequest() noexcept
               : sequence(0),
                 host(),
@@ -693,7 +707,9 @@
  public:
 
   MemberSync(const MemberSync&);
+  MemberSync(MemberSync&&) noexcept;
   MemberSync& operator=(const MemberSync&);
+  MemberSync& operator=(MemberSync&&) noexcept;
   MemberSync() noexcept
              : isReply(0) {
   }
@@ -745,7 +761,9 @@
  public:
 
   SampledEndpoint(const SampledEndpoint&);
+  SampledEndpoint(SampledEndpoint&&) noexcept;
   SampledEndpoint& operator=(const SampledEndpoint&);
+  SampledEndpoint& operator=(SampledEndpoint&&) noexcept;
   SampledEndpoint() noexcept
                   : host(),
                     address(),
@@ -817,7 +835,9 @@
  public:
 
   ServiceSummary(const ServiceSummary&);
+  ServiceSummary(ServiceSummary&&) noexcept;
   ServiceSummary& operator=(const ServiceSummary&);
+  ServiceSummary& operator=(ServiceSummary&&) noexcept;
   ServiceSummary() noexcept
                  : serviceName(),
                    ready(0),
@@ -896,7 +916,9 @@
  public:
 
   DomainSummary(const DomainSummary&);
+  DomainSummary(DomainSummary&&) noexcept;
   DomainSummary& operator=(const DomainSummary&);
+  DomainSummary& operator=(DomainSummary&&) noexcept;
   DomainSummary() noexcept
                 : region(),
                   domain(),
@@ -972,7 +994,9 @@
  public:
 
   EntryText(const EntryText&);
+  EntryText(EntryText&&) noexcept;
   EntryText& operator=(const EntryText&);
+  EntryText& operator=(EntryText&&) noexcept;
   EntryText() noexcept
             : name(),
               revision(0),
@@ -1037,7 +1061,9 @@
  public:
 
   ConfigBody(const ConfigBody&);
+  ConfigBody(ConfigBody&&) noexcept;
   ConfigBody& operator=(const ConfigBody&);
+  ConfigBody& operator=(ConfigBody&&) noexcept;
   ConfigBody() noexcept
              : base(0),
                version(0),
@@ -1121,7 +1147,9 @@
  public:
 
   ConfigPush(const ConfigPush&);
+  ConfigPush(ConfigPush&&) noexcept;
   ConfigPush& operator=(const ConfigPush&);
+  ConfigPush& operator=(ConfigPush&&) noexcept;
   ConfigPush() noexcept
              : root() {
   }
@@ -1172,7 +1200,9 @@
  public:
 
   ConfigFetch(const ConfigFetch&) noexcept;
+  ConfigFetch(ConfigFetch&&) noexcept;
   ConfigFetch& operator=(const ConfigFetch&) noexcept;
+  ConfigFetch& operator=(ConfigFetch&&) noexcept;
   ConfigFetch() noexcept
               : held(0) {
   }
@@ -1217,7 +1247,9 @@
  public:
 
   ConfigAnswer(const ConfigAnswer&);
+  ConfigAnswer(ConfigAnswer&&) noexcept;
   ConfigAnswer& operator=(const ConfigAnswer&);
+  ConfigAnswer& operator=(ConfigAnswer&&) noexcept;
   ConfigAnswer() noexcept
                : held(0),
                  retryAfterMillis(0) {
@@ -1287,7 +1319,9 @@
  public:
 
   CallRequest(const CallRequest&);
+  CallRequest(CallRequest&&) noexcept;
   CallRequest& operator=(const CallRequest&);
+  CallRequest& operator=(CallRequest&&) noexcept;
   CallRequest() noexcept
               : callId(),
                 entry(),
@@ -1424,7 +1458,9 @@
  public:
 
   CallAnswer(const CallAnswer&);
+  CallAnswer(CallAnswer&&) noexcept;
   CallAnswer& operator=(const CallAnswer&);
+  CallAnswer& operator=(CallAnswer&&) noexcept;
   CallAnswer() noexcept
              : callId(),
                outcome(static_cast<CallOutcome::type>(0)),
@@ -1557,7 +1593,9 @@
  public:
 
   CallCancel(const CallCancel&);
+  CallCancel(CallCancel&&) noexcept;
   CallCancel& operator=(const CallCancel&);
+  CallCancel& operator=(CallCancel&&) noexcept;
   CallCancel() noexcept
              : callId() {
   }
@@ -1601,7 +1639,9 @@
  public:
 
   CallQuery(const CallQuery&);
+  CallQuery(CallQuery&&) noexcept;
   CallQuery& operator=(const CallQuery&);
+  CallQuery& operator=(CallQuery&&) noexcept;
   CallQuery() noexcept
             : callId(),
               incarnation(0) {
@@ -1655,7 +1695,9 @@
  public:
 
   ClaimRequest(const ClaimRequest&);
+  ClaimRequest(ClaimRequest&&) noexcept;
   ClaimRequest& operator=(const ClaimRequest&);
+  ClaimRequest& operator=(ClaimRequest&&) noexcept;
   ClaimRequest() noexcept
                : keyHash(0),
                  holder(),
@@ -1716,7 +1758,9 @@
  public:
 
   ClaimAnswer(const ClaimAnswer&);
+  ClaimAnswer(ClaimAnswer&&) noexcept;
   ClaimAnswer& operator=(const ClaimAnswer&);
+  ClaimAnswer& operator=(ClaimAnswer&&) noexcept;
   ClaimAnswer() noexcept
               : keyHash(0),
                 holder(),
@@ -1787,7 +1831,9 @@
  public:
 
   EntryReport(const EntryReport&);
+  EntryReport(EntryReport&&) noexcept;
   EntryReport& operator=(const EntryReport&);
+  EntryReport& operator=(EntryReport&&) noexcept;
   EntryReport() noexcept
               : entry(),
                 owner(),
@@ -1907,7 +1953,9 @@
  public:
 
   StatusReport(const StatusReport&);
+  StatusReport(StatusReport&&) noexcept;
   StatusReport& operator=(const StatusReport&);
+  StatusReport& operator=(StatusReport&&) noexcept;
   StatusReport() noexcept
                : host(),
                  domain(),
@@ -1967,7 +2015,9 @@
  public:
 
   Heartbeat(const Heartbeat&) noexcept;
+  Heartbeat(Heartbeat&&) noexcept;
   Heartbeat& operator=(const Heartbeat&) noexcept;
+  Heartbeat& operator=(Heartbeat&&) noexcept;
   Heartbeat() noexcept
             : sequence(0) {
   }
@@ -2029,7 +2079,9 @@
  public:
 
   Envelope(const Envelope&);
+  Envelope(Envelope&&) noexcept;
   Envelope& operator=(const Envelope&);
+  Envelope& operator=(Envelope&&) noexcept;
   Envelope() noexcept {
   }
 
