Add sessions and datagrams between daemons

Cause: daemons cannot exchange messages yet. Change: codec with limits, framer, sessions on an ACE event poll reactor, datagram socket, dial backoff, and PeerNetwork on its own thread.

--- /dev/null
+++ b/src/peer/codec.cpp
@@ -0,0 +1,173 @@
+#include "peer/codec.h"
+
+#include "peer/framer.h"
+
+#include <thrift/TConfiguration.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <array>
+#include <exception>
+#include <memory>
+
+namespace lacewingwharf {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::protocol::TProtocolException;
+using apache::thrift::protocol::TType;
+using apache::thrift::transport::TMemoryBuffer;
+using Compact = TCompactProtocolT<TMemoryBuffer>;
+
+/** Compact protocol that also bounds the elements of all containers in sum. */
+class BoundedProtocol : public Compact
+{
+public:
+  BoundedProtocol(std::shared_ptr<TMemoryBuffer> aBuffer,
+                  std::int32_t aStringLimit,
+                  std::int32_t aElementLimit)
+    : Compact(std::move(aBuffer), aStringLimit, aElementLimit)
+    , budget(static_cast<std::uint32_t>(aElementLimit))
+  {
+  }
+
+  // The names are those of Thrift's protocol interface.
+  // NOLINTBEGIN(readability-identifier-naming)
+  std::uint32_t readListBegin_virt(TType& aType, std::uint32_t& aSize) override
+  {
+    const auto bytes = Compact::readListBegin_virt(aType, aSize);
+    this->Charge(aSize);
+    return bytes;
+  }
+
+  std::uint32_t readSetBegin_virt(TType& aType, std::uint32_t& aSize) override
+  {
+    const auto bytes = Compact::readSetBegin_virt(aType, aSize);
+    this->Charge(aSize);
+    return bytes;
+  }
+
+  std::uint32_t readMapBegin_virt(TType& aKey,
+                                  TType& aValue,
+                                  std::uint32_t& aSize) override
+  {
+    const auto bytes = Compact::readMapBegin_virt(aKey, aValue, aSize);
+    this->Charge(aSize);
+    return bytes;
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  void Charge(std::uint32_t aElements)
+  {
+    if (aElements > this->budget) {
+      throw TProtocolException(TProtocolException::SIZE_LIMIT,
+                               "too many container elements");
+    }
+    this->budget -= aElements;
+  }
+
+  std::uint32_t budget;
+};
+
+int FieldsSet(const wire::Envelope& aEnvelope)
+{
+  const auto& set = aEnvelope.__isset;
+  const std::array<bool, 17> fields{
+    set.hello,        set.ping,          set.ack,         set.pingRequest,
+    set.memberSync,   set.domainSummary, set.configPush,  set.configFetch,
+    set.configAnswer, set.callRequest,   set.callAnswer,  set.callCancel,
+    set.callQuery,    set.claimRequest,  set.claimAnswer, set.statusReport,
+    set.heartbeat
+  };
+  return static_cast<int>(std::ranges::count(fields, true));
+}
+
+PeerError MalformedError(std::string aDetail)
+{
+  return { PeerErrorCode::Malformed, std::move(aDetail) };
+}
+
+/** Writes behind aPrefix bytes that the caller fills in. */
+PeerResult<std::string> Encode(const wire::Envelope& aEnvelope,
+                               std::size_t aMaxBytes,
+                               std::size_t aPrefix)
+{
+  if (FieldsSet(aEnvelope) != 1) {
+    return MalformedError("envelope must have exactly one field");
+  }
+  try {
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    Compact protocol(buffer);
+    aEnvelope.write(&protocol);
+    std::uint8_t* bytes = nullptr;
+    std::uint32_t size = 0;
+    buffer->getBuffer(&bytes, &size);
+    if (size > aMaxBytes) {
+      return PeerError{ PeerErrorCode::TooLarge,
+                        "message of " + std::to_string(size) + " bytes" };
+    }
+    std::string encoded;
+    encoded.reserve(aPrefix + size);
+    encoded.resize(aPrefix);
+    encoded.append(reinterpret_cast<const char*>(bytes), size);
+    return encoded;
+  } catch (const std::exception& error) {
+    return MalformedError(error.what());
+  }
+}
+
+} // namespace
+
+PeerResult<std::string> EncodeEnvelope(const wire::Envelope& aEnvelope,
+                                       std::size_t aMaxBytes)
+{
+  return Encode(aEnvelope, aMaxBytes, 0);
+}
+
+PeerResult<std::string> EncodeFrame(const wire::Envelope& aEnvelope,
+                                    std::size_t aMaxBytes)
+{
+  auto frame = Encode(aEnvelope, aMaxBytes, kFrameHeaderBytes);
+  if (frame) {
+    WriteFrameHeader(frame.value(), frame.value().size() - kFrameHeaderBytes);
+  }
+  return frame;
+}
+
+PeerResult<wire::Envelope> DecodeEnvelope(std::string_view aBytes)
+{
+  try {
+    // Thrift takes a mutable pointer but only reads an observed buffer.
+    auto* bytes =
+      reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
+    const auto size = static_cast<std::uint32_t>(aBytes.size());
+    // A string or a container cannot be longer than the message around it.
+    const auto limit =
+      std::max<std::int32_t>(1, static_cast<std::int32_t>(size));
+    const auto elements = std::min<std::int32_t>(
+      limit, static_cast<std::int32_t>(kMaxMessageElements));
+    const auto buffer =
+      std::make_shared<TMemoryBuffer>(bytes,
+                                      size,
+                                      TMemoryBuffer::OBSERVE,
+                                      std::make_shared<TConfiguration>(limit));
+    BoundedProtocol protocol(buffer, limit, elements);
+    wire::Envelope envelope;
+    envelope.read(&protocol);
+    if (buffer->available_read() != 0) {
+      return MalformedError("bytes after the message");
+    }
+    if (FieldsSet(envelope) != 1) {
+      return MalformedError("envelope must have exactly one field");
+    }
+    return envelope;
+  } catch (const std::exception& error) {
+    return MalformedError(error.what());
+  }
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/peer/peercounting.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "peer/peernetwork.h"
+
+#include <atomic>
+
+namespace lacewingwharf {
+
+/** The counters of a network, written on its thread and read on any. */
+struct PeerCounting
+{
+  std::atomic<std::uint64_t> controlBytesSent{ 0 };
+  std::atomic<std::uint64_t> controlBytesReceived{ 0 };
+  std::atomic<std::uint64_t> callBytesSent{ 0 };
+  std::atomic<std::uint64_t> callBytesReceived{ 0 };
+  std::atomic<std::uint64_t> sessionsOpen{ 0 };
+  std::atomic<std::uint64_t> sessionsLost{ 0 };
+  std::atomic<std::uint64_t> framesRejected{ 0 };
+  std::atomic<std::uint64_t> sendsRejected{ 0 };
+
+  void Sent(wire::SessionKind::type aKind, std::size_t aBytes);
+  void Received(wire::SessionKind::type aKind, std::size_t aBytes);
+  PeerCounters Read() const;
+};
+
+inline void PeerCounting::Sent(wire::SessionKind::type aKind,
+                               std::size_t aBytes)
+{
+  auto& counter = aKind == wire::SessionKind::CALLS ? this->callBytesSent
+                                                    : this->controlBytesSent;
+  counter.fetch_add(aBytes, std::memory_order_relaxed);
+}
+
+inline void PeerCounting::Received(wire::SessionKind::type aKind,
+                                   std::size_t aBytes)
+{
+  auto& counter = aKind == wire::SessionKind::CALLS
+                    ? this->callBytesReceived
+                    : this->controlBytesReceived;
+  counter.fetch_add(aBytes, std::memory_order_relaxed);
+}
+
+inline PeerCounters PeerCounting::Read() const
+{
+  return { this->controlBytesSent, this->controlBytesReceived,
+           this->callBytesSent,    this->callBytesReceived,
+           this->sessionsOpen,     this->sessionsLost,
+           this->framesRejected,   this->sendsRejected };
+}
+
+} // namespace lacewingwharf
--- a/src/peer/peernetwork.h
+++ b/src/peer/peernetwork.h
@@ -16,6 +16,8 @@
   std::string address;
   int port = 0;
 
+  // clang-tidy 14 takes the comparison that the compiler writes for a 0.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const PeerAddress&) const = default;
 };
 
--- /dev/null
+++ b/src/peer/peersession.cpp
@@ -0,0 +1,432 @@
+#include "peer/peersession.h"
+
+#include "common/log.h"
+#include "peer/socketaddress.h"
+#include "peer_constants.h"
+
+#include <ace/OS_NS_errno.h>
+#include <ace/Reactor.h>
+#include <ace/SOCK_Connector.h>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("peer");
+
+// A Hello is far smaller; a stranger may not make us buffer more than this.
+constexpr std::size_t kMaxHelloBytes = 4096;
+
+constexpr std::size_t kMaxSendPieces = 64;
+
+// Reads of one session before the others get their turn.
+constexpr int kReadsPerTurn = 4;
+
+void SetNoDelay(ACE_SOCK_Stream& aStream)
+{
+  int enabled = 1;
+  aStream.set_option(IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+}
+
+std::string ErrorText(int aError)
+{
+  return std::strerror(aError);
+}
+
+} // namespace
+
+PeerSession::PeerSession(PeerSessionContext& aContext,
+                         SessionId aId,
+                         PeerAddress aRemote)
+  : context(aContext)
+  , id(aId)
+  , remote(std::move(aRemote))
+  , framer(kMaxHelloBytes)
+  , startedAt(aContext.clock.Now())
+  , lastSent(startedAt)
+  , lastReceived(startedAt)
+{
+}
+
+PeerSession::~PeerSession()
+{
+  this->stream.close();
+}
+
+PeerSession::Ptr PeerSession::Dial(PeerSessionContext& aContext,
+                                   SessionId aId,
+                                   const PeerAddress& aRemote,
+                                   wire::SessionKind::type aKind)
+{
+  const auto remote = SocketAddressOf(aRemote);
+  auto local = SocketAddressOf(aContext.config.listen);
+  if (!remote || !local) {
+    kLog.Warning("{} is not a numeric address", aRemote.address);
+    return nullptr;
+  }
+  const Ptr session(new PeerSession(aContext, aId, aRemote));
+  session->isDialled = true;
+  session->kind = aKind;
+  session->state = State::Connecting;
+  // Hosts are told apart by address, so the source is the listen address.
+  local->set_port_number(0);
+  ACE_SOCK_Connector connector;
+  const ACE_Time_Value noWait = ACE_Time_Value::zero;
+  const int result =
+    connector.connect(session->stream, *remote, &noWait, *local);
+  if (result != 0 && ACE_OS::last_error() != EWOULDBLOCK) {
+    kLog.Info("cannot dial {}:{}: {}",
+              aRemote.address,
+              aRemote.port,
+              ErrorText(ACE_OS::last_error()));
+    return nullptr;
+  }
+  session->stream.enable(ACE_NONBLOCK);
+  session->SendHello();
+  return session->Register(ACE_Event_Handler::CONNECT_MASK) ? session : nullptr;
+}
+
+PeerSession::Ptr PeerSession::Accept(PeerSessionContext& aContext,
+                                     SessionId aId,
+                                     const ACE_SOCK_Stream& aStream,
+                                     const PeerAddress& aRemote)
+{
+  const Ptr session(new PeerSession(aContext, aId, aRemote));
+  session->stream.set_handle(aStream.get_handle());
+  session->stream.enable(ACE_NONBLOCK);
+  SetNoDelay(session->stream);
+  return session->Register(ACE_Event_Handler::READ_MASK) ? session : nullptr;
+}
+
+bool PeerSession::Register(ACE_Reactor_Mask aMask)
+{
+  if (this->context.reactor.register_handler(this, aMask) != 0) {
+    kLog.Error("cannot register a session: {}",
+               ErrorText(ACE_OS::last_error()));
+    return false;
+  }
+  this->self = this->shared_from_this();
+  return true;
+}
+
+ACE_HANDLE PeerSession::get_handle() const
+{
+  return this->stream.get_handle();
+}
+
+int PeerSession::handle_input(ACE_HANDLE /*aHandle*/)
+{
+  const Ptr guard = this->shared_from_this();
+  if (this->state == State::Connecting) {
+    this->FinishConnect();
+  }
+  for (int i = 0; i < kReadsPerTurn && this->ReadOnce(); ++i) {
+  }
+  return 0;
+}
+
+int PeerSession::handle_output(ACE_HANDLE /*aHandle*/)
+{
+  const Ptr guard = this->shared_from_this();
+  if (this->state == State::Connecting) {
+    this->FinishConnect();
+  }
+  this->Flush();
+  return 0;
+}
+
+int PeerSession::handle_close(ACE_HANDLE /*aHandle*/,
+                              ACE_Reactor_Mask /*aMask*/)
+{
+  const Ptr guard = this->shared_from_this();
+  this->Close("closed by the reactor");
+  return 0;
+}
+
+void PeerSession::FinishConnect()
+{
+  int error = 0;
+  int size = sizeof(error);
+  this->stream.get_option(SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    this->Close("cannot connect: " + ErrorText(error));
+    return;
+  }
+  if (this->IsConnectedToItself()) {
+    this->Close("cannot connect: nobody listens");
+    return;
+  }
+  SetNoDelay(this->stream);
+  this->state = State::WaitingForHello;
+  this->startedAt = this->context.clock.Now();
+  this->lastReceived = this->startedAt;
+  this->context.reactor.cancel_wakeup(this, ACE_Event_Handler::CONNECT_MASK);
+  this->context.reactor.schedule_wakeup(this, ACE_Event_Handler::READ_MASK);
+}
+
+/**
+ * On one host the kernel may choose the dialled port as source port; without a
+ * listener the socket then connects to itself.
+ */
+bool PeerSession::IsConnectedToItself() const
+{
+  ACE_INET_Addr local;
+  ACE_INET_Addr other;
+  return this->stream.get_local_addr(local) == 0 &&
+         this->stream.get_remote_addr(other) == 0 && local == other;
+}
+
+void PeerSession::SendHello()
+{
+  wire::Envelope envelope;
+  wire::Hello hello = this->context.config.self;
+  hello.protocol = wire::g_peer_constants.PROTOCOL_VERSION;
+  hello.kind = this->kind;
+  envelope.__set_hello(hello);
+  auto frame = EncodeFrame(envelope, kMaxHelloBytes);
+  if (!frame) {
+    kLog.Error("the Hello of this daemon is too long");
+    return;
+  }
+  this->Enqueue(std::move(frame).value());
+}
+
+bool PeerSession::ReadOnce()
+{
+  if (this->state == State::Closed || this->state == State::Connecting) {
+    return false;
+  }
+  auto& buffer = this->context.readBuffer;
+  const ssize_t count =
+    ::recv(this->get_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+  if (count < 0) {
+    if (errno != EAGAIN && errno != EINTR) {
+      this->Close(ErrorText(errno));
+    }
+    return false;
+  }
+  if (count == 0) {
+    this->Close("closed by the other side");
+    return false;
+  }
+  const auto bytes = static_cast<std::size_t>(count);
+  this->lastReceived = this->context.clock.Now();
+  this->context.counting.Received(this->kind, bytes);
+  this->framer.Append({ buffer.data(), bytes });
+  this->HandleFrames();
+  return bytes == buffer.size();
+}
+
+void PeerSession::HandleFrames()
+{
+  while (this->state != State::Closed) {
+    const auto frame = this->framer.Next();
+    if (!frame) {
+      ++this->context.counting.framesRejected;
+      this->Close("frame rejected: " + frame.error().detail);
+      return;
+    }
+    if (!frame.value()) {
+      return;
+    }
+    auto envelope = DecodeEnvelope(*frame.value());
+    if (!envelope) {
+      ++this->context.counting.framesRejected;
+      this->Close("frame rejected: " + envelope.error().detail);
+      return;
+    }
+    this->HandleEnvelope(std::move(envelope).value());
+  }
+}
+
+void PeerSession::HandleEnvelope(wire::Envelope aEnvelope)
+{
+  if (this->state == State::WaitingForHello) {
+    if (!aEnvelope.__isset.hello) {
+      ++this->context.counting.framesRejected;
+      this->Close("the first frame is not a Hello");
+      return;
+    }
+    this->HandleHello(std::move(aEnvelope.hello));
+    return;
+  }
+  if (aEnvelope.__isset.hello) {
+    ++this->context.counting.framesRejected;
+    this->Close("a second Hello");
+    return;
+  }
+  if (!aEnvelope.__isset.heartbeat) {
+    this->context.onMessage(*this, std::move(aEnvelope));
+  }
+}
+
+void PeerSession::HandleHello(wire::Hello aHello)
+{
+  if (aHello.protocol != wire::g_peer_constants.PROTOCOL_VERSION) {
+    ++this->context.counting.framesRejected;
+    this->Close(fmt::format("protocol {} instead of {}",
+                            aHello.protocol,
+                            wire::g_peer_constants.PROTOCOL_VERSION));
+    return;
+  }
+  const bool isKind = aHello.kind == wire::SessionKind::CONTROL ||
+                      aHello.kind == wire::SessionKind::CALLS;
+  if (!isKind || (this->isDialled && aHello.kind != this->kind)) {
+    ++this->context.counting.framesRejected;
+    this->Close("a Hello of another kind");
+    return;
+  }
+  this->kind = aHello.kind;
+  this->remoteHello = std::move(aHello);
+  this->framer.SetLimit(this->context.config.maxFrameBytes);
+  this->state = State::Open;
+  if (!this->isDialled) {
+    this->SendHello();
+    this->Flush();
+  }
+  if (this->state == State::Open) {
+    kLog.Debug("session {} with {} at {}:{} is open",
+               this->id,
+               this->remoteHello.host,
+               this->remote.address,
+               this->remote.port);
+    this->context.onOpen(*this);
+  }
+}
+
+void PeerSession::Enqueue(std::string aFrame)
+{
+  if (this->state == State::Closed) {
+    return;
+  }
+  if (this->queuedBytes + aFrame.size() > this->context.config.maxQueuedBytes) {
+    ++this->context.counting.sendsRejected;
+    this->Close("the outgoing queue is full");
+    return;
+  }
+  this->queuedBytes += aFrame.size();
+  this->outgoing.push_back(std::move(aFrame));
+}
+
+void PeerSession::Flush()
+{
+  while (this->state != State::Closed && this->state != State::Connecting &&
+         !this->outgoing.empty()) {
+    std::array<iovec, kMaxSendPieces> pieces{};
+    std::size_t count = 0;
+    std::size_t skipped = this->sentOfFront;
+    for (auto& frame : this->outgoing) {
+      if (count == pieces.size()) {
+        break;
+      }
+      pieces[count++] = { frame.data() + skipped, frame.size() - skipped };
+      skipped = 0;
+    }
+    msghdr message{};
+    message.msg_iov = pieces.data();
+    message.msg_iovlen = count;
+    const ssize_t sent =
+      ::sendmsg(this->get_handle(), &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+      this->Close(ErrorText(errno));
+      return;
+    }
+    if (sent < 0) {
+      this->WantWrites(true);
+      return;
+    }
+    this->DropSent(static_cast<std::size_t>(sent));
+  }
+  if (this->outgoing.empty()) {
+    this->WantWrites(false);
+  }
+}
+
+void PeerSession::DropSent(std::size_t aBytes)
+{
+  this->context.counting.Sent(this->kind, aBytes);
+  this->lastSent = this->context.clock.Now();
+  this->queuedBytes -= aBytes;
+  this->sentOfFront += aBytes;
+  while (!this->outgoing.empty() &&
+         this->sentOfFront >= this->outgoing.front().size()) {
+    this->sentOfFront -= this->outgoing.front().size();
+    this->outgoing.pop_front();
+  }
+}
+
+void PeerSession::WantWrites(bool aWanted)
+{
+  if (this->wantsWrites == aWanted || this->state == State::Closed) {
+    return;
+  }
+  this->wantsWrites = aWanted;
+  if (aWanted) {
+    this->context.reactor.schedule_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+  } else {
+    this->context.reactor.cancel_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+  }
+}
+
+void PeerSession::SendHeartbeat(Millis aNow)
+{
+  const bool isDue =
+    aNow - this->lastSent >= this->context.config.heartbeatInterval;
+  if (this->state != State::Open || !isDue || !this->outgoing.empty()) {
+    return;
+  }
+  wire::Envelope envelope;
+  wire::Heartbeat heartbeat;
+  heartbeat.sequence = ++this->heartbeats;
+  envelope.__set_heartbeat(heartbeat);
+  auto frame = EncodeFrame(envelope, this->context.config.maxFrameBytes);
+  if (frame) {
+    this->Enqueue(std::move(frame).value());
+    this->Flush();
+  }
+}
+
+void PeerSession::CheckBounds(Millis aNow)
+{
+  const PeerNetworkConfig& config = this->context.config;
+  if (this->state == State::Connecting &&
+      aNow - this->startedAt >= config.connectLimit) {
+    this->Close("connecting took too long");
+  } else if (this->state == State::WaitingForHello &&
+             aNow - this->startedAt >= config.silenceLimit) {
+    this->Close("no Hello");
+  } else if (this->state == State::Open &&
+             aNow - this->lastReceived >= config.silenceLimit) {
+    this->Close(fmt::format("silent for {} ms", aNow - this->lastReceived));
+  }
+}
+
+void PeerSession::Close(const std::string& aReason)
+{
+  if (this->state == State::Closed) {
+    return;
+  }
+  kLog.Info("session {} with {}:{} closed: {}",
+            this->id,
+            this->remote.address,
+            this->remote.port,
+            aReason);
+  const Ptr guard = this->shared_from_this();
+  this->state = State::Closed;
+  this->context.reactor.remove_handler(
+    this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+  this->stream.close();
+  this->outgoing.clear();
+  this->context.onClosed(*this);
+  this->self.reset();
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/peer/peerthread.cpp
@@ -0,0 +1,364 @@
+#include "peer/peerthread.h"
+
+#include "common/log.h"
+
+#include <ace/Dev_Poll_Reactor.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("peer");
+
+constexpr std::size_t kMaxCommands = 16384;
+
+// File descriptors of the whole process share the number space, so this also
+// covers those of callers and backend servers.
+constexpr std::size_t kMaxHandles = 16384;
+
+constexpr std::size_t kMaxSessions = 8192;
+constexpr std::size_t kReadBufferBytes = 65536;
+constexpr Millis kLongestTick = 250;
+constexpr Millis kShortestTick = 5;
+
+// Answers that are queued when the daemon stops get this long to leave.
+constexpr Millis kStopFlushLimit = 500;
+
+ACE_Time_Value TimeValueOf(Millis aMillis)
+{
+  return ACE_Time_Value(std::chrono::milliseconds(aMillis));
+}
+
+} // namespace
+
+PeerThread::PeerThread(PeerNetworkConfig aConfig, PeerHandlers aHandlers)
+  : config(std::move(aConfig))
+  , handlers(std::move(aHandlers))
+  , reactor(new ACE_Dev_Poll_Reactor(kMaxHandles, true), true)
+  , commands(kMaxCommands, [this] { this->Wake(); })
+  , acceptor([this](ACE_SOCK_Stream& aStream, const PeerAddress& aRemote) {
+    this->Accepted(aStream, aRemote);
+  })
+  , datagrams(
+      this->counting,
+      [this](const PeerAddress& aRemote, wire::Envelope aEnvelope) {
+        this->Report(
+          wire::SessionKind::CONTROL,
+          { PeerEventKind::Datagram, 0, aRemote, {}, std::move(aEnvelope) });
+      })
+  , backoff(this->clock, SystemRandom())
+  , context{ this->config,
+             this->clock,
+             this->reactor,
+             this->counting,
+             [this](PeerSession& aSession) {
+               ++this->counting.sessionsOpen;
+               if (aSession.IsDialled()) {
+                 this->backoff.Succeeded(aSession.Remote());
+               }
+             },
+             [this](PeerSession& aSession, wire::Envelope aEnvelope) {
+               this->Report(aSession.Kind(),
+                            { PeerEventKind::Message,
+                              aSession.Id(),
+                              aSession.Remote(),
+                              aSession.RemoteHello(),
+                              std::move(aEnvelope) });
+             },
+             [this](PeerSession& aSession) { this->Closed(aSession); },
+             std::vector<char>(kReadBufferBytes) }
+{
+}
+
+PeerThread::~PeerThread()
+{
+  this->Stop();
+}
+
+bool PeerThread::Start()
+{
+  if (!this->Listen()) {
+    kLog.Error("cannot listen at {}:{}",
+               this->config.listen.address,
+               this->config.listen.port);
+    return false;
+  }
+  const ACE_Time_Value interval = TimeValueOf(this->TickInterval());
+  this->lastTick = this->clock.Now();
+  this->reactor.schedule_timer(this, nullptr, interval, interval);
+  this->isRunning = true;
+  this->thread =
+    std::thread([this] { this->reactor.run_reactor_event_loop(); });
+  kLog.Info("listening at {}:{}",
+            this->config.listen.address,
+            this->config.listen.port);
+  return true;
+}
+
+bool PeerThread::Listen()
+{
+  return this->acceptor.Open(this->config.listen) &&
+         this->datagrams.Open(this->config.listen) &&
+         this->reactor.register_handler(&this->acceptor,
+                                        ACE_Event_Handler::ACCEPT_MASK) == 0 &&
+         this->reactor.register_handler(&this->datagrams,
+                                        ACE_Event_Handler::READ_MASK) == 0;
+}
+
+Millis PeerThread::TickInterval() const
+{
+  const Millis shortest =
+    std::min(this->config.heartbeatInterval, this->config.connectLimit);
+  return std::clamp(shortest / 4, kShortestTick, kLongestTick);
+}
+
+void PeerThread::Stop()
+{
+  if (!this->isRunning) {
+    return;
+  }
+  this->isRunning = false;
+  this->commands.Close();
+  this->reactor.end_reactor_event_loop();
+  this->thread.join();
+  this->FlushBeforeStop();
+  this->isStopping = true;
+  this->reactor.cancel_timer(this);
+  for (const auto& session : this->AllSessions()) {
+    session->Close("this daemon stops");
+  }
+  const auto mask =
+    ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL;
+  this->reactor.remove_handler(&this->acceptor, mask);
+  this->reactor.remove_handler(&this->datagrams, mask);
+  this->closed.clear();
+}
+
+void PeerThread::FlushBeforeStop()
+{
+  this->RunCommands();
+  const Millis limit = this->clock.Now() + kStopFlushLimit;
+  const auto hasOutgoing = [](const PeerSession::Ptr& aSession) {
+    return aSession->IsOpen() && aSession->HasOutgoing();
+  };
+  auto waiting = this->AllSessions();
+  while (std::ranges::any_of(waiting, hasOutgoing) &&
+         this->clock.Now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    std::ranges::for_each(waiting, &PeerSession::Flush);
+  }
+}
+
+bool PeerThread::Push(PeerCommand aCommand)
+{
+  if (!this->commands.Push(std::move(aCommand))) {
+    ++this->counting.sendsRejected;
+    return false;
+  }
+  return true;
+}
+
+bool PeerThread::PushEncoded(PeerCommand aCommand,
+                             const PeerResult<std::string>& aBytes)
+{
+  if (!aBytes) {
+    kLog.Warning("message not sent: {}", aBytes.error().detail);
+    ++this->counting.sendsRejected;
+    return false;
+  }
+  aCommand.bytes = aBytes.value();
+  return this->Push(std::move(aCommand));
+}
+
+/** One notification covers all commands that are pushed before it is seen. */
+void PeerThread::Wake()
+{
+  if (!this->isWoken.exchange(true)) {
+    this->reactor.notify(this, ACE_Event_Handler::EXCEPT_MASK);
+  }
+}
+
+int PeerThread::handle_exception(ACE_HANDLE /*aHandle*/)
+{
+  this->RunCommands();
+  return 0;
+}
+
+void PeerThread::RunCommands()
+{
+  this->isWoken = false;
+  for (PeerCommand& command : this->commands.Drain(0)) {
+    this->Run(command);
+  }
+  this->FlushQueued();
+}
+
+void PeerThread::Run(PeerCommand& aCommand)
+{
+  switch (aCommand.kind) {
+    case PeerCommandKind::Send:
+      this->RunSend(aCommand);
+      break;
+    case PeerCommandKind::Reply:
+      this->RunReply(aCommand);
+      break;
+    case PeerCommandKind::Datagram:
+      this->datagrams.Send(aCommand.to, aCommand.bytes);
+      break;
+    case PeerCommandKind::Drop:
+      if (const auto session = this->sessions.find(aCommand.session);
+          session != this->sessions.end()) {
+        const PeerSession::Ptr kept = session->second;
+        kept->Close("dropped by its user");
+      }
+      break;
+  }
+}
+
+void PeerThread::RunSend(PeerCommand& aCommand)
+{
+  const PeerSession::Ptr session = this->SessionTo(aCommand);
+  if (session) {
+    this->Queue(session, std::move(aCommand.bytes));
+    return;
+  }
+  this->ReportLost(0, aCommand.to, aCommand.sessionKind, {});
+}
+
+void PeerThread::RunReply(PeerCommand& aCommand)
+{
+  const auto session = this->sessions.find(aCommand.session);
+  if (session != this->sessions.end()) {
+    const PeerSession::Ptr kept = session->second;
+    this->Queue(kept, std::move(aCommand.bytes));
+  }
+}
+
+PeerSession::Ptr PeerThread::SessionTo(const PeerCommand& aCommand)
+{
+  const SessionKey key(aCommand.to, aCommand.sessionKind);
+  if (const auto known = this->dialled.find(key);
+      known != this->dialled.end()) {
+    return this->sessions.at(known->second);
+  }
+  if (!this->backoff.MayDial(aCommand.to)) {
+    return nullptr;
+  }
+  auto session = PeerSession::Dial(
+    this->context, ++this->lastSession, aCommand.to, aCommand.sessionKind);
+  if (!session) {
+    this->backoff.Failed(aCommand.to);
+    return nullptr;
+  }
+  this->sessions.emplace(session->Id(), session);
+  this->dialled.emplace(key, session->Id());
+  return session;
+}
+
+void PeerThread::Accepted(ACE_SOCK_Stream& aStream, const PeerAddress& aRemote)
+{
+  if (this->sessions.size() >= kMaxSessions) {
+    kLog.Warning("session from {} refused: {} sessions are open",
+                 aRemote.address,
+                 this->sessions.size());
+    aStream.close();
+    return;
+  }
+  const auto session =
+    PeerSession::Accept(this->context, ++this->lastSession, aStream, aRemote);
+  if (session) {
+    this->sessions.emplace(session->Id(), session);
+  }
+}
+
+void PeerThread::Queue(const PeerSession::Ptr& aSession, std::string aBytes)
+{
+  if (!aSession->HasOutgoing()) {
+    this->unflushed.push_back(aSession);
+  }
+  aSession->Enqueue(std::move(aBytes));
+}
+
+void PeerThread::FlushQueued()
+{
+  const auto waiting = std::exchange(this->unflushed, {});
+  std::ranges::for_each(waiting, &PeerSession::Flush);
+}
+
+int PeerThread::handle_timeout(const ACE_Time_Value& /*aNow*/,
+                               const void* /*aArgument*/)
+{
+  const Millis now = this->clock.Now();
+  // After a pause of this process, input may wait unread in the sockets; it
+  // is read before the next tick judges who is silent.
+  const bool wasPaused = now - this->lastTick >= this->config.silenceLimit / 2;
+  this->lastTick = now;
+  this->closed.clear();
+  this->backoff.Prune();
+  for (const auto& session : this->AllSessions()) {
+    session->SendHeartbeat(now);
+    if (!wasPaused) {
+      session->CheckBounds(now);
+    }
+  }
+  return 0;
+}
+
+void PeerThread::Closed(PeerSession& aSession)
+{
+  const SessionId id = aSession.Id();
+  this->closed.push_back(aSession.shared_from_this());
+  this->sessions.erase(id);
+  const bool wasOpen = !aSession.RemoteHello().host.empty();
+  if (wasOpen) {
+    --this->counting.sessionsOpen;
+    ++this->counting.sessionsLost;
+  }
+  if (aSession.IsDialled()) {
+    this->dialled.erase({ aSession.Remote(), aSession.Kind() });
+  }
+  if (this->isStopping) {
+    return;
+  }
+  if (aSession.IsDialled() && !wasOpen) {
+    this->backoff.Failed(aSession.Remote());
+  }
+  if (aSession.IsDialled() || wasOpen) {
+    this->ReportLost(
+      id, aSession.Remote(), aSession.Kind(), aSession.RemoteHello());
+  }
+}
+
+void PeerThread::ReportLost(SessionId aSession,
+                            const PeerAddress& aRemote,
+                            wire::SessionKind::type aKind,
+                            const wire::Hello& aHello)
+{
+  this->Report(aKind,
+               { PeerEventKind::SessionLost, aSession, aRemote, aHello, {} });
+}
+
+void PeerThread::Report(wire::SessionKind::type aKind, PeerEvent aEvent) const
+{
+  const auto& handler = aKind == wire::SessionKind::CALLS
+                          ? this->handlers.onCalls
+                          : this->handlers.onControl;
+  if (handler) {
+    handler(std::move(aEvent));
+  }
+}
+
+std::vector<PeerSession::Ptr> PeerThread::AllSessions() const
+{
+  std::vector<PeerSession::Ptr> all;
+  all.reserve(this->sessions.size());
+  for (const auto& [id, session] : this->sessions) {
+    all.push_back(session);
+  }
+  return all;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/peer/peerthread.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "common/ring.h"
+#include "peer/datagramsocket.h"
+#include "peer/dialbackoff.h"
+#include "peer/peercounting.h"
+#include "peer/peernetwork.h"
+#include "peer/peersession.h"
+#include "peer/sessionacceptor.h"
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+
+#include <atomic>
+#include <map>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace lacewingwharf {
+
+enum class PeerCommandKind
+{
+  Send,
+  Reply,
+  Datagram,
+  Drop
+};
+
+struct PeerCommand
+{
+  PeerCommandKind kind = PeerCommandKind::Send;
+  PeerAddress to;
+  SessionId session = 0;
+  wire::SessionKind::type sessionKind = wire::SessionKind::CONTROL;
+  std::string bytes;
+};
+
+/** The state of the peer thread; also its timer and wake-up handler. */
+class PeerThread : public ACE_Event_Handler
+{
+public:
+  PeerThread(PeerNetworkConfig aConfig, PeerHandlers aHandlers);
+  ~PeerThread() override;
+
+  bool Start();
+  void Stop();
+  bool Push(PeerCommand aCommand);
+  bool PushEncoded(PeerCommand aCommand, const PeerResult<std::string>& aBytes);
+
+  int handle_exception(ACE_HANDLE aHandle) override;
+  int handle_timeout(const ACE_Time_Value& aNow,
+                     const void* aArgument) override;
+
+  const PeerNetworkConfig& Config() const;
+  PeerCounters Counters() const;
+
+private:
+  using SessionKey = std::pair<PeerAddress, wire::SessionKind::type>;
+
+  bool Listen();
+  Millis TickInterval() const;
+  void Wake();
+  void RunCommands();
+  void Run(PeerCommand& aCommand);
+  void RunSend(PeerCommand& aCommand);
+  void RunReply(PeerCommand& aCommand);
+  PeerSession::Ptr SessionTo(const PeerCommand& aCommand);
+  void Accepted(ACE_SOCK_Stream& aStream, const PeerAddress& aRemote);
+  void Queue(const PeerSession::Ptr& aSession, std::string aBytes);
+  void FlushQueued();
+  void FlushBeforeStop();
+  void Closed(PeerSession& aSession);
+  void ReportLost(SessionId aSession,
+                  const PeerAddress& aRemote,
+                  wire::SessionKind::type aKind,
+                  const wire::Hello& aHello);
+  void Report(wire::SessionKind::type aKind, PeerEvent aEvent) const;
+  std::vector<PeerSession::Ptr> AllSessions() const;
+
+  PeerNetworkConfig config;
+  PeerCounting counting;
+  PeerHandlers handlers;
+  Clock clock = Clock::Steady();
+  ACE_Reactor reactor;
+  Ring<PeerCommand> commands;
+  std::atomic<bool> isWoken{ false };
+  std::thread thread;
+  bool isRunning = false;
+  bool isStopping = false;
+  SessionAcceptor acceptor;
+  DatagramSocket datagrams;
+  DialBackoff backoff;
+  PeerSessionContext context;
+  SessionId lastSession = 0;
+  Millis lastTick = 0;
+  std::unordered_map<SessionId, PeerSession::Ptr> sessions;
+  std::map<SessionKey, SessionId> dialled;
+  std::vector<PeerSession::Ptr> unflushed;
+  // Sessions that closed since the last tick. The reactor may still be
+  // returning from one of their handlers, so they are freed later.
+  std::vector<PeerSession::Ptr> closed;
+};
+
+inline const PeerNetworkConfig& PeerThread::Config() const
+{
+  return this->config;
+}
+
+inline PeerCounters PeerThread::Counters() const
+{
+  return this->counting.Read();
+}
+
+} // namespace lacewingwharf
