Add the HTTP server and the HTTP client

Cause: daemons can neither take calls nor make them. Change: HttpServer on libmicrohttpd with suspended connections and a thread that watches callers; HttpClient on a libcurl multi handle.

--- /dev/null
+++ b/src/proxy/httpclient.cpp
@@ -0,0 +1,216 @@
+#include "proxy/httpclient.h"
+
+#include "common/log.h"
+#include "common/ring.h"
+#include "proxy/httptransfer.h"
+
+#include <curl/curl.h>
+
+#include <atomic>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("http");
+
+constexpr std::size_t kMaxCommands = 8192;
+
+// Idle connections that are kept; backend servers count connections too.
+constexpr long kMaxKeptConnections = 256;
+
+// libcurl asks to be called for its own timers; this bounds the rest.
+constexpr int kLongestWait = 1000;
+
+/** libcurl wants one initialization before any thread uses it. */
+void InitializeLibrary()
+{
+  static const CURLcode sResult = curl_global_init(CURL_GLOBAL_DEFAULT);
+  if (sResult != CURLE_OK) {
+    kLog.Error("cannot initialize libcurl: {}", curl_easy_strerror(sResult));
+  }
+}
+
+struct Command
+{
+  bool isCancel = false;
+  HttpExchange exchange; // Only the id of a cancellation.
+};
+
+} // namespace
+
+class HttpClient::Impl
+{
+public:
+  Impl(OnResult aOnResult, std::size_t aMaxAnswerBytes);
+  ~Impl();
+
+  void Start();
+  void Stop();
+  bool Push(Command aCommand);
+
+private:
+  void Run();
+  void RunCommands();
+  void Begin(HttpExchange aExchange);
+  void Cancel(const std::string& aId);
+  void CollectFinished();
+  void CancelAll();
+
+  OnResult onResult;
+  std::size_t maxAnswerBytes;
+  CURLM* multi;
+  Ring<Command> commands;
+  std::atomic<bool> isStopping{ false };
+  std::thread thread;
+  std::unordered_map<std::string, std::unique_ptr<HttpTransfer>> transfers;
+};
+
+HttpClient::Impl::Impl(OnResult aOnResult, std::size_t aMaxAnswerBytes)
+  : onResult(std::move(aOnResult))
+  , maxAnswerBytes(aMaxAnswerBytes)
+  , multi((InitializeLibrary(), curl_multi_init()))
+  , commands(kMaxCommands, [this] { curl_multi_wakeup(this->multi); })
+{
+  curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxKeptConnections);
+  curl_multi_setopt(this->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+}
+
+HttpClient::Impl::~Impl()
+{
+  this->Stop();
+  curl_multi_cleanup(this->multi);
+}
+
+void HttpClient::Impl::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void HttpClient::Impl::Stop()
+{
+  if (!this->thread.joinable()) {
+    return;
+  }
+  this->commands.Close();
+  this->isStopping = true;
+  curl_multi_wakeup(this->multi);
+  this->thread.join();
+}
+
+bool HttpClient::Impl::Push(Command aCommand)
+{
+  return this->commands.Push(std::move(aCommand));
+}
+
+void HttpClient::Impl::Run()
+{
+  while (!this->isStopping) {
+    this->RunCommands();
+    int running = 0;
+    curl_multi_perform(this->multi, &running);
+    this->CollectFinished();
+    curl_multi_poll(this->multi, nullptr, 0, kLongestWait, nullptr);
+  }
+  this->RunCommands();
+  this->CancelAll();
+}
+
+void HttpClient::Impl::RunCommands()
+{
+  for (Command& command : this->commands.Drain(0)) {
+    if (command.isCancel) {
+      this->Cancel(command.exchange.id);
+    } else {
+      this->Begin(std::move(command.exchange));
+    }
+  }
+}
+
+void HttpClient::Impl::Begin(HttpExchange aExchange)
+{
+  const std::string id = aExchange.id;
+  auto transfer =
+    std::make_unique<HttpTransfer>(std::move(aExchange), this->maxAnswerBytes);
+  if (this->transfers.contains(id) || !transfer->Prepare() ||
+      curl_multi_add_handle(this->multi, transfer->Handle()) != CURLM_OK) {
+    kLog.Warning("exchange {} was not begun", id);
+    this->onResult(transfer->Finish(CURLE_FAILED_INIT));
+    return;
+  }
+  this->transfers.emplace(id, std::move(transfer));
+}
+
+/** Removing a handle before its end closes the connection. */
+void HttpClient::Impl::Cancel(const std::string& aId)
+{
+  auto taken = this->transfers.extract(aId);
+  if (taken.empty()) {
+    return;
+  }
+  curl_multi_remove_handle(this->multi, taken.mapped()->Handle());
+  this->onResult(taken.mapped()->Cancel());
+}
+
+void HttpClient::Impl::CollectFinished()
+{
+  int left = 0;
+  while (const CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    // The message is not valid after its handle has been removed.
+    const CURLcode code = message->data.result;
+    CURL* handle = message->easy_handle;
+    HttpTransfer* transfer = nullptr;
+    curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
+    curl_multi_remove_handle(this->multi, handle);
+    auto taken = this->transfers.extract(transfer->Id());
+    this->onResult(taken.mapped()->Finish(code));
+  }
+}
+
+void HttpClient::Impl::CancelAll()
+{
+  while (!this->transfers.empty()) {
+    const std::string id = this->transfers.begin()->first;
+    this->Cancel(id);
+  }
+}
+
+HttpClient::HttpClient(OnResult aOnResult, std::size_t aMaxAnswerBytes)
+  : impl(std::make_unique<Impl>(std::move(aOnResult), aMaxAnswerBytes))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Start()
+{
+  this->impl->Start();
+}
+
+void HttpClient::Stop()
+{
+  this->impl->Stop();
+}
+
+bool HttpClient::Submit(HttpExchange aExchange)
+{
+  return this->impl->Push({ false, std::move(aExchange) });
+}
+
+void HttpClient::Cancel(const std::string& aId)
+{
+  Command command;
+  command.isCancel = true;
+  command.exchange.id = aId;
+  if (!this->impl->Push(std::move(command))) {
+    kLog.Warning("exchange {} ends by its time limit: too many commands", aId);
+  }
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/proxy/httpheaders.cpp
@@ -0,0 +1,84 @@
+#include "proxy/httpheaders.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr std::array<const char*, 11> kHopByHop{ "Connection",
+                                                 "Keep-Alive",
+                                                 "Proxy-Connection",
+                                                 "Proxy-Authenticate",
+                                                 "Proxy-Authorization",
+                                                 "TE",
+                                                 "Trailer",
+                                                 "Transfer-Encoding",
+                                                 "Upgrade",
+                                                 "Expect",
+                                                 "Content-Length" };
+
+std::string Trimmed(std::string_view aText)
+{
+  const auto first = aText.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return std::string(
+    aText.substr(first, aText.find_last_not_of(" \t") - first + 1));
+}
+
+/** Headers that the Connection header names are hop-by-hop as well. */
+void RemoveListed(HttpHeaders& aHeaders, std::string_view aList)
+{
+  while (!aList.empty()) {
+    const auto comma = std::min(aList.find(','), aList.size());
+    aHeaders.erase(Trimmed(aList.substr(0, comma)));
+    aList.remove_prefix(std::min(comma + 1, aList.size()));
+  }
+}
+
+} // namespace
+
+void AddHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue)
+{
+  const auto [header, isNew] = aHeaders.try_emplace(std::move(aName), aValue);
+  if (!isNew) {
+    const bool isCookie = strcasecmp(header->first.c_str(), "Set-Cookie") == 0;
+    header->second += (isCookie ? "\n" : ", ") + aValue;
+  }
+}
+
+void RemoveHopByHop(HttpHeaders& aHeaders)
+{
+  if (const auto connection = aHeaders.find("Connection");
+      connection != aHeaders.end()) {
+    const std::string list = connection->second;
+    RemoveListed(aHeaders, list);
+  }
+  for (const char* name : kHopByHop) {
+    aHeaders.erase(name);
+  }
+}
+
+bool IsSafeHeader(std::string_view aName, std::string_view aValue)
+{
+  constexpr std::string_view kUnsafe("\r\n\0", 3);
+  return !aName.empty() &&
+         aName.find_first_of(std::string_view("\r\n\0: ", 5)) ==
+           std::string_view::npos &&
+         aValue.find_first_of(kUnsafe) == std::string_view::npos;
+}
+
+bool IsMethodName(std::string_view aMethod)
+{
+  return !aMethod.empty() &&
+         std::ranges::all_of(
+           aMethod, [](unsigned char aChar) { return std::isalpha(aChar); });
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/proxy/httprequestreader.cpp
@@ -0,0 +1,182 @@
+#include "proxy/httprequestreader.h"
+
+#include "proxy/httpheaders.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstring>
+#include <memory>
+
+namespace lacewingwharf {
+
+namespace {
+
+std::string AddressOf(MHD_Connection* aConnection)
+{
+  const auto* info =
+    MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  if (info == nullptr || info->client_addr == nullptr ||
+      info->client_addr->sa_family != AF_INET) {
+    return {};
+  }
+  sockaddr_in address{};
+  std::memcpy(&address, info->client_addr, sizeof(address));
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+  return text.data();
+}
+
+struct HeaderCollector
+{
+  HttpHeaders headers;
+  std::size_t bytes = 0;
+  int lengths = 0;
+};
+
+MHD_Result CollectHeader(void* aCollector,
+                         MHD_ValueKind /*aKind*/,
+                         const char* aName,
+                         const char* aValue)
+{
+  auto* collector = static_cast<HeaderCollector*>(aCollector);
+  const std::string name(aName);
+  const std::string value(aValue == nullptr ? "" : aValue);
+  collector->bytes += name.size() + value.size();
+  collector->lengths +=
+    strcasecmp(aName, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0 ? 1 : 0;
+  AddHeader(collector->headers, name, value);
+  return MHD_YES;
+}
+
+void AddLines(MHD_Response* aResponse,
+              const std::string& aName,
+              const std::string& aValue)
+{
+  std::string_view rest(aValue);
+  while (true) {
+    const auto end = std::min(rest.find('\n'), rest.size());
+    const std::string value(rest.substr(0, end));
+    if (IsSafeHeader(aName, value)) {
+      MHD_add_response_header(aResponse, aName.c_str(), value.c_str());
+    }
+    if (end == rest.size()) {
+      return;
+    }
+    rest.remove_prefix(end + 1);
+  }
+}
+
+void FreeBody(void* aBody)
+{
+  delete static_cast<std::string*>(aBody);
+}
+
+} // namespace
+
+HttpRequestReader::HttpRequestReader(const HttpServerConfig& aConfig,
+                                     const char* aTarget)
+  : config(aConfig)
+{
+  this->request.target = aTarget;
+  this->request.path =
+    this->request.target.substr(0, this->request.target.find('?'));
+}
+
+int HttpRequestReader::ReadHead(MHD_Connection* aConnection,
+                                const char* aMethod)
+{
+  HeaderCollector collector;
+  MHD_get_connection_values(
+    aConnection, MHD_HEADER_KIND, &CollectHeader, &collector);
+  const std::size_t bytes = collector.bytes + this->request.target.size();
+  if (bytes > this->config.maxHeaderBytes) {
+    return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+  }
+  this->request.method = aMethod;
+  this->request.headers = std::move(collector.headers);
+  this->request.callerAddress = AddressOf(aConnection);
+  const bool isPath = this->request.path.starts_with('/');
+  if (!isPath || !IsMethodName(this->request.method) || collector.lengths > 1) {
+    return MHD_HTTP_BAD_REQUEST;
+  }
+  return this->CheckFraming();
+}
+
+/**
+ * A request with two framings is read differently by different servers, so
+ * that a second request could be hidden in its body.
+ */
+int HttpRequestReader::CheckFraming() const
+{
+  const auto& headers = this->request.headers;
+  const auto length = headers.find(MHD_HTTP_HEADER_CONTENT_LENGTH);
+  if (length == headers.end()) {
+    return 0;
+  }
+  std::size_t bytes = 0;
+  const std::string& text = length->second;
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), bytes);
+  if (error != std::errc() || end != text.data() + text.size() ||
+      headers.contains(MHD_HTTP_HEADER_TRANSFER_ENCODING)) {
+    return MHD_HTTP_BAD_REQUEST;
+  }
+  return bytes > this->config.maxBodyBytes ? MHD_HTTP_CONTENT_TOO_LARGE : 0;
+}
+
+int HttpRequestReader::ReadBody(std::string_view aBytes)
+{
+  if (this->request.body.size() + aBytes.size() > this->config.maxBodyBytes) {
+    return MHD_HTTP_CONTENT_TOO_LARGE;
+  }
+  this->request.body.append(aBytes);
+  return 0;
+}
+
+HttpRequest HttpRequestReader::Take()
+{
+  return std::move(this->request);
+}
+
+MHD_Response* MakeResponse(HttpAnswer aAnswer, bool aCloses)
+{
+  auto body = std::make_unique<std::string>(std::move(aAnswer.body));
+  const std::size_t size = body->size();
+  char* bytes = body->data();
+  MHD_Response* response =
+    MHD_create_response_from_buffer_with_free_callback_cls(
+      size, bytes, &FreeBody, body.get());
+  if (response == nullptr) {
+    return nullptr;
+  }
+  body.release(); // NOLINT(bugprone-unused-return-value)
+  RemoveHopByHop(aAnswer.headers);
+  for (const auto& [name, value] : aAnswer.headers) {
+    AddLines(response, name, value);
+  }
+  if (aCloses) {
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
+  return response;
+}
+
+MHD_Result QueueRefusal(MHD_Connection* aConnection, int aStatus)
+{
+  const char* reason =
+    MHD_get_reason_phrase_for(static_cast<unsigned int>(aStatus));
+  MHD_Response* response =
+    MakeResponse({ aStatus, {}, std::string(reason) + "\n" }, true);
+  if (response == nullptr) {
+    return MHD_NO;
+  }
+  const MHD_Result result = MHD_queue_response(
+    aConnection, static_cast<unsigned int>(aStatus), response);
+  MHD_destroy_response(response);
+  return result;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/proxy/httpserver.cpp
@@ -0,0 +1,432 @@
+#include "proxy/httpserver.h"
+
+#include "common/log.h"
+#include "proxy/hangupwatcher.h"
+#include "proxy/serverexchange.h"
+
+#include <microhttpd.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cstdarg>
+#include <cstdio>
+#include <cstring>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("http");
+
+// libmicrohttpd keeps the request head, its parsed form and the answer's head
+// in one pool per connection.
+constexpr std::size_t kPoolPerHeaderByte = 3;
+
+constexpr unsigned int kBacklog = 1024;
+
+int SocketOf(MHD_Connection* aConnection)
+{
+  const auto* info =
+    MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info == nullptr ? -1 : info->connect_fd;
+}
+
+void LogLibraryMessage(void* /*aUnused*/, const char* aFormat, va_list aList)
+{
+  if (!Log::IsEnabled(LogLevel::Debug)) {
+    return;
+  }
+  std::array<char, 512> text{};
+  std::vsnprintf(text.data(), text.size(), aFormat, aList);
+  kLog.Debug("libmicrohttpd: {}", text.data());
+}
+
+} // namespace
+
+class HttpServer::Impl
+{
+public:
+  Impl(HttpServerConfig aConfig, Handlers aHandlers);
+  ~Impl();
+
+  bool Start();
+  void StopIntake();
+  void Stop();
+  void Answer(RequestId aRequest, HttpAnswer aAnswer);
+  void Abort(RequestId aRequest);
+  std::size_t InFlight() const;
+
+private:
+  static void* OnTarget(void* aServer, const char* aTarget, MHD_Connection*);
+  static MHD_Result OnAccess(void* aServer,
+                             MHD_Connection* aConnection,
+                             const char* aUrl,
+                             const char* aMethod,
+                             const char* aVersion,
+                             const char* aBytes,
+                             std::size_t* aSize,
+                             void** aServerExchange);
+  static void OnCompleted(void* aServer,
+                          MHD_Connection* aConnection,
+                          void** aServerExchange,
+                          MHD_RequestTerminationCode aCode);
+
+  MHD_Result Read(ServerExchange& aServerExchange,
+                  MHD_Connection* aConnection,
+                  const char* aMethod,
+                  std::string_view aBytes,
+                  std::size_t& aUnread);
+  MHD_Result ReadBody(ServerExchange& aServerExchange, std::string_view aBytes);
+  void HandOver(ServerExchange& aServerExchange, MHD_Connection* aConnection);
+  MHD_Result Finish(ServerExchange& aServerExchange,
+                    MHD_Connection* aConnection);
+  bool Resume(RequestId aRequest,
+              ServerExchange::State aState,
+              std::optional<HttpAnswer> aAnswer);
+  void CallerLeft(RequestId aRequest);
+
+  HttpServerConfig config;
+  Handlers handlers;
+  MHD_Daemon* daemon = nullptr;
+  HangupWatcher watcher;
+  std::atomic<bool> isStopping{ false };
+  std::atomic<std::size_t> inFlight{ 0 };
+  std::mutex mutex; // Guards what follows, and the state of exchanges.
+  RequestId lastRequest = 0;
+  std::unordered_map<RequestId, ServerExchange*> suspended;
+};
+
+HttpServer::Impl::Impl(HttpServerConfig aConfig, Handlers aHandlers)
+  : config(std::move(aConfig))
+  , handlers(std::move(aHandlers))
+  , watcher([this](RequestId aRequest) { this->CallerLeft(aRequest); })
+{
+}
+
+HttpServer::Impl::~Impl()
+{
+  this->Stop();
+}
+
+bool HttpServer::Impl::Start()
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(this->config.port));
+  if (inet_pton(AF_INET, this->config.address.c_str(), &address.sin_addr) !=
+        1 ||
+      !this->watcher.Start()) {
+    return false;
+  }
+  std::vector<MHD_OptionItem> options{
+    { MHD_OPTION_EXTERNAL_LOGGER,
+      reinterpret_cast<std::intptr_t>(&LogLibraryMessage),
+      nullptr },
+    { MHD_OPTION_SOCK_ADDR, 0, &address },
+    { MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr },
+    { MHD_OPTION_LISTEN_BACKLOG_SIZE, kBacklog, nullptr },
+    { MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      static_cast<std::intptr_t>(this->config.maxHeaderBytes *
+                                 kPoolPerHeaderByte),
+      nullptr },
+    { MHD_OPTION_CONNECTION_LIMIT,
+      static_cast<std::intptr_t>(this->config.maxConnections),
+      nullptr },
+    { MHD_OPTION_CONNECTION_TIMEOUT,
+      static_cast<std::intptr_t>((this->config.idleLimit + 999) / 1000),
+      nullptr },
+    { MHD_OPTION_STRICT_FOR_CLIENT, 1, nullptr },
+    { MHD_OPTION_URI_LOG_CALLBACK,
+      reinterpret_cast<std::intptr_t>(&Impl::OnTarget),
+      this },
+    { MHD_OPTION_NOTIFY_COMPLETED,
+      reinterpret_cast<std::intptr_t>(&Impl::OnCompleted),
+      this }
+  };
+  if (this->config.threads > 1) {
+    options.push_back({ MHD_OPTION_THREAD_POOL_SIZE,
+                        static_cast<std::intptr_t>(this->config.threads),
+                        nullptr });
+  }
+  options.push_back({ MHD_OPTION_END, 0, nullptr });
+  this->daemon =
+    MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+                       MHD_USE_ERROR_LOG,
+                     static_cast<std::uint16_t>(this->config.port),
+                     nullptr,
+                     nullptr,
+                     &Impl::OnAccess,
+                     this,
+                     MHD_OPTION_ARRAY,
+                     options.data(),
+                     MHD_OPTION_END);
+  if (this->daemon == nullptr) {
+    kLog.Error(
+      "cannot listen at {}:{}", this->config.address, this->config.port);
+    this->watcher.Stop();
+    return false;
+  }
+  kLog.Info("listening at {}:{}", this->config.address, this->config.port);
+  return true;
+}
+
+void* HttpServer::Impl::OnTarget(void* aServer,
+                                 const char* aTarget,
+                                 MHD_Connection* /*aConnection*/)
+{
+  auto* server = static_cast<Impl*>(aServer);
+  return new ServerExchange(HttpRequestReader(server->config, aTarget));
+}
+
+MHD_Result HttpServer::Impl::OnAccess(void* aServer,
+                                      MHD_Connection* aConnection,
+                                      const char* /*aUrl*/,
+                                      const char* aMethod,
+                                      const char* /*aVersion*/,
+                                      const char* aBytes,
+                                      std::size_t* aSize,
+                                      void** aServerExchange)
+{
+  auto* server = static_cast<Impl*>(aServer);
+  auto* exchange = static_cast<ServerExchange*>(*aServerExchange);
+  if (exchange == nullptr) {
+    return MHD_NO;
+  }
+  const std::string_view bytes(aBytes == nullptr ? "" : aBytes, *aSize);
+  return server->Read(*exchange, aConnection, aMethod, bytes, *aSize);
+}
+
+MHD_Result HttpServer::Impl::Read(ServerExchange& aServerExchange,
+                                  MHD_Connection* aConnection,
+                                  const char* aMethod,
+                                  std::string_view aBytes,
+                                  std::size_t& aUnread)
+{
+  if (aServerExchange.wasTaken) {
+    return this->Finish(aServerExchange, aConnection);
+  }
+  if (!aServerExchange.hasHead) {
+    aServerExchange.hasHead = true;
+    const int status = aServerExchange.reader.ReadHead(aConnection, aMethod);
+    return status == 0 ? MHD_YES : QueueRefusal(aConnection, status);
+  }
+  if (!aBytes.empty()) {
+    aUnread = 0;
+    return this->ReadBody(aServerExchange, aBytes);
+  }
+  if (aServerExchange.refusal != 0) {
+    return QueueRefusal(aConnection, aServerExchange.refusal);
+  }
+  this->HandOver(aServerExchange, aConnection);
+  return MHD_YES;
+}
+
+/** libmicrohttpd takes no answer in the middle of a body. */
+MHD_Result HttpServer::Impl::ReadBody(ServerExchange& aServerExchange,
+                                      std::string_view aBytes)
+{
+  if (aServerExchange.refusal == 0) {
+    aServerExchange.refusal = aServerExchange.reader.ReadBody(aBytes);
+  }
+  if (aServerExchange.refusal != 0) {
+    aServerExchange.discarded += aBytes.size();
+  }
+  return aServerExchange.discarded > this->config.maxBodyBytes ? MHD_NO
+                                                               : MHD_YES;
+}
+
+void HttpServer::Impl::HandOver(ServerExchange& aServerExchange,
+                                MHD_Connection* aConnection)
+{
+  RequestId id = 0;
+  HttpRequest request = aServerExchange.reader.Take();
+  ++this->inFlight;
+  {
+    const std::lock_guard lock(this->mutex);
+    id = ++this->lastRequest;
+    aServerExchange.id = id;
+    aServerExchange.wasTaken = true;
+    aServerExchange.state = ServerExchange::State::Suspended;
+    aServerExchange.connection = aConnection;
+    aServerExchange.socket = SocketOf(aConnection);
+    MHD_suspend_connection(aConnection);
+    this->suspended.emplace(id, &aServerExchange);
+  }
+  this->handlers.onRequest(id, std::move(request));
+  // Watched only now, so that onCallerLeft never comes before onRequest.
+  const std::lock_guard lock(this->mutex);
+  if (const auto found = this->suspended.find(id);
+      found != this->suspended.end()) {
+    this->watcher.Watch(found->second->socket, id);
+  }
+}
+
+/** Runs on the server thread after the connection has been resumed. */
+MHD_Result HttpServer::Impl::Finish(ServerExchange& aServerExchange,
+                                    MHD_Connection* aConnection)
+{
+  HttpAnswer answer;
+  {
+    const std::lock_guard lock(this->mutex);
+    if (aServerExchange.state != ServerExchange::State::Answered) {
+      return MHD_NO;
+    }
+    answer = std::move(aServerExchange.answer);
+  }
+  const auto status = static_cast<unsigned int>(answer.status);
+  MHD_Response* response =
+    MakeResponse(std::move(answer), this->isStopping.load());
+  if (response == nullptr) {
+    return MHD_NO;
+  }
+  const MHD_Result result = MHD_queue_response(aConnection, status, response);
+  MHD_destroy_response(response);
+  return result;
+}
+
+void HttpServer::Impl::OnCompleted(void* aServer,
+                                   MHD_Connection* /*aConnection*/,
+                                   void** aServerExchange,
+                                   MHD_RequestTerminationCode /*aCode*/)
+{
+  auto* server = static_cast<Impl*>(aServer);
+  auto* exchange = static_cast<ServerExchange*>(*aServerExchange);
+  *aServerExchange = nullptr;
+  if (exchange != nullptr && exchange->wasTaken) {
+    const std::lock_guard lock(server->mutex);
+    server->suspended.erase(exchange->id);
+    --server->inFlight;
+  }
+  delete exchange;
+}
+
+bool HttpServer::Impl::Resume(RequestId aRequest,
+                              ServerExchange::State aState,
+                              std::optional<HttpAnswer> aAnswer)
+{
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->suspended.find(aRequest);
+  if (found == this->suspended.end()) {
+    return false;
+  }
+  ServerExchange& exchange = *found->second;
+  this->suspended.erase(found);
+  exchange.state = aState;
+  if (aAnswer) {
+    exchange.answer = std::move(*aAnswer);
+  }
+  this->watcher.Unwatch(exchange.socket);
+  MHD_resume_connection(exchange.connection);
+  return true;
+}
+
+void HttpServer::Impl::Answer(RequestId aRequest, HttpAnswer aAnswer)
+{
+  if (!this->Resume(
+        aRequest, ServerExchange::State::Answered, std::move(aAnswer))) {
+    kLog.Debug("answer to request {} dropped", aRequest);
+  }
+}
+
+void HttpServer::Impl::Abort(RequestId aRequest)
+{
+  this->Resume(aRequest, ServerExchange::State::Aborted, std::nullopt);
+}
+
+void HttpServer::Impl::CallerLeft(RequestId aRequest)
+{
+  if (!this->Resume(aRequest, ServerExchange::State::Aborted, std::nullopt)) {
+    return;
+  }
+  kLog.Debug("caller of request {} has left", aRequest);
+  if (this->handlers.onCallerLeft) {
+    this->handlers.onCallerLeft(aRequest);
+  }
+}
+
+void HttpServer::Impl::StopIntake()
+{
+  if (this->daemon == nullptr || this->isStopping.exchange(true)) {
+    return;
+  }
+  const MHD_socket listener = MHD_quiesce_daemon(this->daemon);
+  if (listener != MHD_INVALID_SOCKET) {
+    close(listener);
+  }
+  kLog.Info("takes no new connections; {} requests in flight",
+            this->inFlight.load());
+}
+
+void HttpServer::Impl::Stop()
+{
+  if (this->daemon == nullptr) {
+    return;
+  }
+  this->StopIntake();
+  std::vector<RequestId> unanswered;
+  {
+    const std::lock_guard lock(this->mutex);
+    for (const auto& [id, exchange] : this->suspended) {
+      unanswered.push_back(id);
+    }
+  }
+  for (const RequestId id : unanswered) {
+    this->Abort(id);
+  }
+  MHD_stop_daemon(this->daemon);
+  this->daemon = nullptr;
+  this->watcher.Stop();
+}
+
+std::size_t HttpServer::Impl::InFlight() const
+{
+  return this->inFlight;
+}
+
+HttpServer::HttpServer(HttpServerConfig aConfig, Handlers aHandlers)
+  : impl(std::make_unique<Impl>(std::move(aConfig), std::move(aHandlers)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+bool HttpServer::Start()
+{
+  return this->impl->Start();
+}
+
+void HttpServer::StopIntake()
+{
+  this->impl->StopIntake();
+}
+
+void HttpServer::Stop()
+{
+  this->impl->Stop();
+}
+
+void HttpServer::Answer(RequestId aRequest, HttpAnswer aAnswer)
+{
+  this->impl->Answer(aRequest, std::move(aAnswer));
+}
+
+void HttpServer::Abort(RequestId aRequest)
+{
+  this->impl->Abort(aRequest);
+}
+
+std::size_t HttpServer::InFlight() const
+{
+  return this->impl->InFlight();
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/proxy/httptransfer.cpp
@@ -0,0 +1,276 @@
+#include "proxy/httptransfer.h"
+
+#include "proxy/httpheaders.h"
+
+#include <fmt/format.h>
+
+#include <strings.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr long kNoContent = 204;
+constexpr long kNotModified = 304;
+constexpr std::size_t kMaxAnswerHeaderBytes = 65536;
+
+// An idle connection that a backend server has closed is noticed by libcurl
+// before reuse; older ones are not worth the check.
+constexpr long kMaxIdleSeconds = 30;
+
+std::string_view WithoutLineEnd(std::string_view aLine)
+{
+  while (aLine.ends_with('\n') || aLine.ends_with('\r')) {
+    aLine.remove_suffix(1);
+  }
+  return aLine;
+}
+
+} // namespace
+
+HttpTransfer::HttpTransfer(HttpExchange aExchange, std::size_t aMaxAnswerBytes)
+  : exchange(std::move(aExchange))
+  , maxAnswerBytes(aMaxAnswerBytes)
+  , handle(curl_easy_init())
+  , startedAt(this->clock.PreciseNow())
+{
+}
+
+HttpTransfer::~HttpTransfer() = default;
+
+bool HttpTransfer::Prepare()
+{
+  if (!this->handle || !IsMethodName(this->exchange.request.method) ||
+      !this->SetHeaders()) {
+    this->detail = "the request cannot be sent";
+    return false;
+  }
+  this->SetConnection();
+  this->SetMethod();
+  this->SetCallbacks();
+  return true;
+}
+
+void HttpTransfer::SetConnection()
+{
+  CURL* curl = this->handle.get();
+  const long limit =
+    std::max<long>(1, static_cast<long>(this->exchange.timeLimit));
+  curl_easy_setopt(curl, CURLOPT_URL, this->exchange.url.c_str());
+  curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  // Proxy settings in the environment must not redirect the mesh's calls.
+  curl_easy_setopt(curl, CURLOPT_PROXY, "");
+  curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, limit);
+  curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, limit);
+  curl_easy_setopt(curl, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+  curl_easy_setopt(
+    curl, CURLOPT_FRESH_CONNECT, this->exchange.needsNewConnection ? 1L : 0L);
+}
+
+void HttpTransfer::SetMethod()
+{
+  CURL* curl = this->handle.get();
+  const HttpRequest& request = this->exchange.request;
+  const bool takesBody = request.method == "POST" || request.method == "PUT" ||
+                         request.method == "PATCH" || !request.body.empty();
+  if (request.method == "HEAD") {
+    curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  if (takesBody) {
+    curl_easy_setopt(curl, CURLOPT_POST, 1L);
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request.body.data());
+    curl_easy_setopt(curl,
+                     CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+  }
+  curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+}
+
+void HttpTransfer::SetCallbacks()
+{
+  CURL* curl = this->handle.get();
+  curl_easy_setopt(curl, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &HttpTransfer::OnHeader);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &HttpTransfer::OnBody);
+  curl_easy_setopt(curl, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, &HttpTransfer::OnRequestStart);
+  curl_easy_setopt(curl, CURLOPT_PREREQDATA, this);
+}
+
+bool HttpTransfer::SetHeaders()
+{
+  HttpHeaders& headers = this->exchange.request.headers;
+  RemoveHopByHop(headers);
+  // An empty value keeps libcurl from adding a header of its own.
+  for (const char* name :
+       { "Accept", "Expect", "Content-Type", "User-Agent" }) {
+    if (!headers.contains(name) &&
+        !this->AppendHeaderLine(std::string(name) + ":")) {
+      return false;
+    }
+  }
+  for (const auto& [name, value] : headers) {
+    if (!IsSafeHeader(name, value)) {
+      return false;
+    }
+    // libcurl writes a header without a value only with a semicolon.
+    const std::string line =
+      value.empty() ? name + ";" : fmt::format("{}: {}", name, value);
+    if (!this->AppendHeaderLine(line)) {
+      return false;
+    }
+  }
+  curl_easy_setopt(
+    this->handle.get(), CURLOPT_HTTPHEADER, this->headerList.get());
+  return true;
+}
+
+bool HttpTransfer::AppendHeaderLine(const std::string& aLine)
+{
+  curl_slist* longer = curl_slist_append(this->headerList.get(), aLine.c_str());
+  if (longer == nullptr) {
+    return false;
+  }
+  (void)this->headerList.release();
+  this->headerList.reset(longer);
+  return true;
+}
+
+int HttpTransfer::OnRequestStart(void* aTransfer,
+                                 char* /*aPrimaryAddress*/,
+                                 char* /*aLocalAddress*/,
+                                 int /*aPrimaryPort*/,
+                                 int /*aLocalPort*/)
+{
+  static_cast<HttpTransfer*>(aTransfer)->wasStarted = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+std::size_t HttpTransfer::OnHeader(char* aBytes,
+                                   std::size_t aSize,
+                                   std::size_t aCount,
+                                   void* aTransfer)
+{
+  auto* transfer = static_cast<HttpTransfer*>(aTransfer);
+  const std::size_t bytes = aSize * aCount;
+  transfer->headerBytes += bytes;
+  if (transfer->headerBytes > kMaxAnswerHeaderBytes) {
+    transfer->isTooLong = true;
+    return 0;
+  }
+  transfer->ReadHeaderLine(WithoutLineEnd({ aBytes, bytes }));
+  return bytes;
+}
+
+void HttpTransfer::ReadHeaderLine(std::string_view aLine)
+{
+  if (aLine.starts_with("HTTP/")) {
+    // Another head follows an informational one.
+    this->answer.headers.clear();
+    return;
+  }
+  const auto colon = aLine.find(':');
+  if (colon == std::string_view::npos) {
+    return;
+  }
+  std::string_view value = aLine.substr(colon + 1);
+  value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+  AddHeader(this->answer.headers,
+            std::string(aLine.substr(0, colon)),
+            std::string(value));
+}
+
+std::size_t HttpTransfer::OnBody(char* aBytes,
+                                 std::size_t aSize,
+                                 std::size_t aCount,
+                                 void* aTransfer)
+{
+  auto* transfer = static_cast<HttpTransfer*>(aTransfer);
+  const std::size_t bytes = aSize * aCount;
+  if (transfer->answer.body.size() + bytes > transfer->maxAnswerBytes) {
+    transfer->isTooLong = true;
+    return 0;
+  }
+  transfer->answer.body.append(aBytes, bytes);
+  return bytes;
+}
+
+ExchangeResult HttpTransfer::Finish(CURLcode aCode)
+{
+  const ExchangeEnd end = this->EndOf(aCode);
+  if (this->detail.empty() && aCode != CURLE_OK) {
+    this->detail = curl_easy_strerror(aCode);
+  }
+  return this->ResultOf(end);
+}
+
+ExchangeResult HttpTransfer::Cancel()
+{
+  return this->ResultOf(ExchangeEnd::Cancelled);
+}
+
+ExchangeEnd HttpTransfer::EndOf(CURLcode aCode)
+{
+  if (!this->wasStarted) {
+    return ExchangeEnd::NotConnected;
+  }
+  if (aCode == CURLE_OPERATION_TIMEDOUT) {
+    return ExchangeEnd::TimedOut;
+  }
+  if (this->isTooLong) {
+    this->detail = "the answer is too long";
+    return ExchangeEnd::Cut;
+  }
+  if (aCode != CURLE_OK) {
+    return ExchangeEnd::Cut;
+  }
+  if (this->HasUnprovenLength()) {
+    this->detail = "the answer has neither a length nor chunks";
+    return ExchangeEnd::Cut;
+  }
+  return ExchangeEnd::Answered;
+}
+
+/**
+ * An answer that ends where its connection ends looks the same when it was cut
+ * short, so it cannot be passed on as complete.
+ */
+bool HttpTransfer::HasUnprovenLength() const
+{
+  long status = 0;
+  curl_easy_getinfo(this->handle.get(), CURLINFO_RESPONSE_CODE, &status);
+  const bool hasNoBody = this->exchange.request.method == "HEAD" ||
+                         status == kNoContent || status == kNotModified;
+  const auto encoding = this->answer.headers.find("Transfer-Encoding");
+  const bool isChunked = encoding != this->answer.headers.end() &&
+                         strcasecmp(encoding->second.c_str(), "chunked") == 0;
+  return !hasNoBody && !isChunked &&
+         !this->answer.headers.contains("Content-Length");
+}
+
+ExchangeResult HttpTransfer::ResultOf(ExchangeEnd aEnd)
+{
+  ExchangeResult result;
+  result.id = this->exchange.id;
+  result.end = aEnd;
+  result.millis = this->clock.PreciseNow() - this->startedAt;
+  result.detail = std::move(this->detail);
+  if (aEnd == ExchangeEnd::Answered) {
+    long status = 0;
+    curl_easy_getinfo(this->handle.get(), CURLINFO_RESPONSE_CODE, &status);
+    result.answer = std::move(this->answer);
+    result.answer.status = static_cast<int>(status);
+    RemoveHopByHop(result.answer.headers);
+  }
+  return result;
+}
+
+} // namespace lacewingwharf
