--- /dev/null
+++ b/standins/testkit/process.cpp
@@ -0,0 +1,197 @@
+#include "testkit/process.h"
+
+#include "common/random.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+sockaddr_in LoopbackAddress(std::uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+bool CanBind(std::uint16_t aPort, int aType)
+{
+  const int socketFd = socket(AF_INET, aType | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = LoopbackAddress(aPort);
+  const bool isFree =
+    bind(socketFd,
+         reinterpret_cast<const sockaddr*>(&address), // NOLINT
+         sizeof(address)) == 0;
+  close(socketFd);
+  return isFree;
+}
+
+bool CanConnect(std::uint16_t aPort)
+{
+  const int socketFd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = LoopbackAddress(aPort);
+  const bool isOpen =
+    connect(socketFd,
+            reinterpret_cast<const sockaddr*>(&address), // NOLINT
+            sizeof(address)) == 0;
+  close(socketFd);
+  return isOpen;
+}
+
+std::string PathOf(const std::string& aProgram)
+{
+  if (aProgram.find('/') != std::string::npos) {
+    return aProgram;
+  }
+  return std::string(LWW_BINARY_DIR) + "/" + aProgram;
+}
+
+int ExitCodeOf(int aStatus)
+{
+  constexpr int kSignalBase = 128;
+  return WIFSIGNALED(aStatus) ? kSignalBase + WTERMSIG(aStatus)
+                              : WEXITSTATUS(aStatus);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::string& aProgram,
+                           const std::vector<std::string>& aArguments,
+                           const std::string& aOutputPath)
+{
+  std::string path = PathOf(aProgram);
+  std::vector<std::string> words = aArguments;
+  std::vector<char*> arguments{ path.data() };
+  for (std::string& word : words) {
+    arguments.push_back(word.data());
+  }
+  arguments.push_back(nullptr);
+
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  if (!aOutputPath.empty()) {
+    posix_spawn_file_actions_addopen(&actions,
+                                     STDOUT_FILENO,
+                                     aOutputPath.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC,
+                                     S_IRUSR | S_IWUSR);
+  }
+  const int error = posix_spawn(
+    &this->pid, path.c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    this->pid = -1;
+  }
+}
+
+ChildProcess::~ChildProcess()
+{
+  this->Kill();
+}
+
+ChildProcess::ChildProcess(ChildProcess&& aOther) noexcept
+  : pid(std::exchange(aOther.pid, -1))
+  , exitCode(aOther.exitCode)
+{
+}
+
+ChildProcess& ChildProcess::operator=(ChildProcess&& aOther) noexcept
+{
+  if (this != &aOther) {
+    this->Kill();
+    this->pid = std::exchange(aOther.pid, -1);
+    this->exitCode = aOther.exitCode;
+  }
+  return *this;
+}
+
+void ChildProcess::Terminate()
+{
+  this->Signal(SIGTERM);
+}
+
+void ChildProcess::Kill()
+{
+  constexpr Millis kKillBound = 10000;
+  this->Signal(SIGKILL);
+  this->Wait(kKillBound);
+}
+
+void ChildProcess::Freeze()
+{
+  this->Signal(SIGSTOP);
+}
+
+void ChildProcess::Thaw()
+{
+  this->Signal(SIGCONT);
+}
+
+std::optional<int> ChildProcess::Wait(Millis aBound)
+{
+  if (this->pid >= 0) {
+    WaitUntil([this] { return !this->IsRunning(); }, aBound);
+  }
+  return this->exitCode;
+}
+
+bool ChildProcess::IsRunning()
+{
+  if (this->pid < 0 || this->exitCode) {
+    return false;
+  }
+  int status = 0;
+  if (waitpid(this->pid, &status, WNOHANG) == 0) {
+    return true;
+  }
+  this->exitCode = ExitCodeOf(status);
+  return false;
+}
+
+void ChildProcess::Signal(int aSignal)
+{
+  // An id that was waited for may belong to another process by now.
+  if (this->IsRunning()) {
+    kill(this->pid, aSignal);
+  }
+}
+
+std::uint16_t FreePort()
+{
+  constexpr std::uint64_t kFirstPort = 10000;
+  constexpr std::uint64_t kPortCount = 22000;
+  const Random random = SystemRandom();
+  while (true) {
+    const auto port =
+      static_cast<std::uint16_t>(kFirstPort + RandomBelow(random, kPortCount));
+    if (CanBind(port, SOCK_STREAM) && CanBind(port, SOCK_DGRAM)) {
+      return port;
+    }
+  }
+}
+
+bool WaitForPort(std::uint16_t aPort, Millis aBound)
+{
+  return WaitUntil([aPort] { return CanConnect(aPort); }, aBound);
+}
+
+void PauseFor(Millis aMillis)
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds(aMillis));
+}
+
+} // namespace lacewingwharf
