--- /dev/null
+++ b/src/platform/httptransfer.cpp
@@ -0,0 +1,231 @@
+#include "platform/httptransfer.h"
+
+#include <curl/curl.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <cstring>
+#include <mutex>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr std::string_view kRevisionHeader = "object-revision:";
+
+struct TransferState
+{
+  const TransferRequest* request = nullptr;
+  TransferAnswer answer;
+  std::size_t sentBytes = 0;
+  bool isTooLarge = false;
+};
+
+std::size_t OnBody(char* aData,
+                   std::size_t aSize,
+                   std::size_t aCount,
+                   void* aState)
+{
+  auto& state = *static_cast<TransferState*>(aState);
+  const std::size_t bytes = aSize * aCount;
+  if (state.answer.body.size() + bytes > state.request->maxAnswerBytes) {
+    state.isTooLarge = true;
+    return 0;
+  }
+  state.answer.body.append(aData, bytes);
+  return bytes;
+}
+
+std::size_t OnHeader(char* aData,
+                     std::size_t aSize,
+                     std::size_t aCount,
+                     void* aState)
+{
+  auto& state = *static_cast<TransferState*>(aState);
+  const std::size_t bytes = aSize * aCount;
+  std::string line(aData, bytes);
+  std::ranges::transform(line, line.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
+  if (line.starts_with(kRevisionHeader)) {
+    const auto begin = line.find_first_not_of(' ', kRevisionHeader.size());
+    if (begin != std::string::npos) {
+      std::from_chars(line.data() + begin,
+                      line.data() + line.size(),
+                      state.answer.objectRevision);
+    }
+  }
+  return bytes;
+}
+
+std::size_t OnUpload(char* aBuffer,
+                     std::size_t aSize,
+                     std::size_t aCount,
+                     void* aState)
+{
+  auto& state = *static_cast<TransferState*>(aState);
+  const std::string& body = state.request->body;
+  const std::size_t bytes =
+    std::min(aSize * aCount, body.size() - state.sentBytes);
+  std::memcpy(aBuffer, body.data() + state.sentBytes, bytes);
+  state.sentBytes += bytes;
+  return bytes;
+}
+
+int OnProgress(void* aState, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+  const auto& state = *static_cast<TransferState*>(aState);
+  const auto& shouldStop = state.request->shouldStop;
+  return shouldStop && shouldStop() ? 1 : 0;
+}
+
+/**
+ * libcurl repeats a request when a reused connection closes before the answer.
+ * A repeated write would report a conflict with itself.
+ */
+void ForbidRepetition(CURL* aHandle, TransferState& aState)
+{
+  if (aState.request->kind == TransferRequest::Kind::Remove) {
+    curl_easy_setopt(aHandle, CURLOPT_CUSTOMREQUEST, "DELETE");
+    curl_easy_setopt(aHandle, CURLOPT_FRESH_CONNECT, 1L);
+    return;
+  }
+  const auto size = static_cast<curl_off_t>(aState.request->body.size());
+  curl_easy_setopt(aHandle, CURLOPT_UPLOAD, 1L);
+  curl_easy_setopt(aHandle, CURLOPT_INFILESIZE_LARGE, size);
+  // Without a seek function libcurl cannot rewind the body, so it fails
+  // instead of sending it again. An empty body needs no rewind.
+  curl_easy_setopt(aHandle, CURLOPT_READFUNCTION, OnUpload);
+  curl_easy_setopt(aHandle, CURLOPT_READDATA, &aState);
+  curl_easy_setopt(aHandle, CURLOPT_FRESH_CONNECT, size == 0 ? 1L : 0L);
+}
+
+} // namespace
+
+class HttpTransfer::Impl
+{
+public:
+  Impl()
+  {
+    static std::once_flag sInitialised;
+    std::call_once(sInitialised, [] { curl_global_init(CURL_GLOBAL_ALL); });
+    this->handle = curl_easy_init();
+  }
+
+  ~Impl() { curl_easy_cleanup(this->handle); }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  PlatformResult<TransferAnswer> Run(const TransferRequest& aRequest)
+  {
+    TransferState state;
+    state.request = &aRequest;
+    this->Configure(state);
+    curl_slist* headers = this->SetHeaders(aRequest);
+    const CURLcode code = curl_easy_perform(this->handle);
+    curl_slist_free_all(headers);
+    this->needsNewConnection = code != CURLE_OK;
+    if (code != CURLE_OK) {
+      return failure(this->ErrorOf(code, state));
+    }
+    curl_easy_getinfo(
+      this->handle, CURLINFO_RESPONSE_CODE, &state.answer.status);
+    return std::move(state.answer);
+  }
+
+private:
+  void Configure(TransferState& aState)
+  {
+    const TransferRequest& request = *aState.request;
+    curl_easy_reset(this->handle);
+    curl_easy_setopt(this->handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(this->handle, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(this->handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(this->handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(this->handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    // libcurl reads 0 as its own default bound, so 1 ms is the least.
+    curl_easy_setopt(
+      this->handle,
+      CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>(std::max<Millis>(1, request.connectBound)));
+    curl_easy_setopt(this->handle,
+                     CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(std::max<Millis>(1, request.bound)));
+    curl_easy_setopt(this->handle, CURLOPT_WRITEFUNCTION, OnBody);
+    curl_easy_setopt(this->handle, CURLOPT_WRITEDATA, &aState);
+    curl_easy_setopt(this->handle, CURLOPT_HEADERFUNCTION, OnHeader);
+    curl_easy_setopt(this->handle, CURLOPT_HEADERDATA, &aState);
+    curl_easy_setopt(this->handle, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(this->handle, CURLOPT_XFERINFOFUNCTION, OnProgress);
+    curl_easy_setopt(this->handle, CURLOPT_XFERINFODATA, &aState);
+    if (request.kind != TransferRequest::Kind::Read) {
+      ForbidRepetition(this->handle, aState);
+    }
+    if (this->needsNewConnection) {
+      curl_easy_setopt(this->handle, CURLOPT_FRESH_CONNECT, 1L);
+    }
+  }
+
+  curl_slist* SetHeaders(const TransferRequest& aRequest)
+  {
+    // An empty Expect header avoids the wait for "100 Continue".
+    curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+    for (const std::string& header : aRequest.headers) {
+      headers = curl_slist_append(headers, header.c_str());
+    }
+    curl_easy_setopt(this->handle, CURLOPT_HTTPHEADER, headers);
+    return headers;
+  }
+
+  PlatformError ErrorOf(CURLcode aCode, const TransferState& aState) const
+  {
+    if (aState.isTooLarge) {
+      return { PlatformErrorCode::TooLarge, "the answer exceeds its limit" };
+    }
+    long sentBytes = 0;
+    curl_easy_getinfo(this->handle, CURLINFO_REQUEST_SIZE, &sentBytes);
+    const auto code = sentBytes == 0 ? PlatformErrorCode::Unreachable
+                                     : PlatformErrorCode::TimedOut;
+    return { code,
+             fmt::format(
+               "{}: {}", aState.request->url, curl_easy_strerror(aCode)) };
+  }
+
+  CURL* handle = nullptr;
+  bool needsNewConnection = false;
+};
+
+HttpTransfer::HttpTransfer()
+  : impl(std::make_unique<Impl>())
+{
+}
+
+HttpTransfer::~HttpTransfer() = default;
+
+PlatformResult<TransferAnswer> HttpTransfer::Run(
+  const TransferRequest& aRequest)
+{
+  return this->impl->Run(aRequest);
+}
+
+std::string EscapeObjectName(std::string_view aName)
+{
+  constexpr std::string_view kPlain = "-._~/";
+  std::string escaped;
+  for (const char character : aName) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (std::isalnum(byte) != 0 ||
+        kPlain.find(character) != std::string_view::npos) {
+      escaped += character;
+    } else {
+      escaped += fmt::format("%{:02X}", byte);
+    }
+  }
+  return escaped;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/platform/httptransfer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "platform/objectstore.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+struct TransferRequest
+{
+  enum class Kind
+  {
+    Read,
+    Write,
+    Remove
+  };
+
+  Kind kind = Kind::Read;
+  std::string url;
+  std::string body;
+  std::vector<std::string> headers;
+  Millis connectBound = 0;
+  Millis bound = 0;
+  std::size_t maxAnswerBytes = 0;
+  std::function<bool()> shouldStop;
+};
+
+struct TransferAnswer
+{
+  long status = 0;
+  std::int64_t objectRevision = -1; // -1 when the header is absent.
+  std::string body;
+};
+
+/**
+ * One libcurl easy handle and its connection, for one thread at a time. It
+ * never sends a write twice.
+ */
+class HttpTransfer
+{
+public:
+  HttpTransfer();
+  ~HttpTransfer();
+
+  HttpTransfer(const HttpTransfer&) = delete;
+  HttpTransfer& operator=(const HttpTransfer&) = delete;
+
+  PlatformResult<TransferAnswer> Run(const TransferRequest& aRequest);
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+/** Percent-encodes everything but unreserved characters and slashes. */
+std::string EscapeObjectName(std::string_view aName);
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/platform/platformwatch.cpp
@@ -0,0 +1,141 @@
+#include "platform/platformwatch.h"
+
+#include "common/log.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("platform-watch");
+
+} // namespace
+
+PlatformWatch::PlatformWatch(ObjectStore aStore,
+                             PlatformWatchConfig aConfig,
+                             Hook aHook,
+                             Random aRandom)
+  : counts(std::make_shared<CallCounts>())
+  , store(CountCalls(std::move(aStore), this->counts))
+  , config(std::move(aConfig))
+  , hook(std::move(aHook))
+  , backoff(this->config.backoff, std::move(aRandom))
+{
+}
+
+PlatformWatch::~PlatformWatch()
+{
+  this->Stop();
+}
+
+void PlatformWatch::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void PlatformWatch::Stop()
+{
+  {
+    const std::lock_guard lock(this->mutex);
+    this->isStopping = true;
+  }
+  this->changed.notify_all();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+void PlatformWatch::SetActive(bool aIsActive,
+                              std::optional<std::int64_t> aKnownRevision)
+{
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->isActive == aIsActive) {
+      return;
+    }
+    this->isActive = aIsActive;
+    this->revision = aKnownRevision;
+    ++this->activation;
+  }
+  this->changed.notify_all();
+}
+
+void PlatformWatch::Run()
+{
+  Position position;
+  while (this->WaitUntilActive(position)) {
+    this->Step(position);
+  }
+}
+
+bool PlatformWatch::WaitUntilActive(Position& aPosition)
+{
+  std::unique_lock lock(this->mutex);
+  this->changed.wait(lock,
+                     [this] { return this->isStopping || this->isActive; });
+  aPosition = { this->activation, this->revision };
+  return !this->isStopping;
+}
+
+void PlatformWatch::Step(const Position& aPosition)
+{
+  const bool isFullList = !aPosition.revision;
+  const Millis start = Clock::Steady().Now();
+  auto result = isFullList ? this->store.list(this->config.prefix)
+                           : this->store.watch(this->config.prefix,
+                                               *aPosition.revision,
+                                               this->config.watchTime);
+  Millis pause = 0;
+  if (!this->Advance(aPosition, result, pause)) {
+    return;
+  }
+  const bool hasNothingNew =
+    result && !isFullList && result.value().objects.empty();
+  if (!hasNothingNew) {
+    this->hook(std::move(result), isFullList);
+  }
+  const Millis elapsed = Clock::Steady().Now() - start;
+  this->Pause(std::max(pause, this->config.leastInterval - elapsed),
+              aPosition.activation);
+}
+
+bool PlatformWatch::Advance(const Position& aPosition,
+                            const PlatformResult<ObjectList>& aResult,
+                            Millis& aPause)
+{
+  const std::lock_guard lock(this->mutex);
+  if (this->isStopping || this->activation != aPosition.activation) {
+    return false;
+  }
+  if (aResult) {
+    this->revision = aResult.value().revision;
+    this->backoff.Reset();
+    return true;
+  }
+  if (aResult.error().code == PlatformErrorCode::Compacted) {
+    this->revision.reset();
+  }
+  aPause = this->backoff.Next();
+  kLog.Warning("watch of {} failed: {} ({}); next try in {} ms",
+               this->config.prefix,
+               kPlatformErrorNames.NameOf(aResult.error().code),
+               aResult.error().detail,
+               aPause);
+  return true;
+}
+
+void PlatformWatch::Pause(Millis aTime, std::uint64_t aActivation)
+{
+  if (aTime <= 0) {
+    return;
+  }
+  std::unique_lock lock(this->mutex);
+  this->changed.wait_for(
+    lock, std::chrono::milliseconds(aTime), [this, aActivation] {
+      return this->isStopping || this->activation != aActivation;
+    });
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/platform/platformworker.cpp
@@ -0,0 +1,106 @@
+#include "platform/platformworker.h"
+
+#include "common/log.h"
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("platform");
+constexpr Millis kIdleWait = 1000;
+
+} // namespace
+
+PlatformWorker::PlatformWorker(ObjectStore aStore,
+                               std::size_t aCapacity,
+                               Post aPost,
+                               CallBudgetConfig aBudget,
+                               Random aRandom)
+  : counts(std::make_shared<CallCounts>())
+  , store(WrapStore(
+      CountCalls(std::move(aStore), this->counts),
+      [this](CallKind, const auto& aCall) { return this->Admit(aCall); }))
+  , post(std::move(aPost))
+  , budget(aBudget, Clock::Steady(), std::move(aRandom))
+  , jobs(aCapacity)
+{
+}
+
+PlatformWorker::~PlatformWorker()
+{
+  this->Stop();
+}
+
+void PlatformWorker::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void PlatformWorker::Stop()
+{
+  {
+    const std::lock_guard lock(this->mutex);
+    this->isStopping = true;
+  }
+  this->stopped.notify_all();
+  this->jobs.Close();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+bool PlatformWorker::Submit(PlatformJob aJob)
+{
+  return this->jobs.Push(std::move(aJob));
+}
+
+void PlatformWorker::Run()
+{
+  while (!this->jobs.IsClosed()) {
+    const auto job = this->jobs.Pop(kIdleWait);
+    if (!job) {
+      continue;
+    }
+    Completion completion = (*job)(this->store);
+    if (completion) {
+      this->post(std::move(completion));
+    }
+  }
+}
+
+std::optional<PlatformError> PlatformWorker::Admit(
+  const std::function<std::optional<PlatformError>()>& aCall)
+{
+  if (auto refusal = this->budget.Refusal()) {
+    return refusal;
+  }
+  if (!this->WaitForToken()) {
+    return PlatformError{ PlatformErrorCode::Unreachable,
+                          "not sent: shutting down" };
+  }
+  auto error = aCall();
+  if (!error || !IsPlatformFailure(error->code)) {
+    this->budget.Report(std::nullopt);
+    return error;
+  }
+  kLog.Warning("call failed: {} ({})",
+               kPlatformErrorNames.NameOf(error->code),
+               error->detail);
+  this->budget.Report(error->code);
+  return error;
+}
+
+bool PlatformWorker::WaitForToken()
+{
+  std::unique_lock lock(this->mutex);
+  while (!this->isStopping) {
+    const Millis wait = this->budget.TakeOrWait();
+    if (wait == 0) {
+      return true;
+    }
+    this->stopped.wait_for(lock, std::chrono::milliseconds(wait));
+  }
+  return false;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/standins/httpserver/standinserver.cpp
@@ -0,0 +1,322 @@
+#include "httpserver/standinserver.h"
+
+#include "common/log.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <poll.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstring>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("http-server");
+
+/** How often suspended connections are checked for callers that left. */
+constexpr Millis kCallerCheckInterval = 20;
+
+/** The context of a request while it is read and answered. */
+using ExchangeHolder = std::shared_ptr<StandinExchange>;
+
+struct BodyReader
+{
+  StandinAnswer answer;
+  MHD_Connection* connection = nullptr;
+  StandinServer* server = nullptr;
+  std::uint64_t pausedAt = 0;
+};
+
+MHD_Result AddValue(void* aMap,
+                    MHD_ValueKind aKind,
+                    const char* aKey,
+                    const char* aValue)
+{
+  auto& values = *static_cast<std::map<std::string, std::string>*>(aMap);
+  std::string key = aKey;
+  if (aKind == MHD_HEADER_KIND) {
+    std::ranges::transform(key, key.begin(), [](unsigned char aCharacter) {
+      return static_cast<char>(std::tolower(aCharacter));
+    });
+  }
+  values[key] = aValue == nullptr ? "" : aValue;
+  return MHD_YES;
+}
+
+ssize_t ReadBody(void* aReader,
+                 std::uint64_t aPosition,
+                 char* aBuffer,
+                 std::size_t aMax)
+{
+  auto& reader = *static_cast<BodyReader*>(aReader);
+  const StandinAnswer& answer = reader.answer;
+  if (aPosition >= answer.cutAfterBytes) {
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  }
+  const bool isInPieces = answer.pieceBytes > 0 && answer.pieceDelay > 0;
+  if (isInPieces && aPosition > reader.pausedAt) {
+    reader.pausedAt = aPosition;
+    MHD_Connection* connection = reader.connection;
+    MHD_suspend_connection(connection);
+    const auto resume = [connection] { MHD_resume_connection(connection); };
+    if (!reader.server->After(answer.pieceDelay, resume)) {
+      resume();
+    }
+    return 0;
+  }
+  std::size_t bytes = std::min(aMax, answer.body.size() - aPosition);
+  bytes = std::min(bytes, answer.cutAfterBytes - aPosition);
+  if (isInPieces) {
+    bytes = std::min(bytes, answer.pieceBytes);
+  }
+  std::memcpy(aBuffer, answer.body.data() + aPosition, bytes);
+  return static_cast<ssize_t>(bytes);
+}
+
+void FreeReader(void* aReader)
+{
+  delete static_cast<BodyReader*>(aReader);
+}
+
+} // namespace
+
+struct StandinServer::Callbacks
+{
+  static MHD_Result OnAccess(void* aServer,
+                             MHD_Connection* aConnection,
+                             const char* aUrl,
+                             const char* aMethod,
+                             const char*,
+                             const char* aData,
+                             std::size_t* aDataSize,
+                             void** aContext)
+  {
+    auto& server = *static_cast<StandinServer*>(aServer);
+    if (*aContext == nullptr) {
+      *aContext =
+        new ExchangeHolder(std::make_shared<StandinExchange>(aConnection));
+      StandinExchange& exchange = **static_cast<ExchangeHolder*>(*aContext);
+      exchange.request.method = aMethod;
+      exchange.request.path = aUrl;
+      return MHD_YES;
+    }
+    StandinExchange& exchange = **static_cast<ExchangeHolder*>(*aContext);
+    if (*aDataSize > 0) {
+      std::string& body = exchange.request.body;
+      const std::size_t room = server.config.maxBodyBytes - body.size();
+      body.append(aData, std::min(room, *aDataSize));
+      *aDataSize = 0;
+      return MHD_YES;
+    }
+    return static_cast<MHD_Result>(server.OnRequest(aConnection, aContext));
+  }
+
+  static void OnCompleted(void*,
+                          MHD_Connection*,
+                          void** aContext,
+                          MHD_RequestTerminationCode)
+  {
+    delete static_cast<ExchangeHolder*>(*aContext);
+    *aContext = nullptr;
+  }
+
+  static void OnConnection(void*,
+                           MHD_Connection*,
+                           void** aSocketContext,
+                           MHD_ConnectionNotificationCode aCode)
+  {
+    if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
+      *aSocketContext = new std::uint64_t(0);
+    } else {
+      delete static_cast<std::uint64_t*>(*aSocketContext);
+      *aSocketContext = nullptr;
+    }
+  }
+};
+
+StandinServer::StandinServer(StandinServerConfig aConfig, Handler aHandler)
+  : config(std::move(aConfig))
+  , handler(std::move(aHandler))
+{
+}
+
+StandinServer::~StandinServer()
+{
+  this->Stop();
+}
+
+bool StandinServer::Start()
+{
+  constexpr unsigned int kBacklog = 1024;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(this->config.port);
+  if (inet_pton(AF_INET, this->config.address.c_str(), &address.sin_addr) !=
+      1) {
+    return false;
+  }
+  this->daemon =
+    MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
+                     this->config.port,
+                     nullptr,
+                     nullptr,
+                     &Callbacks::OnAccess,
+                     this,
+                     MHD_OPTION_SOCK_ADDR,
+                     reinterpret_cast<sockaddr*>(&address), // NOLINT
+                     MHD_OPTION_CONNECTION_LIMIT,
+                     this->config.maxConnections,
+                     MHD_OPTION_LISTEN_BACKLOG_SIZE,
+                     kBacklog,
+                     MHD_OPTION_NOTIFY_COMPLETED,
+                     &Callbacks::OnCompleted,
+                     nullptr,
+                     MHD_OPTION_NOTIFY_CONNECTION,
+                     &Callbacks::OnConnection,
+                     nullptr,
+                     MHD_OPTION_END);
+  if (this->daemon == nullptr) {
+    kLog.Error(
+      "cannot listen on {}:{}", this->config.address, this->config.port);
+    return false;
+  }
+  this->After(kCallerCheckInterval, [this] { this->FindCallersThatLeft(); });
+  return true;
+}
+
+void StandinServer::Stop()
+{
+  std::list<std::weak_ptr<StandinExchange>> waiting;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->isStopping = true;
+    waiting.swap(this->pending);
+  }
+  for (const auto& weak : waiting) {
+    if (const auto exchange = weak.lock()) {
+      exchange->Abort();
+    }
+  }
+  this->timer.Stop();
+  if (this->daemon != nullptr) {
+    MHD_stop_daemon(this->daemon);
+    this->daemon = nullptr;
+  }
+}
+
+bool StandinServer::After(Millis aDelay, std::function<void()> aTask)
+{
+  return this->timer.After(aDelay, std::move(aTask));
+}
+
+int StandinServer::OnRequest(MHD_Connection* aConnection, void** aContext)
+{
+  const ExchangeHolder exchange = *static_cast<ExchangeHolder*>(*aContext);
+  if (exchange->state != StandinExchange::State::Reading) {
+    return this->SendAnswer(*exchange);
+  }
+  StandinRequest& request = exchange->request;
+  MHD_get_connection_values(
+    aConnection, MHD_HEADER_KIND, &AddValue, &request.headers);
+  MHD_get_connection_values(
+    aConnection, MHD_GET_ARGUMENT_KIND, &AddValue, &request.query);
+  const auto* info =
+    MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  auto* index = static_cast<std::uint64_t*>(info->socket_context);
+  request.indexOnConnection = (*index)++;
+  this->HandOver(exchange);
+  return MHD_YES;
+}
+
+int StandinServer::SendAnswer(StandinExchange& aExchange)
+{
+  const std::lock_guard lock(aExchange.mutex);
+  if (aExchange.state == StandinExchange::State::Waiting) {
+    return MHD_YES;
+  }
+  if (aExchange.state == StandinExchange::State::Aborted) {
+    return MHD_NO;
+  }
+  MHD_Response* response = this->MakeResponse(aExchange);
+  for (const auto& [name, value] : aExchange.answer.headers) {
+    MHD_add_response_header(response, name.c_str(), value.c_str());
+  }
+  const MHD_Result queued =
+    MHD_queue_response(aExchange.connection, aExchange.answer.status, response);
+  MHD_destroy_response(response);
+  return queued;
+}
+
+MHD_Response* StandinServer::MakeResponse(StandinExchange& aExchange)
+{
+  constexpr std::size_t kBlockBytes = 32768;
+  StandinAnswer& answer = aExchange.answer;
+  const bool isPlain =
+    answer.cutAfterBytes >= answer.body.size() && answer.pieceBytes == 0;
+  if (isPlain) {
+    return MHD_create_response_from_buffer(
+      answer.body.size(), answer.body.data(), MHD_RESPMEM_MUST_COPY);
+  }
+  auto* reader = new BodyReader;
+  reader->answer = answer;
+  reader->connection = aExchange.connection;
+  reader->server = this;
+  return MHD_create_response_from_callback(
+    answer.body.size(), kBlockBytes, &ReadBody, reader, &FreeReader);
+}
+
+void StandinServer::HandOver(const ExchangeHolder& aExchange)
+{
+  aExchange->Suspend();
+  bool isRefused = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    isRefused = this->isStopping;
+    this->pending.push_back(aExchange);
+  }
+  if (isRefused) {
+    aExchange->Abort();
+    return;
+  }
+  this->handler(aExchange);
+}
+
+void StandinServer::FindCallersThatLeft()
+{
+  std::vector<ExchangeHolder> waiting;
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->isStopping) {
+      return;
+    }
+    std::erase_if(this->pending, [&waiting](const auto& aWeak) {
+      const auto exchange = aWeak.lock();
+      if (!exchange) {
+        return true;
+      }
+      const std::lock_guard exchangeLock(exchange->mutex);
+      const bool isOver = exchange->state != StandinExchange::State::Waiting;
+      if (!isOver) {
+        waiting.push_back(exchange);
+      }
+      return isOver;
+    });
+  }
+  std::vector<pollfd> sockets;
+  for (const auto& exchange : waiting) {
+    sockets.push_back({ exchange->socketFd, POLLRDHUP, 0 });
+  }
+  poll(sockets.data(), sockets.size(), 0);
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    if ((sockets[i].revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0) {
+      waiting[i]->CallerLeft();
+    }
+  }
+  this->After(kCallerCheckInterval, [this] { this->FindCallersThatLeft(); });
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/standins/platform/platformservice.cpp
@@ -0,0 +1,376 @@
+#include "platformservice.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kObjectPath = "/v1/objects/";
+constexpr std::string_view kTestPath = "/v1/test/";
+constexpr unsigned int kBadRequest = 400;
+constexpr unsigned int kNotFound = 404;
+constexpr unsigned int kMethodNotAllowed = 405;
+constexpr unsigned int kConflict = 409;
+constexpr unsigned int kGone = 410;
+constexpr unsigned int kTooLarge = 413;
+constexpr unsigned int kTooManyRequests = 429;
+constexpr unsigned int kCreated = 201;
+constexpr Millis kLongestWatch = 60000;
+
+StandinAnswer TextAnswer(unsigned int aStatus, std::string aText)
+{
+  StandinAnswer answer;
+  answer.status = aStatus;
+  answer.body = std::move(aText);
+  return answer;
+}
+
+StandinAnswer JsonAnswer(std::string aBody)
+{
+  StandinAnswer answer;
+  answer.body = std::move(aBody);
+  answer.headers.emplace_back("Content-Type", "application/json");
+  return answer;
+}
+
+std::string BodyOf(const ObjectList& aList)
+{
+  Json rows = Json::array();
+  for (const StoredObject& object : aList.objects) {
+    Json row{ { "name", object.name }, { "revision", object.revision } };
+    if (object.isDeleted) {
+      row["deleted"] = true;
+    } else {
+      row["value"] = object.value;
+    }
+    rows.push_back(std::move(row));
+  }
+  return Json{
+    { "revision", aList.revision }, { "objects", std::move(rows) }
+  }.dump();
+}
+
+StandinAnswer AnswerOf(const WriteResult& aResult)
+{
+  StandinAnswer answer;
+  answer.headers.emplace_back("Object-Revision",
+                              std::to_string(aResult.revision));
+  if (aResult.error == PlatformErrorCode::Conflict) {
+    answer.status = kConflict;
+  } else if (aResult.error == PlatformErrorCode::NotFound) {
+    answer.status = kNotFound;
+  }
+  return answer;
+}
+
+std::optional<std::int64_t> NumberOf(const std::string& aText)
+{
+  std::int64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, number);
+  if (result.ec != std::errc() || result.ptr != end || number < 0) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+/** Empty when the headers of a conditional request are malformed. */
+std::optional<std::int64_t> ExpectedRevision(const StandinRequest& aRequest)
+{
+  const std::string noneMatch = aRequest.Header("if-none-match");
+  const std::string match = aRequest.Header("if-match");
+  if (noneMatch.empty() && match.empty()) {
+    return kAnyRevision;
+  }
+  if (!noneMatch.empty()) {
+    return noneMatch == "*" && match.empty() ? std::optional(kCreateOnly)
+                                             : std::nullopt;
+  }
+  return NumberOf(match);
+}
+
+/** Lists carry values as JSON strings, so a value must be UTF-8 text. */
+bool IsUtf8(const std::string& aValue)
+{
+  try {
+    return !Json(aValue).dump().empty();
+  } catch (const Json::exception&) {
+    return false;
+  }
+}
+
+} // namespace
+
+PlatformService::PlatformService(Switches aSwitches,
+                                 std::size_t aMaxHistory,
+                                 After aAfter)
+  : switches(aSwitches)
+  , table(aMaxHistory)
+  , after(std::move(aAfter))
+  , reads(aSwitches.readsPerSecond)
+  , writes(aSwitches.writesPerSecond)
+{
+}
+
+void PlatformService::Handle(const Exchange& aExchange)
+{
+  const std::unique_lock lock(this->mutex);
+  if (aExchange->Request().path.starts_with(kTestPath)) {
+    this->HandleTest(aExchange);
+    return;
+  }
+  if (this->switches.isDown) {
+    aExchange->Abort();
+    return;
+  }
+  if (this->switches.slowMillis == 0) {
+    this->HandleCall(aExchange);
+    return;
+  }
+  this->after(this->switches.slowMillis, [this, aExchange] {
+    const std::lock_guard delayedLock(this->mutex);
+    this->HandleCall(aExchange);
+  });
+}
+
+void PlatformService::HandleTest(const Exchange& aExchange)
+{
+  const StandinRequest& request = aExchange->Request();
+  if (request.path == "/v1/test/calls") {
+    aExchange->Answer(JsonAnswer(this->CallsAsJson()));
+  } else if (request.path == "/v1/test/switch" && request.method == "POST") {
+    this->HandleSwitch(aExchange);
+  } else {
+    aExchange->Answer(TextAnswer(kNotFound, "no such test path"));
+  }
+}
+
+void PlatformService::HandleCall(const Exchange& aExchange)
+{
+  const StandinRequest& request = aExchange->Request();
+  if (request.path.starts_with(kObjectPath)) {
+    this->HandleObject(aExchange, request.path.substr(kObjectPath.size()));
+  } else if (request.path == "/v1/objects" && request.method == "GET") {
+    this->HandleList(aExchange);
+  } else if (request.path == "/v1/watch" && request.method == "GET") {
+    this->HandleWatch(aExchange);
+  } else {
+    aExchange->Answer(TextAnswer(kNotFound, "no such path"));
+  }
+}
+
+void PlatformService::HandleObject(const Exchange& aExchange,
+                                   const std::string& aName)
+{
+  const std::string& method = aExchange->Request().method;
+  if (aName.empty()) {
+    aExchange->Answer(TextAnswer(kBadRequest, "the object has no name"));
+  } else if (method == "GET") {
+    this->HandleGet(aExchange, aName);
+  } else if (method == "PUT" || method == "DELETE") {
+    this->HandleWrite(aExchange, aName);
+  } else {
+    aExchange->Answer(TextAnswer(kMethodNotAllowed, "unknown method"));
+  }
+}
+
+void PlatformService::HandleGet(const Exchange& aExchange,
+                                const std::string& aName)
+{
+  if (!this->Count("get", this->reads)) {
+    aExchange->Answer(TextAnswer(kTooManyRequests, {}));
+    return;
+  }
+  const StoredObject* object = this->table.Find(aName);
+  if (object == nullptr) {
+    aExchange->Answer(TextAnswer(kNotFound, {}));
+    return;
+  }
+  StandinAnswer answer = TextAnswer(200, object->value);
+  answer.headers.emplace_back("Object-Revision",
+                              std::to_string(object->revision));
+  aExchange->Answer(std::move(answer));
+}
+
+void PlatformService::HandleWrite(const Exchange& aExchange,
+                                  const std::string& aName)
+{
+  const StandinRequest& request = aExchange->Request();
+  const bool isPut = request.method == "PUT";
+  if (!this->Count(isPut ? "put" : "delete", this->writes)) {
+    aExchange->Answer(TextAnswer(kTooManyRequests, {}));
+    return;
+  }
+  if (request.body.size() > this->switches.maxValueBytes) {
+    aExchange->Answer(TextAnswer(kTooLarge, {}));
+    return;
+  }
+  const auto result = this->Write(request, aName);
+  if (!result) {
+    aExchange->Answer(TextAnswer(kBadRequest, "wrong condition or value"));
+    return;
+  }
+  if (result->error) {
+    aExchange->Answer(AnswerOf(*result));
+    return;
+  }
+  if (this->switches.dropAnswerAfterWrite > 0) {
+    --this->switches.dropAnswerAfterWrite;
+    aExchange->Abort();
+  } else {
+    StandinAnswer answer = AnswerOf(*result);
+    answer.status = isPut && request.Header("if-none-match") == "*"
+                      ? kCreated
+                      : answer.status;
+    aExchange->Answer(std::move(answer));
+  }
+  this->AnswerWatches();
+}
+
+std::optional<WriteResult> PlatformService::Write(
+  const StandinRequest& aRequest,
+  const std::string& aName)
+{
+  const auto expected = ExpectedRevision(aRequest);
+  if (!expected || !IsUtf8(aName) || !IsUtf8(aRequest.body)) {
+    return std::nullopt;
+  }
+  return aRequest.method == "PUT"
+           ? this->table.Put(aName, aRequest.body, *expected)
+           : this->table.Remove(aName, *expected);
+}
+
+void PlatformService::HandleList(const Exchange& aExchange)
+{
+  if (!this->Count("list", this->reads)) {
+    aExchange->Answer(TextAnswer(kTooManyRequests, {}));
+    return;
+  }
+  const std::string prefix = aExchange->Request().Query("prefix");
+  aExchange->Answer(JsonAnswer(BodyOf(this->table.List(prefix))));
+}
+
+void PlatformService::HandleWatch(const Exchange& aExchange)
+{
+  const StandinRequest& request = aExchange->Request();
+  if (!this->Count("watch", this->reads)) {
+    aExchange->Answer(TextAnswer(kTooManyRequests, {}));
+    return;
+  }
+  const auto since = NumberOf(request.Query("since"));
+  const auto timeout = NumberOf(request.Query("timeout_ms"));
+  if (!since || !timeout) {
+    aExchange->Answer(TextAnswer(kBadRequest, "wrong since or timeout_ms"));
+    return;
+  }
+  this->waiters.push_back({ aExchange, request.Query("prefix"), *since });
+  // The hooks name the exchange only by its address, which stays in use while
+  // the waiter is listed.
+  const StandinExchange* key = aExchange.get();
+  aExchange->SetOnCallerLeft([this, key] {
+    const std::lock_guard lock(this->mutex);
+    this->EndWatch(key);
+  });
+  this->after(std::min<Millis>(*timeout, kLongestWatch), [this, aExchange] {
+    const std::lock_guard lock(this->mutex);
+    this->EndWatch(aExchange.get());
+  });
+  this->AnswerWatches();
+}
+
+void PlatformService::HandleSwitch(const Exchange& aExchange)
+{
+  SwitchActions actions;
+  const auto problem =
+    ReadSwitches(aExchange->Request().body, this->switches, actions);
+  if (problem) {
+    aExchange->Answer(TextAnswer(kBadRequest, *problem));
+    return;
+  }
+  this->reads.SetRate(this->switches.readsPerSecond);
+  this->writes.SetRate(this->switches.writesPerSecond);
+  if (!actions.save.empty()) {
+    this->table.Save(actions.save);
+  }
+  if (!actions.restore.empty() && !this->table.Restore(actions.restore)) {
+    aExchange->Answer(TextAnswer(kNotFound, "no saved state of that name"));
+    return;
+  }
+  if (actions.mustCompact) {
+    this->table.Compact();
+  }
+  if (this->switches.isDown) {
+    this->BreakWatches();
+  }
+  this->AnswerWatches();
+  aExchange->Answer(JsonAnswer("{}"));
+}
+
+bool PlatformService::Count(const std::string& aKind, TokenBucket& aBucket)
+{
+  ++this->calls[aKind];
+  if (aBucket.Take()) {
+    return true;
+  }
+  ++this->calls["throttled"];
+  return false;
+}
+
+void PlatformService::AnswerWatches()
+{
+  std::erase_if(this->waiters, [this](const Waiter& aWaiter) {
+    const auto changes = this->table.Changes(aWaiter.prefix, aWaiter.since);
+    if (!changes) {
+      aWaiter.exchange->Answer(TextAnswer(kGone, {}));
+      return true;
+    }
+    if (changes.value().objects.empty()) {
+      return false;
+    }
+    aWaiter.exchange->Answer(JsonAnswer(BodyOf(changes.value())));
+    return true;
+  });
+}
+
+void PlatformService::EndWatch(const StandinExchange* aExchange)
+{
+  const auto waiter =
+    std::ranges::find_if(this->waiters, [aExchange](const Waiter& aWaiter) {
+      return aWaiter.exchange.get() == aExchange;
+    });
+  if (waiter == this->waiters.end()) {
+    return;
+  }
+  ObjectList nothing;
+  nothing.revision = this->table.Revision();
+  waiter->exchange->Answer(JsonAnswer(BodyOf(nothing)));
+  this->waiters.erase(waiter);
+}
+
+void PlatformService::BreakWatches()
+{
+  for (const Waiter& waiter : this->waiters) {
+    waiter.exchange->Abort();
+  }
+  this->waiters.clear();
+}
+
+std::string PlatformService::CallsAsJson() const
+{
+  Json counts{ { "get", 0 },  { "put", 0 },   { "delete", 0 },
+               { "list", 0 }, { "watch", 0 }, { "throttled", 0 } };
+  for (const auto& [kind, count] : this->calls) {
+    counts[kind] = count;
+  }
+  counts["waiting"] = this->waiters.size();
+  return counts.dump();
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/standins/testkit/platformstandin.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "platform/httpobjectstore.h"
+#include "testkit/process.h"
+
+#include <string>
+
+namespace lacewingwharf {
+
+/** A running lww-platform for one test. */
+class PlatformStandin
+{
+public:
+  explicit PlatformStandin(const std::vector<std::string>& aOptions = {});
+
+  std::string Url() const;
+  HttpStoreConfig StoreConfig() const;
+  ChildProcess& Process();
+
+  /** Posts to /v1/test/switch; false unless it was accepted. */
+  bool Switch(const std::string& aJson) const;
+
+  /** A number of /v1/test/calls, or -1. */
+  int Calls(const std::string& aKind) const;
+
+private:
+  std::uint16_t port;
+  ChildProcess process;
+};
+
+inline ChildProcess& PlatformStandin::Process()
+{
+  return this->process;
+}
+
+} // namespace lacewingwharf
