--- a/src/catalogue/snapshot.h
+++ b/src/catalogue/snapshot.h
@@ -2,11 +2,13 @@
 
 #include "catalogue/entry.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace lacewingwharf {
@@ -14,7 +16,10 @@
 class Snapshot;
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
 
-/** An entry with the text and platform revision it was accepted at. */
+/**
+ * An entry with the text and platform revision it was accepted at. Revision 0
+ * marks an entry that a store restored to an older state no longer has.
+ */
 struct AcceptedEntry
 {
   Entry entry;
@@ -62,14 +67,33 @@
   /** The owner entry that limits aOwner, or null. */
   const Entry* OwnerLimits(std::string_view aOwner) const;
 
+  /** Highest platform revision of any entry; 0 when there is none. */
+  std::int64_t HighestRevision() const;
+
 private:
+  /** Lets lookups take a string_view without making a string. */
+  struct TextHash
+  {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view aText) const;
+  };
+
+  template<typename Value>
+  using ByText =
+    std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
+
+  using ByMethod = std::array<const Entry*, kHttpMethodNames.Rows().size()>;
+
   Snapshot() = default;
 
+  void Index();
+  void IndexRoute(const Entry& aRoute);
+
   VersionStamp stamp;
   std::uint64_t contentHash = 0;
   AcceptedEntries entries;
-  std::multimap<std::string, const Entry*, std::less<>> routesByPath;
-  std::map<std::string, const Entry*, std::less<>> ownerLimits;
+  ByText<ByMethod> routesByPath;
+  ByText<const Entry*> ownerLimits;
 };
 
 inline std::int64_t Snapshot::Version() const
--- /dev/null
+++ b/src/distribution/acceptor.cpp
@@ -0,0 +1,107 @@
+#include "distribution/acceptor.h"
+
+#include "catalogue/validation.h"
+#include "distribution/edits.h"
+
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+/**
+ * Version numbers of a new epoch start at the next multiple of this. A daemon
+ * that missed the last versions of the old epoch and one that has them then
+ * choose the same number, so that the create-only write lets one of them win,
+ * and no number of the old epoch is used again with other content.
+ */
+constexpr std::int64_t kEpochVersionStep = 1024;
+
+/**
+ * The group to give up for a conflict. A deleted service is kept while a route
+ * names it, since calls on that route would fail. Of two entries with the same
+ * match the later edit loses.
+ */
+EditGroup* GroupToReject(Edits& aEdits, const Conflict& aConflict)
+{
+  EditGroup* const group = aEdits.StandingGroupOf(aConflict.entry);
+  EditGroup* const other = aEdits.StandingGroupOf(aConflict.other);
+  if (group == nullptr || other == nullptr) {
+    return group == nullptr ? other : group;
+  }
+  const Edit& edit = *aEdits.StandingEdit(aConflict.entry);
+  const Edit& otherEdit = *aEdits.StandingEdit(aConflict.other);
+  if (aConflict.code == CatalogueErrorCode::DanglingReference) {
+    return otherEdit.value ? group : other;
+  }
+  return edit.revision >= otherEdit.revision ? group : other;
+}
+
+/** True when a group was rejected; then the result must be checked again. */
+bool RejectOneConflict(Edits& aEdits, const AcceptedEntries& aEntries)
+{
+  for (const Conflict& conflict : FindConflicts(aEntries)) {
+    EditGroup* const group = GroupToReject(aEdits, conflict);
+    if (group != nullptr) {
+      aEdits.Reject(*group, conflict.code, conflict.detail);
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+Decision DecideNext(const Snapshot& aHeld, const ObjectList& aCatalogue)
+{
+  Edits edits(aHeld, aCatalogue);
+  AcceptedEntries entries = edits.Apply();
+  // Each step rejects one group, so this ends.
+  while (RejectOneConflict(edits, entries)) {
+    entries = edits.Apply();
+  }
+  Decision decision;
+  if (edits.HasStandingEdits()) {
+    VersionStamp stamp = aHeld.Stamp();
+    ++stamp.version;
+    auto next = Snapshot::Build(stamp, std::move(entries));
+    if (next) {
+      decision.next = std::move(next).assume_value();
+      decision.delta = DeltaBetween(aHeld, *decision.next);
+    }
+  }
+  decision.rejections = edits.TakeRejections();
+  return decision;
+}
+
+Decision DecideNextEpoch(const Snapshot& aHeld, const ObjectList& aCatalogue)
+{
+  AcceptedEntries entries;
+  for (const auto& [name, accepted] : aHeld.Entries()) {
+    AcceptedEntry lost = *accepted;
+    lost.revision = 0;
+    entries[name] = std::make_shared<const AcceptedEntry>(std::move(lost));
+  }
+  for (const StoredObject& object : aCatalogue.objects) {
+    const std::string name = object.name.substr(kCataloguePrefix.size());
+    const auto found = entries.find(name);
+    if (found != entries.end()) {
+      AcceptedEntry present = *found->second;
+      present.revision = object.revision;
+      found->second = std::make_shared<const AcceptedEntry>(std::move(present));
+    }
+  }
+  VersionStamp stamp = aHeld.Stamp();
+  stamp.version = (stamp.version / kEpochVersionStep + 1) * kEpochVersionStep;
+  ++stamp.storeEpoch;
+  stamp.floorRevision = aCatalogue.revision;
+  Decision decision;
+  auto next = Snapshot::Build(stamp, std::move(entries));
+  if (next) {
+    decision.next = std::move(next).assume_value();
+    decision.delta = WholeOf(*decision.next);
+  }
+  return decision;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/distribution/edits.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "distribution/acceptor.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+/** One entry that is to be replaced or removed. */
+struct Edit
+{
+  std::string name;
+  std::int64_t revision = 0;
+  std::shared_ptr<const AcceptedEntry> value; // Null for a deletion.
+};
+
+/** Edits that are accepted together or not at all. */
+struct EditGroup
+{
+  std::vector<Edit> edits;
+  bool isRejected = false;
+};
+
+/** The edits between a snapshot and the listed catalogue. */
+class Edits
+{
+public:
+  Edits(const Snapshot& aHeld, const ObjectList& aCatalogue);
+
+  /** The held entries with all edits applied that are not rejected. */
+  AcceptedEntries Apply() const;
+
+  /** Null when the entry has no edit that still stands. */
+  EditGroup* StandingGroupOf(const std::string& aName);
+  const Edit* StandingEdit(const std::string& aName);
+
+  /** Rejects a whole group and notes the reason for each of its edits. */
+  void Reject(EditGroup& aGroup, CatalogueErrorCode aCode, std::string aReason);
+
+  bool HasStandingEdits() const;
+
+  std::vector<Rejection> TakeRejections();
+
+private:
+  void ReadObject(const StoredObject& aObject);
+  void AddEdit(const std::string& aName, Edit aEdit);
+  void AddDeletions(const ObjectList& aCatalogue);
+  void CheckChangeSets();
+
+  const Snapshot& held;
+  std::map<std::string, std::int64_t, std::less<>> listed; // Revisions.
+  std::map<std::string, int> listedSetSizes;
+  std::vector<EditGroup> groups;
+  std::map<std::string, std::size_t> groupOfEntry;
+  std::map<std::string, std::size_t> groupOfChangeSet;
+  std::vector<Rejection> rejections;
+};
+
+} // namespace lacewingwharf
