Add the distributor, the acceptor role and fetches

Cause: accepted versions had no way from the platform to the daemons.

Change: the acceptor's round runs as one platform job: it reads the catalogue after the held version is fixed, decides, and writes accepted/N+1 create-only. The distributor pushes along the tree, fetches by gossip, answers fetches and applies the start rule.

Conclusion: compiles; not yet tested.

--- /dev/null
+++ b/src/distribution/acceptancestatus.cpp
@@ -0,0 +1,78 @@
+#include "distribution/acceptancestatus.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string_view>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr std::string_view kStatusPrefix = "status/";
+constexpr std::string_view kAcceptanceSuffix = "/acceptance";
+
+// The store handles several hundred writes a second for the whole fleet.
+constexpr int kMaxWritesPerJob = 20;
+
+} // namespace
+
+std::string EncodeRejection(const Rejection& aRejection)
+{
+  const nlohmann::json object{ { "entry", aRejection.entry },
+                               { "revision", aRejection.revision },
+                               { "code",
+                                 kCatalogueErrorNames.NameOf(aRejection.code) },
+                               { "reason", aRejection.reason } };
+  return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string AcceptanceName(const std::string& aEntry)
+{
+  return std::string(kStatusPrefix) + aEntry + std::string(kAcceptanceSuffix);
+}
+
+PlatformResult<AcceptanceTexts> ReadAcceptanceStatus(const ObjectStore& aStore)
+{
+  const auto list = aStore.list(std::string(kStatusPrefix));
+  if (!list) {
+    return list.assume_error();
+  }
+  AcceptanceTexts texts;
+  for (const StoredObject& object : list.assume_value().objects) {
+    if (object.name.ends_with(kAcceptanceSuffix)) {
+      const std::size_t length =
+        object.name.size() - kStatusPrefix.size() - kAcceptanceSuffix.size();
+      texts[object.name.substr(kStatusPrefix.size(), length)] = object.value;
+    }
+  }
+  return texts;
+}
+
+AcceptanceTexts WriteAcceptanceStatus(const ObjectStore& aStore,
+                                      AcceptanceTexts aOld,
+                                      const AcceptanceTexts& aWanted)
+{
+  AcceptanceTexts present = aOld;
+  int writes = 0;
+  for (const auto& [entry, text] : aWanted) {
+    const auto old = aOld.find(entry);
+    const bool isSame = old != aOld.end() && old->second == text;
+    if (!isSame && writes++ < kMaxWritesPerJob &&
+        aStore.put(AcceptanceName(entry), text, kAnyRevision)) {
+      present[entry] = text;
+    }
+  }
+  for (const auto& [entry, text] : aOld) {
+    if (aWanted.contains(entry) || writes++ >= kMaxWritesPerJob) {
+      continue;
+    }
+    const auto removed = aStore.remove(AcceptanceName(entry), kAnyRevision);
+    if (removed || removed.assume_error().code == PlatformErrorCode::NotFound) {
+      present.erase(entry);
+    }
+  }
+  return present;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/distribution/acceptancestatus.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "distribution/acceptor.h"
+
+#include <map>
+#include <string>
+
+namespace lacewingwharf {
+
+/** Status texts by entry name. */
+using AcceptanceTexts = std::map<std::string, std::string>;
+
+/** The JSON text of status/NAME/acceptance. */
+std::string EncodeRejection(const Rejection& aRejection);
+
+std::string AcceptanceName(const std::string& aEntry);
+
+/** Every status/NAME/acceptance in the store. Blocks. */
+PlatformResult<AcceptanceTexts> ReadAcceptanceStatus(const ObjectStore& aStore);
+
+/**
+ * Writes and removes what differs, at most 20 objects. Returns what the store
+ * has afterwards, so that the rest is tried again. Blocks.
+ */
+AcceptanceTexts WriteAcceptanceStatus(const ObjectStore& aStore,
+                                      AcceptanceTexts aOld,
+                                      const AcceptanceTexts& aWanted);
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/distribution/acceptorrole.cpp
@@ -0,0 +1,252 @@
+#include "distribution/acceptorrole.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+#include "distribution/acceptancestatus.h"
+#include "distribution/acceptedchain.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("acceptor");
+
+// A watch that fails without notice then delays a change by no more than the
+// 12 s in which it has to be in force.
+constexpr Millis kRoundInterval = 9000;
+
+constexpr Millis kFirstBackoff = 200;
+constexpr Millis kLongestBackoff = 2000;
+
+// Time for gossip to bring versions that are newer than the held one, before
+// an older store makes this daemon start a new epoch from what it holds.
+constexpr Millis kEpochDelay = 3000;
+
+constexpr std::int64_t kVersionsPerSnapshot = 64;
+
+constexpr Millis kSideJobDelay = 1000;
+
+} // namespace
+
+AcceptorRole::AcceptorRole(std::string aHost,
+                           Clock aClock,
+                           Random aRandom,
+                           AcceptorHooks aHooks)
+  : host(std::move(aHost))
+  , clock(std::move(aClock))
+  , random(std::move(aRandom))
+  , hooks(std::move(aHooks))
+{
+}
+
+void AcceptorRole::SetActive(bool aIsActive)
+{
+  if (aIsActive == this->isActive) {
+    return;
+  }
+  this->isActive = aIsActive;
+  kLog.Info("{} {} the acceptor role", this->host, aIsActive ? "has" : "left");
+  this->snapshotVersion = this->hooks.held()->Version();
+  this->restoredSince = 0;
+  // Another acceptor may have written status in the meantime.
+  this->isStatusLoaded = false;
+  this->isDecided = false;
+  this->rejections.clear();
+  this->RequestRound();
+}
+
+void AcceptorRole::RequestRound()
+{
+  this->nextRound = 0;
+}
+
+bool AcceptorRole::Submit(PlatformJob aJob)
+{
+  // The completion may come after this object is gone.
+  const std::weak_ptr<bool> guard = this->alive;
+  this->isBusy = true; // Before submit, which may run the job at once.
+  const bool isSubmitted = this->hooks.submit(
+    [guard, job = std::move(aJob)](const ObjectStore& aStore) -> Completion {
+      return [guard, end = job(aStore)] {
+        if (!guard.expired()) {
+          end();
+        }
+      };
+    });
+  if (!isSubmitted) {
+    this->isBusy = false;
+  }
+  return isSubmitted;
+}
+
+void AcceptorRole::Tick()
+{
+  if (!this->isActive || this->isBusy) {
+    return;
+  }
+  const Millis now = this->clock.Now();
+  if (now >= this->nextRound) {
+    this->StartRound();
+  } else if (now < this->nextSideJob) {
+    return;
+  } else if (this->IsSnapshotDue()) {
+    this->StartSnapshot();
+  } else if (!this->isDecided) {
+    return;
+  } else if (!this->isStatusLoaded) {
+    this->LoadStatus();
+  } else if (this->WantedStatus() != this->writtenStatus) {
+    this->StartStatus();
+  }
+}
+
+void AcceptorRole::StartRound()
+{
+  const Millis now = this->clock.Now();
+  RoundInput input;
+  input.held = this->hooks.held();
+  input.writer = this->host;
+  input.nonce = HexOf(this->random());
+  input.mayStartEpoch =
+    this->restoredSince > 0 && now >= this->restoredSince + kEpochDelay;
+  this->nextRound = now + kRoundInterval;
+  const bool isSubmitted =
+    this->Submit([this, input](const ObjectStore& aStore) -> Completion {
+      return [this, outcome = RunAcceptorRound(aStore, input)] {
+        this->EndRound(outcome);
+      };
+    });
+  if (!isSubmitted) {
+    this->Retry(kFirstBackoff);
+  }
+}
+
+void AcceptorRole::EndRound(const RoundOutcome& aOutcome)
+{
+  this->isBusy = false;
+  if (aOutcome.result == RoundResult::Failed) {
+    this->backoff =
+      std::clamp(this->backoff * 2, kFirstBackoff, kLongestBackoff);
+    kLog.Warning("round failed: {}", aOutcome.detail);
+    this->Retry(this->backoff);
+    return;
+  }
+  this->backoff = 0;
+  this->NoteRestored(aOutcome.result);
+  this->TakeDeltas(aOutcome);
+  if (aOutcome.isDecided) {
+    this->isDecided = true;
+    this->rejections = aOutcome.rejections;
+  }
+  if (aOutcome.result == RoundResult::Adopted) {
+    this->Retry(0);
+  }
+}
+
+void AcceptorRole::NoteRestored(RoundResult aResult)
+{
+  if (aResult != RoundResult::Restored) {
+    this->restoredSince = 0;
+    return;
+  }
+  if (this->restoredSince == 0) {
+    this->restoredSince = std::max<Millis>(this->clock.Now(), 1);
+    kLog.Warning("the store is older than the held version {}; a new store "
+                 "epoch starts in {} ms",
+                 this->hooks.held()->Version(),
+                 kEpochDelay);
+  }
+  this->Retry(kEpochDelay);
+}
+
+void AcceptorRole::TakeDeltas(const RoundOutcome& aOutcome)
+{
+  for (const Delta& delta : aOutcome.deltas) {
+    kLog.Info("version {} {} {}: {} changed, {} removed, {} edits rejected",
+              delta.stamp.version,
+              kRoundResultNames.NameOf(aOutcome.result),
+              aOutcome.detail,
+              delta.changed.size(),
+              delta.removed.size(),
+              aOutcome.rejections.size());
+    this->hooks.offer(delta);
+  }
+}
+
+void AcceptorRole::Retry(Millis aDelay)
+{
+  const Millis jitter =
+    aDelay == 0 ? 0
+                : static_cast<Millis>(RandomBelow(
+                    this->random, static_cast<std::uint64_t>(aDelay) / 4 + 1));
+  this->nextRound = this->clock.Now() + aDelay + jitter;
+}
+
+bool AcceptorRole::IsSnapshotDue() const
+{
+  return this->hooks.held()->Version() / kVersionsPerSnapshot >
+         this->snapshotVersion / kVersionsPerSnapshot;
+}
+
+void AcceptorRole::StartSnapshot()
+{
+  const SnapshotPtr held = this->hooks.held();
+  this->nextSideJob = this->clock.Now() + kSideJobDelay;
+  this->Submit(
+    [this, held, writer = this->host](const ObjectStore& aStore) -> Completion {
+      return [this, held, result = WriteSnapshot(aStore, *held, writer)] {
+        this->isBusy = false;
+        if (result) {
+          this->snapshotVersion = held->Version();
+          kLog.Info("snapshot {} written; {} accepted versions removed",
+                    held->Version(),
+                    result.assume_value().accepted);
+        } else {
+          kLog.Warning("snapshot {} failed: {}",
+                       held->Version(),
+                       result.assume_error().detail);
+        }
+      };
+    });
+}
+
+AcceptorRole::StatusTexts AcceptorRole::WantedStatus() const
+{
+  StatusTexts wanted;
+  for (const Rejection& rejection : this->rejections) {
+    wanted[rejection.entry] = EncodeRejection(rejection);
+  }
+  return wanted;
+}
+
+void AcceptorRole::LoadStatus()
+{
+  this->nextSideJob = this->clock.Now() + kSideJobDelay;
+  this->Submit([this](const ObjectStore& aStore) -> Completion {
+    return [this, result = ReadAcceptanceStatus(aStore)] {
+      this->isBusy = false;
+      if (result) {
+        this->isStatusLoaded = true;
+        this->nextSideJob = 0;
+        this->writtenStatus = result.assume_value();
+      }
+    };
+  });
+}
+
+void AcceptorRole::StartStatus()
+{
+  this->nextSideJob = this->clock.Now() + kSideJobDelay;
+  this->Submit([this, wanted = this->WantedStatus(), old = this->writtenStatus](
+                 const ObjectStore& aStore) -> Completion {
+    return [this, written = WriteAcceptanceStatus(aStore, old, wanted)] {
+      this->isBusy = false;
+      this->writtenStatus = written;
+    };
+  });
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/distribution/distributor.cpp
@@ -0,0 +1,368 @@
+#include "distribution/distributor.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+#include "distribution/pushtree.h"
+#include "distribution/wireconversion.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("distribution");
+
+// Ordering all members costs more than anything else in Tick().
+constexpr Millis kDutyInterval = 500;
+
+// Gossip usually reports a new version while its push is still on the way.
+constexpr Millis kFetchJitter = 250;
+
+// The feeders' share of startwait in which the platform is asked is spread,
+// so that a region that restarts does not ask all at once.
+constexpr Millis kPlatformAskShare = 4;
+
+Millis PlatformDelay(const Random& aRandom, Millis aStartWait)
+{
+  const Millis bound = std::max<Millis>(aStartWait / kPlatformAskShare, 1);
+  return static_cast<Millis>(
+    RandomBelow(aRandom, static_cast<std::uint64_t>(bound)));
+}
+
+std::optional<int> RankOf(const std::vector<std::string>& aOrder,
+                          const std::string& aHost,
+                          int aCount)
+{
+  const auto found = std::ranges::find(aOrder, aHost);
+  const auto rank = static_cast<int>(found - aOrder.begin());
+  if (found == aOrder.end() || rank >= aCount) {
+    return std::nullopt;
+  }
+  return rank;
+}
+
+wire::Envelope FetchEnvelope(std::int64_t aHeld)
+{
+  wire::ConfigFetch fetch;
+  fetch.held = aHeld;
+  wire::Envelope envelope;
+  envelope.__set_configFetch(fetch);
+  return envelope;
+}
+
+} // namespace
+
+Distributor::Distributor(DistributorConfig aConfig,
+                         Clock aClock,
+                         Random aRandom,
+                         DistributorHooks aHooks)
+  : config(std::move(aConfig))
+  , clock(std::move(aClock))
+  , random(std::move(aRandom))
+  , hooks(std::move(aHooks))
+  , holder(this->config.keptDeltas)
+  , acceptor(
+      this->config.host,
+      this->clock,
+      this->random,
+      { this->hooks.submit,
+        [this] { return this->Held(); },
+        [this](const Delta& aDelta) { this->Offer(aDelta, "own acceptor"); } })
+  , fetchPlan(this->clock, this->random)
+  , fetchServer(this->clock, this->config.maxWholeTransfers)
+  , feederPush(this->clock)
+  , startRule(this->clock, this->config.startWait)
+  , platformDueAt(this->clock.Now() +
+                  PlatformDelay(this->random, this->config.startWait))
+{
+}
+
+void Distributor::Tick()
+{
+  if (this->clock.Now() >= this->dutiesDueAt) {
+    this->RefreshDuties();
+  }
+  if (!this->isStartOver) {
+    this->TickStart();
+  }
+  this->TickFetch();
+  this->TickPush();
+  this->TickAcceptor();
+}
+
+void Distributor::RefreshDuties()
+{
+  this->dutiesDueAt = this->clock.Now() + kDutyInterval;
+  this->members = this->hooks.domainMembers();
+  std::ranges::sort(this->members);
+  const auto rank =
+    RankOf(RendezvousOrder("feeder/" + this->config.domain, this->members),
+           this->config.host,
+           this->config.feeders);
+  if (rank.has_value() != this->feederRank.has_value()) {
+    kLog.Info("{} {} a feeder of {}",
+              this->config.host,
+              rank ? "is" : "is no longer",
+              this->config.domain);
+  }
+  this->feederRank = rank;
+  const auto order =
+    RendezvousOrder("acceptor", this->hooks.acceptorCandidates());
+  this->isAcceptor = !order.empty() && order.front() == this->config.host;
+}
+
+bool Distributor::IsBehind() const
+{
+  return this->fetchPlan.NewestSeen() > this->Held()->Version();
+}
+
+void Distributor::TickStart()
+{
+  this->AskPeers(this->members);
+  this->AskPeers(this->hooks.acceptorCandidates());
+  if (!this->isPlatformAsked && this->clock.Now() >= this->platformDueAt) {
+    this->isPlatformAsked = true;
+    this->AskPlatform();
+  }
+  this->isStartOver = this->startRule.IsOver(this->IsBehind());
+  if (this->isStartOver) {
+    kLog.Info("start is over with version {}", this->Held()->Version());
+  }
+}
+
+void Distributor::AskPeers(const std::vector<std::string>& aHosts)
+{
+  if (aHosts.empty()) {
+    return;
+  }
+  // A start at random spreads the questions over the members.
+  const std::size_t first = RandomBelow(this->random, aHosts.size());
+  for (std::size_t step = 0; step < aHosts.size(); ++step) {
+    const std::string& host = aHosts[(first + step) % aHosts.size()];
+    if (host == this->config.host) {
+      continue;
+    }
+    if (!this->startRule.Ask(host)) {
+      return;
+    }
+    this->hooks.send(host, FetchEnvelope(kVersionQuery));
+  }
+}
+
+void Distributor::AskPlatform()
+{
+  const std::weak_ptr<bool> guard = this->alive;
+  const std::int64_t held = this->Held()->Version();
+  this->hooks.submit([this, guard, held](const ObjectStore& aStore) {
+    return Completion([this, guard, read = ReadChain(aStore, held)] {
+      if (!guard.expired()) {
+        this->PlatformAnswered(read);
+      }
+    });
+  });
+}
+
+void Distributor::PlatformAnswered(const PlatformResult<ChainRead>& aRead)
+{
+  if (!aRead) {
+    kLog.Warning("the platform did not answer: {} {}",
+                 kPlatformErrorNames.NameOf(aRead.assume_error().code),
+                 aRead.assume_error().detail);
+    return;
+  }
+  this->startRule.PlatformAnswered();
+  for (const Delta& delta : aRead.assume_value().deltas) {
+    this->Offer(delta, "platform");
+  }
+}
+
+OfferOutcome Distributor::Offer(const Delta& aDelta, std::string_view aSource)
+{
+  const OfferOutcome outcome = this->holder.Offer(aDelta);
+  if (outcome == OfferOutcome::Refused) {
+    this->fetchPlan.WantWhole();
+  }
+  if (outcome != OfferOutcome::Taken) {
+    kLog.Debug("version {} from {}: {}",
+               aDelta.stamp.version,
+               aSource,
+               kOfferOutcomeNames.NameOf(outcome));
+    return outcome;
+  }
+  kLog.Info("{} holds version {} from {}",
+            this->config.host,
+            aDelta.stamp.version,
+            aSource);
+  this->fetchPlan.Progressed();
+  this->hooks.onHeld(this->Held());
+  return outcome;
+}
+
+void Distributor::TickFetch()
+{
+  const auto request = this->fetchPlan.TakeDue(this->Held()->Version());
+  if (request) {
+    kLog.Debug("fetch from {} after version {}", request->host, request->held);
+    this->hooks.send(request->host, FetchEnvelope(request->held));
+  }
+}
+
+void Distributor::TickPush()
+{
+  for (const wire::ConfigBody& body : this->feederPush.TakeDue()) {
+    this->Push(body, this->config.host);
+  }
+}
+
+void Distributor::TickAcceptor()
+{
+  this->acceptor.SetActive(this->isAcceptor);
+  // An acceptor that knows of a newer version would publish from an old base.
+  if (this->isStartOver && !this->IsBehind()) {
+    this->acceptor.Tick();
+  }
+}
+
+void Distributor::Push(const wire::ConfigBody& aBody, const std::string& aRoot)
+{
+  if (!this->feederPush.ShouldPassOn(aRoot, aBody.version)) {
+    return;
+  }
+  wire::ConfigPush push;
+  push.root = aRoot;
+  push.body = aBody;
+  wire::Envelope envelope;
+  envelope.__set_configPush(push);
+  for (const std::string& child : PushTreeChildren(
+         this->members, aRoot, this->config.host, this->config.fanout)) {
+    this->hooks.send(child, envelope);
+  }
+}
+
+void Distributor::HandlePush(const std::string& aFromHost,
+                             const wire::ConfigPush& aPush)
+{
+  const auto delta = FromWire(aPush.body);
+  if (!delta) {
+    kLog.Error("push from {}: {}", aFromHost, delta.assume_error().detail);
+    return;
+  }
+  const OfferOutcome outcome = this->Offer(delta.assume_value(), aFromHost);
+  if (outcome == OfferOutcome::Refused) {
+    this->fetchPlan.Noticed(aFromHost, aPush.body.version, kFetchJitter);
+    return;
+  }
+  this->feederPush.Arrived(aPush.body.version);
+  if (outcome == OfferOutcome::NeedsFetch) {
+    this->fetchPlan.Noticed(aFromHost, aPush.body.version, 0);
+  }
+  // Members below this one may have the base that this one lacks, and a
+  // second feeder's tree reaches them by another way.
+  if (aPush.body.version >= this->Held()->Version()) {
+    this->Push(aPush.body, aPush.root);
+  }
+}
+
+void Distributor::HandleFetch(SessionId aSession,
+                              const std::string& aFromHost,
+                              const wire::ConfigFetch& aFetch)
+{
+  if (aFetch.held != kVersionQuery) {
+    this->PeerVersion(aFromHost, aFetch.held);
+  }
+  wire::Envelope envelope;
+  envelope.__set_configAnswer(
+    this->fetchServer.Answer(this->holder, aFetch.held));
+  this->hooks.reply(aSession, std::move(envelope));
+}
+
+void Distributor::HandleAnswer(const std::string& aFromHost,
+                               const wire::ConfigAnswer& aAnswer)
+{
+  this->startRule.PeerAnswered(aFromHost);
+  this->fetchPlan.Answered();
+  for (const wire::ConfigBody& body : aAnswer.bodies) {
+    const auto delta = FromWire(body);
+    if (!delta) {
+      kLog.Error("answer from {}: {}", aFromHost, delta.assume_error().detail);
+      break;
+    }
+    if (this->Offer(delta.assume_value(), aFromHost) ==
+        OfferOutcome::NeedsFetch) {
+      this->fetchPlan.WantWhole();
+    }
+  }
+  if (aAnswer.held <= this->Held()->Version()) {
+    return;
+  }
+  this->fetchPlan.Noticed(
+    aFromHost, aAnswer.held, this->isStartOver ? kFetchJitter : 0);
+  if (aAnswer.retryAfterMillis > 0) {
+    this->fetchPlan.Postpone(aAnswer.retryAfterMillis);
+  }
+}
+
+void Distributor::PeerVersion(const std::string& aHost, std::int64_t aVersion)
+{
+  if (aVersion > this->Held()->Version()) {
+    this->fetchPlan.Noticed(
+      aHost, aVersion, this->isStartOver ? kFetchJitter : 0);
+  }
+}
+
+void Distributor::TakeAccepted(const Delta& aDelta, bool aIsFullList)
+{
+  const OfferOutcome outcome = this->Offer(aDelta, "platform");
+  if (outcome == OfferOutcome::NeedsFetch) {
+    this->AskPlatform();
+  }
+  // A full list repeats old versions; only what is new goes to the members.
+  const bool isNews = outcome == OfferOutcome::Taken || !aIsFullList;
+  if (this->feederRank && isNews && outcome != OfferOutcome::Refused) {
+    this->feederPush.Add(ToWire(aDelta), *this->feederRank);
+  }
+}
+
+void Distributor::AcceptedChanged(const PlatformResult<ObjectList>& aResult,
+                                  bool aIsFullList)
+{
+  if (!aResult) {
+    kLog.Warning("accepted versions cannot be read: {} {}",
+                 kPlatformErrorNames.NameOf(aResult.assume_error().code),
+                 aResult.assume_error().detail);
+    return;
+  }
+  this->startRule.PlatformAnswered();
+  std::int64_t newest = 0;
+  for (const AcceptedObject& object : DecodeList(aResult.assume_value())) {
+    newest = object.delta.stamp.version;
+    this->TakeAccepted(object.delta, aIsFullList);
+  }
+  const bool isOlder = aIsFullList && newest < this->Held()->Version();
+  if (isOlder && !this->isStoreOlder) {
+    kLog.Warning("the store's newest version is {}, held is {}",
+                 newest,
+                 this->Held()->Version());
+    this->acceptor.RequestRound();
+  }
+  this->isStoreOlder = isOlder;
+  this->TickPush();
+}
+
+void Distributor::CatalogueChanged(const PlatformResult<ObjectList>& aResult,
+                                   bool /*aIsFullList*/)
+{
+  if (!aResult) {
+    kLog.Warning("the catalogue cannot be read: {} {}",
+                 kPlatformErrorNames.NameOf(aResult.assume_error().code),
+                 aResult.assume_error().detail);
+    return;
+  }
+  // The round reads the catalogue again, after the held version is fixed.
+  this->acceptor.RequestRound();
+  this->TickAcceptor();
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/distribution/distributor.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "distribution/acceptedchain.h"
+#include "distribution/acceptorrole.h"
+#include "distribution/feederpush.h"
+#include "distribution/fetchplan.h"
+#include "distribution/fetchserver.h"
+#include "distribution/startrule.h"
+#include "distribution/versionholder.h"
+#include "peer/peernetwork.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+struct DistributorConfig
+{
+  std::string host;
+  std::string domain;
+  std::string region;
+  std::string platformRegion;
+  int feeders = 2;
+  int fanout = 8;
+  Millis startWait = 2000;
+  std::size_t keptDeltas = 128;
+  int maxWholeTransfers = 2;
+};
+
+struct DistributorHooks
+{
+  std::function<void(const std::string& aHost, wire::Envelope)> send;
+  std::function<void(SessionId, wire::Envelope)> reply;
+
+  /** Live hosts of the own failure domain, including this one. */
+  std::function<std::vector<std::string>()> domainMembers;
+
+  /** Live hosts of the platform's region, or all when it has none. */
+  std::function<std::vector<std::string>()> acceptorCandidates;
+  SubmitPlatformJob submit;
+
+  /** Called on each change of the held snapshot. */
+  std::function<void(SnapshotPtr)> onHeld;
+};
+
+/**
+ * Keeps this daemon at the newest accepted version and passes it on: pushes
+ * along the tree, fetches and answers to fetches, the start rule and the
+ * duties of feeder and acceptor. Runs on the control thread.
+ */
+class Distributor
+{
+public:
+  Distributor(DistributorConfig aConfig,
+              Clock aClock,
+              Random aRandom,
+              DistributorHooks aHooks);
+
+  void Tick();
+
+  void HandlePush(const std::string& aFromHost, const wire::ConfigPush& aPush);
+  void HandleFetch(SessionId aSession,
+                   const std::string& aFromHost,
+                   const wire::ConfigFetch& aFetch);
+  void HandleAnswer(const std::string& aFromHost,
+                    const wire::ConfigAnswer& aAnswer);
+
+  /** To be called for each gossip datagram. */
+  void PeerVersion(const std::string& aHost, std::int64_t aVersion);
+
+  /** Results of a watch or a list of accepted/ and of catalogue/. */
+  void AcceptedChanged(const PlatformResult<ObjectList>& aResult,
+                       bool aIsFullList);
+  void CatalogueChanged(const PlatformResult<ObjectList>& aResult,
+                        bool aIsFullList);
+
+  bool IsFeeder() const;
+  bool IsAcceptor() const;
+  const SnapshotPtr& Held() const;
+
+  /** True when the held version may be served. */
+  bool IsReady() const;
+
+  /** Rejections of the last round; empty when not the acceptor. */
+  const std::vector<Rejection>& Rejections() const;
+
+private:
+  OfferOutcome Offer(const Delta& aDelta, std::string_view aSource);
+  void RefreshDuties();
+  void TickStart();
+  void AskPeers(const std::vector<std::string>& aHosts);
+  void AskPlatform();
+  void PlatformAnswered(const PlatformResult<ChainRead>& aRead);
+  void TickFetch();
+  void TickPush();
+  void TickAcceptor();
+  void Push(const wire::ConfigBody& aBody, const std::string& aRoot);
+  void TakeAccepted(const Delta& aDelta, bool aIsFullList);
+  bool IsBehind() const;
+
+  DistributorConfig config;
+  Clock clock;
+  Random random;
+  DistributorHooks hooks;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  VersionHolder holder;
+  AcceptorRole acceptor;
+  FetchPlan fetchPlan;
+  FetchServer fetchServer;
+  FeederPush feederPush;
+  StartRule startRule;
+  bool isStartOver = false;
+  bool isPlatformAsked = false;
+  Millis platformDueAt = 0;
+  Millis dutiesDueAt = 0;
+  std::vector<std::string> members; // Sorted; of the own failure domain.
+  std::optional<int> feederRank;
+  bool isAcceptor = false;
+  bool isStoreOlder = false;
+};
+
+inline bool Distributor::IsFeeder() const
+{
+  return this->feederRank.has_value();
+}
+
+inline bool Distributor::IsAcceptor() const
+{
+  return this->isAcceptor;
+}
+
+inline const SnapshotPtr& Distributor::Held() const
+{
+  return this->holder.Held();
+}
+
+inline bool Distributor::IsReady() const
+{
+  return this->isStartOver && this->Held()->Version() > 0;
+}
+
+inline const std::vector<Rejection>& Distributor::Rejections() const
+{
+  return this->acceptor.Rejections();
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/distribution/fetchserver.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "common/clock.h"
+#include "distribution/versionholder.h"
+#include "peer_types.h"
+
+#include <cstdint>
+#include <deque>
+#include <limits>
+
+namespace lacewingwharf {
+
+/** A ConfigFetch that asks only which version the peer holds. */
+inline constexpr std::int64_t kVersionQuery =
+  std::numeric_limits<std::int64_t>::max();
+
+/** Answers fetches, and limits the whole snapshots that are sent at once. */
+class FetchServer
+{
+public:
+  FetchServer(Clock aClock, int aMaxWholeTransfers);
+
+  wire::ConfigAnswer Answer(const VersionHolder& aHolder, std::int64_t aHeld);
+
+private:
+  bool TakeWholeSlot();
+
+  Clock clock;
+  std::size_t maxWhole;
+  std::deque<Millis> wholeEnds;
+
+  // Packing a whole snapshot costs more than sending it.
+  wire::ConfigBody packedWhole;
+};
+
+} // namespace lacewingwharf
