--- a/src/distribution/acceptor.cpp
+++ b/src/distribution/acceptor.cpp
@@ -3,6 +3,7 @@
 #include "catalogue/validation.h"
 #include "distribution/edits.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingwharf {
@@ -74,7 +75,9 @@
   return decision;
 }
 
-Decision DecideNextEpoch(const Snapshot& aHeld, const ObjectList& aCatalogue)
+Decision DecideNextEpoch(const Snapshot& aHeld,
+                         const ObjectList& aCatalogue,
+                         std::int64_t aFloor)
 {
   AcceptedEntries entries;
   for (const auto& [name, accepted] : aHeld.Entries()) {
@@ -87,14 +90,14 @@
     const auto found = entries.find(name);
     if (found != entries.end()) {
       AcceptedEntry present = *found->second;
-      present.revision = object.revision;
+      present.revision = std::min(object.revision, aFloor);
       found->second = std::make_shared<const AcceptedEntry>(std::move(present));
     }
   }
   VersionStamp stamp = aHeld.Stamp();
   stamp.version = (stamp.version / kEpochVersionStep + 1) * kEpochVersionStep;
   ++stamp.storeEpoch;
-  stamp.floorRevision = aCatalogue.revision;
+  stamp.floorRevision = aFloor;
   Decision decision;
   auto next = Snapshot::Build(stamp, std::move(entries));
   if (next) {
--- a/src/distribution/acceptorrole.cpp
+++ b/src/distribution/acceptorrole.cpp
@@ -112,6 +112,7 @@
   input.nonce = HexOf(this->random());
   input.mayStartEpoch =
     this->restoredSince > 0 && now >= this->restoredSince + kEpochDelay;
+  input.floorRevision = this->floorRevision;
   this->nextRound = now + kRoundInterval;
   const bool isSubmitted =
     this->Submit([this, input](const ObjectStore& aStore) -> Completion {
@@ -135,7 +136,7 @@
     return;
   }
   this->backoff = 0;
-  this->NoteRestored(aOutcome.result);
+  this->NoteRestored(aOutcome);
   this->TakeDeltas(aOutcome);
   if (aOutcome.isDecided) {
     this->isDecided = true;
@@ -146,14 +147,15 @@
   }
 }
 
-void AcceptorRole::NoteRestored(RoundResult aResult)
+void AcceptorRole::NoteRestored(const RoundOutcome& aOutcome)
 {
-  if (aResult != RoundResult::Restored) {
+  if (aOutcome.result != RoundResult::Restored) {
     this->restoredSince = 0;
     return;
   }
   if (this->restoredSince == 0) {
     this->restoredSince = std::max<Millis>(this->clock.Now(), 1);
+    this->floorRevision = aOutcome.revision;
     kLog.Warning("the store is older than the held version {}; a new store "
                  "epoch starts in {} ms",
                  this->hooks.held()->Version(),
--- a/src/distribution/acceptorrole.h
+++ b/src/distribution/acceptorrole.h
@@ -54,7 +54,7 @@
   bool Submit(PlatformJob aJob);
   void StartRound();
   void EndRound(const RoundOutcome& aOutcome);
-  void NoteRestored(RoundResult aResult);
+  void NoteRestored(const RoundOutcome& aOutcome);
   void TakeDeltas(const RoundOutcome& aOutcome);
   void Retry(Millis aDelay);
 
@@ -76,6 +76,7 @@
   Millis nextSideJob = 0;
   Millis backoff = 0;
   Millis restoredSince = 0;
+  std::int64_t floorRevision = 0; // When the restore was detected.
   std::int64_t snapshotVersion = 0;
   std::vector<Rejection> rejections;
   bool isDecided = false; // Whether rejections come from a round of its own.
--- a/src/distribution/acceptorround.cpp
+++ b/src/distribution/acceptorround.cpp
@@ -187,9 +187,11 @@
   if (!aInput.mayStartEpoch) {
     RoundOutcome outcome;
     outcome.result = RoundResult::Restored;
+    outcome.revision = aCatalogue.revision;
     return outcome;
   }
-  const Decision decision = DecideNextEpoch(*aInput.held, aCatalogue);
+  const Decision decision =
+    DecideNextEpoch(*aInput.held, aCatalogue, aInput.floorRevision);
   RoundOutcome outcome = Publish(aStore, aInput, *decision.delta);
   outcome.detail += " in a new store epoch";
   return outcome;
--- a/src/distribution/acceptorround.h
+++ b/src/distribution/acceptorround.h
@@ -31,6 +31,9 @@
   std::string writer;
   std::string nonce;
   bool mayStartEpoch = false;
+
+  /** The store's revision when the restore was detected. */
+  std::int64_t floorRevision = 0;
 };
 
 struct RoundOutcome
@@ -38,7 +41,8 @@
   RoundResult result = RoundResult::Failed;
   std::vector<Delta> deltas; // To be offered in this order.
   std::vector<Rejection> rejections;
-  bool isDecided = false; // Whether rejections is meaningful.
+  bool isDecided = false;    // Whether rejections is meaningful.
+  std::int64_t revision = 0; // Of the store, when it was found restored.
   std::string detail;
 };
 
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -20,8 +20,8 @@
 // Gossip usually reports a new version while its push is still on the way.
 constexpr Millis kFetchJitter = 250;
 
-// The feeders' share of startwait in which the platform is asked is spread,
-// so that a region that restarts does not ask all at once.
+// New processes ask the platform at a random time in this part of startwait,
+// so that the hosts of a region that restarts do not ask at once.
 constexpr Millis kPlatformAskShare = 4;
 
 Millis PlatformDelay(const Random& aRandom, Millis aStartWait)
@@ -153,19 +153,28 @@
 
 void Distributor::AskPlatform()
 {
+  if (this->isPlatformBusy) {
+    return;
+  }
+  this->isPlatformBusy = true; // Before submit, which may run the job at once.
   const std::weak_ptr<bool> guard = this->alive;
   const std::int64_t held = this->Held()->Version();
-  this->hooks.submit([this, guard, held](const ObjectStore& aStore) {
-    return Completion([this, guard, read = ReadChain(aStore, held)] {
-      if (!guard.expired()) {
-        this->PlatformAnswered(read);
-      }
+  const bool isSubmitted =
+    this->hooks.submit([this, guard, held](const ObjectStore& aStore) {
+      return Completion([this, guard, read = ReadChain(aStore, held)] {
+        if (!guard.expired()) {
+          this->PlatformAnswered(read);
+        }
+      });
     });
-  });
+  if (!isSubmitted) {
+    this->isPlatformBusy = false;
+  }
 }
 
 void Distributor::PlatformAnswered(const PlatformResult<ChainRead>& aRead)
 {
+  this->isPlatformBusy = false;
   if (!aRead) {
     kLog.Warning("the platform did not answer: {} {}",
                  kPlatformErrorNames.NameOf(aRead.assume_error().code),
@@ -282,7 +291,7 @@
                                const wire::ConfigAnswer& aAnswer)
 {
   this->startRule.PeerAnswered(aFromHost);
-  this->fetchPlan.Answered();
+  this->fetchPlan.Answered(aFromHost);
   for (const wire::ConfigBody& body : aAnswer.bodies) {
     const auto delta = FromWire(body);
     if (!delta) {
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -114,6 +114,7 @@
   StartRule startRule;
   bool isStartOver = false;
   bool isPlatformAsked = false;
+  bool isPlatformBusy = false;
   Millis platformDueAt = 0;
   Millis dutiesDueAt = 0;
   std::vector<std::string> members; // Sorted; of the own failure domain.
--- /dev/null
+++ b/src/distribution/fakestore.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "platform/objectstore.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+/**
+ * An object store in memory for tests. It can be down, lose the answer of a
+ * write that took effect, and be restored to an older state.
+ */
+class FakeStore
+{
+public:
+  using Objects = std::map<std::string, StoredObject>;
+
+  bool isDown = false;
+  int answersToLose = 0;           // Of the next writes under accepted/.
+  std::function<void()> beforePut; // Runs once before the next such write.
+  std::map<std::string, int> puts; // Successful writes by name.
+
+  ObjectStore Hooks()
+  {
+    return { [this](const std::string& aName) { return this->Get(aName); },
+             [this](const std::string& aName,
+                    const std::string& aValue,
+                    std::int64_t aExpected) {
+               return this->Put(aName, aValue, aExpected);
+             },
+             [this](const std::string& aName, std::int64_t) {
+               return this->Remove(aName);
+             },
+             [this](const std::string& aPrefix) { return this->List(aPrefix); },
+             [this](const std::string& aPrefix, std::int64_t aSince, Millis) {
+               return this->Watch(aPrefix, aSince);
+             } };
+  }
+
+  /** Writes as an operator does; the failure switches do not matter. */
+  void Edit(const std::string& aName, const std::string& aValue)
+  {
+    this->Write({ aName, 0, aValue, false });
+  }
+
+  void Erase(const std::string& aName) { this->Write({ aName, 0, "", true }); }
+
+  const Objects& All() const { return this->objects; }
+
+  /** Brings back an older state; the revision goes back with it. */
+  void Restore(const Objects& aObjects, std::int64_t aRevision)
+  {
+    this->objects = aObjects;
+    this->revision = aRevision;
+    this->events.clear();
+  }
+
+  std::int64_t Revision() const { return this->revision; }
+
+private:
+  static PlatformError Error(PlatformErrorCode aCode) { return { aCode, "" }; }
+
+  PlatformResult<StoredObject> Get(const std::string& aName)
+  {
+    if (this->isDown) {
+      return Error(PlatformErrorCode::TimedOut);
+    }
+    const auto found = this->objects.find(aName);
+    if (found == this->objects.end()) {
+      return Error(PlatformErrorCode::NotFound);
+    }
+    return found->second;
+  }
+
+  PlatformResult<std::int64_t> Put(const std::string& aName,
+                                   const std::string& aValue,
+                                   std::int64_t aExpected)
+  {
+    const bool isAccepted = aName.starts_with("accepted/");
+    if (isAccepted && this->beforePut) {
+      const auto hook = std::move(this->beforePut);
+      this->beforePut = nullptr;
+      hook();
+    }
+    if (this->isDown) {
+      return Error(PlatformErrorCode::Unreachable);
+    }
+    if (aExpected == kCreateOnly && this->objects.contains(aName)) {
+      return Error(PlatformErrorCode::Conflict);
+    }
+    ++this->puts[aName];
+    this->Write({ aName, 0, aValue, false });
+    if (isAccepted && this->answersToLose > 0) {
+      --this->answersToLose;
+      return Error(PlatformErrorCode::TimedOut);
+    }
+    return this->revision;
+  }
+
+  PlatformResult<std::int64_t> Remove(const std::string& aName)
+  {
+    if (this->isDown) {
+      return Error(PlatformErrorCode::Unreachable);
+    }
+    if (!this->objects.contains(aName)) {
+      return Error(PlatformErrorCode::NotFound);
+    }
+    this->Write({ aName, 0, "", true });
+    return this->revision;
+  }
+
+  PlatformResult<ObjectList> List(const std::string& aPrefix)
+  {
+    if (this->isDown) {
+      return Error(PlatformErrorCode::TimedOut);
+    }
+    ObjectList list{ this->revision, {} };
+    for (auto object = this->objects.lower_bound(aPrefix);
+         object != this->objects.end() && object->first.starts_with(aPrefix);
+         ++object) {
+      list.objects.push_back(object->second);
+    }
+    return list;
+  }
+
+  PlatformResult<ObjectList> Watch(const std::string& aPrefix,
+                                   std::int64_t aSince)
+  {
+    if (this->isDown) {
+      return Error(PlatformErrorCode::TimedOut);
+    }
+    ObjectList list{ this->revision, {} };
+    for (const StoredObject& event : this->events) {
+      if (event.revision > aSince && event.name.starts_with(aPrefix)) {
+        list.objects.push_back(event);
+      }
+    }
+    return list;
+  }
+
+  void Write(StoredObject aObject)
+  {
+    aObject.revision = ++this->revision;
+    this->events.push_back(aObject);
+    if (aObject.isDeleted) {
+      this->objects.erase(aObject.name);
+    } else {
+      this->objects[aObject.name] = aObject;
+    }
+  }
+
+  std::int64_t revision = 0;
+  Objects objects;
+  std::vector<StoredObject> events;
+};
+
+} // namespace lacewingwharf
--- a/src/distribution/fetchplan.cpp
+++ b/src/distribution/fetchplan.cpp
@@ -63,12 +63,15 @@
     return std::nullopt;
   }
   this->sentAt = now;
+  this->sentTo = this->host;
   return FetchRequest{ this->host, this->isWholeWanted ? 0 : aHeld };
 }
 
-void FetchPlan::Answered()
+void FetchPlan::Answered(const std::string& aHost)
 {
-  this->sentAt.reset();
+  if (aHost == this->sentTo) {
+    this->sentAt.reset();
+  }
 }
 
 void FetchPlan::Postpone(Millis aDelay)
--- a/src/distribution/fetchplan.h
+++ b/src/distribution/fetchplan.h
@@ -39,7 +39,8 @@
   /** A request that is due now; it then counts as outstanding. */
   std::optional<FetchRequest> TakeDue(std::int64_t aHeld);
 
-  void Answered();
+  /** aHost answered; ends the outstanding fetch if it was sent there. */
+  void Answered(const std::string& aHost);
   void Postpone(Millis aDelay);
 
   /** The newest version any peer reported lately; 0 when there is none. */
@@ -54,6 +55,7 @@
   bool isWholeWanted = false;
   std::optional<Millis> dueAt;
   std::optional<Millis> sentAt;
+  std::string sentTo;
 };
 
 } // namespace lacewingwharf
