Test the acceptor, the version holder and the stored chain

Cause: decision, fence, epoch and compaction had no tests.

Change: focused tests of two acceptors at once, a paused acceptor, a lost answer, an outage, a restored store, crossed updates, change sets, removals, compaction and acceptance status.

--- /dev/null
+++ b/src/distribution/acceptorrole_test.cpp
@@ -0,0 +1,265 @@
+#include "distribution/acceptorrole.h"
+
+#include "common/log.h"
+#include "distribution/acceptedchain.h"
+#include "distribution/testcatalogue.h"
+#include "distribution/versionholder.h"
+
+#include <criterion/criterion.h>
+
+#include <deque>
+
+using namespace lacewingwharf;
+
+namespace {
+
+/** One acceptor on a shared store; its platform jobs run when told to. */
+struct Daemon
+{
+  Daemon(std::string aHost,
+         FakeStore& aStore,
+         const ManualClock& aClock,
+         std::uint64_t aSeed)
+    : store(aStore)
+    , role(std::move(aHost),
+           aClock.View(),
+           SeededRandom(aSeed),
+           { [this](PlatformJob aJob) {
+              this->jobs.push_back(std::move(aJob));
+              return true;
+            },
+             [this] { return this->holder.Held(); },
+             [this](const Delta& aDelta) { this->holder.Offer(aDelta); } })
+  {
+    Log::SetLevel(LogLevel::Error);
+    this->role.SetActive(true);
+  }
+
+  void RunJob()
+  {
+    PlatformJob job = std::move(this->jobs.front());
+    this->jobs.pop_front();
+    job(this->store.Hooks())();
+  }
+
+  /** Works until nothing is due at the present time. */
+  void Settle()
+  {
+    for (int step = 0; step < 1000; ++step) {
+      this->role.Tick();
+      if (this->jobs.empty()) {
+        return;
+      }
+      this->RunJob();
+    }
+    cr_assert_fail("the role does not settle");
+  }
+
+  void Round()
+  {
+    this->role.RequestRound();
+    this->Settle();
+  }
+
+  std::int64_t Version() const { return this->holder.Held()->Version(); }
+
+  FakeStore& store;
+  std::deque<PlatformJob> jobs;
+  VersionHolder holder;
+  AcceptorRole role;
+};
+
+struct Pair
+{
+  ManualClock clock{ 1000 };
+  FakeStore store;
+  Daemon a{ "a", store, clock, 1 };
+  Daemon b{ "b", store, clock, 2 };
+
+  void EditService(const std::string& aName, const std::string& aOwner)
+  {
+    this->store.Edit("catalogue/" + aName, ServiceText(aOwner));
+  }
+
+  /** aCount versions by aDaemon, one edit each. */
+  void Publish(Daemon& aDaemon, int aCount)
+  {
+    for (int index = 0; index < aCount; ++index) {
+      this->EditService("s", fmt::format("o{}", this->store.Revision()));
+      aDaemon.Round();
+      this->clock.Advance(2000);
+      aDaemon.Settle();
+    }
+  }
+
+  void AssertSame()
+  {
+    cr_assert_eq(this->a.Version(), this->b.Version());
+    cr_assert_eq(this->a.holder.Held()->ContentHash(),
+                 this->b.holder.Held()->ContentHash());
+  }
+};
+
+} // namespace
+
+// Guards against two versions N+1: the second acceptor's write comes between
+// the decision and the write of the first.
+Test(acceptorrole, TwoAcceptorsCannotBothWriteAVersion)
+{
+  Pair pair;
+  pair.EditService("s", "o1");
+  pair.store.beforePut = [&pair] {
+    pair.EditService("t", "o2");
+    pair.b.Round();
+  };
+  pair.a.Round();
+  cr_assert_eq(pair.store.puts[AcceptedName(1)], 1);
+  cr_assert_eq(pair.a.Version(), 1);
+  pair.AssertSame();
+  cr_assert_eq(pair.a.holder.Held()->Entries().size(), 2U);
+}
+
+// Guards against an acceptor that resumes with an old view and reverts edits:
+// it paused before its job ran, and before the write inside its job.
+Test(acceptorrole, APausedAcceptorAdoptsWhatIsThere)
+{
+  Pair pair;
+  pair.Publish(pair.a, 3);
+  pair.EditService("s", "late");
+  pair.store.beforePut = [&pair] { pair.Publish(pair.b, 5); };
+  pair.a.Round();
+  cr_assert_eq(pair.a.Version(), 8);
+  pair.AssertSame();
+  pair.EditService("s", "newest");
+  pair.a.role.RequestRound();
+  pair.a.role.Tick();
+  pair.EditService("s", "newer-still");
+  pair.b.Round();
+  pair.a.RunJob();
+  pair.a.Settle();
+  pair.AssertSame();
+  cr_assert_eq(pair.a.holder.Held()->Find("s")->text,
+               ServiceText("newer-still"));
+}
+
+// Guards against a number that is written a second time because its object
+// was compacted away during a pause of more than 64 versions.
+Test(acceptorrole, ANumberThatWasCompactedAwayIsNotUsedAgain)
+{
+  Pair pair;
+  pair.Publish(pair.a, 3);
+  pair.EditService("s", "late");
+  pair.store.beforePut = [&pair] {
+    pair.Publish(pair.b, 200);
+    cr_assert_not(pair.store.All().contains(AcceptedName(4)));
+  };
+  pair.a.Round();
+  cr_assert_not(pair.store.All().contains(AcceptedName(4)));
+  cr_assert_eq(pair.a.Version(), pair.b.Version());
+  pair.AssertSame();
+}
+
+// Guards against a version that is written twice because its answer was lost.
+Test(acceptorrole, ALostAnswerIsRecognisedByItsNonce)
+{
+  Pair pair;
+  pair.EditService("s", "o1");
+  pair.store.answersToLose = 1;
+  pair.a.role.Tick();
+  pair.a.RunJob();
+  cr_assert_eq(pair.a.Version(), 1);
+  cr_assert_eq(pair.store.puts[AcceptedName(1)], 1);
+  cr_assert_eq(pair.store.All().count(AcceptedName(2)), 0U);
+}
+
+// Guards against edits that are lost while the store is down.
+Test(acceptorrole, AnOutageOnlyDelaysEdits)
+{
+  Pair pair;
+  pair.EditService("s", "o1");
+  pair.store.isDown = true;
+  for (int step = 0; step < 20; ++step) {
+    pair.a.Settle();
+    pair.clock.Advance(500);
+  }
+  cr_assert_eq(pair.a.Version(), 0);
+  pair.store.isDown = false;
+  pair.clock.Advance(3000); // The longest backoff with its jitter.
+  pair.a.Settle();
+  cr_assert_eq(pair.a.Version(), 1);
+}
+
+// Guards R1 and R9 when the store is restored to an older state.
+Test(acceptorrole, ARestoredStoreGetsANewEpoch)
+{
+  Pair pair;
+  pair.Publish(pair.a, 3);
+  const auto backup = pair.store.All();
+  const std::int64_t revision = pair.store.Revision();
+  pair.Publish(pair.a, 4);
+  const std::string newest = pair.a.holder.Held()->Find("s")->text;
+  pair.store.Restore(backup, revision);
+  pair.a.Round();
+  cr_assert_eq(pair.a.Version(), 7, "no epoch before gossip had its time");
+  pair.EditService("t", "after-restore");
+  pair.clock.Advance(4000);
+  pair.a.Settle();
+  pair.a.Round();
+  cr_assert_gt(pair.a.Version(), 7);
+  cr_assert_eq(pair.a.holder.Held()->Stamp().storeEpoch, 1);
+  cr_assert_eq(pair.a.holder.Held()->Find("s")->text, newest);
+  cr_assert_not_null(pair.a.holder.Held()->Find("t"));
+  pair.b.Round();
+  pair.AssertSame();
+  pair.Publish(pair.b, 2);
+  pair.a.Round();
+  pair.AssertSame();
+  cr_assert_eq(pair.a.holder.Held()->Stamp().storeEpoch, 1);
+}
+
+// Guards against accepted versions that pile up in the store, and against a
+// compaction that leaves a new reader without a way to the newest version.
+Test(acceptorrole, SnapshotsReplaceOldVersions)
+{
+  Pair pair;
+  pair.Publish(pair.a, 200);
+  const auto& objects = pair.store.All();
+  cr_assert(objects.contains(SnapshotName(128)));
+  cr_assert(objects.contains(SnapshotName(192)));
+  cr_assert_not(objects.contains(SnapshotName(64)));
+  cr_assert_not(objects.contains(AcceptedName(127)));
+  cr_assert(objects.contains(AcceptedName(128)));
+  for (const std::int64_t held : { 0, 5, 127, 150, 199 }) {
+    const auto read = ReadChain(pair.store.Hooks(), held);
+    cr_assert_eq(read.assume_value().deltas.back().stamp.version, 200);
+    cr_assert(held >= 127 || read.assume_value().deltas.front().isWhole);
+  }
+  pair.b.Round();
+  pair.AssertSame();
+}
+
+// Guards against operators who are not told, and against status writes that
+// repeat although nothing changed.
+Test(acceptorrole, RejectionsAreWrittenOnceAndCleared)
+{
+  Pair pair;
+  const std::string name = "status/bad/acceptance";
+  pair.store.Edit("catalogue/bad", "{");
+  pair.a.Round();
+  pair.clock.Advance(5000);
+  pair.a.Settle();
+  cr_assert(pair.store.All().contains(name));
+  cr_assert_neq(pair.store.All().at(name).value.find("not valid JSON"),
+                std::string::npos);
+  for (int round = 0; round < 5; ++round) {
+    pair.a.Round();
+    pair.clock.Advance(5000);
+    pair.a.Settle();
+  }
+  cr_assert_eq(pair.store.puts[name], 1);
+  pair.EditService("bad", "o");
+  pair.b.Round();
+  pair.clock.Advance(5000);
+  pair.b.Settle();
+  cr_assert_not(pair.store.All().contains(name));
+}
--- /dev/null
+++ b/src/distribution/versionholder_test.cpp
@@ -0,0 +1,164 @@
+#include "distribution/versionholder.h"
+
+#include "common/random.h"
+#include "distribution/fetchplan.h"
+#include "distribution/fetchserver.h"
+#include "distribution/pushtree.h"
+#include "distribution/testcatalogue.h"
+#include "distribution/wireconversion.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <set>
+
+using namespace lacewingwharf;
+
+namespace {
+
+/** Versions 1 to aCount; version N adds or changes the service "sN%10". */
+std::vector<Delta> MakeChain(int aCount)
+{
+  std::vector<Delta> deltas;
+  SnapshotPtr base = Snapshot::Empty();
+  for (int version = 1; version <= aCount; ++version) {
+    AcceptedEntries entries = base->Entries();
+    const std::string name = fmt::format("s{}", version % 10);
+    const std::string text = ServiceText(fmt::format("o{}", version));
+    entries[name] = std::make_shared<const AcceptedEntry>(
+      AcceptedEntry{ ParseEntry(name, text).assume_value(), version, text });
+    const SnapshotPtr next =
+      Snapshot::Build({ version, 0, 0 }, entries).assume_value();
+    deltas.push_back(DeltaBetween(*base, *next));
+    base = next;
+  }
+  return deltas;
+}
+
+} // namespace
+
+// Guards R1: a version at or below the held one is dropped.
+Test(versionholder, NeverGoesBack)
+{
+  const auto deltas = MakeChain(3);
+  VersionHolder holder;
+  cr_assert_eq(holder.Offer(deltas[0]), OfferOutcome::Taken);
+  cr_assert_eq(holder.Offer(deltas[1]), OfferOutcome::Taken);
+  cr_assert_eq(holder.Offer(deltas[0]), OfferOutcome::Stale);
+  cr_assert_eq(holder.Offer(deltas[1]), OfferOutcome::Stale);
+  const auto first = Apply(*Snapshot::Empty(), deltas[0]).assume_value();
+  cr_assert_eq(holder.Offer(WholeOf(*first)), OfferOutcome::Stale);
+  cr_assert_eq(holder.Held()->Version(), 2);
+}
+
+// Guards R3: nothing is taken of a delta on another base or with a wrong hash.
+Test(versionholder, DropsWhatItCannotTakeWhole)
+{
+  const auto deltas = MakeChain(3);
+  VersionHolder holder;
+  cr_assert_eq(holder.Offer(deltas[1]), OfferOutcome::NeedsFetch);
+  Delta torn = deltas[0];
+  torn.changed.clear();
+  cr_assert_eq(holder.Offer(torn), OfferOutcome::Refused);
+  cr_assert_eq(holder.Held()->Version(), 0);
+  cr_assert(holder.Held()->Entries().empty());
+  cr_assert_eq(holder.Offer(deltas[0]), OfferOutcome::Taken);
+}
+
+// Guards against deltas that are kept without bound or served with a gap.
+Test(versionholder, KeepsTheLastDeltas)
+{
+  const auto deltas = MakeChain(200);
+  VersionHolder holder(128);
+  for (const Delta& delta : deltas) {
+    cr_assert_eq(holder.Offer(delta), OfferOutcome::Taken);
+  }
+  cr_assert_not(holder.DeltasSince(71).isComplete);
+  const DeltaChain chain = holder.DeltasSince(72);
+  cr_assert(chain.isComplete);
+  cr_assert_eq(chain.deltas.size(), 128U);
+  VersionHolder other;
+  cr_assert_eq(other.Offer(WholeOf(*holder.Held())), OfferOutcome::Taken);
+  cr_assert_eq(other.Held()->ContentHash(), holder.Held()->ContentHash());
+  cr_assert_not(other.DeltasSince(199).isComplete);
+}
+
+// Guards against a large body that changes on its way through zstd.
+Test(versionholder, BodiesSurviveTheWire)
+{
+  VersionHolder holder;
+  for (const Delta& delta : MakeChain(10)) {
+    holder.Offer(delta);
+  }
+  wire::ConfigBody body = ToWire(WholeOf(*holder.Held()));
+  cr_assert_eq(body.changed.size(), 1U);
+  VersionHolder other;
+  cr_assert_eq(other.Offer(FromWire(body).assume_value()), OfferOutcome::Taken);
+  cr_assert_eq(other.Held()->ContentHash(), holder.Held()->ContentHash());
+  body.changed.front().text.resize(20);
+  cr_assert_not(FromWire(body).has_value());
+}
+
+// Guards against members that a push never reaches or reaches twice.
+Test(versionholder, ThePushTreeReachesEachMemberOnce)
+{
+  for (const int count : { 1, 2, 8, 9, 10, 74, 1000 }) {
+    std::vector<std::string> members;
+    for (int index = 0; index < count; ++index) {
+      members.push_back(fmt::format("host{:04}", index));
+    }
+    const std::string root = members[static_cast<std::size_t>(count) / 2];
+    std::map<std::string, int> reached{ { root, 1 } };
+    for (const std::string& member : members) {
+      for (const std::string& child :
+           PushTreeChildren(members, root, member, 8)) {
+        ++reached[child];
+      }
+    }
+    cr_assert_eq(reached.size(), members.size());
+    cr_assert(std::ranges::all_of(
+      reached, [](const auto& aReached) { return aReached.second == 1; }));
+  }
+  cr_assert(PushTreeChildren({ "a", "b" }, "c", "a", 8).empty());
+}
+
+// Guards against a restart of many daemons that makes one send its whole
+// snapshot to all of them at once.
+Test(versionholder, OnlyTwoWholeSnapshotsAreSentAtOnce)
+{
+  ManualClock clock(1000);
+  VersionHolder holder;
+  for (const Delta& delta : MakeChain(5)) {
+    holder.Offer(delta);
+  }
+  FetchServer server(clock.View(), 2);
+  cr_assert(server.Answer(holder, kVersionQuery).bodies.empty());
+  cr_assert_eq(server.Answer(holder, 0).bodies.size(), 1U);
+  cr_assert_eq(server.Answer(holder, 0).bodies.size(), 1U);
+  const wire::ConfigAnswer busy = server.Answer(holder, 0);
+  cr_assert(busy.bodies.empty());
+  cr_assert_gt(busy.retryAfterMillis, 0);
+  cr_assert_eq(server.Answer(holder, 3).bodies.size(), 2U);
+  clock.Advance(busy.retryAfterMillis);
+  cr_assert_eq(server.Answer(holder, 0).bodies.size(), 1U);
+}
+
+// Guards against a fetch for each gossip datagram of a peer that is ahead.
+Test(versionholder, OneFetchIsOutstandingAtATime)
+{
+  ManualClock clock(1000);
+  FetchPlan plan(clock.View(), SeededRandom(1));
+  plan.Noticed("a", 5, 100);
+  clock.Advance(101);
+  cr_assert_eq(plan.TakeDue(4)->host, "a");
+  plan.Noticed("b", 6, 0);
+  cr_assert_not(plan.TakeDue(4).has_value());
+  plan.Answered("c");
+  cr_assert_not(plan.TakeDue(4).has_value());
+  plan.Answered("a");
+  cr_assert_eq(plan.TakeDue(5)->host, "b");
+  plan.Noticed("b", 6, 0);
+  cr_assert_not(plan.TakeDue(5).has_value());
+  clock.Advance(2001);
+  cr_assert(plan.TakeDue(5).has_value());
+}
