Test distribution against a naive version on random schedules

Cause: the invariants R1, R2, R3 and R9 had no test over a fleet.

Change: FleetSim runs six daemons with two acceptors on a manual clock with loss, delay, reordering, duplication, pauses, restarts, partitions and lost answers; 320 seeds. The naive version applies whatever arrives last.

Conclusion: the invariants hold where the naive version breaks them.

--- /dev/null
+++ b/src/distribution/distribution_test.cpp
@@ -0,0 +1,184 @@
+#include "common/hash.h"
+#include "common/log.h"
+#include "distribution/simnodes.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingwharf;
+
+namespace {
+
+constexpr int kHosts = 6;
+constexpr int kSeeds = 320;
+constexpr Millis kFaultyTime = 12000;
+constexpr Millis kQuietTime = 15000;
+
+// h0 and h1 both believe to be the acceptor, as after a partition.
+std::unique_ptr<SimNode> MakeReal(FleetSim& aSim, const std::string& aHost)
+{
+  const std::string acceptor = aHost == "h1" ? "h1" : "h0";
+  return std::make_unique<RealNode>(
+    aSim, aHost, std::vector<std::string>{ acceptor });
+}
+
+/** The same fleet; all but the acceptors and feeders are naive. */
+std::unique_ptr<SimNode> MakeNaive(FleetSim& aSim, const std::string& aHost)
+{
+  const auto order = RendezvousOrder("feeder/d", aSim.names);
+  const bool isReal =
+    aHost == "h0" || aHost == "h1" || aHost == order[0] || aHost == order[1];
+  if (isReal) {
+    return MakeReal(aSim, aHost);
+  }
+  return std::make_unique<NaiveNode>(aSim, aHost);
+}
+
+std::string Numbered(const char* aPrefix, std::uint64_t aNumber)
+{
+  return aPrefix + std::to_string(aNumber);
+}
+
+void EditAtRandom(FleetSim& aSim)
+{
+  const std::string service = Numbered("s", aSim.Below(4));
+  const std::uint64_t number = aSim.Below(5);
+  const std::string route = Numbered("catalogue/r", number);
+  const std::string path = Numbered("/p", aSim.Below(6));
+  switch (aSim.Below(8)) {
+    case 0:
+      return aSim.store.Erase("catalogue/" + service);
+    case 1:
+      return aSim.store.Erase(route);
+    case 2:
+      return aSim.store.Edit(route, "{");
+    case 3:
+      // A change set whose second entry comes later, or never.
+      aSim.store.Edit("catalogue/" + service,
+                      ServiceText("x", R"("id":"c","size":2)"));
+      aSim.At(200, [&aSim, route, service, path] {
+        aSim.store.Edit(route,
+                        RouteText(service, path, 0, R"("id":"c","size":2)"));
+      });
+      return;
+    case 4:
+    case 5:
+      return aSim.store.Edit("catalogue/" + service,
+                             ServiceText(Numbered("o", aSim.Below(1000))));
+    default:
+      return aSim.store.Edit(
+        route, RouteText(service, path, static_cast<int>(aSim.Below(1000))));
+  }
+}
+
+void FaultAtRandom(FleetSim& aSim)
+{
+  const std::string& name = aSim.names[aSim.Below(aSim.names.size())];
+  FleetSim::Host& host = aSim.hosts.at(name);
+  switch (aSim.Below(6)) {
+    case 0:
+      return aSim.Restart(name);
+    case 1:
+    case 2:
+      host.isPaused = true;
+      aSim.At(static_cast<Millis>(aSim.Below(5000)),
+              [&aSim, name] { aSim.Resume(name); });
+      return;
+    case 3:
+      host.isCutOff = !host.isCutOff;
+      return;
+    case 4:
+      host.isPartitioned = !host.isPartitioned;
+      return;
+    default:
+      aSim.faults = { static_cast<int>(aSim.Below(40)),
+                      static_cast<int>(aSim.Below(30)),
+                      static_cast<Millis>(aSim.Below(900)) };
+  }
+}
+
+void RunSchedule(FleetSim& aSim)
+{
+  const Millis end = aSim.clock.View().Now() + kFaultyTime;
+  while (aSim.clock.View().Now() < end) {
+    aSim.Run(static_cast<Millis>(50 + aSim.Below(400)));
+    EditAtRandom(aSim);
+    if (aSim.Below(2) == 0) {
+      FaultAtRandom(aSim);
+    }
+  }
+}
+
+void RunQuiet(FleetSim& aSim)
+{
+  aSim.faults = {};
+  for (const std::string& name : aSim.names) {
+    FleetSim::Host& host = aSim.hosts.at(name);
+    host.isCutOff = false;
+    host.isPartitioned = false;
+    aSim.Resume(name);
+  }
+  aSim.Run(kQuietTime);
+}
+
+Violations operator+(const Violations& aLeft, const Violations& aRight)
+{
+  return { aLeft.wentBack + aRight.wentBack,
+           aLeft.differsFromChain + aRight.differsFromChain,
+           aLeft.dangling + aRight.dangling };
+}
+
+void AssertConverged(FleetSim& aSim, int aSeed)
+{
+  const std::int64_t newest = aSim.NewestAccepted();
+  for (const std::string& name : aSim.names) {
+    const auto& node = static_cast<RealNode&>(*aSim.hosts.at(name).node);
+    cr_assert_eq(node.Version(),
+                 newest,
+                 "seed %d: %s holds %ld, newest is %ld",
+                 aSeed,
+                 name.c_str(),
+                 static_cast<long>(node.Version()),
+                 static_cast<long>(newest));
+    cr_assert(node.Get().IsReady());
+    const auto list = aSim.store.Hooks().list("catalogue/").assume_value();
+    cr_assert_not(DecideNext(*node.Get().Held(), list).delta.has_value(),
+                  "seed %d: an edit was not accepted",
+                  aSeed);
+  }
+}
+
+} // namespace
+
+// Guards R1, R2, R3 and R9 under loss, delay, reordering, duplication, pauses,
+// restarts and two acceptors. On the same schedules the naive version, which
+// applies whatever arrives last, breaks R1, R2 and R3.
+Test(distribution, HoldsTheInvariantsWhereTheNaiveVersionDoesNot)
+{
+  Log::SetLevel(LogLevel::Error);
+  Violations naive;
+  std::int64_t versions = 0;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    const auto number = static_cast<std::uint64_t>(seed);
+    FleetSim sim(kHosts, number, MakeReal);
+    RunSchedule(sim);
+    RunQuiet(sim);
+    cr_assert_eq(sim.violations.wentBack, 0, "seed %d", seed);
+    cr_assert_eq(sim.violations.differsFromChain, 0, "seed %d", seed);
+    cr_assert_eq(sim.violations.dangling, 0, "seed %d", seed);
+    AssertConverged(sim, seed);
+    versions += sim.NewestAccepted();
+
+    FleetSim other(kHosts, number, MakeNaive);
+    RunSchedule(other);
+    naive = naive + other.violations;
+  }
+  cr_assert_gt(versions, 10 * kSeeds, "too few versions to show anything");
+  cr_log_info("%ld versions; naive: %d went back, %d differ, %d dangling",
+              static_cast<long>(versions),
+              naive.wentBack,
+              naive.differsFromChain,
+              naive.dangling);
+  cr_assert_gt(naive.wentBack, 0);
+  cr_assert_gt(naive.differsFromChain, 0);
+  cr_assert_gt(naive.dangling, 0);
+}
--- /dev/null
+++ b/src/distribution/fleetsim.h
@@ -0,0 +1,280 @@
+#pragma once
+
+#include "common/random.h"
+#include "distribution/distributor.h"
+#include "distribution/testcatalogue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lacewingwharf {
+
+/** What one daemon is to the simulation; real or naive. */
+struct SimNode
+{
+  virtual ~SimNode() = default;
+  virtual void Tick() = 0;
+  virtual void Deliver(const std::string& aFrom,
+                       const wire::Envelope& aEnvelope) = 0;
+  virtual void Gossip(const std::string& aFrom, std::int64_t aVersion) = 0;
+  virtual std::int64_t Version() const = 0;
+};
+
+/** Name to text; the content of a version without anything else. */
+using Content = std::map<std::string, std::string>;
+
+/** Broken invariants, counted over a run. */
+struct Violations
+{
+  int wentBack = 0;
+  int differsFromChain = 0;
+  int dangling = 0;
+};
+
+/** Rates of the faults of one run. */
+struct Faults
+{
+  int lossPercent = 0;
+  int duplicatePercent = 0;
+  Millis maxDelay = 5;
+};
+
+/**
+ * A few daemons of one failure domain on a manual clock, with a network that
+ * loses, delays, reorders and duplicates, and a shared FakeStore.
+ */
+class FleetSim
+{
+public:
+  struct Host
+  {
+    std::unique_ptr<SimNode> node;
+    int generation = 0;
+    std::int64_t shown = 0; // Version last seen by the checks.
+    bool isPaused = false;
+    bool isCutOff = false;      // From the platform.
+    bool isPartitioned = false; // From the other daemons.
+    std::vector<std::function<void()>> backlog;
+  };
+
+  using MakeNode =
+    std::function<std::unique_ptr<SimNode>(FleetSim&, const std::string&)>;
+
+  FleetSim(int aHosts, std::uint64_t aSeed, MakeNode aMakeNode)
+    : random(SeededRandom(aSeed))
+    , makeNode(std::move(aMakeNode))
+  {
+    this->truth[0] = {};
+    for (int index = 0; index < aHosts; ++index) {
+      const std::string name = "h" + std::to_string(index);
+      this->names.push_back(name);
+      this->hosts[name];
+    }
+    for (const std::string& name : this->names) {
+      this->Restart(name);
+      this->ScheduleTick(name, static_cast<Millis>(this->Below(50)));
+      this->ScheduleGossip(name);
+    }
+  }
+
+  std::uint64_t Below(std::uint64_t aBound)
+  {
+    return RandomBelow(this->random, aBound);
+  }
+
+  void At(Millis aDelay, std::function<void()> aAction)
+  {
+    this->events.emplace(this->clock.View().Now() + aDelay, std::move(aAction));
+  }
+
+  /** Runs now, or when the host resumes. */
+  void On(const std::string& aHost, std::function<void()> aAction)
+  {
+    Host& host = this->hosts.at(aHost);
+    if (host.isPaused) {
+      host.backlog.push_back(std::move(aAction));
+    } else {
+      aAction();
+    }
+  }
+
+  void Run(Millis aTime)
+  {
+    const Millis end = this->clock.View().Now() + aTime;
+    while (!this->events.empty() && this->events.begin()->first <= end) {
+      const auto event = this->events.extract(this->events.begin());
+      const Millis now = this->clock.View().Now();
+      this->clock.Advance(static_cast<double>(event.key() - now));
+      event.mapped()();
+    }
+    this->clock.Advance(static_cast<double>(end - this->clock.View().Now()));
+  }
+
+  void Restart(const std::string& aHost)
+  {
+    Host& host = this->hosts.at(aHost);
+    host.node.reset();
+    host.backlog.clear();
+    host.shown = 0;
+    ++host.generation;
+    host.node = this->makeNode(*this, aHost);
+  }
+
+  void Resume(const std::string& aHost)
+  {
+    Host& host = this->hosts.at(aHost);
+    host.isPaused = false;
+    const auto backlog = std::exchange(host.backlog, {});
+    for (const auto& action : backlog) {
+      action();
+    }
+  }
+
+  void Send(const std::string& aFrom,
+            const std::string& aTo,
+            const wire::Envelope& aEnvelope)
+  {
+    ++this->messages;
+    const int copies =
+      this->Below(100) < Rate(this->faults.duplicatePercent) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      if (this->IsLost(aFrom, aTo)) {
+        continue;
+      }
+      this->At(this->Delay(), [this, aFrom, aTo, aEnvelope] {
+        this->On(aTo, [this, aFrom, aTo, aEnvelope] {
+          this->hosts.at(aTo).node->Deliver(aFrom, aEnvelope);
+        });
+      });
+    }
+  }
+
+  /** A platform job of a host: runs later, and completes later still. */
+  void Submit(const std::string& aHost, PlatformJob aJob)
+  {
+    this->At(this->Delay(), [this, aHost, job = std::move(aJob)] {
+      this->store.isDown = this->hosts.at(aHost).isCutOff;
+      this->store.answersToLose =
+        this->Below(100) < Rate(this->faults.lossPercent) ? 1 : 0;
+      const Completion done = job(this->store.Hooks());
+      this->store.isDown = false;
+      this->store.answersToLose = 0;
+      this->RecordTruth();
+      this->At(this->Delay(), [this, aHost, done] { this->On(aHost, done); });
+    });
+  }
+
+  /** Checks one host's new content against the accepted chain. */
+  void Check(const std::string& aHost,
+             std::int64_t aVersion,
+             const Content& aContent)
+  {
+    Host& host = this->hosts.at(aHost);
+    this->violations.wentBack += aVersion < host.shown ? 1 : 0;
+    host.shown = aVersion;
+    const auto expected = this->truth.find(aVersion);
+    const bool isSame =
+      expected != this->truth.end() && expected->second == aContent;
+    this->violations.differsFromChain += isSame ? 0 : 1;
+    AcceptedEntries entries;
+    for (const auto& [name, text] : aContent) {
+      entries[name] = std::make_shared<const AcceptedEntry>(
+        AcceptedEntry{ ParseEntry(name, text).assume_value(), 1, text });
+    }
+    this->violations.dangling += HasDanglingRoute(entries) ? 1 : 0;
+  }
+
+  std::int64_t NewestAccepted() const { return this->truth.rbegin()->first; }
+
+  ManualClock clock{ 1000 };
+  FakeStore store;
+  Faults faults;
+  Violations violations;
+  std::map<std::string, Host> hosts;
+  std::vector<std::string> names;
+  std::uint64_t messages = 0;
+
+private:
+  static std::uint64_t Rate(int aPercent)
+  {
+    return static_cast<std::uint64_t>(aPercent);
+  }
+
+  Millis Delay()
+  {
+    return static_cast<Millis>(
+      this->Below(static_cast<std::uint64_t>(this->faults.maxDelay) + 1));
+  }
+
+  bool IsLost(const std::string& aFrom, const std::string& aTo)
+  {
+    return this->hosts.at(aFrom).isPartitioned ||
+           this->hosts.at(aTo).isPartitioned ||
+           this->Below(100) < Rate(this->faults.lossPercent);
+  }
+
+  void ScheduleTick(const std::string& aHost, Millis aDelay)
+  {
+    this->At(aDelay, [this, aHost] {
+      Host& host = this->hosts.at(aHost);
+      if (!host.isPaused) {
+        host.node->Tick();
+      }
+      this->ScheduleTick(aHost, 50);
+    });
+  }
+
+  void ScheduleGossip(const std::string& aHost)
+  {
+    this->At(500 + static_cast<Millis>(this->Below(500)), [this, aHost] {
+      const std::string& peer = this->names[this->Below(this->names.size())];
+      Host& host = this->hosts.at(aHost);
+      if (!host.isPaused && peer != aHost && !this->IsLost(aHost, peer)) {
+        this->At(this->Delay(),
+                 [this, aHost, peer, version = host.node->Version()] {
+                   this->On(peer, [this, aHost, peer, version] {
+                     this->hosts.at(peer).node->Gossip(aHost, version);
+                   });
+                 });
+      }
+      this->ScheduleGossip(aHost);
+    });
+  }
+
+  /** Replays each version when it is first seen in the store. */
+  void RecordTruth()
+  {
+    const auto& objects = this->store.All();
+    for (auto object = objects.lower_bound("accepted/");
+         object != objects.end() && object->first.starts_with("accepted/");
+         ++object) {
+      const std::int64_t version =
+        VersionOfName(kAcceptedPrefix, object->first);
+      if (this->truth.contains(version)) {
+        continue;
+      }
+      const auto decoded = DecodeAccepted(object->second.value);
+      const Delta& delta = decoded.assume_value().delta;
+      Content content = delta.isWhole ? Content{} : this->truth[delta.base];
+      for (const std::string& name : delta.removed) {
+        content.erase(name);
+      }
+      for (const ChangedEntry& changed : delta.changed) {
+        content[changed.name] = changed.text;
+      }
+      this->truth[version] = std::move(content);
+    }
+  }
+
+  Random random;
+  MakeNode makeNode;
+  std::multimap<Millis, std::function<void()>> events;
+  std::map<std::int64_t, Content> truth;
+};
+
+} // namespace lacewingwharf
