--- /dev/null
+++ b/src/membership/domainsummaries.cpp
@@ -0,0 +1,404 @@
+#include "membership/domainsummaries.h"
+
+#include "common/hash.h"
+#include "membership/membertable.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <set>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr std::size_t kSampleSize = 8;
+
+// All services are repeated once in this many refreshes.
+constexpr std::size_t kRepairParts = 16;
+
+// Free slots and slowdown are rounded, so that small variations of load do
+// not cross the region link.
+constexpr int kFreeSlotSteps = 8;
+constexpr int kSlowdownStep = 25;
+
+// The other feeder may know of a change first; this feeder leaves its value in
+// place for that long before it insists on what it sees itself.
+constexpr Millis kDisagreementLimit = 2000;
+
+using Services = std::map<std::string, wire::ServiceSummary>;
+
+struct Candidate
+{
+  std::uint64_t weight = 0;
+  wire::SampledEndpoint endpoint;
+};
+
+wire::SampledEndpoint SampleOf(const wire::MemberRecord& aRecord,
+                               const wire::Endpoint& aEndpoint)
+{
+  wire::SampledEndpoint sample;
+  sample.host = aRecord.host;
+  sample.address = aRecord.address;
+  sample.peerPort = aRecord.peerPort;
+  sample.slots = aEndpoint.slots;
+  sample.incarnation = aRecord.incarnation;
+  sample.port = aEndpoint.port;
+  return sample;
+}
+
+const wire::ServiceLoad* LoadOf(const HostLoads& aLoads,
+                                const std::string& aHost,
+                                const std::string& aService)
+{
+  const auto host = aLoads.find(aHost);
+  if (host == aLoads.end()) {
+    return nullptr;
+  }
+  const auto& services = host->second.services;
+  const auto load =
+    std::ranges::find(services, aService, &wire::ServiceLoad::serviceName);
+  return load == services.end() ? nullptr : &*load;
+}
+
+/** Sums up one service while the records are visited. */
+struct ServiceSum
+{
+  int ready = 0;
+  int slots = 0;
+  int freeSlots = 0;
+  std::int64_t slowdownSum = 0;
+  std::vector<Candidate> candidates;
+
+  void Add(const wire::MemberRecord& aRecord,
+           const wire::Endpoint& aEndpoint,
+           const wire::ServiceLoad* aLoad)
+  {
+    ++this->ready;
+    this->slots += aEndpoint.slots;
+    this->freeSlots += aLoad == nullptr
+                         ? aEndpoint.slots
+                         : std::clamp(aLoad->freeSlots, 0, aEndpoint.slots);
+    this->slowdownSum += aLoad == nullptr ? 100 : aLoad->slowdownPercent;
+    const std::uint64_t seed = Hash64(aEndpoint.serviceName);
+    this->candidates.push_back(
+      { Hash64(aRecord.host, seed + static_cast<std::uint64_t>(aEndpoint.port)),
+        SampleOf(aRecord, aEndpoint) });
+  }
+
+  wire::ServiceSummary Summarise(const std::string& aService)
+  {
+    wire::ServiceSummary summary;
+    summary.serviceName = aService;
+    summary.ready = this->ready;
+    summary.slots = this->slots;
+    const int step = std::max(1, this->slots / kFreeSlotSteps);
+    summary.freeSlots = this->freeSlots / step * step;
+    const auto mean = static_cast<int>(this->slowdownSum / this->ready);
+    summary.slowdownPercent = mean / kSlowdownStep * kSlowdownStep;
+    std::ranges::sort(this->candidates, std::greater<>{}, &Candidate::weight);
+    const auto count = std::min(this->candidates.size(), kSampleSize);
+    std::ranges::transform(this->candidates | std::views::take(count),
+                           std::back_inserter(summary.sample),
+                           &Candidate::endpoint);
+    return summary;
+  }
+};
+
+Services Summarise(const MemberTable& aTable, const HostLoads& aLoads)
+{
+  std::map<std::string, ServiceSum> sums;
+  aTable.ForEach([&sums, &aLoads](const wire::MemberRecord& aRecord) {
+    if (!IsLive(aRecord)) {
+      return;
+    }
+    for (const wire::Endpoint& endpoint : aRecord.endpoints) {
+      if (endpoint.state == wire::EndpointState::READY) {
+        const std::string& service = endpoint.serviceName;
+        sums[service].Add(
+          aRecord, endpoint, LoadOf(aLoads, aRecord.host, service));
+      }
+    }
+  });
+  Services services;
+  for (auto& [service, sum] : sums) {
+    services[service] = sum.Summarise(service);
+  }
+  return services;
+}
+
+bool HasSameEndpoints(const wire::ServiceSummary& aLeft,
+                      const wire::ServiceSummary& aRight)
+{
+  return aLeft.ready == aRight.ready && aLeft.slots == aRight.slots &&
+         aLeft.sample == aRight.sample;
+}
+
+bool HasSameContent(const wire::ServiceSummary& aLeft,
+                    const wire::ServiceSummary& aRight)
+{
+  return HasSameEndpoints(aLeft, aRight) &&
+         aLeft.freeSlots == aRight.freeSlots &&
+         aLeft.slowdownPercent == aRight.slowdownPercent;
+}
+
+/** Adds empty summaries for services that have no ready endpoint any more. */
+void KeepVanished(const Services& aBefore, Services& aNow)
+{
+  for (const auto& [service, summary] : aBefore) {
+    const auto [position, isNew] = aNow.try_emplace(service);
+    if (isNew) {
+      position->second.serviceName = service;
+      position->second.slowdownPercent = 100;
+    }
+  }
+}
+
+struct HostLocation
+{
+  PeerAddress address;
+  std::int64_t incarnation = 0;
+};
+
+std::optional<HostLocation> Locate(const HeldSummary& aSummary,
+                                   const std::string& aHost)
+{
+  const auto& contacts = aSummary.contacts;
+  const auto contact =
+    std::ranges::find(contacts, aHost, &wire::MemberRecord::host);
+  if (contact != contacts.end()) {
+    return HostLocation{ { contact->address, contact->peerPort },
+                         contact->incarnation };
+  }
+  for (const auto& [name, service] : aSummary.services) {
+    const auto sample =
+      std::ranges::find(service.sample, aHost, &wire::SampledEndpoint::host);
+    if (sample != service.sample.end()) {
+      return HostLocation{ { sample->address, sample->peerPort },
+                           sample->incarnation };
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<HostLocation> Locate(
+  const std::map<std::string, HeldSummary>& aSummaries,
+  const std::string& aHost)
+{
+  for (const auto& [domain, summary] : aSummaries) {
+    if (auto location = Locate(summary, aHost)) {
+      return location;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+DomainSummaries::DomainSummaries(std::string aRegion, std::string aDomain)
+{
+  this->own.region = std::move(aRegion);
+  this->own.domain = std::move(aDomain);
+}
+
+std::int64_t DomainSummaries::NextStamp(Millis aWallNow) const
+{
+  return std::max({ aWallNow, this->own.stamp + 1, this->stampFloor + 1 });
+}
+
+SummaryChange DomainSummaries::Build(const MemberTable& aTable,
+                                     const HostLoads& aLoads,
+                                     std::vector<wire::MemberRecord> aContacts,
+                                     Millis aWallNow)
+{
+  Services services = Summarise(aTable, aLoads);
+  KeepVanished(this->own.services, services);
+  const std::int64_t stamp = this->NextStamp(aWallNow);
+  SummaryChange change = SummaryChange::None;
+  if (aContacts != this->own.contacts) {
+    change = SummaryChange::Endpoints;
+    this->own.contacts = std::move(aContacts);
+  }
+  for (auto& [service, summary] : services) {
+    const wire::ServiceSummary& held = this->own.services[service];
+    if (!this->IsNews(held, summary, aWallNow)) {
+      continue;
+    }
+    const bool onlyLoad = held.stamp > 0 && HasSameEndpoints(held, summary);
+    change = std::max(
+      change, onlyLoad ? SummaryChange::Load : SummaryChange::Endpoints);
+    summary.stamp = stamp;
+    this->own.services[service] = summary;
+  }
+  this->built = std::move(services);
+  if (change != SummaryChange::None) {
+    this->own.stamp = stamp;
+  }
+  return change;
+}
+
+bool DomainSummaries::IsNews(const wire::ServiceSummary& aHeld,
+                             const wire::ServiceSummary& aBuilt,
+                             Millis aWallNow)
+{
+  const std::string& service = aBuilt.serviceName;
+  if (aHeld.stamp > 0 && HasSameContent(aHeld, aBuilt)) {
+    this->disagreedSince.erase(service);
+    return false;
+  }
+  const auto before = this->built.find(service);
+  const bool isUnchanged =
+    before != this->built.end() && HasSameContent(before->second, aBuilt);
+  if (aHeld.stamp == 0 || !isUnchanged) {
+    this->disagreedSince.erase(service);
+    return true;
+  }
+  const auto since =
+    this->disagreedSince.try_emplace(service, aWallNow).first->second;
+  return aWallNow - since >= kDisagreementLimit;
+}
+
+std::optional<wire::DomainSummary> DomainSummaries::Merge(
+  const wire::DomainSummary& aSummary,
+  Millis aNow)
+{
+  const bool isOwn = aSummary.domain == this->own.domain;
+  HeldSummary& held = isOwn ? this->own : this->others[aSummary.domain];
+  held.heardAt = aNow;
+  held.domain = aSummary.domain;
+  held.region = aSummary.region;
+  wire::DomainSummary news = aSummary;
+  news.services.clear();
+  for (const wire::ServiceSummary& service : aSummary.services) {
+    wire::ServiceSummary& known = held.services[service.serviceName];
+    if (service.stamp <= known.stamp) {
+      continue;
+    }
+    if (known.stamp == 0 || !HasSameContent(known, service)) {
+      news.services.push_back(service);
+    }
+    known = service;
+  }
+  if (!news.services.empty()) {
+    ++this->version;
+  }
+  this->MergeHeader(held, aSummary);
+  const bool isNewer = aSummary.stamp > held.seenStamp;
+  held.seenStamp = std::max(held.seenStamp, aSummary.stamp);
+  if (!isNewer && news.services.empty()) {
+    return std::nullopt;
+  }
+  return news;
+}
+
+void DomainSummaries::MergeHeader(HeldSummary& aHeld,
+                                  const wire::DomainSummary& aSummary)
+{
+  // With a gap before it, the summary does not make the held one complete.
+  if (aSummary.stamp <= aHeld.stamp || aSummary.base > aHeld.stamp) {
+    return;
+  }
+  aHeld.stamp = aSummary.stamp;
+  if (aHeld.contacts != aSummary.contacts) {
+    aHeld.contacts = aSummary.contacts;
+    ++this->version;
+  }
+}
+
+bool DomainSummaries::HasGapBefore(const wire::DomainSummary& aSummary) const
+{
+  const HeldSummary* const held = this->Find(aSummary.domain);
+  return aSummary.base > (held == nullptr ? 0 : held->stamp);
+}
+
+void DomainSummaries::AddContacts(const wire::DomainSummary& aSummary,
+                                  Millis aBefore)
+{
+  if (aSummary.domain == this->own.domain) {
+    return;
+  }
+  HeldSummary& held = this->others[aSummary.domain];
+  if (held.stamp > 0 && held.heardAt > aBefore) {
+    return;
+  }
+  held.domain = aSummary.domain;
+  held.region = aSummary.region;
+  held.contacts = aSummary.contacts;
+  ++this->version;
+}
+
+wire::DomainSummary DomainSummaries::Since(const std::string& aDomain,
+                                           std::int64_t aSince) const
+{
+  wire::DomainSummary summary;
+  summary.domain = aDomain;
+  summary.base = aSince;
+  const HeldSummary* const held = this->Find(aDomain);
+  if (held == nullptr) {
+    return summary;
+  }
+  summary.region = held->region;
+  summary.stamp = held->stamp;
+  summary.contacts = held->contacts;
+  for (const auto& [service, content] : held->services) {
+    if (content.stamp > aSince) {
+      summary.services.push_back(content);
+    }
+  }
+  return summary;
+}
+
+void DomainSummaries::AddRepair(wire::DomainSummary& aSummary)
+{
+  const Services& services = this->own.services;
+  const std::size_t count = (services.size() + kRepairParts - 1) / kRepairParts;
+  std::set<std::string> included;
+  for (const wire::ServiceSummary& service : aSummary.services) {
+    included.insert(service.serviceName);
+  }
+  auto position = services.upper_bound(this->repairedUpTo);
+  for (std::size_t added = 0; added < count; ++added, ++position) {
+    if (position == services.end()) {
+      position = services.begin();
+    }
+    if (included.insert(position->first).second) {
+      aSummary.services.push_back(position->second);
+    }
+    this->repairedUpTo = position->first;
+  }
+}
+
+void DomainSummaries::RaiseStamp(std::int64_t aStamp)
+{
+  if (aStamp <= this->own.stamp) {
+    return;
+  }
+  this->stampFloor = std::max(this->stampFloor, aStamp);
+  // Everything is stamped again by the next Build().
+  this->own.services.clear();
+}
+
+std::optional<PeerAddress> DomainSummaries::AddressOf(
+  const std::string& aHost) const
+{
+  const auto location = Locate(this->others, aHost);
+  return location ? std::optional(location->address) : std::nullopt;
+}
+
+std::int64_t DomainSummaries::IncarnationOf(const std::string& aHost) const
+{
+  const auto location = Locate(this->others, aHost);
+  return location ? location->incarnation : 0;
+}
+
+const HeldSummary* DomainSummaries::Find(const std::string& aDomain) const
+{
+  if (aDomain == this->own.domain) {
+    return &this->own;
+  }
+  const auto position = this->others.find(aDomain);
+  return position == this->others.end() ? nullptr : &position->second;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/domainsummaries.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "common/clock.h"
+#include "peer/peernetwork.h"
+#include "peer_types.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+class MemberTable;
+
+/** Per host and service, as reported to the feeders. */
+using HostLoads = std::map<std::string, wire::LoadReport>;
+
+/** What Build() found different from the last summary. */
+enum class SummaryChange
+{
+  None,
+  Load, // Only free slots or slowdown.
+  Endpoints
+};
+
+/** One failure domain's summary with its services by name. */
+struct HeldSummary
+{
+  std::string region;
+  std::string domain;
+  std::int64_t stamp = 0;     // Complete up to here.
+  std::int64_t seenStamp = 0; // Highest one received; travels on once.
+  std::map<std::string, wire::ServiceSummary> services;
+  std::vector<wire::MemberRecord> contacts;
+  Millis heardAt = 0;
+};
+
+/**
+ * Summaries of all failure domains. Services merge one by one, the higher
+ * stamp wins. A failure domain that is unreachable keeps its last summary.
+ */
+class DomainSummaries
+{
+public:
+  DomainSummaries(std::string aRegion, std::string aDomain);
+
+  /** Builds the own summary from the records and reported loads. */
+  SummaryChange Build(const MemberTable& aTable,
+                      const HostLoads& aLoads,
+                      std::vector<wire::MemberRecord> aContacts,
+                      Millis aWallNow);
+
+  /**
+   * Merges a summary; returns what has to travel on, with the services that
+   * were news. Nothing travels on when the stamp was known.
+   */
+  std::optional<wire::DomainSummary> Merge(const wire::DomainSummary& aSummary,
+                                           Millis aNow);
+
+  /** True when the services between the held stamp and aSummary.base lack. */
+  bool HasGapBefore(const wire::DomainSummary& aSummary) const;
+
+  /** Contacts learned in passing, for a domain not heard of since aBefore. */
+  void AddContacts(const wire::DomainSummary& aSummary, Millis aBefore);
+
+  /** Services of a domain that changed after aSince. */
+  wire::DomainSummary Since(const std::string& aDomain,
+                            std::int64_t aSince) const;
+
+  /** Adds a rotating part of all services, to repair what a receiver lost. */
+  void AddRepair(wire::DomainSummary& aSummary);
+
+  /**
+   * Makes the own stamps exceed aStamp. Used when a receiver holds a stamp
+   * from a feeder whose clock is ahead.
+   */
+  void RaiseStamp(std::int64_t aStamp);
+
+  const HeldSummary* Find(const std::string& aDomain) const;
+  const HeldSummary& Own() const;
+
+  /** By domain; without the own one. */
+  const std::map<std::string, HeldSummary>& Others() const;
+
+  /** Of a contact or sampled host of another domain. */
+  std::optional<PeerAddress> AddressOf(const std::string& aHost) const;
+  std::int64_t IncarnationOf(const std::string& aHost) const;
+
+  /** Raised when a summary of another domain changed. */
+  std::uint64_t Version() const;
+
+private:
+  std::int64_t NextStamp(Millis aWallNow) const;
+  bool IsNews(const wire::ServiceSummary& aHeld,
+              const wire::ServiceSummary& aBuilt,
+              Millis aWallNow);
+  void MergeHeader(HeldSummary& aHeld, const wire::DomainSummary& aSummary);
+
+  HeldSummary own;
+  std::int64_t stampFloor = 0;
+  std::map<std::string, wire::ServiceSummary> built; // By the last Build().
+  std::map<std::string, Millis> disagreedSince;
+  std::map<std::string, HeldSummary> others;
+  std::string repairedUpTo;
+  std::uint64_t version = 0;
+};
+
+inline const HeldSummary& DomainSummaries::Own() const
+{
+  return this->own;
+}
+
+inline const std::map<std::string, HeldSummary>& DomainSummaries::Others() const
+{
+  return this->others;
+}
+
+inline std::uint64_t DomainSummaries::Version() const
+{
+  return this->version;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/failuredetector.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/random.h"
+#include "peer_types.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+class MemberTable;
+
+struct FailureDetectorConfig
+{
+  std::string self;
+  Millis interval = 1000;
+  Millis suspicionTime = 3000;
+};
+
+struct FailureDetectorHooks
+{
+  std::function<void(const std::string& aHost, std::int64_t aSequence)> ping;
+  std::function<void(const std::string& aVia,
+                     const std::string& aTarget,
+                     std::int64_t aSequence)>
+    pingRequest;
+  std::function<void(const std::string& aHost)> suspect;
+  std::function<void(const std::string& aHost)> declareDead;
+};
+
+/**
+ * SWIM failure detection inside one failure domain. It doubts itself first: it
+ * declares nobody dead because of its own pause or its own partition.
+ */
+class FailureDetector
+{
+public:
+  FailureDetector(FailureDetectorConfig aConfig,
+                  Random aRandom,
+                  FailureDetectorHooks aHooks);
+
+  /** True when the time since the last tick shows that the process paused. */
+  bool Tick(Millis aNow, const MemberTable& aTable);
+
+  void Acknowledged(const std::string& aHost, std::int64_t aSequence);
+
+  /** To be called for every record that changed in the table. */
+  void Observe(const wire::MemberRecord& aRecord, Millis aNow);
+
+  /** Sequence numbers are shared with relayed pings. */
+  std::int64_t NextSequence();
+
+  bool IsCutOff() const;
+
+private:
+  struct Probe
+  {
+    std::string host;
+    std::int64_t sequence = 0;
+    Millis sentAt = 0;
+    bool isIndirect = false;
+  };
+
+  struct ProbeResult
+  {
+    std::string host;
+    bool answered = false;
+  };
+
+  bool NoticePause(Millis aNow);
+  void RestartSuspicions(Millis aNow);
+  void AdvanceProbe(Millis aNow, const MemberTable& aTable);
+  void AskOthers(const MemberTable& aTable);
+  void StartProbe(Millis aNow, const MemberTable& aTable);
+  std::optional<std::string> NextTarget(const MemberTable& aTable);
+  void EndProbe(bool aAnswered);
+  bool LooksCutOff(const MemberTable& aTable) const;
+  bool RecentProbesFailed() const;
+  void UpdateCutOff(Millis aNow, const MemberTable& aTable);
+  void ExpireSuspicions(Millis aNow);
+
+  FailureDetectorConfig config;
+  Random random;
+  FailureDetectorHooks hooks;
+  std::optional<Millis> lastTick;
+  Millis nextProbeAt = 0;
+  std::int64_t sequence = 0;
+  std::optional<Probe> probe;
+  std::vector<std::string> targets;
+  std::deque<ProbeResult> recent;
+  std::map<std::string, Millis> deadlines;
+  bool isCutOff = false;
+};
+
+inline std::int64_t FailureDetector::NextSequence()
+{
+  return ++this->sequence;
+}
+
+inline bool FailureDetector::IsCutOff() const
+{
+  return this->isCutOff;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/gossip.cpp
@@ -0,0 +1,252 @@
+#include "membership/gossip.h"
+
+#include "membership/membertable.h"
+#include "membership/wiresize.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+// Marks beyond these wait for the next datagram.
+constexpr std::size_t kMaxMarks = 8;
+
+// Bounds the memory that peers can take by asking for pings.
+constexpr std::size_t kMaxRelays = 256;
+
+PeerAddress AddressIn(const wire::MemberRecord& aRecord)
+{
+  return { aRecord.address, aRecord.peerPort };
+}
+
+} // namespace
+
+Gossip::Gossip(const MembershipConfig& aConfig,
+               const MembershipHooks& aNetwork,
+               const MemberTable& aTable,
+               Random aRandom,
+               GossipHooks aHooks)
+  : config(aConfig)
+  , network(aNetwork)
+  , table(aTable)
+  , hooks(std::move(aHooks))
+  , detector({ aConfig.host, aConfig.gossipInterval, aConfig.suspicionTime },
+             std::move(aRandom),
+             this->DetectorHooks())
+{
+}
+
+FailureDetectorHooks Gossip::DetectorHooks()
+{
+  FailureDetectorHooks detectorHooks;
+  detectorHooks.ping = [this](const auto& aHost, auto aSequence) {
+    this->SendPing(aHost, aSequence);
+  };
+  detectorHooks.pingRequest =
+    [this](const auto& aVia, const auto& aTarget, auto aSequence) {
+      this->SendPingRequest(aVia, aTarget, aSequence);
+    };
+  detectorHooks.suspect = [this](const auto& aHost) {
+    this->JudgeAs(aHost, wire::MemberState::SUSPECT);
+  };
+  detectorHooks.declareDead = [this](const auto& aHost) {
+    this->JudgeAs(aHost, wire::MemberState::DEAD);
+  };
+  return detectorHooks;
+}
+
+bool Gossip::Tick(Millis aNow)
+{
+  std::erase_if(this->relays, [aNow](const auto& aItem) {
+    return aNow >= aItem.second.expiresAt;
+  });
+  const bool paused = this->detector.Tick(aNow, this->table);
+  this->FlushPushes();
+  return paused;
+}
+
+void Gossip::Changed(const wire::MemberRecord& aRecord,
+                     Spread aSpread,
+                     Millis aNow)
+{
+  this->detector.Observe(aRecord, aNow);
+  if (aSpread != Spread::No) {
+    this->queue.Add(aRecord);
+  }
+  if (aSpread == Spread::Tree) {
+    this->pushes.Add(aRecord);
+  }
+}
+
+void Gossip::FlushPushes()
+{
+  const auto byChild = this->pushes.Take(
+    this->table.LiveHosts(), this->config.host, this->config.fanout);
+  for (const auto& [child, records] : byChild) {
+    for (auto& group : SplitBySize(records, kMaxRecordBytes)) {
+      // An answer to no ping; sequences of pings start at 1.
+      wire::Ack push;
+      push.host = this->config.host;
+      push.updates = std::move(group);
+      wire::Envelope envelope;
+      envelope.__set_ack(push);
+      this->SendTo(child, std::move(envelope));
+    }
+  }
+}
+
+template<typename Message>
+void Gossip::Fill(Message& aMessage)
+{
+  aMessage.host = this->config.host;
+  aMessage.version = this->network.ownVersion ? this->network.ownVersion() : 0;
+  if (this->network.takeMarks) {
+    aMessage.marks = this->network.takeMarks();
+    aMessage.marks.resize(std::min(aMessage.marks.size(), kMaxMarks));
+  }
+  const std::size_t used = EncodedSize(aMessage) + kDatagramHeaderBytes;
+  const std::size_t left =
+    kMaxDatagramBytes - std::min(used, kMaxDatagramBytes);
+  aMessage.updates = this->queue.Take(left, this->table.LiveHosts().size());
+}
+
+void Gossip::SendTo(const std::string& aHost, wire::Envelope aEnvelope)
+{
+  if (const wire::MemberRecord* const record = this->table.Find(aHost)) {
+    this->network.sendDatagram(AddressIn(*record), std::move(aEnvelope));
+  }
+}
+
+void Gossip::SendPing(const std::string& aHost, std::int64_t aSequence)
+{
+  wire::Ping ping;
+  ping.sequence = aSequence;
+  this->Fill(ping);
+  wire::Envelope envelope;
+  envelope.__set_ping(ping);
+  this->SendTo(aHost, std::move(envelope));
+}
+
+void Gossip::SendAck(const PeerAddress& aTo, std::int64_t aSequence)
+{
+  wire::Ack ack;
+  ack.sequence = aSequence;
+  this->Fill(ack);
+  wire::Envelope envelope;
+  envelope.__set_ack(ack);
+  this->network.sendDatagram(aTo, std::move(envelope));
+}
+
+void Gossip::SendPingRequest(const std::string& aVia,
+                             const std::string& aTarget,
+                             std::int64_t aSequence)
+{
+  wire::PingRequest request;
+  request.sequence = aSequence;
+  request.host = this->config.host;
+  request.target = aTarget;
+  wire::Envelope envelope;
+  envelope.__set_pingRequest(request);
+  this->SendTo(aVia, std::move(envelope));
+}
+
+void Gossip::JudgeAs(const std::string& aHost, wire::MemberState::type aState)
+{
+  const wire::MemberRecord* const record = this->table.Find(aHost);
+  if (record == nullptr || record->state >= aState) {
+    return;
+  }
+  wire::MemberRecord judged = *record;
+  judged.state = aState;
+  this->hooks.merge(judged, Spread::Gossip);
+}
+
+void Gossip::HandleDatagram(const PeerAddress& aFrom,
+                            const wire::Envelope& aEnvelope,
+                            Millis aNow)
+{
+  if (aEnvelope.__isset.ping) {
+    this->HandlePing(aFrom, aEnvelope.ping);
+  } else if (aEnvelope.__isset.ack) {
+    this->HandleAck(aEnvelope.ack);
+  } else if (aEnvelope.__isset.pingRequest) {
+    this->HandleRequest(aFrom, aEnvelope.pingRequest, aNow);
+  }
+}
+
+void Gossip::HandlePing(const PeerAddress& aFrom, const wire::Ping& aPing)
+{
+  this->Learn(
+    aPing.host, aPing.version, aPing.updates, aPing.marks, Spread::Gossip);
+  const wire::MemberRecord* const sender = this->table.Find(aPing.host);
+  if (sender != nullptr && sender->state != wire::MemberState::ALIVE) {
+    // The answer tells the sender, so that it can refute.
+    this->queue.Add(*sender);
+  }
+  this->SendAck(aFrom, aPing.sequence);
+}
+
+void Gossip::HandleAck(const wire::Ack& aAck)
+{
+  const bool isPush = aAck.sequence == 0;
+  this->Learn(aAck.host,
+              aAck.version,
+              aAck.updates,
+              aAck.marks,
+              isPush ? Spread::Tree : Spread::Gossip);
+  if (!isPush) {
+    this->detector.Acknowledged(aAck.host, aAck.sequence);
+    this->ForwardAck(aAck);
+  }
+}
+
+void Gossip::HandleRequest(const PeerAddress& aFrom,
+                           const wire::PingRequest& aRequest,
+                           Millis aNow)
+{
+  if (this->relays.size() >= kMaxRelays) {
+    return;
+  }
+  const std::int64_t sequence = this->detector.NextSequence();
+  this->relays[sequence] = { aFrom,
+                             aRequest.sequence,
+                             aNow + this->config.gossipInterval };
+  this->SendPing(aRequest.target, sequence);
+}
+
+void Gossip::ForwardAck(const wire::Ack& aAck)
+{
+  const auto relay = this->relays.find(aAck.sequence);
+  if (relay == this->relays.end()) {
+    return;
+  }
+  wire::Ack forwarded;
+  forwarded.sequence = relay->second.sequence;
+  forwarded.host = aAck.host;
+  forwarded.version = aAck.version;
+  wire::Envelope envelope;
+  envelope.__set_ack(forwarded);
+  this->network.sendDatagram(relay->second.origin, std::move(envelope));
+  this->relays.erase(relay);
+}
+
+void Gossip::Learn(const std::string& aHost,
+                   std::int64_t aVersion,
+                   const std::vector<wire::MemberRecord>& aUpdates,
+                   const std::vector<wire::QuarantineMark>& aMarks,
+                   Spread aSpread)
+{
+  for (const wire::MemberRecord& update : aUpdates) {
+    this->hooks.merge(update, aSpread);
+  }
+  if (this->network.mergeMarks && !aMarks.empty()) {
+    this->network.mergeMarks(aMarks);
+  }
+  if (this->network.onPeerVersion && aVersion > 0) {
+    this->network.onPeerVersion(aHost, aVersion);
+  }
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/gossip.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "common/random.h"
+#include "membership/failuredetector.h"
+#include "membership/membershipconfig.h"
+#include "membership/pushtree.h"
+#include "membership/updatequeue.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+class MemberTable;
+
+/** How a merged record travels on. */
+enum class Spread
+{
+  No,     // Everyone who needs it gets it otherwise.
+  Gossip, // Piggybacked on pings and answers.
+  Tree    // At once along the push trees, and piggybacked.
+};
+
+struct GossipHooks
+{
+  /** Merges a received or newly judged record. */
+  std::function<void(const wire::MemberRecord&, Spread)> merge;
+};
+
+/**
+ * The datagrams inside a failure domain: pings with piggybacked updates,
+ * indirect pings and pushes of urgent updates.
+ */
+class Gossip
+{
+public:
+  Gossip(const MembershipConfig& aConfig,
+         const MembershipHooks& aNetwork,
+         const MemberTable& aTable,
+         Random aRandom,
+         GossipHooks aHooks);
+
+  /** True when the process paused since the last tick. */
+  bool Tick(Millis aNow);
+
+  void HandleDatagram(const PeerAddress& aFrom,
+                      const wire::Envelope& aEnvelope,
+                      Millis aNow);
+
+  /** To be called for every record that changed in the table. */
+  void Changed(const wire::MemberRecord& aRecord, Spread aSpread, Millis aNow);
+
+  void FlushPushes();
+
+private:
+  struct Relay
+  {
+    PeerAddress origin;
+    std::int64_t sequence = 0;
+    Millis expiresAt = 0;
+  };
+
+  FailureDetectorHooks DetectorHooks();
+  void SendTo(const std::string& aHost, wire::Envelope aEnvelope);
+  void SendPing(const std::string& aHost, std::int64_t aSequence);
+  void SendAck(const PeerAddress& aTo, std::int64_t aSequence);
+  void SendPingRequest(const std::string& aVia,
+                       const std::string& aTarget,
+                       std::int64_t aSequence);
+  void JudgeAs(const std::string& aHost, wire::MemberState::type aState);
+  void HandlePing(const PeerAddress& aFrom, const wire::Ping& aPing);
+  void HandleAck(const wire::Ack& aAck);
+  void HandleRequest(const PeerAddress& aFrom,
+                     const wire::PingRequest& aRequest,
+                     Millis aNow);
+  void ForwardAck(const wire::Ack& aAck);
+  void Learn(const std::string& aHost,
+             std::int64_t aVersion,
+             const std::vector<wire::MemberRecord>& aUpdates,
+             const std::vector<wire::QuarantineMark>& aMarks,
+             Spread aSpread);
+
+  template<typename Message>
+  void Fill(Message& aMessage);
+
+  const MembershipConfig& config;
+  const MembershipHooks& network;
+  const MemberTable& table;
+  GossipHooks hooks;
+  FailureDetector detector;
+  UpdateQueue queue;
+  PushTree pushes;
+  std::map<std::int64_t, Relay> relays;
+};
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,265 @@
+#include "membership/membership.h"
+
+#include "common/log.h"
+#include "membership/viewbuilder.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("membership");
+
+// A member that returns within this time is recognised; later it is new.
+constexpr Millis kDeadRetention = 600000;
+
+wire::MemberRecord MakeSelf(const MembershipConfig& aConfig, const Clock& aWall)
+{
+  wire::MemberRecord self;
+  self.host = aConfig.host;
+  self.address = aConfig.address;
+  self.peerPort = aConfig.peerPort;
+  self.region = aConfig.region;
+  self.domain = aConfig.domain;
+  self.incarnation =
+    aConfig.incarnation > 0 ? aConfig.incarnation : aWall.Now();
+  self.state = wire::MemberState::ALIVE;
+  return self;
+}
+
+void AddHosts(std::vector<std::string>& aHosts,
+              const std::vector<wire::MemberRecord>& aRecords)
+{
+  std::ranges::transform(
+    aRecords, std::back_inserter(aHosts), &wire::MemberRecord::host);
+}
+
+std::vector<std::string> SortedUnique(std::vector<std::string> aHosts)
+{
+  std::ranges::sort(aHosts);
+  const auto rest = std::ranges::unique(aHosts);
+  aHosts.erase(rest.begin(), rest.end());
+  return aHosts;
+}
+
+} // namespace
+
+Membership::Membership(MembershipConfig aConfig,
+                       Clock aClock,
+                       Clock aWall,
+                       Random aRandom,
+                       MembershipHooks aHooks)
+  : config(std::move(aConfig))
+  , hooks(std::move(aHooks))
+  , clock(std::move(aClock))
+  , random(std::move(aRandom))
+  , self(MakeSelf(this->config, aWall))
+  , registry(this->config.endpointTimeout)
+  , table(this->config.domain)
+  , syncBudget(this->config.syncBytesPerSecond, this->config.syncBurstBytes)
+  , syncer({ this->config.host, this->config.syncInterval }, this->random)
+  , gossip(this->config,
+           this->hooks,
+           this->table,
+           this->random,
+           { [this](const auto& aRecord, Spread aSpread) {
+             this->MergeRecord(aRecord, aSpread);
+           } })
+  , exchange(this->config, this->hooks, this->table, this->syncBudget, aWall)
+{
+  this->table.Merge(this->self, this->clock.Now());
+}
+
+void Membership::Announce(const Announcement& aAnnouncement)
+{
+  if (this->registry.Announce(aAnnouncement, this->clock.Now())) {
+    kLog.Info("endpoint {} port {} {} slots {}",
+              aAnnouncement.service,
+              aAnnouncement.port,
+              to_string(aAnnouncement.state),
+              aAnnouncement.slots);
+    this->isSelfDirty = true;
+  }
+}
+
+void Membership::Withdraw(const std::string& aService, int aPort)
+{
+  if (this->registry.Withdraw(aService, aPort)) {
+    kLog.Info("endpoint {} port {} withdrawn", aService, aPort);
+    this->isSelfDirty = true;
+  }
+}
+
+void Membership::ReportLoad(const std::string& aService,
+                            int aFreeSlots,
+                            double aSlowdown)
+{
+  this->exchange.ReportLoad(aService, aFreeSlots, aSlowdown);
+}
+
+void Membership::Tick()
+{
+  if (this->hasLeft) {
+    return;
+  }
+  const Millis now = this->clock.Now();
+  if (this->isSelfDirty) {
+    this->PublishSelf(wire::MemberState::ALIVE);
+  }
+  if (this->gossip.Tick(now)) {
+    this->registry.RestartTimeouts(now);
+  }
+  if (this->registry.Expire(now)) {
+    this->PublishSelf(wire::MemberState::ALIVE);
+    this->gossip.FlushPushes();
+  }
+  this->StartSyncs(now);
+  this->exchange.Tick(now);
+  this->table.Prune(now - kDeadRetention);
+}
+
+void Membership::PublishSelf(wire::MemberState::type aState)
+{
+  this->isSelfDirty = false;
+  ++this->self.sequence;
+  this->self.state = aState;
+  this->self.endpoints = this->registry.Endpoints();
+  const Millis now = this->clock.Now();
+  this->table.Merge(this->self, now);
+  this->gossip.Changed(this->self, Spread::Tree, now);
+}
+
+void Membership::Leave()
+{
+  kLog.Info("leaving {}", this->config.domain);
+  this->PublishSelf(wire::MemberState::LEFT);
+  this->gossip.FlushPushes();
+  this->hasLeft = true;
+}
+
+void Membership::MergeRecord(const wire::MemberRecord& aRecord, Spread aSpread)
+{
+  if (aRecord.host == this->config.host) {
+    this->Refute(aRecord);
+    return;
+  }
+  const Millis now = this->clock.Now();
+  if (this->table.Merge(aRecord, now)) {
+    this->gossip.Changed(aRecord, aSpread, now);
+  }
+}
+
+void Membership::Refute(const wire::MemberRecord& aRecord)
+{
+  if (this->hasLeft || !Supersedes(aRecord, this->self)) {
+    return;
+  }
+  kLog.Info("refuting {} with incarnation {} sequence {}",
+            to_string(aRecord.state),
+            aRecord.incarnation,
+            aRecord.sequence);
+  if (aRecord.incarnation > this->self.incarnation) {
+    // An earlier process of this host had a later clock.
+    this->self.incarnation = aRecord.incarnation + 1;
+  }
+  this->self.sequence = std::max(this->self.sequence, aRecord.sequence);
+  this->PublishSelf(wire::MemberState::ALIVE);
+}
+
+void Membership::HandleDatagram(const PeerAddress& aFrom,
+                                const wire::Envelope& aEnvelope)
+{
+  if (this->hasLeft) {
+    return;
+  }
+  if (aEnvelope.__isset.loadReport) {
+    this->exchange.HandleLoad(aEnvelope.loadReport);
+    return;
+  }
+  this->gossip.HandleDatagram(aFrom, aEnvelope, this->clock.Now());
+}
+
+void Membership::HandleControl(SessionId aSession,
+                               const std::string& aFromHost,
+                               const wire::Envelope& aEnvelope)
+{
+  if (this->hasLeft) {
+    return;
+  }
+  if (aEnvelope.__isset.memberSync) {
+    this->HandleSync(aSession, aEnvelope.memberSync);
+  } else if (aEnvelope.__isset.domainSummary) {
+    this->exchange.Handle(
+      aSession, aFromHost, aEnvelope.domainSummary, this->clock.Now());
+  }
+}
+
+std::vector<std::string> Membership::LiveHosts(const std::string& aDomain) const
+{
+  if (aDomain == this->config.domain) {
+    return this->table.LiveHosts();
+  }
+  std::vector<std::string> hosts;
+  if (const HeldSummary* const held = this->Summaries().Find(aDomain)) {
+    AddHosts(hosts, held->contacts);
+  }
+  return SortedUnique(std::move(hosts));
+}
+
+std::vector<std::string> Membership::LiveHostsOfRegion(
+  const std::string& aRegion) const
+{
+  std::vector<std::string> hosts;
+  if (aRegion == this->config.region) {
+    AddHosts(hosts, this->exchange.OwnContacts());
+  }
+  for (const auto& [domain, held] : this->Summaries().Others()) {
+    if (held.region == aRegion) {
+      AddHosts(hosts, held.contacts);
+    }
+  }
+  return SortedUnique(std::move(hosts));
+}
+
+std::vector<std::string> Membership::AllLiveHosts() const
+{
+  std::vector<std::string> hosts = this->table.LiveHosts();
+  for (const auto& [domain, held] : this->Summaries().Others()) {
+    AddHosts(hosts, held.contacts);
+  }
+  return SortedUnique(std::move(hosts));
+}
+
+std::optional<PeerAddress> Membership::AddressOf(const std::string& aHost) const
+{
+  if (const wire::MemberRecord* const record = this->table.Find(aHost)) {
+    return PeerAddress{ record->address, record->peerPort };
+  }
+  return this->Summaries().AddressOf(aHost);
+}
+
+std::int64_t Membership::IncarnationOf(const std::string& aHost) const
+{
+  const wire::MemberRecord* const record = this->table.Find(aHost);
+  return record != nullptr ? record->incarnation
+                           : this->Summaries().IncarnationOf(aHost);
+}
+
+EndpointViewPtr Membership::View()
+{
+  const bool isCurrent =
+    this->view && this->viewTableVersion == this->table.Version() &&
+    this->viewSummariesVersion == this->Summaries().Version();
+  if (!isCurrent) {
+    this->viewTableVersion = this->table.Version();
+    this->viewSummariesVersion = this->Summaries().Version();
+    this->view = BuildView(
+      this->table, this->Summaries(), this->config.region, this->config.domain);
+  }
+  return this->view;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/membershipsync.cpp
@@ -0,0 +1,138 @@
+// The part of Membership that exchanges whole tables with other members.
+
+#include "membership/membership.h"
+
+#include "membership/wiresize.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+wire::Envelope Wrap(const wire::MemberSync& aSync)
+{
+  wire::Envelope envelope;
+  envelope.__set_memberSync(aSync);
+  return envelope;
+}
+
+PeerAddress AddressIn(const wire::MemberRecord& aRecord)
+{
+  return { aRecord.address, aRecord.peerPort };
+}
+
+} // namespace
+
+std::vector<PeerAddress> Membership::Seeds() const
+{
+  std::vector<PeerAddress> seeds = this->config.peers;
+  if (this->hooks.seedPeers) {
+    const auto more = this->hooks.seedPeers();
+    seeds.insert(seeds.end(), more.begin(), more.end());
+  }
+  std::erase(seeds, AddressIn(this->self));
+  return seeds;
+}
+
+std::vector<PeerAddress> Membership::UnknownSeeds() const
+{
+  std::vector<PeerAddress> seeds = this->Seeds();
+  this->table.ForEach([&seeds](const wire::MemberRecord& aRecord) {
+    if (IsLive(aRecord)) {
+      std::erase(seeds, AddressIn(aRecord));
+    }
+  });
+  return seeds;
+}
+
+std::optional<PeerAddress> Membership::RandomMember(
+  wire::MemberState::type aState) const
+{
+  std::vector<std::string> hosts = this->table.HostsIn(aState);
+  std::erase(hosts, this->config.host);
+  if (hosts.empty()) {
+    return std::nullopt;
+  }
+  const auto& host = hosts[RandomBelow(this->random, hosts.size())];
+  return AddressIn(*this->table.Find(host));
+}
+
+void Membership::StartSyncs(Millis aNow)
+{
+  if (!this->syncer.IsDue(aNow)) {
+    return;
+  }
+  if (const auto member = this->RandomMember(wire::MemberState::ALIVE)) {
+    this->SendSync(*member);
+  }
+  const bool isSearching = !this->syncer.HasSynced();
+  if (!isSearching && !this->IsFeeder()) {
+    return;
+  }
+  // Feeders look for members on the other side of a healed partition.
+  if (const auto dead = this->RandomMember(wire::MemberState::DEAD)) {
+    this->SendSync(*dead);
+  }
+  const auto seeds = this->UnknownSeeds();
+  if (!seeds.empty()) {
+    this->SendSync(seeds[RandomBelow(this->random, seeds.size())]);
+  }
+}
+
+void Membership::SendSync(const PeerAddress& aTo)
+{
+  this->hooks.sendControl(aTo, Wrap(this->syncer.Request(this->table)));
+}
+
+void Membership::HandleSync(SessionId aSession, const wire::MemberSync& aSync)
+{
+  if (aSync.isReply) {
+    this->CompleteSync(aSession, aSync);
+  } else if (!aSync.records.empty()) {
+    this->AnswerSync(aSession, aSync);
+  }
+}
+
+void Membership::AnswerSync(SessionId aSession,
+                            const wire::MemberSync& aRequest)
+{
+  const wire::MemberRecord& sender = aRequest.records.front();
+  if (sender.domain != this->config.domain) {
+    this->exchange.Introduce(aSession, sender, this->clock.Now());
+    return;
+  }
+  const bool isStart = aRequest.buckets.empty();
+  this->MergeRecord(sender, Spread::Gossip);
+  if (!this->syncBudget.HasSome(this->clock.Now())) {
+    this->hooks.reply(aSession, Wrap(this->syncer.BusyAnswer(this->table)));
+    return;
+  }
+  const wire::MemberSync answer = MemberSyncer::AnswerTo(aRequest, this->table);
+  this->syncBudget.Spend(EncodedSize(answer));
+  this->hooks.reply(aSession, Wrap(answer));
+  if (isStart) {
+    this->exchange.SendAllTo(aSession);
+  }
+}
+
+void Membership::CompleteSync(SessionId aSession,
+                              const wire::MemberSync& aAnswer)
+{
+  const bool isFirst = !this->syncer.HasSynced();
+  const auto rest =
+    this->syncer.Complete(aAnswer, this->table, this->clock.Now());
+  if (rest) {
+    this->hooks.reply(aSession, Wrap(*rest));
+  }
+  for (const wire::MemberRecord& record : aAnswer.records) {
+    this->MergeRecord(record, isFirst ? Spread::No : Spread::Gossip);
+  }
+  if (isFirst && this->syncer.HasSynced()) {
+    // The members that were just learned hear of this one at once.
+    this->isSelfDirty = true;
+  }
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/summaryexchange.cpp
@@ -0,0 +1,361 @@
+#include "membership/summaryexchange.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+#include "membership/membersyncer.h"
+#include "membership/membertable.h"
+#include "membership/pushtree.h"
+#include "membership/wiresize.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("membership");
+
+constexpr std::size_t kContacts = 8;
+constexpr Millis kMinSendInterval = 1000;
+constexpr Millis kRefreshInterval = 10000;
+constexpr Millis kRequestInterval = 1000;
+
+// Loads change all the time; a feeder hears of each host at most this often.
+constexpr Millis kLoadInterval = 10000;
+constexpr Millis kLoadRepeat = 60000;
+
+wire::Envelope Wrap(wire::DomainSummary aSummary)
+{
+  wire::Envelope envelope;
+  envelope.__set_domainSummary(aSummary);
+  return envelope;
+}
+
+} // namespace
+
+SummaryExchange::SummaryExchange(const MembershipConfig& aConfig,
+                                 const MembershipHooks& aNetwork,
+                                 const MemberTable& aTable,
+                                 ByteBudget& aBudget,
+                                 Clock aWall)
+  : config(aConfig)
+  , network(aNetwork)
+  , table(aTable)
+  , budget(aBudget)
+  , wall(std::move(aWall))
+  , summaries(aConfig.region, aConfig.domain)
+{
+  this->ownLoad.host = aConfig.host;
+}
+
+void SummaryExchange::Tick(Millis aNow)
+{
+  this->SendLoad(aNow);
+  if (!this->IsFeeder()) {
+    this->loads.clear();
+    this->sentAt.reset();
+    this->refreshedAt.reset();
+    return;
+  }
+  this->UpdateOwn(aNow);
+}
+
+void SummaryExchange::UpdateOwn(Millis aNow)
+{
+  if (this->sentAt && aNow - *this->sentAt < kMinSendInterval) {
+    return;
+  }
+  std::erase_if(this->loads, [this](const auto& aItem) {
+    const wire::MemberRecord* const record = this->table.Find(aItem.first);
+    return record == nullptr || !IsLive(*record);
+  });
+  const SummaryChange change = this->summaries.Build(
+    this->table, this->loads, this->OwnContacts(), this->wall.Now());
+  const bool isRefresh =
+    !this->refreshedAt || aNow - *this->refreshedAt >= kRefreshInterval;
+  if (isRefresh || change == SummaryChange::Endpoints) {
+    this->SendOwn(aNow, isRefresh);
+  }
+}
+
+void SummaryExchange::SendOwn(Millis aNow, bool aIsRefresh)
+{
+  wire::DomainSummary summary =
+    this->summaries.Since(this->config.domain, this->sentStamp);
+  this->sentStamp = summary.stamp;
+  this->sentAt = aNow;
+  if (aIsRefresh) {
+    this->refreshedAt = aNow;
+    this->summaries.AddRepair(summary);
+  }
+  const std::size_t rank = this->OwnRank();
+  for (const auto& [domain, held] : this->summaries.Others()) {
+    const std::size_t receivers =
+      std::min(this->config.feeders, held.contacts.size());
+    if (receivers > 0) {
+      const wire::MemberRecord& contact = held.contacts[rank % receivers];
+      this->network.sendControl({ contact.address, contact.peerPort },
+                                Wrap(summary));
+    }
+  }
+  for (const std::string& feeder : this->Feeders()) {
+    const auto address = this->AddressIn(feeder);
+    if (feeder != this->config.host && address) {
+      this->network.sendControl(*address, Wrap(summary));
+    }
+  }
+}
+
+void SummaryExchange::Handle(SessionId aSession,
+                             const std::string& aFrom,
+                             const wire::DomainSummary& aSummary,
+                             Millis aNow)
+{
+  if (aSummary.isRequest) {
+    this->AnswerRequest(aSession, aSummary);
+    return;
+  }
+  if (aSummary.stamp == 0) {
+    this->MeetDomain(aSummary, aNow);
+    return;
+  }
+  if (this->summaries.Find(aSummary.domain) == nullptr) {
+    // A new domain hears of this one without waiting for the next refresh.
+    this->refreshedAt.reset();
+  }
+  const bool hasGap = this->summaries.HasGapBefore(aSummary);
+  auto news = this->summaries.Merge(aSummary, aNow);
+  if (aSummary.domain == this->config.domain) {
+    return;
+  }
+  if (hasGap) {
+    this->RequestMissing(aSession, aSummary, aNow);
+  }
+  const HeldSummary* const held = this->summaries.Find(aSummary.domain);
+  if (held->seenStamp > aSummary.stamp && !this->table.Find(aFrom)) {
+    // A feeder that is behind, for example by its clock, raises its stamps.
+    this->AnswerBehind(aSession, *held);
+  }
+  if (news) {
+    this->PassOn(aFrom, std::move(*news));
+  }
+}
+
+void SummaryExchange::MeetDomain(const wire::DomainSummary& aIntroduction,
+                                 Millis aNow)
+{
+  // Only feeders ask across the region link; the others get it from them.
+  if (!this->IsFeeder() || aIntroduction.contacts.empty()) {
+    return;
+  }
+  this->summaries.AddContacts(aIntroduction, aNow - 2 * kRefreshInterval);
+  this->refreshedAt.reset();
+  const HeldSummary* const held = this->summaries.Find(aIntroduction.domain);
+  if (held == nullptr || held->stamp > 0) {
+    return;
+  }
+  wire::DomainSummary request;
+  request.region = aIntroduction.region;
+  request.domain = aIntroduction.domain;
+  request.isRequest = true;
+  const wire::MemberRecord& contact = aIntroduction.contacts.front();
+  this->network.sendControl({ contact.address, contact.peerPort },
+                            Wrap(request));
+}
+
+void SummaryExchange::AnswerBehind(SessionId aSession, const HeldSummary& aHeld)
+{
+  wire::DomainSummary request;
+  request.region = aHeld.region;
+  request.domain = aHeld.domain;
+  request.stamp = aHeld.seenStamp;
+  request.isRequest = true;
+  this->network.reply(aSession, Wrap(request));
+}
+
+void SummaryExchange::AnswerRequest(SessionId aSession,
+                                    const wire::DomainSummary& aRequest)
+{
+  if (aRequest.domain == this->config.domain) {
+    this->summaries.RaiseStamp(aRequest.stamp);
+  }
+  wire::DomainSummary answer =
+    this->summaries.Since(aRequest.domain, aRequest.stamp);
+  if (answer.stamp <= aRequest.stamp) {
+    return;
+  }
+  this->budget.Spend(EncodedSize(answer));
+  this->network.reply(aSession, Wrap(std::move(answer)));
+}
+
+void SummaryExchange::RequestMissing(SessionId aSession,
+                                     const wire::DomainSummary& aSummary,
+                                     Millis aNow)
+{
+  const auto [position, isFirst] =
+    this->requestedAt.try_emplace(aSummary.domain, aNow);
+  if (!isFirst && aNow - position->second < kRequestInterval) {
+    return;
+  }
+  position->second = aNow;
+  const HeldSummary* const held = this->summaries.Find(aSummary.domain);
+  wire::DomainSummary request;
+  request.region = aSummary.region;
+  request.domain = aSummary.domain;
+  request.stamp = held == nullptr ? 0 : held->stamp;
+  request.isRequest = true;
+  this->network.reply(aSession, Wrap(request));
+}
+
+void SummaryExchange::PassOn(const std::string& aFrom,
+                             wire::DomainSummary aNews)
+{
+  if (this->table.Find(aFrom) == nullptr) {
+    aNews.root = this->config.host;
+  }
+  if (aNews.root.empty()) {
+    return;
+  }
+  const auto children = TreeChildren(this->table.LiveHosts(),
+                                     aNews.root,
+                                     this->config.host,
+                                     this->config.fanout);
+  for (const std::string& child : children) {
+    if (const auto address = this->AddressIn(child)) {
+      this->network.sendControl(*address, Wrap(aNews));
+    }
+  }
+}
+
+void SummaryExchange::Introduce(SessionId aSession,
+                                const wire::MemberRecord& aStranger,
+                                Millis aNow)
+{
+  if (this->IsFeeder()) {
+    wire::DomainSummary stranger;
+    stranger.region = aStranger.region;
+    stranger.domain = aStranger.domain;
+    stranger.contacts.push_back(aStranger);
+    this->summaries.AddContacts(stranger, aNow - 2 * kRefreshInterval);
+  }
+  wire::DomainSummary answer;
+  answer.region = this->config.region;
+  answer.domain = this->config.domain;
+  answer.contacts = this->OwnContacts();
+  this->network.reply(aSession, Wrap(answer));
+}
+
+void SummaryExchange::SendAllTo(SessionId aSession)
+{
+  for (const auto& [domain, held] : this->summaries.Others()) {
+    wire::DomainSummary summary = this->summaries.Since(domain, 0);
+    this->budget.Spend(EncodedSize(summary));
+    this->network.reply(aSession, Wrap(std::move(summary)));
+  }
+}
+
+void SummaryExchange::HandleLoad(const wire::LoadReport& aReport)
+{
+  if (this->IsFeeder()) {
+    this->loads[aReport.host] = aReport;
+  }
+}
+
+void SummaryExchange::ReportLoad(const std::string& aService,
+                                 int aFreeSlots,
+                                 double aSlowdown)
+{
+  auto& services = this->ownLoad.services;
+  auto load =
+    std::ranges::find(services, aService, &wire::ServiceLoad::serviceName);
+  if (load == services.end()) {
+    load = services.emplace(services.end());
+    load->serviceName = aService;
+  }
+  load->freeSlots = aFreeSlots;
+  load->slowdownPercent = static_cast<int>(std::lround(aSlowdown * 100.0));
+}
+
+void SummaryExchange::SendLoad(Millis aNow)
+{
+  if (this->ownLoad.services.empty()) {
+    return;
+  }
+  const Millis waited = aNow - this->loadSentAt;
+  const bool isChanged = this->ownLoad != this->sentLoad;
+  const bool isDue =
+    waited >= kLoadRepeat || (isChanged && waited >= kLoadInterval);
+  if (!isDue && this->loadSentTo == this->Feeders()) {
+    return;
+  }
+  this->loadSentAt = aNow;
+  this->loadSentTo = this->Feeders();
+  this->sentLoad = this->ownLoad;
+  wire::Envelope envelope;
+  envelope.__set_loadReport(this->ownLoad);
+  for (const std::string& feeder : this->Feeders()) {
+    const auto address = this->AddressIn(feeder);
+    if (feeder == this->config.host) {
+      this->loads[feeder] = this->ownLoad;
+    } else if (address) {
+      this->network.sendDatagram(*address, envelope);
+    }
+  }
+}
+
+const std::vector<std::string>& SummaryExchange::Feeders() const
+{
+  if (this->orderVersion != this->table.LiveVersion()) {
+    this->orderVersion = this->table.LiveVersion();
+    this->contacts =
+      RendezvousOrder(this->config.domain, this->table.LiveHosts());
+    this->contacts.resize(std::min(this->contacts.size(), kContacts));
+    const std::size_t count =
+      std::min(this->contacts.size(), this->config.feeders);
+    this->feeders.assign(this->contacts.begin(),
+                         this->contacts.begin() +
+                           static_cast<std::ptrdiff_t>(count));
+  }
+  return this->feeders;
+}
+
+bool SummaryExchange::IsFeeder() const
+{
+  return std::ranges::find(this->Feeders(), this->config.host) !=
+         this->Feeders().end();
+}
+
+std::size_t SummaryExchange::OwnRank() const
+{
+  const auto& order = this->Feeders();
+  const auto own = std::ranges::find(order, this->config.host);
+  return static_cast<std::size_t>(own - order.begin());
+}
+
+std::vector<wire::MemberRecord> SummaryExchange::OwnContacts() const
+{
+  this->Feeders();
+  std::vector<wire::MemberRecord> records;
+  for (const std::string& host : this->contacts) {
+    records.push_back(*this->table.Find(host));
+    // Only what is needed to reach it; the rest changes too often.
+    records.back().endpoints.clear();
+    records.back().sequence = 0;
+    records.back().state = wire::MemberState::ALIVE;
+  }
+  return records;
+}
+
+std::optional<PeerAddress> SummaryExchange::AddressIn(
+  const std::string& aHost) const
+{
+  const wire::MemberRecord* const record = this->table.Find(aHost);
+  if (record == nullptr) {
+    return std::nullopt;
+  }
+  return PeerAddress{ record->address, record->peerPort };
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/summaryexchange.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "common/random.h"
+#include "membership/domainsummaries.h"
+#include "membership/membershipconfig.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lacewingwharf {
+
+class ByteBudget;
+class MemberTable;
+
+/**
+ * Sends the own domain's summary to the feeders of the other domains, and
+ * theirs down the trees of the own domain.
+ */
+class SummaryExchange
+{
+public:
+  SummaryExchange(const MembershipConfig& aConfig,
+                  const MembershipHooks& aNetwork,
+                  const MemberTable& aTable,
+                  ByteBudget& aBudget,
+                  Clock aWall);
+
+  void Tick(Millis aNow);
+
+  /** aSession is 0 when there is nobody to reply to. */
+  void Handle(SessionId aSession,
+              const std::string& aFrom,
+              const wire::DomainSummary& aSummary,
+              Millis aNow);
+  void HandleLoad(const wire::LoadReport& aReport);
+  void ReportLoad(const std::string& aService,
+                  int aFreeSlots,
+                  double aSlowdown);
+
+  /** Answers a daemon of another domain with whom to ask in this one. */
+  void Introduce(SessionId aSession,
+                 const wire::MemberRecord& aStranger,
+                 Millis aNow);
+
+  /** Everything known of other domains, for a daemon that just started. */
+  void SendAllTo(SessionId aSession);
+
+  /** The first live members in rendezvous hashing order. */
+  const std::vector<std::string>& Feeders() const;
+  bool IsFeeder() const;
+
+  /** A few members that represent the own domain to the others. */
+  std::vector<wire::MemberRecord> OwnContacts() const;
+
+  const DomainSummaries& Summaries() const;
+
+private:
+  void UpdateOwn(Millis aNow);
+  void SendOwn(Millis aNow, bool aIsRefresh);
+  void AnswerRequest(SessionId aSession, const wire::DomainSummary& aRequest);
+  void MeetDomain(const wire::DomainSummary& aIntroduction, Millis aNow);
+  void AnswerBehind(SessionId aSession, const HeldSummary& aHeld);
+  void RequestMissing(SessionId aSession,
+                      const wire::DomainSummary& aSummary,
+                      Millis aNow);
+  void PassOn(const std::string& aFrom, wire::DomainSummary aNews);
+  void SendLoad(Millis aNow);
+  std::optional<PeerAddress> AddressIn(const std::string& aHost) const;
+  std::size_t OwnRank() const;
+
+  const MembershipConfig& config;
+  const MembershipHooks& network;
+  const MemberTable& table;
+  ByteBudget& budget;
+  Clock wall;
+  DomainSummaries summaries;
+  HostLoads loads;
+  wire::LoadReport ownLoad;
+  wire::LoadReport sentLoad;
+  std::vector<std::string> loadSentTo;
+  Millis loadSentAt = 0;
+  std::optional<Millis> sentAt;
+  std::optional<Millis> refreshedAt;
+  std::int64_t sentStamp = 0;
+  std::map<std::string, Millis> requestedAt;
+  mutable std::uint64_t orderVersion = ~0ULL;
+  mutable std::vector<std::string> contacts;
+  mutable std::vector<std::string> feeders;
+};
+
+inline const DomainSummaries& SummaryExchange::Summaries() const
+{
+  return this->summaries;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/updatequeue.cpp
@@ -0,0 +1,79 @@
+#include "membership/updatequeue.h"
+
+#include "common/log.h"
+#include "membership/wiresize.h"
+
+#include <bit>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("membership");
+
+// Two sends more than the logarithm cover a lost datagram each way.
+constexpr int kExtraSends = 2;
+
+// Bounds the work of one datagram when most updates are too large for the
+// space that is left.
+constexpr int kMaxSkipped = 8;
+
+} // namespace
+
+int UpdateQueue::SendLimit(std::size_t aMembers)
+{
+  return kExtraSends + static_cast<int>(std::bit_width(aMembers));
+}
+
+UpdateQueue::Rank UpdateQueue::RankOf(const Update& aUpdate)
+{
+  return { aUpdate.sent, aUpdate.order, aUpdate.record.host };
+}
+
+void UpdateQueue::Add(const wire::MemberRecord& aRecord)
+{
+  const std::size_t bytes = EncodedSize(aRecord);
+  if (bytes > kMaxRecordBytes) {
+    kLog.Warning(
+      "record of {} takes {} bytes: only syncs carry it", aRecord.host, bytes);
+    return;
+  }
+  Update& update = this->updates[aRecord.host];
+  this->ranks.erase(RankOf(update));
+  update.record = aRecord;
+  update.bytes = bytes;
+  update.sent = 0;
+  // Newer updates go first among those sent equally often.
+  update.order = this->nextOrder--;
+  this->ranks.insert(RankOf(update));
+}
+
+std::vector<wire::MemberRecord> UpdateQueue::Take(std::size_t aBytes,
+                                                  std::size_t aMembers)
+{
+  std::vector<wire::MemberRecord> taken;
+  std::size_t left = aBytes;
+  int skipped = 0;
+  for (const Rank& rank : this->ranks) {
+    const Update& update = this->updates.at(std::get<std::string>(rank));
+    if (update.bytes <= left) {
+      left -= update.bytes;
+      taken.push_back(update.record);
+    } else if (++skipped == kMaxSkipped) {
+      break;
+    }
+  }
+  const int limit = SendLimit(aMembers);
+  for (const wire::MemberRecord& record : taken) {
+    const auto position = this->updates.find(record.host);
+    this->ranks.erase(RankOf(position->second));
+    if (++position->second.sent >= limit) {
+      this->updates.erase(position);
+    } else {
+      this->ranks.insert(RankOf(position->second));
+    }
+  }
+  return taken;
+}
+
+} // namespace lacewingwharf
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -1563,6 +1563,18 @@
 void MemberSync::__set_isReply(const bool val) {
   this->isReply = val;
 }
+
+void MemberSync::__set_buckets(const std::vector<int64_t> & val) {
+  this->buckets = val;
+}
+
+void MemberSync::__set_differing(const std::vector<int32_t> & val) {
+  this->differing = val;
+}
+
+void MemberSync::__set_retryAfterMillis(const int32_t val) {
+  this->retryAfterMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj)
 {
   obj.printTo(out);
@@ -1619,6 +1631,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->buckets.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->buckets.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += iprot->readI64(this->buckets[_i56]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.buckets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->differing.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->differing.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += iprot->readI32(this->differing[_i61]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.differing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterMillis);
+          this->__isset.retryAfterMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1639,10 +1699,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter52;
-    for (_iter52 = this->records.begin(); _iter52 != this->records.end(); ++_iter52)
+    std::vector<MemberRecord> ::const_iterator _iter62;
+    for (_iter62 = this->records.begin(); _iter62 != this->records.end(); ++_iter62)
     {
-      xfer += (*_iter52).write(oprot);
+      xfer += (*_iter62).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1652,6 +1712,34 @@
   xfer += oprot->writeBool(this->isReply);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
+    std::vector<int64_t> ::const_iterator _iter63;
+    for (_iter63 = this->buckets.begin(); _iter63 != this->buckets.end(); ++_iter63)
+    {
+      xfer += oprot->writeI64((*_iter63));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("differing", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->differing.size()));
+    std::vector<int32_t> ::const_iterator _iter64;
+    for (_iter64 = this->differing.begin(); _iter64 != this->differing.end(); ++_iter64)
+    {
+      xfer += oprot->writeI32((*_iter64));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMillis", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->retryAfterMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1661,18 +1749,27 @@
   using ::std::swap;
   swap(a.records, b.records);
   swap(a.isReply, b.isReply);
+  swap(a.buckets, b.buckets);
+  swap(a.differing, b.differing);
+  swap(a.retryAfterMillis, b.retryAfterMillis);
   swap(a.__isset, b.__isset);
 }
 
-MemberSync::MemberSync(const MemberSync& other53) {
-  records = other53.records;
-  isReply = other53.isReply;
-  __isset = other53.__isset;
-}
-MemberSync& MemberSync::operator=(const MemberSync& other54) {
-  records = other54.records;
-  isReply = other54.isReply;
-  __isset = other54.__isset;
+MemberSync::MemberSync(const MemberSync& other65) {
+  records = other65.records;
+  isReply = other65.isReply;
+  buckets = other65.buckets;
+  differing = other65.differing;
+  retryAfterMillis = other65.retryAfterMillis;
+  __isset = other65.__isset;
+}
+MemberSync& MemberSync::operator=(const MemberSync& other66) {
+  records = other66.records;
+  isReply = other66.isReply;
+  buckets = other66.buckets;
+  differing = other66.differing;
+  retryAfterMillis = other66.retryAfterMillis;
+  __isset = other66.__isset;
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -1680,6 +1777,9 @@
   out << "MemberSync(";
   out << "records=" << to_string(records);
   out << ", " << "isReply=" << to_string(isReply);
+  out << ", " << "buckets=" << to_string(buckets);
+  out << ", " << "differing=" << to_string(differing);
+  out << ", " << "retryAfterMillis=" << to_string(retryAfterMillis);
   out << ")";
 }
 
@@ -1707,6 +1807,10 @@
 void SampledEndpoint::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void SampledEndpoint::__set_port(const int32_t val) {
+  this->port = val;
+}
 std::ostream& operator<<(std::ostream& out, const SampledEndpoint& obj)
 {
   obj.printTo(out);
@@ -1775,6 +1879,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1812,6 +1924,10 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1824,24 +1940,27 @@
   swap(a.peerPort, b.peerPort);
   swap(a.slots, b.slots);
   swap(a.incarnation, b.incarnation);
+  swap(a.port, b.port);
   swap(a.__isset, b.__isset);
 }
 
-SampledEndpoint::SampledEndpoint(const SampledEndpoint& other55) {
-  host = other55.host;
-  address = other55.address;
-  peerPort = other55.peerPort;
-  slots = other55.slots;
-  incarnation = other55.incarnation;
-  __isset = other55.__isset;
-}
-SampledEndpoint& SampledEndpoint::operator=(const SampledEndpoint& other56) {
-  host = other56.host;
-  address = other56.address;
-  peerPort = other56.peerPort;
-  slots = other56.slots;
-  incarnation = other56.incarnation;
-  __isset = other56.__isset;
+SampledEndpoint::SampledEndpoint(const SampledEndpoint& other67) {
+  host = other67.host;
+  address = other67.address;
+  peerPort = other67.peerPort;
+  slots = other67.slots;
+  incarnation = other67.incarnation;
+  port = other67.port;
+  __isset = other67.__isset;
+}
+SampledEndpoint& SampledEndpoint::operator=(const SampledEndpoint& other68) {
+  host = other68.host;
+  address = other68.address;
+  peerPort = other68.peerPort;
+  slots = other68.slots;
+  incarnation = other68.incarnation;
+  port = other68.port;
+  __isset = other68.__isset;
   return *this;
 }
 void SampledEndpoint::printTo(std::ostream& out) const {
@@ -1852,6 +1971,7 @@
   out << ", " << "peerPort=" << to_string(peerPort);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "port=" << to_string(port);
   out << ")";
 }
 
@@ -1883,6 +2003,10 @@
 void ServiceSummary::__set_sample(const std::vector<SampledEndpoint> & val) {
   this->sample = val;
 }
+
+void ServiceSummary::__set_stamp(const int64_t val) {
+  this->stamp = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceSummary& obj)
 {
   obj.printTo(out);
@@ -1955,14 +2079,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->sample.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->sample.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->sample[_i61].read(iprot);
+              xfer += this->sample[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1971,6 +2095,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stamp);
+          this->__isset.stamp = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2011,15 +2143,19 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<SampledEndpoint> ::const_iterator _iter62;
-    for (_iter62 = this->sample.begin(); _iter62 != this->sample.end(); ++_iter62)
+    std::vector<SampledEndpoint> ::const_iterator _iter74;
+    for (_iter74 = this->sample.begin(); _iter74 != this->sample.end(); ++_iter74)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stamp", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->stamp);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2033,26 +2169,29 @@
   swap(a.freeSlots, b.freeSlots);
   swap(a.slowdownPercent, b.slowdownPercent);
   swap(a.sample, b.sample);
+  swap(a.stamp, b.stamp);
   swap(a.__isset, b.__isset);
 }
 
-ServiceSummary::ServiceSummary(const ServiceSummary& other63) {
-  serviceName = other63.serviceName;
-  ready = other63.ready;
-  slots = other63.slots;
-  freeSlots = other63.freeSlots;
-  slowdownPercent = other63.slowdownPercent;
-  sample = other63.sample;
-  __isset = other63.__isset;
-}
-ServiceSummary& ServiceSummary::operator=(const ServiceSummary& other64) {
-  serviceName = other64.serviceName;
-  ready = other64.ready;
-  slots = other64.slots;
-  freeSlots = other64.freeSlots;
-  slowdownPercent = other64.slowdownPercent;
-  sample = other64.sample;
-  __isset = other64.__isset;
+ServiceSummary::ServiceSummary(const ServiceSummary& other75) {
+  serviceName = other75.serviceName;
+  ready = other75.ready;
+  slots = other75.slots;
+  freeSlots = other75.freeSlots;
+  slowdownPercent = other75.slowdownPercent;
+  sample = other75.sample;
+  stamp = other75.stamp;
+  __isset = other75.__isset;
+}
+ServiceSummary& ServiceSummary::operator=(const ServiceSummary& other76) {
+  serviceName = other76.serviceName;
+  ready = other76.ready;
+  slots = other76.slots;
+  freeSlots = other76.freeSlots;
+  slowdownPercent = other76.slowdownPercent;
+  sample = other76.sample;
+  stamp = other76.stamp;
+  __isset = other76.__isset;
   return *this;
 }
 void ServiceSummary::printTo(std::ostream& out) const {
@@ -2064,6 +2203,7 @@
   out << ", " << "freeSlots=" << to_string(freeSlots);
   out << ", " << "slowdownPercent=" << to_string(slowdownPercent);
   out << ", " << "sample=" << to_string(sample);
+  out << ", " << "stamp=" << to_string(stamp);
   out << ")";
 }
 
@@ -2091,6 +2231,18 @@
 void DomainSummary::__set_contacts(const std::vector<MemberRecord> & val) {
   this->contacts = val;
 }
+
+void DomainSummary::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void DomainSummary::__set_isRequest(const bool val) {
+  this->isRequest = val;
+}
+
+void DomainSummary::__set_root(const std::string& val) {
+  this->root = val;
+}
 std::ostream& operator<<(std::ostream& out, const DomainSummary& obj)
 {
   obj.printTo(out);
@@ -2147,14 +2299,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->services.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->services.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->services[_i69].read(iprot);
+              xfer += this->services[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2167,14 +2319,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->contacts.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->contacts.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->contacts.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->contacts[_i74].read(iprot);
+              xfer += this->contacts[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2183,6 +2335,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isRequest);
+          this->__isset.isRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->root);
+          this->__isset.root = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2215,22 +2391,322 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceSummary> ::const_iterator _iter75;
-    for (_iter75 = this->services.begin(); _iter75 != this->services.end(); ++_iter75)
+    std::vector<ServiceSummary> ::const_iterator _iter87;
+    for (_iter87 = this->services.begin(); _iter87 != this->services.end(); ++_iter87)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("contacts", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("contacts", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contacts.size()));
+    std::vector<MemberRecord> ::const_iterator _iter88;
+    for (_iter88 = this->contacts.begin(); _iter88 != this->contacts.end(); ++_iter88)
+    {
+      xfer += (*_iter88).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isRequest", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->isRequest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("root", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->root);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DomainSummary &a, DomainSummary &b) {
+  using ::std::swap;
+  swap(a.region, b.region);
+  swap(a.domain, b.domain);
+  swap(a.stamp, b.stamp);
+  swap(a.services, b.services);
+  swap(a.contacts, b.contacts);
+  swap(a.base, b.base);
+  swap(a.isRequest, b.isRequest);
+  swap(a.root, b.root);
+  swap(a.__isset, b.__isset);
+}
+
+DomainSummary::DomainSummary(const DomainSummary& other89) {
+  region = other89.region;
+  domain = other89.domain;
+  stamp = other89.stamp;
+  services = other89.services;
+  contacts = other89.contacts;
+  base = other89.base;
+  isRequest = other89.isRequest;
+  root = other89.root;
+  __isset = other89.__isset;
+}
+DomainSummary& DomainSummary::operator=(const DomainSummary& other90) {
+  region = other90.region;
+  domain = other90.domain;
+  stamp = other90.stamp;
+  services = other90.services;
+  contacts = other90.contacts;
+  base = other90.base;
+  isRequest = other90.isRequest;
+  root = other90.root;
+  __isset = other90.__isset;
+  return *this;
+}
+void DomainSummary::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DomainSummary(";
+  out << "region=" << to_string(region);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "stamp=" << to_string(stamp);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "contacts=" << to_string(contacts);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "isRequest=" << to_string(isRequest);
+  out << ", " << "root=" << to_string(root);
+  out << ")";
+}
+
+
+ServiceLoad::~ServiceLoad() noexcept {
+}
+
+
+void ServiceLoad::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void ServiceLoad::__set_freeSlots(const int32_t val) {
+  this->freeSlots = val;
+}
+
+void ServiceLoad::__set_slowdownPercent(const int32_t val) {
+  this->slowdownPercent = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServiceLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->freeSlots);
+          this->__isset.freeSlots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slowdownPercent);
+          this->__isset.slowdownPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServiceLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServiceLoad");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("freeSlots", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->freeSlots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slowdownPercent", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->slowdownPercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServiceLoad &a, ServiceLoad &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.freeSlots, b.freeSlots);
+  swap(a.slowdownPercent, b.slowdownPercent);
+  swap(a.__isset, b.__isset);
+}
+
+ServiceLoad::ServiceLoad(const ServiceLoad& other91) {
+  serviceName = other91.serviceName;
+  freeSlots = other91.freeSlots;
+  slowdownPercent = other91.slowdownPercent;
+  __isset = other91.__isset;
+}
+ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other92) {
+  serviceName = other92.serviceName;
+  freeSlots = other92.freeSlots;
+  slowdownPercent = other92.slowdownPercent;
+  __isset = other92.__isset;
+  return *this;
+}
+void ServiceLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServiceLoad(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "freeSlots=" << to_string(freeSlots);
+  out << ", " << "slowdownPercent=" << to_string(slowdownPercent);
+  out << ")";
+}
+
+
+LoadReport::~LoadReport() noexcept {
+}
+
+
+void LoadReport::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void LoadReport::__set_services(const std::vector<ServiceLoad> & val) {
+  this->services = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->services.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
+            {
+              xfer += this->services[_i97].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadReport");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contacts.size()));
-    std::vector<MemberRecord> ::const_iterator _iter76;
-    for (_iter76 = this->contacts.begin(); _iter76 != this->contacts.end(); ++_iter76)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<ServiceLoad> ::const_iterator _iter98;
+    for (_iter98 = this->services.begin(); _iter98 != this->services.end(); ++_iter98)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter98).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2241,41 +2717,29 @@
   return xfer;
 }
 
-void swap(DomainSummary &a, DomainSummary &b) {
+void swap(LoadReport &a, LoadReport &b) {
   using ::std::swap;
-  swap(a.region, b.region);
-  swap(a.domain, b.domain);
-  swap(a.stamp, b.stamp);
+  swap(a.host, b.host);
   swap(a.services, b.services);
-  swap(a.contacts, b.contacts);
   swap(a.__isset, b.__isset);
 }
 
-DomainSummary::DomainSummary(const DomainSummary& other77) {
-  region = other77.region;
-  domain = other77.domain;
-  stamp = other77.stamp;
-  services = other77.services;
-  contacts = other77.contacts;
-  __isset = other77.__isset;
-}
-DomainSummary& DomainSummary::operator=(const DomainSummary& other78) {
-  region = other78.region;
-  domain = other78.domain;
-  stamp = other78.stamp;
-  services = other78.services;
-  contacts = other78.contacts;
-  __isset = other78.__isset;
+LoadReport::LoadReport(const LoadReport& other99) {
+  host = other99.host;
+  services = other99.services;
+  __isset = other99.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other100) {
+  host = other100.host;
+  services = other100.services;
+  __isset = other100.__isset;
   return *this;
 }
-void DomainSummary::printTo(std::ostream& out) const {
+void LoadReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "DomainSummary(";
-  out << "region=" << to_string(region);
-  out << ", " << "domain=" << to_string(domain);
-  out << ", " << "stamp=" << to_string(stamp);
+  out << "LoadReport(";
+  out << "host=" << to_string(host);
   out << ", " << "services=" << to_string(services);
-  out << ", " << "contacts=" << to_string(contacts);
   out << ")";
 }
 
@@ -2389,17 +2853,17 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryText::EntryText(const EntryText& other79) {
-  name = other79.name;
-  revision = other79.revision;
-  text = other79.text;
-  __isset = other79.__isset;
+EntryText::EntryText(const EntryText& other101) {
+  name = other101.name;
+  revision = other101.revision;
+  text = other101.text;
+  __isset = other101.__isset;
 }
-EntryText& EntryText::operator=(const EntryText& other80) {
-  name = other80.name;
-  revision = other80.revision;
-  text = other80.text;
-  __isset = other80.__isset;
+EntryText& EntryText::operator=(const EntryText& other102) {
+  name = other102.name;
+  revision = other102.revision;
+  text = other102.text;
+  __isset = other102.__isset;
   return *this;
 }
 void EntryText::printTo(std::ostream& out) const {
@@ -2519,14 +2983,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->changed.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->changed.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += this->changed[_i85].read(iprot);
+              xfer += this->changed[_i107].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2539,14 +3003,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->removed.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->removed.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += iprot->readString(this->removed[_i90]);
+              xfer += iprot->readString(this->removed[_i112]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2603,10 +3067,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<EntryText> ::const_iterator _iter91;
-    for (_iter91 = this->changed.begin(); _iter91 != this->changed.end(); ++_iter91)
+    std::vector<EntryText> ::const_iterator _iter113;
+    for (_iter113 = this->changed.begin(); _iter113 != this->changed.end(); ++_iter113)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2615,10 +3079,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter92;
-    for (_iter92 = this->removed.begin(); _iter92 != this->removed.end(); ++_iter92)
+    std::vector<std::string> ::const_iterator _iter114;
+    for (_iter114 = this->removed.begin(); _iter114 != this->removed.end(); ++_iter114)
     {
-      xfer += oprot->writeString((*_iter92));
+      xfer += oprot->writeString((*_iter114));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2646,27 +3110,27 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigBody::ConfigBody(const ConfigBody& other93) {
-  base = other93.base;
-  version = other93.version;
-  contentHash = other93.contentHash;
-  storeEpoch = other93.storeEpoch;
-  floorRevision = other93.floorRevision;
-  changed = other93.changed;
-  removed = other93.removed;
-  whole = other93.whole;
-  __isset = other93.__isset;
-}
-ConfigBody& ConfigBody::operator=(const ConfigBody& other94) {
-  base = other94.base;
-  version = other94.version;
-  contentHash = other94.contentHash;
-  storeEpoch = other94.storeEpoch;
-  floorRevision = other94.floorRevision;
-  changed = other94.changed;
-  removed = other94.removed;
-  whole = other94.whole;
-  __isset = other94.__isset;
+ConfigBody::ConfigBody(const ConfigBody& other115) {
+  base = other115.base;
+  version = other115.version;
+  contentHash = other115.contentHash;
+  storeEpoch = other115.storeEpoch;
+  floorRevision = other115.floorRevision;
+  changed = other115.changed;
+  removed = other115.removed;
+  whole = other115.whole;
+  __isset = other115.__isset;
+}
+ConfigBody& ConfigBody::operator=(const ConfigBody& other116) {
+  base = other116.base;
+  version = other116.version;
+  contentHash = other116.contentHash;
+  storeEpoch = other116.storeEpoch;
+  floorRevision = other116.floorRevision;
+  changed = other116.changed;
+  removed = other116.removed;
+  whole = other116.whole;
+  __isset = other116.__isset;
   return *this;
 }
 void ConfigBody::printTo(std::ostream& out) const {
@@ -2776,15 +3240,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other95) {
-  root = other95.root;
-  body = other95.body;
-  __isset = other95.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other117) {
+  root = other117.root;
+  body = other117.body;
+  __isset = other117.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other96) {
-  root = other96.root;
-  body = other96.body;
-  __isset = other96.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other118) {
+  root = other118.root;
+  body = other118.body;
+  __isset = other118.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -2871,13 +3335,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFetch::ConfigFetch(const ConfigFetch& other97) noexcept {
-  held = other97.held;
-  __isset = other97.__isset;
+ConfigFetch::ConfigFetch(const ConfigFetch& other119) noexcept {
+  held = other119.held;
+  __isset = other119.__isset;
 }
-ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other98) noexcept {
-  held = other98.held;
-  __isset = other98.__isset;
+ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other120) noexcept {
+  held = other120.held;
+  __isset = other120.__isset;
   return *this;
 }
 void ConfigFetch::printTo(std::ostream& out) const {
@@ -2943,14 +3407,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bodies.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->bodies.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->bodies.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
             {
-              xfer += this->bodies[_i103].read(iprot);
+              xfer += this->bodies[_i125].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2991,10 +3455,10 @@
   xfer += oprot->writeFieldBegin("bodies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->bodies.size()));
-    std::vector<ConfigBody> ::const_iterator _iter104;
-    for (_iter104 = this->bodies.begin(); _iter104 != this->bodies.end(); ++_iter104)
+    std::vector<ConfigBody> ::const_iterator _iter126;
+    for (_iter126 = this->bodies.begin(); _iter126 != this->bodies.end(); ++_iter126)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter126).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3017,17 +3481,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigAnswer::ConfigAnswer(const ConfigAnswer& other105) {
-  held = other105.held;
-  bodies = other105.bodies;
-  retryAfterMillis = other105.retryAfterMillis;
-  __isset = other105.__isset;
+ConfigAnswer::ConfigAnswer(const ConfigAnswer& other127) {
+  held = other127.held;
+  bodies = other127.bodies;
+  retryAfterMillis = other127.retryAfterMillis;
+  __isset = other127.__isset;
 }
-ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other106) {
-  held = other106.held;
-  bodies = other106.bodies;
-  retryAfterMillis = other106.retryAfterMillis;
-  __isset = other106.__isset;
+ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other128) {
+  held = other128.held;
+  bodies = other128.bodies;
+  retryAfterMillis = other128.retryAfterMillis;
+  __isset = other128.__isset;
   return *this;
 }
 void ConfigAnswer::printTo(std::ostream& out) const {
@@ -3179,17 +3643,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _ktype108;
-            ::apache::thrift::protocol::TType _vtype109;
-            xfer += iprot->readMapBegin(_ktype108, _vtype109, _size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _ktype130;
+            ::apache::thrift::protocol::TType _vtype131;
+            xfer += iprot->readMapBegin(_ktype130, _vtype131, _size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              std::string _key112;
-              xfer += iprot->readString(_key112);
-              std::string& _val113 = this->headers[_key112];
-              xfer += iprot->readString(_val113);
+              std::string _key134;
+              xfer += iprot->readString(_key134);
+              std::string& _val135 = this->headers[_key134];
+              xfer += iprot->readString(_val135);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3298,11 +3762,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter114;
-    for (_iter114 = this->headers.begin(); _iter114 != this->headers.end(); ++_iter114)
+    std::map<std::string, std::string> ::const_iterator _iter136;
+    for (_iter136 = this->headers.begin(); _iter136 != this->headers.end(); ++_iter136)
     {
-      xfer += oprot->writeString(_iter114->first);
-      xfer += oprot->writeString(_iter114->second);
+      xfer += oprot->writeString(_iter136->first);
+      xfer += oprot->writeString(_iter136->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3360,39 +3824,39 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other115) {
-  callId = other115.callId;
-  entry = other115.entry;
-  serviceName = other115.serviceName;
-  port = other115.port;
-  method = other115.method;
-  target = other115.target;
-  headers = other115.headers;
-  body = other115.body;
-  remainingMillis = other115.remainingMillis;
-  idempotent = other115.idempotent;
-  depth = other115.depth;
-  callerHost = other115.callerHost;
-  version = other115.version;
-  digest = other115.digest;
-  __isset = other115.__isset;
+CallRequest::CallRequest(const CallRequest& other137) {
+  callId = other137.callId;
+  entry = other137.entry;
+  serviceName = other137.serviceName;
+  port = other137.port;
+  method = other137.method;
+  target = other137.target;
+  headers = other137.headers;
+  body = other137.body;
+  remainingMillis = other137.remainingMillis;
+  idempotent = other137.idempotent;
+  depth = other137.depth;
+  callerHost = other137.callerHost;
+  version = other137.version;
+  digest = other137.digest;
+  __isset = other137.__isset;
 }
-CallRequest& CallRequest::operator=(const CallRequest& other116) {
-  callId = other116.callId;
-  entry = other116.entry;
-  serviceName = other116.serviceName;
-  port = other116.port;
-  method = other116.method;
-  target = other116.target;
-  headers = other116.headers;
-  body = other116.body;
-  remainingMillis = other116.remainingMillis;
-  idempotent = other116.idempotent;
-  depth = other116.depth;
-  callerHost = other116.callerHost;
-  version = other116.version;
-  digest = other116.digest;
-  __isset = other116.__isset;
+CallRequest& CallRequest::operator=(const CallRequest& other138) {
+  callId = other138.callId;
+  entry = other138.entry;
+  serviceName = other138.serviceName;
+  port = other138.port;
+  method = other138.method;
+  target = other138.target;
+  headers = other138.headers;
+  body = other138.body;
+  remainingMillis = other138.remainingMillis;
+  idempotent = other138.idempotent;
+  depth = other138.depth;
+  callerHost = other138.callerHost;
+  version = other138.version;
+  digest = other138.digest;
+  __isset = other138.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -3517,9 +3981,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast117;
-          xfer += iprot->readI32(ecast117);
-          this->outcome = static_cast<CallOutcome::type>(ecast117);
+          int32_t ecast139;
+          xfer += iprot->readI32(ecast139);
+          this->outcome = static_cast<CallOutcome::type>(ecast139);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3537,17 +4001,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _ktype119;
-            ::apache::thrift::protocol::TType _vtype120;
-            xfer += iprot->readMapBegin(_ktype119, _vtype120, _size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _ktype141;
+            ::apache::thrift::protocol::TType _vtype142;
+            xfer += iprot->readMapBegin(_ktype141, _vtype142, _size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              std::string _key123;
-              xfer += iprot->readString(_key123);
-              std::string& _val124 = this->headers[_key123];
-              xfer += iprot->readString(_val124);
+              std::string _key145;
+              xfer += iprot->readString(_key145);
+              std::string& _val146 = this->headers[_key145];
+              xfer += iprot->readString(_val146);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3676,11 +4140,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter125;
-    for (_iter125 = this->headers.begin(); _iter125 != this->headers.end(); ++_iter125)
+    std::map<std::string, std::string> ::const_iterator _iter147;
+    for (_iter147 = this->headers.begin(); _iter147 != this->headers.end(); ++_iter147)
     {
-      xfer += oprot->writeString(_iter125->first);
-      xfer += oprot->writeString(_iter125->second);
+      xfer += oprot->writeString(_iter147->first);
+      xfer += oprot->writeString(_iter147->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3755,41 +4219,41 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other126) {
-  callId = other126.callId;
-  outcome = other126.outcome;
-  status = other126.status;
-  headers = other126.headers;
-  body = other126.body;
-  bodyHash = other126.bodyHash;
-  reason = other126.reason;
-  owner = other126.owner;
-  limit = other126.limit;
-  retryAfterMillis = other126.retryAfterMillis;
-  running = other126.running;
-  waiting = other126.waiting;
-  slots = other126.slots;
-  serverLost = other126.serverLost;
-  serviceMicros = other126.serviceMicros;
-  __isset = other126.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other127) {
-  callId = other127.callId;
-  outcome = other127.outcome;
-  status = other127.status;
-  headers = other127.headers;
-  body = other127.body;
-  bodyHash = other127.bodyHash;
-  reason = other127.reason;
-  owner = other127.owner;
-  limit = other127.limit;
-  retryAfterMillis = other127.retryAfterMillis;
-  running = other127.running;
-  waiting = other127.waiting;
-  slots = other127.slots;
-  serverLost = other127.serverLost;
-  serviceMicros = other127.serviceMicros;
-  __isset = other127.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other148) {
+  callId = other148.callId;
+  outcome = other148.outcome;
+  status = other148.status;
+  headers = other148.headers;
+  body = other148.body;
+  bodyHash = other148.bodyHash;
+  reason = other148.reason;
+  owner = other148.owner;
+  limit = other148.limit;
+  retryAfterMillis = other148.retryAfterMillis;
+  running = other148.running;
+  waiting = other148.waiting;
+  slots = other148.slots;
+  serverLost = other148.serverLost;
+  serviceMicros = other148.serviceMicros;
+  __isset = other148.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other149) {
+  callId = other149.callId;
+  outcome = other149.outcome;
+  status = other149.status;
+  headers = other149.headers;
+  body = other149.body;
+  bodyHash = other149.bodyHash;
+  reason = other149.reason;
+  owner = other149.owner;
+  limit = other149.limit;
+  retryAfterMillis = other149.retryAfterMillis;
+  running = other149.running;
+  waiting = other149.waiting;
+  slots = other149.slots;
+  serverLost = other149.serverLost;
+  serviceMicros = other149.serviceMicros;
+  __isset = other149.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -3889,13 +4353,13 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other128) {
-  callId = other128.callId;
-  __isset = other128.__isset;
+CallCancel::CallCancel(const CallCancel& other150) {
+  callId = other150.callId;
+  __isset = other150.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other129) {
-  callId = other129.callId;
-  __isset = other129.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other151) {
+  callId = other151.callId;
+  __isset = other151.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -3998,15 +4462,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CallQuery::CallQuery(const CallQuery& other130) {
-  callId = other130.callId;
-  incarnation = other130.incarnation;
-  __isset = other130.__isset;
+CallQuery::CallQuery(const CallQuery& other152) {
+  callId = other152.callId;
+  incarnation = other152.incarnation;
+  __isset = other152.__isset;
 }
-CallQuery& CallQuery::operator=(const CallQuery& other131) {
-  callId = other131.callId;
-  incarnation = other131.incarnation;
-  __isset = other131.__isset;
+CallQuery& CallQuery::operator=(const CallQuery& other153) {
+  callId = other153.callId;
+  incarnation = other153.incarnation;
+  __isset = other153.__isset;
   return *this;
 }
 void CallQuery::printTo(std::ostream& out) const {
@@ -4079,9 +4543,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast132;
-          xfer += iprot->readI32(ecast132);
-          this->wanted = static_cast<ClaimState::type>(ecast132);
+          int32_t ecast154;
+          xfer += iprot->readI32(ecast154);
+          this->wanted = static_cast<ClaimState::type>(ecast154);
           this->__isset.wanted = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4129,17 +4593,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other133) {
-  keyHash = other133.keyHash;
-  holder = other133.holder;
-  wanted = other133.wanted;
-  __isset = other133.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other155) {
+  keyHash = other155.keyHash;
+  holder = other155.holder;
+  wanted = other155.wanted;
+  __isset = other155.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other134) {
-  keyHash = other134.keyHash;
-  holder = other134.holder;
-  wanted = other134.wanted;
-  __isset = other134.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other156) {
+  keyHash = other156.keyHash;
+  holder = other156.holder;
+  wanted = other156.wanted;
+  __isset = other156.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -4213,9 +4677,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast135;
-          xfer += iprot->readI32(ecast135);
-          this->result = static_cast<ClaimResult::type>(ecast135);
+          int32_t ecast157;
+          xfer += iprot->readI32(ecast157);
+          this->result = static_cast<ClaimResult::type>(ecast157);
           this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4263,17 +4727,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other136) {
-  keyHash = other136.keyHash;
-  holder = other136.holder;
-  result = other136.result;
-  __isset = other136.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other158) {
+  keyHash = other158.keyHash;
+  holder = other158.holder;
+  result = other158.result;
+  __isset = other158.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other137) {
-  keyHash = other137.keyHash;
-  holder = other137.holder;
-  result = other137.result;
-  __isset = other137.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other159) {
+  keyHash = other159.keyHash;
+  holder = other159.holder;
+  result = other159.result;
+  __isset = other159.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
@@ -4286,6 +4750,272 @@
 }
 
 
+Claim::~Claim() noexcept {
+}
+
+
+void Claim::__set_keyHash(const int64_t val) {
+  this->keyHash = val;
+}
+
+void Claim::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void Claim::__set_state(const ClaimState::type val) {
+  this->state = val;
+}
+
+void Claim::__set_wallMillis(const int64_t val) {
+  this->wallMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const Claim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Claim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->keyHash);
+          this->__isset.keyHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast160;
+          xfer += iprot->readI32(ecast160);
+          this->state = static_cast<ClaimState::type>(ecast160);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wallMillis);
+          this->__isset.wallMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Claim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Claim");
+
+  xfer += oprot->writeFieldBegin("keyHash", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->keyHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wallMillis", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->wallMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Claim &a, Claim &b) {
+  using ::std::swap;
+  swap(a.keyHash, b.keyHash);
+  swap(a.holder, b.holder);
+  swap(a.state, b.state);
+  swap(a.wallMillis, b.wallMillis);
+  swap(a.__isset, b.__isset);
+}
+
+Claim::Claim(const Claim& other161) {
+  keyHash = other161.keyHash;
+  holder = other161.holder;
+  state = other161.state;
+  wallMillis = other161.wallMillis;
+  __isset = other161.__isset;
+}
+Claim& Claim::operator=(const Claim& other162) {
+  keyHash = other162.keyHash;
+  holder = other162.holder;
+  state = other162.state;
+  wallMillis = other162.wallMillis;
+  __isset = other162.__isset;
+  return *this;
+}
+void Claim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Claim(";
+  out << "keyHash=" << to_string(keyHash);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "wallMillis=" << to_string(wallMillis);
+  out << ")";
+}
+
+
+ClaimShardValue::~ClaimShardValue() noexcept {
+}
+
+
+void ClaimShardValue::__set_claims(const std::vector<Claim> & val) {
+  this->claims = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimShardValue& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimShardValue::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->claims.clear();
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->claims.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
+            {
+              xfer += this->claims[_i167].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.claims = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimShardValue::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimShardValue");
+
+  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
+    std::vector<Claim> ::const_iterator _iter168;
+    for (_iter168 = this->claims.begin(); _iter168 != this->claims.end(); ++_iter168)
+    {
+      xfer += (*_iter168).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimShardValue &a, ClaimShardValue &b) {
+  using ::std::swap;
+  swap(a.claims, b.claims);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimShardValue::ClaimShardValue(const ClaimShardValue& other169) {
+  claims = other169.claims;
+  __isset = other169.__isset;
+}
+ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other170) {
+  claims = other170.claims;
+  __isset = other170.__isset;
+  return *this;
+}
+void ClaimShardValue::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimShardValue(";
+  out << "claims=" << to_string(claims);
+  out << ")";
+}
+
+
 EntryReport::~EntryReport() noexcept {
 }
 
@@ -4461,14 +5191,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callers.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->callers.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->callers.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += iprot->readString(this->callers[_i142]);
+              xfer += iprot->readString(this->callers[_i175]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4549,10 +5279,10 @@
   xfer += oprot->writeFieldBegin("callers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->callers.size()));
-    std::vector<std::string> ::const_iterator _iter143;
-    for (_iter143 = this->callers.begin(); _iter143 != this->callers.end(); ++_iter143)
+    std::vector<std::string> ::const_iterator _iter176;
+    for (_iter176 = this->callers.begin(); _iter176 != this->callers.end(); ++_iter176)
     {
-      xfer += oprot->writeString((*_iter143));
+      xfer += oprot->writeString((*_iter176));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4585,37 +5315,37 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryReport::EntryReport(const EntryReport& other144) {
-  entry = other144.entry;
-  owner = other144.owner;
-  calls = other144.calls;
-  refused = other144.refused;
-  slow = other144.slow;
-  p50Micros = other144.p50Micros;
-  p99Micros = other144.p99Micros;
-  limit = other144.limit;
-  bound = other144.bound;
-  seen = other144.seen;
-  sinceWallMillis = other144.sinceWallMillis;
-  callers = other144.callers;
-  unknown = other144.unknown;
-  __isset = other144.__isset;
-}
-EntryReport& EntryReport::operator=(const EntryReport& other145) {
-  entry = other145.entry;
-  owner = other145.owner;
-  calls = other145.calls;
-  refused = other145.refused;
-  slow = other145.slow;
-  p50Micros = other145.p50Micros;
-  p99Micros = other145.p99Micros;
-  limit = other145.limit;
-  bound = other145.bound;
-  seen = other145.seen;
-  sinceWallMillis = other145.sinceWallMillis;
-  callers = other145.callers;
-  unknown = other145.unknown;
-  __isset = other145.__isset;
+EntryReport::EntryReport(const EntryReport& other177) {
+  entry = other177.entry;
+  owner = other177.owner;
+  calls = other177.calls;
+  refused = other177.refused;
+  slow = other177.slow;
+  p50Micros = other177.p50Micros;
+  p99Micros = other177.p99Micros;
+  limit = other177.limit;
+  bound = other177.bound;
+  seen = other177.seen;
+  sinceWallMillis = other177.sinceWallMillis;
+  callers = other177.callers;
+  unknown = other177.unknown;
+  __isset = other177.__isset;
+}
+EntryReport& EntryReport::operator=(const EntryReport& other178) {
+  entry = other178.entry;
+  owner = other178.owner;
+  calls = other178.calls;
+  refused = other178.refused;
+  slow = other178.slow;
+  p50Micros = other178.p50Micros;
+  p99Micros = other178.p99Micros;
+  limit = other178.limit;
+  bound = other178.bound;
+  seen = other178.seen;
+  sinceWallMillis = other178.sinceWallMillis;
+  callers = other178.callers;
+  unknown = other178.unknown;
+  __isset = other178.__isset;
   return *this;
 }
 void EntryReport::printTo(std::ostream& out) const {
@@ -4713,14 +5443,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->entries.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->entries.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
             {
-              xfer += this->entries[_i150].read(iprot);
+              xfer += this->entries[_i183].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4761,10 +5491,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<EntryReport> ::const_iterator _iter151;
-    for (_iter151 = this->entries.begin(); _iter151 != this->entries.end(); ++_iter151)
+    std::vector<EntryReport> ::const_iterator _iter184;
+    for (_iter184 = this->entries.begin(); _iter184 != this->entries.end(); ++_iter184)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter184).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4784,19 +5514,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReport::StatusReport(const StatusReport& other152) {
-  host = other152.host;
-  domain = other152.domain;
-  version = other152.version;
-  entries = other152.entries;
-  __isset = other152.__isset;
+StatusReport::StatusReport(const StatusReport& other185) {
+  host = other185.host;
+  domain = other185.domain;
+  version = other185.version;
+  entries = other185.entries;
+  __isset = other185.__isset;
 }
-StatusReport& StatusReport::operator=(const StatusReport& other153) {
-  host = other153.host;
-  domain = other153.domain;
-  version = other153.version;
-  entries = other153.entries;
-  __isset = other153.__isset;
+StatusReport& StatusReport::operator=(const StatusReport& other186) {
+  host = other186.host;
+  domain = other186.domain;
+  version = other186.version;
+  entries = other186.entries;
+  __isset = other186.__isset;
   return *this;
 }
 void StatusReport::printTo(std::ostream& out) const {
@@ -4885,13 +5615,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other154) noexcept {
-  sequence = other154.sequence;
-  __isset = other154.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other187) noexcept {
+  sequence = other187.sequence;
+  __isset = other187.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other155) noexcept {
-  sequence = other155.sequence;
-  __isset = other155.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other188) noexcept {
+  sequence = other188.sequence;
+  __isset = other188.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -4990,6 +5720,11 @@
   this->heartbeat = val;
 __isset.heartbeat = true;
 }
+
+void Envelope::__set_loadReport(const LoadReport& val) {
+  this->loadReport = val;
+__isset.loadReport = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -5154,6 +5889,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loadReport.read(iprot);
+          this->__isset.loadReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5256,6 +5999,11 @@
     xfer += this->heartbeat.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.loadReport) {
+    xfer += oprot->writeFieldBegin("loadReport", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->loadReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5280,48 +6028,51 @@
   swap(a.claimAnswer, b.claimAnswer);
   swap(a.statusReport, b.statusReport);
   swap(a.heartbeat, b.heartbeat);
+  swap(a.loadReport, b.loadReport);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other156) {
-  hello = other156.hello;
-  ping = other156.ping;
-  ack = other156.ack;
-  pingRequest = other156.pingRequest;
-  memberSync = other156.memberSync;
-  domainSummary = other156.domainSummary;
-  configPush = other156.configPush;
-  configFetch = other156.configFetch;
-  configAnswer = other156.configAnswer;
-  callRequest = other156.callRequest;
-  callAnswer = other156.callAnswer;
-  callCancel = other156.callCancel;
-  callQuery = other156.callQuery;
-  claimRequest = other156.claimRequest;
-  claimAnswer = other156.claimAnswer;
-  statusReport = other156.statusReport;
-  heartbeat = other156.heartbeat;
-  __isset = other156.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other157) {
-  hello = other157.hello;
-  ping = other157.ping;
-  ack = other157.ack;
-  pingRequest = other157.pingRequest;
-  memberSync = other157.memberSync;
-  domainSummary = other157.domainSummary;
-  configPush = other157.configPush;
-  configFetch = other157.configFetch;
-  configAnswer = other157.configAnswer;
-  callRequest = other157.callRequest;
-  callAnswer = other157.callAnswer;
-  callCancel = other157.callCancel;
-  callQuery = other157.callQuery;
-  claimRequest = other157.claimRequest;
-  claimAnswer = other157.claimAnswer;
-  statusReport = other157.statusReport;
-  heartbeat = other157.heartbeat;
-  __isset = other157.__isset;
+Envelope::Envelope(const Envelope& other189) {
+  hello = other189.hello;
+  ping = other189.ping;
+  ack = other189.ack;
+  pingRequest = other189.pingRequest;
+  memberSync = other189.memberSync;
+  domainSummary = other189.domainSummary;
+  configPush = other189.configPush;
+  configFetch = other189.configFetch;
+  configAnswer = other189.configAnswer;
+  callRequest = other189.callRequest;
+  callAnswer = other189.callAnswer;
+  callCancel = other189.callCancel;
+  callQuery = other189.callQuery;
+  claimRequest = other189.claimRequest;
+  claimAnswer = other189.claimAnswer;
+  statusReport = other189.statusReport;
+  heartbeat = other189.heartbeat;
+  loadReport = other189.loadReport;
+  __isset = other189.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other190) {
+  hello = other190.hello;
+  ping = other190.ping;
+  ack = other190.ack;
+  pingRequest = other190.pingRequest;
+  memberSync = other190.memberSync;
+  domainSummary = other190.domainSummary;
+  configPush = other190.configPush;
+  configFetch = other190.configFetch;
+  configAnswer = other190.configAnswer;
+  callRequest = other190.callRequest;
+  callAnswer = other190.callAnswer;
+  callCancel = other190.callCancel;
+  callQuery = other190.callQuery;
+  claimRequest = other190.claimRequest;
+  claimAnswer = other190.claimAnswer;
+  statusReport = other190.statusReport;
+  heartbeat = other190.heartbeat;
+  loadReport = other190.loadReport;
+  __isset = other190.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -5344,6 +6095,7 @@
   out << ", " << "claimAnswer="; (__isset.claimAnswer ? (out << to_string(claimAnswer)) : (out << "<null>"));
   out << ", " << "statusReport="; (__isset.statusReport ? (out << to_string(statusReport)) : (out << "<null>"));
   out << ", " << "heartbeat="; (__isset.heartbeat ? (out << to_string(heartbeat)) : (out << "<null>"));
+  out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -130,6 +130,10 @@
 
 class DomainSummary;
 
+class ServiceLoad;
+
+class LoadReport;
+
 class EntryText;
 
 class ConfigBody;
@@ -152,6 +156,10 @@
 
 class ClaimAnswer;
 
+class Claim;
+
+class ClaimShardValue;
+
 class EntryReport;
 
 class StatusReport;
@@ -684,9 +692,12 @@
 std::ostream& operator<<(std::ostream& out, const PingRequest& obj);
 
 typedef struct _MemberSync__isset {
-  _MemberSync__isset() : records(false), isReply(false) {}
+  _MemberSync__isset() : records(false), isReply(false), buckets(false), differing(false), retryAfterMillis(false) {}
   bool records :1;
   bool isReply :1;
+  bool buckets :1;
+  bool differing :1;
+  bool retryAfterMillis :1;
 } _MemberSync__isset;
 
 class MemberSync : public virtual ::apache::thrift::TBase {
@@ -695,12 +706,25 @@
   MemberSync(const MemberSync&);
   MemberSync& operator=(const MemberSync&);
   MemberSync() noexcept
-             : isReply(0) {
+             : isReply(0),
+               retryAfterMillis(0) {
   }
 
   virtual ~MemberSync() noexcept;
   std::vector<MemberRecord>  records;
   bool isReply;
+  /**
+   * Hash per bucket of the sender's table; none asks for every record.
+   */
+  std::vector<int64_t>  buckets;
+  /**
+   * In a reply: the buckets that differ, whose records are included.
+   */
+  std::vector<int32_t>  differing;
+  /**
+   * Positive when the peer is busy: ask again after this time.
+   */
+  int32_t retryAfterMillis;
 
   _MemberSync__isset __isset;
 
@@ -708,12 +732,24 @@
 
   void __set_isReply(const bool val);
 
+  void __set_buckets(const std::vector<int64_t> & val);
+
+  void __set_differing(const std::vector<int32_t> & val);
+
+  void __set_retryAfterMillis(const int32_t val);
+
   bool operator == (const MemberSync & rhs) const
   {
     if (!(records == rhs.records))
       return false;
     if (!(isReply == rhs.isReply))
       return false;
+    if (!(buckets == rhs.buckets))
+      return false;
+    if (!(differing == rhs.differing))
+      return false;
+    if (!(retryAfterMillis == rhs.retryAfterMillis))
+      return false;
     return true;
   }
   bool operator != (const MemberSync &rhs) const {
@@ -733,12 +769,13 @@
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj);
 
 typedef struct _SampledEndpoint__isset {
-  _SampledEndpoint__isset() : host(false), address(false), peerPort(false), slots(false), incarnation(false) {}
+  _SampledEndpoint__isset() : host(false), address(false), peerPort(false), slots(false), incarnation(false), port(false) {}
   bool host :1;
   bool address :1;
   bool peerPort :1;
   bool slots :1;
   bool incarnation :1;
+  bool port :1;
 } _SampledEndpoint__isset;
 
 class SampledEndpoint : public virtual ::apache::thrift::TBase {
@@ -751,7 +788,8 @@
                     address(),
                     peerPort(0),
                     slots(0),
-                    incarnation(0) {
+                    incarnation(0),
+                    port(0) {
   }
 
   virtual ~SampledEndpoint() noexcept;
@@ -760,6 +798,10 @@
   int32_t peerPort;
   int32_t slots;
   int64_t incarnation;
+  /**
+   * Of the backend server on its host.
+   */
+  int32_t port;
 
   _SampledEndpoint__isset __isset;
 
@@ -773,6 +815,8 @@
 
   void __set_incarnation(const int64_t val);
 
+  void __set_port(const int32_t val);
+
   bool operator == (const SampledEndpoint & rhs) const
   {
     if (!(host == rhs.host))
@@ -785,6 +829,8 @@
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(port == rhs.port))
+      return false;
     return true;
   }
   bool operator != (const SampledEndpoint &rhs) const {
@@ -804,13 +850,14 @@
 std::ostream& operator<<(std::ostream& out, const SampledEndpoint& obj);
 
 typedef struct _ServiceSummary__isset {
-  _ServiceSummary__isset() : serviceName(false), ready(false), slots(false), freeSlots(false), slowdownPercent(false), sample(false) {}
+  _ServiceSummary__isset() : serviceName(false), ready(false), slots(false), freeSlots(false), slowdownPercent(false), sample(false), stamp(false) {}
   bool serviceName :1;
   bool ready :1;
   bool slots :1;
   bool freeSlots :1;
   bool slowdownPercent :1;
   bool sample :1;
+  bool stamp :1;
 } _ServiceSummary__isset;
 
 class ServiceSummary : public virtual ::apache::thrift::TBase {
@@ -823,7 +870,8 @@
                    ready(0),
                    slots(0),
                    freeSlots(0),
-                   slowdownPercent(0) {
+                   slowdownPercent(0),
+                   stamp(0) {
   }
 
   virtual ~ServiceSummary() noexcept;
@@ -836,6 +884,10 @@
    */
   int32_t slowdownPercent;
   std::vector<SampledEndpoint>  sample;
+  /**
+   * Higher wins per service; at most the stamp of its domain's summary.
+   */
+  int64_t stamp;
 
   _ServiceSummary__isset __isset;
 
@@ -851,6 +903,8 @@
 
   void __set_sample(const std::vector<SampledEndpoint> & val);
 
+  void __set_stamp(const int64_t val);
+
   bool operator == (const ServiceSummary & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -865,6 +919,8 @@
       return false;
     if (!(sample == rhs.sample))
       return false;
+    if (!(stamp == rhs.stamp))
+      return false;
     return true;
   }
   bool operator != (const ServiceSummary &rhs) const {
@@ -884,12 +940,15 @@
 std::ostream& operator<<(std::ostream& out, const ServiceSummary& obj);
 
 typedef struct _DomainSummary__isset {
-  _DomainSummary__isset() : region(false), domain(false), stamp(false), services(false), contacts(false) {}
+  _DomainSummary__isset() : region(false), domain(false), stamp(false), services(false), contacts(false), base(false), isRequest(false), root(false) {}
   bool region :1;
   bool domain :1;
   bool stamp :1;
   bool services :1;
   bool contacts :1;
+  bool base :1;
+  bool isRequest :1;
+  bool root :1;
 } _DomainSummary__isset;
 
 class DomainSummary : public virtual ::apache::thrift::TBase {
@@ -900,7 +959,10 @@
   DomainSummary() noexcept
                 : region(),
                   domain(),
-                  stamp(0) {
+                  stamp(0),
+                  base(0),
+                  isRequest(0),
+                  root() {
   }
 
   virtual ~DomainSummary() noexcept;
@@ -915,6 +977,18 @@
    * A few members of the domain that can be asked for anything else.
    */
   std::vector<MemberRecord>  contacts;
+  /**
+   * Services unchanged since this stamp are left out; 0 is complete.
+   */
+  int64_t base;
+  /**
+   * Asks for what changed after the stamp; carries no services.
+   */
+  bool isRequest;
+  /**
+   * Root of the tree along which it travels in the receiving domain.
+   */
+  std::string root;
 
   _DomainSummary__isset __isset;
 
@@ -928,6 +1002,12 @@
 
   void __set_contacts(const std::vector<MemberRecord> & val);
 
+  void __set_base(const int64_t val);
+
+  void __set_isRequest(const bool val);
+
+  void __set_root(const std::string& val);
+
   bool operator == (const DomainSummary & rhs) const
   {
     if (!(region == rhs.region))
@@ -940,6 +1020,12 @@
       return false;
     if (!(contacts == rhs.contacts))
       return false;
+    if (!(base == rhs.base))
+      return false;
+    if (!(isRequest == rhs.isRequest))
+      return false;
+    if (!(root == rhs.root))
+      return false;
     return true;
   }
   bool operator != (const DomainSummary &rhs) const {
@@ -958,6 +1044,115 @@
 
 std::ostream& operator<<(std::ostream& out, const DomainSummary& obj);
 
+typedef struct _ServiceLoad__isset {
+  _ServiceLoad__isset() : serviceName(false), freeSlots(false), slowdownPercent(false) {}
+  bool serviceName :1;
+  bool freeSlots :1;
+  bool slowdownPercent :1;
+} _ServiceLoad__isset;
+
+class ServiceLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceLoad(const ServiceLoad&);
+  ServiceLoad& operator=(const ServiceLoad&);
+  ServiceLoad() noexcept
+              : serviceName(),
+                freeSlots(0),
+                slowdownPercent(0) {
+  }
+
+  virtual ~ServiceLoad() noexcept;
+  std::string serviceName;
+  int32_t freeSlots;
+  int32_t slowdownPercent;
+
+  _ServiceLoad__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_freeSlots(const int32_t val);
+
+  void __set_slowdownPercent(const int32_t val);
+
+  bool operator == (const ServiceLoad & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(freeSlots == rhs.freeSlots))
+      return false;
+    if (!(slowdownPercent == rhs.slowdownPercent))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServiceLoad &a, ServiceLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceLoad& obj);
+
+typedef struct _LoadReport__isset {
+  _LoadReport__isset() : host(false), services(false) {}
+  bool host :1;
+  bool services :1;
+} _LoadReport__isset;
+
+/**
+ * Load of one host; sent only to the feeders of its failure domain.
+ */
+class LoadReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadReport(const LoadReport&);
+  LoadReport& operator=(const LoadReport&);
+  LoadReport() noexcept
+             : host() {
+  }
+
+  virtual ~LoadReport() noexcept;
+  std::string host;
+  std::vector<ServiceLoad>  services;
+
+  _LoadReport__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_services(const std::vector<ServiceLoad> & val);
+
+  bool operator == (const LoadReport & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadReport &a, LoadReport &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
+
 typedef struct _EntryText__isset {
   _EntryText__isset() : name(false), revision(false), text(false) {}
   bool name :1;
@@ -1766,6 +1961,125 @@
 
 std::ostream& operator<<(std::ostream& out, const ClaimAnswer& obj);
 
+typedef struct _Claim__isset {
+  _Claim__isset() : keyHash(false), holder(false), state(false), wallMillis(false) {}
+  bool keyHash :1;
+  bool holder :1;
+  bool state :1;
+  bool wallMillis :1;
+} _Claim__isset;
+
+/**
+ * One claim in a shard object.
+ */
+class Claim : public virtual ::apache::thrift::TBase {
+ public:
+
+  Claim(const Claim&);
+  Claim& operator=(const Claim&);
+  Claim() noexcept
+        : keyHash(0),
+          holder(),
+          state(static_cast<ClaimState::type>(0)),
+          wallMillis(0) {
+  }
+
+  virtual ~Claim() noexcept;
+  int64_t keyHash;
+  std::string holder;
+  /**
+   * 
+   * @see ClaimState
+   */
+  ClaimState::type state;
+  /**
+   * Wall-clock milliseconds of the last change; for pruning.
+   */
+  int64_t wallMillis;
+
+  _Claim__isset __isset;
+
+  void __set_keyHash(const int64_t val);
+
+  void __set_holder(const std::string& val);
+
+  void __set_state(const ClaimState::type val);
+
+  void __set_wallMillis(const int64_t val);
+
+  bool operator == (const Claim & rhs) const
+  {
+    if (!(keyHash == rhs.keyHash))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(wallMillis == rhs.wallMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const Claim &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Claim & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Claim &a, Claim &b);
+
+std::ostream& operator<<(std::ostream& out, const Claim& obj);
+
+typedef struct _ClaimShardValue__isset {
+  _ClaimShardValue__isset() : claims(false) {}
+  bool claims :1;
+} _ClaimShardValue__isset;
+
+/**
+ * The value of an object claims/SHARD.
+ */
+class ClaimShardValue : public virtual ::apache::thrift::TBase {
+ public:
+
+  ClaimShardValue(const ClaimShardValue&);
+  ClaimShardValue& operator=(const ClaimShardValue&);
+  ClaimShardValue() noexcept {
+  }
+
+  virtual ~ClaimShardValue() noexcept;
+  std::vector<Claim>  claims;
+
+  _ClaimShardValue__isset __isset;
+
+  void __set_claims(const std::vector<Claim> & val);
+
+  bool operator == (const ClaimShardValue & rhs) const
+  {
+    if (!(claims == rhs.claims))
+      return false;
+    return true;
+  }
+  bool operator != (const ClaimShardValue &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ClaimShardValue & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ClaimShardValue &a, ClaimShardValue &b);
+
+std::ostream& operator<<(std::ostream& out, const ClaimShardValue& obj);
+
 typedef struct _EntryReport__isset {
   _EntryReport__isset() : entry(false), owner(false), calls(false), refused(false), slow(false), p50Micros(false), p99Micros(false), limit(false), bound(false), seen(false), sinceWallMillis(false), callers(false), unknown(false) {}
   bool entry :1;
@@ -2002,7 +2316,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : hello(false), ping(false), ack(false), pingRequest(false), memberSync(false), domainSummary(false), configPush(false), configFetch(false), configAnswer(false), callRequest(false), callAnswer(false), callCancel(false), callQuery(false), claimRequest(false), claimAnswer(false), statusReport(false), heartbeat(false) {}
+  _Envelope__isset() : hello(false), ping(false), ack(false), pingRequest(false), memberSync(false), domainSummary(false), configPush(false), configFetch(false), configAnswer(false), callRequest(false), callAnswer(false), callCancel(false), callQuery(false), claimRequest(false), claimAnswer(false), statusReport(false), heartbeat(false), loadReport(false) {}
   bool hello :1;
   bool ping :1;
   bool ack :1;
@@ -2020,6 +2334,7 @@
   bool claimAnswer :1;
   bool statusReport :1;
   bool heartbeat :1;
+  bool loadReport :1;
 } _Envelope__isset;
 
 /**
@@ -2051,6 +2366,7 @@
   ClaimAnswer claimAnswer;
   StatusReport statusReport;
   Heartbeat heartbeat;
+  LoadReport loadReport;
 
   _Envelope__isset __isset;
 
@@ -2088,6 +2404,8 @@
 
   void __set_heartbeat(const Heartbeat& val);
 
+  void __set_loadReport(const LoadReport& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -2158,6 +2476,10 @@
       return false;
     else if (__isset.heartbeat && !(heartbeat == rhs.heartbeat))
       return false;
+    if (__isset.loadReport != rhs.__isset.loadReport)
+      return false;
+    else if (__isset.loadReport && !(loadReport == rhs.loadReport))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -94,6 +94,12 @@
 struct MemberSync {
   1: list<MemberRecord> records
   2: bool isReply
+  /** Hash per bucket of the sender's table; none asks for every record. */
+  3: list<i64> buckets
+  /** In a reply: the buckets that differ, whose records are included. */
+  4: list<i32> differing
+  /** Positive when the peer is busy: ask again after this time. */
+  5: i32 retryAfterMillis
 }
 
 struct SampledEndpoint {
@@ -102,6 +108,8 @@
   3: i32 peerPort
   4: i32 slots
   5: i64 incarnation
+  /** Of the backend server on its host. */
+  6: i32 port
 }
 
 struct ServiceSummary {
@@ -112,6 +120,8 @@
   /** Mean of time in system over service time, times 100. */
   5: i32 slowdownPercent
   6: list<SampledEndpoint> sample
+  /** Higher wins per service; at most the stamp of its domain's summary. */
+  7: i64 stamp
 }
 
 struct DomainSummary {
@@ -122,6 +132,24 @@
   4: list<ServiceSummary> services
   /** A few members of the domain that can be asked for anything else. */
   5: list<MemberRecord> contacts
+  /** Services unchanged since this stamp are left out; 0 is complete. */
+  6: i64 base
+  /** Asks for what changed after the stamp; carries no services. */
+  7: bool isRequest
+  /** Root of the tree along which it travels in the receiving domain. */
+  8: string root
+}
+
+struct ServiceLoad {
+  1: string serviceName
+  2: i32 freeSlots
+  3: i32 slowdownPercent
+}
+
+/** Load of one host; sent only to the feeders of its failure domain. */
+struct LoadReport {
+  1: string host
+  2: list<ServiceLoad> services
 }
 
 /** One changed entry of the catalogue; text is its JSON. */
@@ -231,6 +259,20 @@
   3: ClaimResult result
 }
 
+/** One claim in a shard object. */
+struct Claim {
+  1: i64 keyHash
+  2: string holder
+  3: ClaimState state
+  /** Wall-clock milliseconds of the last change; for pruning. */
+  4: i64 wallMillis
+}
+
+/** The value of an object claims/SHARD. */
+struct ClaimShardValue {
+  1: list<Claim> claims
+}
+
 struct EntryReport {
   1: string entry
   2: string owner
@@ -278,4 +320,5 @@
   15: optional ClaimAnswer claimAnswer
   16: optional StatusReport statusReport
   17: optional Heartbeat heartbeat
+  18: optional LoadReport loadReport
 }
