--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -1686,6 +1686,18 @@
 void MemberSync::__set_isReply(const bool val) {
   this->isReply = val;
 }
+
+void MemberSync::__set_buckets(const std::vector<int64_t> & val) {
+  this->buckets = val;
+}
+
+void MemberSync::__set_differing(const std::vector<int32_t> & val) {
+  this->differing = val;
+}
+
+void MemberSync::__set_retryAfterMillis(const int32_t val) {
+  this->retryAfterMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj)
 {
   obj.printTo(out);
@@ -1742,6 +1754,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->buckets.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->buckets.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += iprot->readI64(this->buckets[_i70]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.buckets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->differing.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->differing.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += iprot->readI32(this->differing[_i75]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.differing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterMillis);
+          this->__isset.retryAfterMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1762,10 +1822,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter66;
-    for (_iter66 = this->records.begin(); _iter66 != this->records.end(); ++_iter66)
+    std::vector<MemberRecord> ::const_iterator _iter76;
+    for (_iter76 = this->records.begin(); _iter76 != this->records.end(); ++_iter76)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1775,6 +1835,34 @@
   xfer += oprot->writeBool(this->isReply);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
+    std::vector<int64_t> ::const_iterator _iter77;
+    for (_iter77 = this->buckets.begin(); _iter77 != this->buckets.end(); ++_iter77)
+    {
+      xfer += oprot->writeI64((*_iter77));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("differing", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->differing.size()));
+    std::vector<int32_t> ::const_iterator _iter78;
+    for (_iter78 = this->differing.begin(); _iter78 != this->differing.end(); ++_iter78)
+    {
+      xfer += oprot->writeI32((*_iter78));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMillis", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->retryAfterMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1784,29 +1872,44 @@
   using ::std::swap;
   swap(a.records, b.records);
   swap(a.isReply, b.isReply);
+  swap(a.buckets, b.buckets);
+  swap(a.differing, b.differing);
+  swap(a.retryAfterMillis, b.retryAfterMillis);
   swap(a.__isset, b.__isset);
 }
 
-MemberSync::MemberSync(const MemberSync& other67) {
-  records = other67.records;
-  isReply = other67.isReply;
-  __isset = other67.__isset;
-}
-MemberSync::MemberSync(MemberSync&& other68) noexcept {
-  records = std::move(other68.records);
-  isReply = other68.isReply;
-  __isset = other68.__isset;
-}
-MemberSync& MemberSync::operator=(const MemberSync& other69) {
-  records = other69.records;
-  isReply = other69.isReply;
-  __isset = other69.__isset;
+MemberSync::MemberSync(const MemberSync& other79) {
+  records = other79.records;
+  isReply = other79.isReply;
+  buckets = other79.buckets;
+  differing = other79.differing;
+  retryAfterMillis = other79.retryAfterMillis;
+  __isset = other79.__isset;
+}
+MemberSync::MemberSync(MemberSync&& other80) noexcept {
+  records = std::move(other80.records);
+  isReply = other80.isReply;
+  buckets = std::move(other80.buckets);
+  differing = std::move(other80.differing);
+  retryAfterMillis = other80.retryAfterMillis;
+  __isset = other80.__isset;
+}
+MemberSync& MemberSync::operator=(const MemberSync& other81) {
+  records = other81.records;
+  isReply = other81.isReply;
+  buckets = other81.buckets;
+  differing = other81.differing;
+  retryAfterMillis = other81.retryAfterMillis;
+  __isset = other81.__isset;
   return *this;
 }
-MemberSync& MemberSync::operator=(MemberSync&& other70) noexcept {
-  records = std::move(other70.records);
-  isReply = other70.isReply;
-  __isset = other70.__isset;
+MemberSync& MemberSync::operator=(MemberSync&& other82) noexcept {
+  records = std::move(other82.records);
+  isReply = other82.isReply;
+  buckets = std::move(other82.buckets);
+  differing = std::move(other82.differing);
+  retryAfterMillis = other82.retryAfterMillis;
+  __isset = other82.__isset;
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -1814,6 +1917,9 @@
   out << "MemberSync(";
   out << "records=" << to_string(records);
   out << ", " << "isReply=" << to_string(isReply);
+  out << ", " << "buckets=" << to_string(buckets);
+  out << ", " << "differing=" << to_string(differing);
+  out << ", " << "retryAfterMillis=" << to_string(retryAfterMillis);
   out << ")";
 }
 
@@ -1841,6 +1947,10 @@
 void SampledEndpoint::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void SampledEndpoint::__set_port(const int32_t val) {
+  this->port = val;
+}
 std::ostream& operator<<(std::ostream& out, const SampledEndpoint& obj)
 {
   obj.printTo(out);
@@ -1909,6 +2019,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1946,6 +2064,10 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1958,41 +2080,46 @@
   swap(a.peerPort, b.peerPort);
   swap(a.slots, b.slots);
   swap(a.incarnation, b.incarnation);
+  swap(a.port, b.port);
   swap(a.__isset, b.__isset);
 }
 
-SampledEndpoint::SampledEndpoint(const SampledEndpoint& other71) {
-  host = other71.host;
-  address = other71.address;
-  peerPort = other71.peerPort;
-  slots = other71.slots;
-  incarnation = other71.incarnation;
-  __isset = other71.__isset;
-}
-SampledEndpoint::SampledEndpoint(SampledEndpoint&& other72) noexcept {
-  host = std::move(other72.host);
-  address = std::move(other72.address);
-  peerPort = other72.peerPort;
-  slots = other72.slots;
-  incarnation = other72.incarnation;
-  __isset = other72.__isset;
-}
-SampledEndpoint& SampledEndpoint::operator=(const SampledEndpoint& other73) {
-  host = other73.host;
-  address = other73.address;
-  peerPort = other73.peerPort;
-  slots = other73.slots;
-  incarnation = other73.incarnation;
-  __isset = other73.__isset;
+SampledEndpoint::SampledEndpoint(const SampledEndpoint& other83) {
+  host = other83.host;
+  address = other83.address;
+  peerPort = other83.peerPort;
+  slots = other83.slots;
+  incarnation = other83.incarnation;
+  port = other83.port;
+  __isset = other83.__isset;
+}
+SampledEndpoint::SampledEndpoint(SampledEndpoint&& other84) noexcept {
+  host = std::move(other84.host);
+  address = std::move(other84.address);
+  peerPort = other84.peerPort;
+  slots = other84.slots;
+  incarnation = other84.incarnation;
+  port = other84.port;
+  __isset = other84.__isset;
+}
+SampledEndpoint& SampledEndpoint::operator=(const SampledEndpoint& other85) {
+  host = other85.host;
+  address = other85.address;
+  peerPort = other85.peerPort;
+  slots = other85.slots;
+  incarnation = other85.incarnation;
+  port = other85.port;
+  __isset = other85.__isset;
   return *this;
 }
-SampledEndpoint& SampledEndpoint::operator=(SampledEndpoint&& other74) noexcept {
-  host = std::move(other74.host);
-  address = std::move(other74.address);
-  peerPort = other74.peerPort;
-  slots = other74.slots;
-  incarnation = other74.incarnation;
-  __isset = other74.__isset;
+SampledEndpoint& SampledEndpoint::operator=(SampledEndpoint&& other86) noexcept {
+  host = std::move(other86.host);
+  address = std::move(other86.address);
+  peerPort = other86.peerPort;
+  slots = other86.slots;
+  incarnation = other86.incarnation;
+  port = other86.port;
+  __isset = other86.__isset;
   return *this;
 }
 void SampledEndpoint::printTo(std::ostream& out) const {
@@ -2003,6 +2130,7 @@
   out << ", " << "peerPort=" << to_string(peerPort);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "port=" << to_string(port);
   out << ")";
 }
 
@@ -2034,6 +2162,10 @@
 void ServiceSummary::__set_sample(const std::vector<SampledEndpoint> & val) {
   this->sample = val;
 }
+
+void ServiceSummary::__set_stamp(const int64_t val) {
+  this->stamp = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceSummary& obj)
 {
   obj.printTo(out);
@@ -2106,14 +2238,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->sample.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->sample.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->sample[_i79].read(iprot);
+              xfer += this->sample[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2122,6 +2254,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stamp);
+          this->__isset.stamp = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2162,15 +2302,19 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<SampledEndpoint> ::const_iterator _iter80;
-    for (_iter80 = this->sample.begin(); _iter80 != this->sample.end(); ++_iter80)
+    std::vector<SampledEndpoint> ::const_iterator _iter92;
+    for (_iter92 = this->sample.begin(); _iter92 != this->sample.end(); ++_iter92)
     {
-      xfer += (*_iter80).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stamp", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->stamp);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2184,45 +2328,50 @@
   swap(a.freeSlots, b.freeSlots);
   swap(a.slowdownPercent, b.slowdownPercent);
   swap(a.sample, b.sample);
+  swap(a.stamp, b.stamp);
   swap(a.__isset, b.__isset);
 }
 
-ServiceSummary::ServiceSummary(const ServiceSummary& other81) {
-  serviceName = other81.serviceName;
-  ready = other81.ready;
-  slots = other81.slots;
-  freeSlots = other81.freeSlots;
-  slowdownPercent = other81.slowdownPercent;
-  sample = other81.sample;
-  __isset = other81.__isset;
-}
-ServiceSummary::ServiceSummary(ServiceSummary&& other82) noexcept {
-  serviceName = std::move(other82.serviceName);
-  ready = other82.ready;
-  slots = other82.slots;
-  freeSlots = other82.freeSlots;
-  slowdownPercent = other82.slowdownPercent;
-  sample = std::move(other82.sample);
-  __isset = other82.__isset;
-}
-ServiceSummary& ServiceSummary::operator=(const ServiceSummary& other83) {
-  serviceName = other83.serviceName;
-  ready = other83.ready;
-  slots = other83.slots;
-  freeSlots = other83.freeSlots;
-  slowdownPercent = other83.slowdownPercent;
-  sample = other83.sample;
-  __isset = other83.__isset;
+ServiceSummary::ServiceSummary(const ServiceSummary& other93) {
+  serviceName = other93.serviceName;
+  ready = other93.ready;
+  slots = other93.slots;
+  freeSlots = other93.freeSlots;
+  slowdownPercent = other93.slowdownPercent;
+  sample = other93.sample;
+  stamp = other93.stamp;
+  __isset = other93.__isset;
+}
+ServiceSummary::ServiceSummary(ServiceSummary&& other94) noexcept {
+  serviceName = std::move(other94.serviceName);
+  ready = other94.ready;
+  slots = other94.slots;
+  freeSlots = other94.freeSlots;
+  slowdownPercent = other94.slowdownPercent;
+  sample = std::move(other94.sample);
+  stamp = other94.stamp;
+  __isset = other94.__isset;
+}
+ServiceSummary& ServiceSummary::operator=(const ServiceSummary& other95) {
+  serviceName = other95.serviceName;
+  ready = other95.ready;
+  slots = other95.slots;
+  freeSlots = other95.freeSlots;
+  slowdownPercent = other95.slowdownPercent;
+  sample = other95.sample;
+  stamp = other95.stamp;
+  __isset = other95.__isset;
   return *this;
 }
-ServiceSummary& ServiceSummary::operator=(ServiceSummary&& other84) noexcept {
-  serviceName = std::move(other84.serviceName);
-  ready = other84.ready;
-  slots = other84.slots;
-  freeSlots = other84.freeSlots;
-  slowdownPercent = other84.slowdownPercent;
-  sample = std::move(other84.sample);
-  __isset = other84.__isset;
+ServiceSummary& ServiceSummary::operator=(ServiceSummary&& other96) noexcept {
+  serviceName = std::move(other96.serviceName);
+  ready = other96.ready;
+  slots = other96.slots;
+  freeSlots = other96.freeSlots;
+  slowdownPercent = other96.slowdownPercent;
+  sample = std::move(other96.sample);
+  stamp = other96.stamp;
+  __isset = other96.__isset;
   return *this;
 }
 void ServiceSummary::printTo(std::ostream& out) const {
@@ -2234,6 +2383,7 @@
   out << ", " << "freeSlots=" << to_string(freeSlots);
   out << ", " << "slowdownPercent=" << to_string(slowdownPercent);
   out << ", " << "sample=" << to_string(sample);
+  out << ", " << "stamp=" << to_string(stamp);
   out << ")";
 }
 
@@ -2261,6 +2411,18 @@
 void DomainSummary::__set_contacts(const std::vector<MemberRecord> & val) {
   this->contacts = val;
 }
+
+void DomainSummary::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void DomainSummary::__set_isRequest(const bool val) {
+  this->isRequest = val;
+}
+
+void DomainSummary::__set_root(const std::string& val) {
+  this->root = val;
+}
 std::ostream& operator<<(std::ostream& out, const DomainSummary& obj)
 {
   obj.printTo(out);
@@ -2317,14 +2479,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->services.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->services.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->services[_i89].read(iprot);
+              xfer += this->services[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2337,14 +2499,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->contacts.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->contacts.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->contacts.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->contacts[_i94].read(iprot);
+              xfer += this->contacts[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2353,6 +2515,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isRequest);
+          this->__isset.isRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->root);
+          this->__isset.root = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2385,10 +2571,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceSummary> ::const_iterator _iter95;
-    for (_iter95 = this->services.begin(); _iter95 != this->services.end(); ++_iter95)
+    std::vector<ServiceSummary> ::const_iterator _iter107;
+    for (_iter107 = this->services.begin(); _iter107 != this->services.end(); ++_iter107)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2397,15 +2583,27 @@
   xfer += oprot->writeFieldBegin("contacts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contacts.size()));
-    std::vector<MemberRecord> ::const_iterator _iter96;
-    for (_iter96 = this->contacts.begin(); _iter96 != this->contacts.end(); ++_iter96)
+    std::vector<MemberRecord> ::const_iterator _iter108;
+    for (_iter108 = this->contacts.begin(); _iter108 != this->contacts.end(); ++_iter108)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter108).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isRequest", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->isRequest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("root", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->root);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2418,41 +2616,56 @@
   swap(a.stamp, b.stamp);
   swap(a.services, b.services);
   swap(a.contacts, b.contacts);
+  swap(a.base, b.base);
+  swap(a.isRequest, b.isRequest);
+  swap(a.root, b.root);
   swap(a.__isset, b.__isset);
 }
 
-DomainSummary::DomainSummary(const DomainSummary& other97) {
-  region = other97.region;
-  domain = other97.domain;
-  stamp = other97.stamp;
-  services = other97.services;
-  contacts = other97.contacts;
-  __isset = other97.__isset;
-}
-DomainSummary::DomainSummary(DomainSummary&& other98) noexcept {
-  region = std::move(other98.region);
-  domain = std::move(other98.domain);
-  stamp = other98.stamp;
-  services = std::move(other98.services);
-  contacts = std::move(other98.contacts);
-  __isset = other98.__isset;
-}
-DomainSummary& DomainSummary::operator=(const DomainSummary& other99) {
-  region = other99.region;
-  domain = other99.domain;
-  stamp = other99.stamp;
-  services = other99.services;
-  contacts = other99.contacts;
-  __isset = other99.__isset;
+DomainSummary::DomainSummary(const DomainSummary& other109) {
+  region = other109.region;
+  domain = other109.domain;
+  stamp = other109.stamp;
+  services = other109.services;
+  contacts = other109.contacts;
+  base = other109.base;
+  isRequest = other109.isRequest;
+  root = other109.root;
+  __isset = other109.__isset;
+}
+DomainSummary::DomainSummary(DomainSummary&& other110) noexcept {
+  region = std::move(other110.region);
+  domain = std::move(other110.domain);
+  stamp = other110.stamp;
+  services = std::move(other110.services);
+  contacts = std::move(other110.contacts);
+  base = other110.base;
+  isRequest = other110.isRequest;
+  root = std::move(other110.root);
+  __isset = other110.__isset;
+}
+DomainSummary& DomainSummary::operator=(const DomainSummary& other111) {
+  region = other111.region;
+  domain = other111.domain;
+  stamp = other111.stamp;
+  services = other111.services;
+  contacts = other111.contacts;
+  base = other111.base;
+  isRequest = other111.isRequest;
+  root = other111.root;
+  __isset = other111.__isset;
   return *this;
 }
-DomainSummary& DomainSummary::operator=(DomainSummary&& other100) noexcept {
-  region = std::move(other100.region);
-  domain = std::move(other100.domain);
-  stamp = other100.stamp;
-  services = std::move(other100.services);
-  contacts = std::move(other100.contacts);
-  __isset = other100.__isset;
+DomainSummary& DomainSummary::operator=(DomainSummary&& other112) noexcept {
+  region = std::move(other112.region);
+  domain = std::move(other112.domain);
+  stamp = other112.stamp;
+  services = std::move(other112.services);
+  contacts = std::move(other112.contacts);
+  base = other112.base;
+  isRequest = other112.isRequest;
+  root = std::move(other112.root);
+  __isset = other112.__isset;
   return *this;
 }
 void DomainSummary::printTo(std::ostream& out) const {
@@ -2463,6 +2676,297 @@
   out << ", " << "stamp=" << to_string(stamp);
   out << ", " << "services=" << to_string(services);
   out << ", " << "contacts=" << to_string(contacts);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "isRequest=" << to_string(isRequest);
+  out << ", " << "root=" << to_string(root);
+  out << ")";
+}
+
+
+ServiceLoad::~ServiceLoad() noexcept {
+}
+
+
+void ServiceLoad::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void ServiceLoad::__set_freeSlots(const int32_t val) {
+  this->freeSlots = val;
+}
+
+void ServiceLoad::__set_slowdownPercent(const int32_t val) {
+  this->slowdownPercent = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServiceLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->freeSlots);
+          this->__isset.freeSlots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slowdownPercent);
+          this->__isset.slowdownPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServiceLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServiceLoad");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("freeSlots", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->freeSlots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slowdownPercent", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->slowdownPercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServiceLoad &a, ServiceLoad &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.freeSlots, b.freeSlots);
+  swap(a.slowdownPercent, b.slowdownPercent);
+  swap(a.__isset, b.__isset);
+}
+
+ServiceLoad::ServiceLoad(const ServiceLoad& other113) {
+  serviceName = other113.serviceName;
+  freeSlots = other113.freeSlots;
+  slowdownPercent = other113.slowdownPercent;
+  __isset = other113.__isset;
+}
+ServiceLoad::ServiceLoad(ServiceLoad&& other114) noexcept {
+  serviceName = std::move(other114.serviceName);
+  freeSlots = other114.freeSlots;
+  slowdownPercent = other114.slowdownPercent;
+  __isset = other114.__isset;
+}
+ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other115) {
+  serviceName = other115.serviceName;
+  freeSlots = other115.freeSlots;
+  slowdownPercent = other115.slowdownPercent;
+  __isset = other115.__isset;
+  return *this;
+}
+ServiceLoad& ServiceLoad::operator=(ServiceLoad&& other116) noexcept {
+  serviceName = std::move(other116.serviceName);
+  freeSlots = other116.freeSlots;
+  slowdownPercent = other116.slowdownPercent;
+  __isset = other116.__isset;
+  return *this;
+}
+void ServiceLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServiceLoad(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "freeSlots=" << to_string(freeSlots);
+  out << ", " << "slowdownPercent=" << to_string(slowdownPercent);
+  out << ")";
+}
+
+
+LoadReport::~LoadReport() noexcept {
+}
+
+
+void LoadReport::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void LoadReport::__set_services(const std::vector<ServiceLoad> & val) {
+  this->services = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->services.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
+            {
+              xfer += this->services[_i121].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadReport");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<ServiceLoad> ::const_iterator _iter122;
+    for (_iter122 = this->services.begin(); _iter122 != this->services.end(); ++_iter122)
+    {
+      xfer += (*_iter122).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadReport &a, LoadReport &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.services, b.services);
+  swap(a.__isset, b.__isset);
+}
+
+LoadReport::LoadReport(const LoadReport& other123) {
+  host = other123.host;
+  services = other123.services;
+  __isset = other123.__isset;
+}
+LoadReport::LoadReport(LoadReport&& other124) noexcept {
+  host = std::move(other124.host);
+  services = std::move(other124.services);
+  __isset = other124.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other125) {
+  host = other125.host;
+  services = other125.services;
+  __isset = other125.__isset;
+  return *this;
+}
+LoadReport& LoadReport::operator=(LoadReport&& other126) noexcept {
+  host = std::move(other126.host);
+  services = std::move(other126.services);
+  __isset = other126.__isset;
+  return *this;
+}
+void LoadReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadReport(";
+  out << "host=" << to_string(host);
+  out << ", " << "services=" << to_string(services);
   out << ")";
 }
 
@@ -2576,30 +3080,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryText::EntryText(const EntryText& other101) {
-  name = other101.name;
-  revision = other101.revision;
-  text = other101.text;
-  __isset = other101.__isset;
+EntryText::EntryText(const EntryText& other127) {
+  name = other127.name;
+  revision = other127.revision;
+  text = other127.text;
+  __isset = other127.__isset;
 }
-EntryText::EntryText(EntryText&& other102) noexcept {
-  name = std::move(other102.name);
-  revision = other102.revision;
-  text = std::move(other102.text);
-  __isset = other102.__isset;
+EntryText::EntryText(EntryText&& other128) noexcept {
+  name = std::move(other128.name);
+  revision = other128.revision;
+  text = std::move(other128.text);
+  __isset = other128.__isset;
 }
-EntryText& EntryText::operator=(const EntryText& other103) {
-  name = other103.name;
-  revision = other103.revision;
-  text = other103.text;
-  __isset = other103.__isset;
+EntryText& EntryText::operator=(const EntryText& other129) {
+  name = other129.name;
+  revision = other129.revision;
+  text = other129.text;
+  __isset = other129.__isset;
   return *this;
 }
-EntryText& EntryText::operator=(EntryText&& other104) noexcept {
-  name = std::move(other104.name);
-  revision = other104.revision;
-  text = std::move(other104.text);
-  __isset = other104.__isset;
+EntryText& EntryText::operator=(EntryText&& other130) noexcept {
+  name = std::move(other130.name);
+  revision = other130.revision;
+  text = std::move(other130.text);
+  __isset = other130.__isset;
   return *this;
 }
 void EntryText::printTo(std::ostream& out) const {
@@ -2719,14 +3223,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->changed.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->changed.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
             {
-              xfer += this->changed[_i109].read(iprot);
+              xfer += this->changed[_i135].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2739,14 +3243,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->removed.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->removed.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += iprot->readString(this->removed[_i114]);
+              xfer += iprot->readString(this->removed[_i140]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2803,10 +3307,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<EntryText> ::const_iterator _iter115;
-    for (_iter115 = this->changed.begin(); _iter115 != this->changed.end(); ++_iter115)
+    std::vector<EntryText> ::const_iterator _iter141;
+    for (_iter141 = this->changed.begin(); _iter141 != this->changed.end(); ++_iter141)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter141).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2815,10 +3319,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter116;
-    for (_iter116 = this->removed.begin(); _iter116 != this->removed.end(); ++_iter116)
+    std::vector<std::string> ::const_iterator _iter142;
+    for (_iter142 = this->removed.begin(); _iter142 != this->removed.end(); ++_iter142)
     {
-      xfer += oprot->writeString((*_iter116));
+      xfer += oprot->writeString((*_iter142));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2846,50 +3350,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigBody::ConfigBody(const ConfigBody& other117) {
-  base = other117.base;
-  version = other117.version;
-  contentHash = other117.contentHash;
-  storeEpoch = other117.storeEpoch;
-  floorRevision = other117.floorRevision;
-  changed = other117.changed;
-  removed = other117.removed;
-  whole = other117.whole;
-  __isset = other117.__isset;
-}
-ConfigBody::ConfigBody(ConfigBody&& other118) noexcept {
-  base = other118.base;
-  version = other118.version;
-  contentHash = other118.contentHash;
-  storeEpoch = other118.storeEpoch;
-  floorRevision = other118.floorRevision;
-  changed = std::move(other118.changed);
-  removed = std::move(other118.removed);
-  whole = other118.whole;
-  __isset = other118.__isset;
-}
-ConfigBody& ConfigBody::operator=(const ConfigBody& other119) {
-  base = other119.base;
-  version = other119.version;
-  contentHash = other119.contentHash;
-  storeEpoch = other119.storeEpoch;
-  floorRevision = other119.floorRevision;
-  changed = other119.changed;
-  removed = other119.removed;
-  whole = other119.whole;
-  __isset = other119.__isset;
+ConfigBody::ConfigBody(const ConfigBody& other143) {
+  base = other143.base;
+  version = other143.version;
+  contentHash = other143.contentHash;
+  storeEpoch = other143.storeEpoch;
+  floorRevision = other143.floorRevision;
+  changed = other143.changed;
+  removed = other143.removed;
+  whole = other143.whole;
+  __isset = other143.__isset;
+}
+ConfigBody::ConfigBody(ConfigBody&& other144) noexcept {
+  base = other144.base;
+  version = other144.version;
+  contentHash = other144.contentHash;
+  storeEpoch = other144.storeEpoch;
+  floorRevision = other144.floorRevision;
+  changed = std::move(other144.changed);
+  removed = std::move(other144.removed);
+  whole = other144.whole;
+  __isset = other144.__isset;
+}
+ConfigBody& ConfigBody::operator=(const ConfigBody& other145) {
+  base = other145.base;
+  version = other145.version;
+  contentHash = other145.contentHash;
+  storeEpoch = other145.storeEpoch;
+  floorRevision = other145.floorRevision;
+  changed = other145.changed;
+  removed = other145.removed;
+  whole = other145.whole;
+  __isset = other145.__isset;
   return *this;
 }
-ConfigBody& ConfigBody::operator=(ConfigBody&& other120) noexcept {
-  base = other120.base;
-  version = other120.version;
-  contentHash = other120.contentHash;
-  storeEpoch = other120.storeEpoch;
-  floorRevision = other120.floorRevision;
-  changed = std::move(other120.changed);
-  removed = std::move(other120.removed);
-  whole = other120.whole;
-  __isset = other120.__isset;
+ConfigBody& ConfigBody::operator=(ConfigBody&& other146) noexcept {
+  base = other146.base;
+  version = other146.version;
+  contentHash = other146.contentHash;
+  storeEpoch = other146.storeEpoch;
+  floorRevision = other146.floorRevision;
+  changed = std::move(other146.changed);
+  removed = std::move(other146.removed);
+  whole = other146.whole;
+  __isset = other146.__isset;
   return *this;
 }
 void ConfigBody::printTo(std::ostream& out) const {
@@ -2999,26 +3503,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other121) {
-  root = other121.root;
-  body = other121.body;
-  __isset = other121.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other147) {
+  root = other147.root;
+  body = other147.body;
+  __isset = other147.__isset;
 }
-ConfigPush::ConfigPush(ConfigPush&& other122) noexcept {
-  root = std::move(other122.root);
-  body = std::move(other122.body);
-  __isset = other122.__isset;
+ConfigPush::ConfigPush(ConfigPush&& other148) noexcept {
+  root = std::move(other148.root);
+  body = std::move(other148.body);
+  __isset = other148.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other123) {
-  root = other123.root;
-  body = other123.body;
-  __isset = other123.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other149) {
+  root = other149.root;
+  body = other149.body;
+  __isset = other149.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other124) noexcept {
-  root = std::move(other124.root);
-  body = std::move(other124.body);
-  __isset = other124.__isset;
+ConfigPush& ConfigPush::operator=(ConfigPush&& other150) noexcept {
+  root = std::move(other150.root);
+  body = std::move(other150.body);
+  __isset = other150.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -3105,22 +3609,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFetch::ConfigFetch(const ConfigFetch& other125) noexcept {
-  held = other125.held;
-  __isset = other125.__isset;
+ConfigFetch::ConfigFetch(const ConfigFetch& other151) noexcept {
+  held = other151.held;
+  __isset = other151.__isset;
 }
-ConfigFetch::ConfigFetch(ConfigFetch&& other126) noexcept {
-  held = other126.held;
-  __isset = other126.__isset;
+ConfigFetch::ConfigFetch(ConfigFetch&& other152) noexcept {
+  held = other152.held;
+  __isset = other152.__isset;
 }
-ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other127) noexcept {
-  held = other127.held;
-  __isset = other127.__isset;
+ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other153) noexcept {
+  held = other153.held;
+  __isset = other153.__isset;
   return *this;
 }
-ConfigFetch& ConfigFetch::operator=(ConfigFetch&& other128) noexcept {
-  held = other128.held;
-  __isset = other128.__isset;
+ConfigFetch& ConfigFetch::operator=(ConfigFetch&& other154) noexcept {
+  held = other154.held;
+  __isset = other154.__isset;
   return *this;
 }
 void ConfigFetch::printTo(std::ostream& out) const {
@@ -3186,14 +3690,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bodies.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->bodies.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->bodies.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              xfer += this->bodies[_i133].read(iprot);
+              xfer += this->bodies[_i159].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3234,10 +3738,10 @@
   xfer += oprot->writeFieldBegin("bodies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->bodies.size()));
-    std::vector<ConfigBody> ::const_iterator _iter134;
-    for (_iter134 = this->bodies.begin(); _iter134 != this->bodies.end(); ++_iter134)
+    std::vector<ConfigBody> ::const_iterator _iter160;
+    for (_iter160 = this->bodies.begin(); _iter160 != this->bodies.end(); ++_iter160)
     {
-      xfer += (*_iter134).write(oprot);
+      xfer += (*_iter160).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3260,30 +3764,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigAnswer::ConfigAnswer(const ConfigAnswer& other135) {
-  held = other135.held;
-  bodies = other135.bodies;
-  retryAfterMillis = other135.retryAfterMillis;
-  __isset = other135.__isset;
+ConfigAnswer::ConfigAnswer(const ConfigAnswer& other161) {
+  held = other161.held;
+  bodies = other161.bodies;
+  retryAfterMillis = other161.retryAfterMillis;
+  __isset = other161.__isset;
 }
-ConfigAnswer::ConfigAnswer(ConfigAnswer&& other136) noexcept {
-  held = other136.held;
-  bodies = std::move(other136.bodies);
-  retryAfterMillis = other136.retryAfterMillis;
-  __isset = other136.__isset;
+ConfigAnswer::ConfigAnswer(ConfigAnswer&& other162) noexcept {
+  held = other162.held;
+  bodies = std::move(other162.bodies);
+  retryAfterMillis = other162.retryAfterMillis;
+  __isset = other162.__isset;
 }
-ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other137) {
-  held = other137.held;
-  bodies = other137.bodies;
-  retryAfterMillis = other137.retryAfterMillis;
-  __isset = other137.__isset;
+ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other163) {
+  held = other163.held;
+  bodies = other163.bodies;
+  retryAfterMillis = other163.retryAfterMillis;
+  __isset = other163.__isset;
   return *this;
 }
-ConfigAnswer& ConfigAnswer::operator=(ConfigAnswer&& other138) noexcept {
-  held = other138.held;
-  bodies = std::move(other138.bodies);
-  retryAfterMillis = other138.retryAfterMillis;
-  __isset = other138.__isset;
+ConfigAnswer& ConfigAnswer::operator=(ConfigAnswer&& other164) noexcept {
+  held = other164.held;
+  bodies = std::move(other164.bodies);
+  retryAfterMillis = other164.retryAfterMillis;
+  __isset = other164.__isset;
   return *this;
 }
 void ConfigAnswer::printTo(std::ostream& out) const {
@@ -3435,17 +3939,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _ktype140;
-            ::apache::thrift::protocol::TType _vtype141;
-            xfer += iprot->readMapBegin(_ktype140, _vtype141, _size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _ktype166;
+            ::apache::thrift::protocol::TType _vtype167;
+            xfer += iprot->readMapBegin(_ktype166, _vtype167, _size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              std::string _key144;
-              xfer += iprot->readString(_key144);
-              std::string& _val145 = this->headers[_key144];
-              xfer += iprot->readString(_val145);
+              std::string _key170;
+              xfer += iprot->readString(_key170);
+              std::string& _val171 = this->headers[_key170];
+              xfer += iprot->readString(_val171);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3554,11 +4058,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter146;
-    for (_iter146 = this->headers.begin(); _iter146 != this->headers.end(); ++_iter146)
+    std::map<std::string, std::string> ::const_iterator _iter172;
+    for (_iter172 = this->headers.begin(); _iter172 != this->headers.end(); ++_iter172)
     {
-      xfer += oprot->writeString(_iter146->first);
-      xfer += oprot->writeString(_iter146->second);
+      xfer += oprot->writeString(_iter172->first);
+      xfer += oprot->writeString(_iter172->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3616,74 +4120,74 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other147) {
-  callId = other147.callId;
-  entry = other147.entry;
-  serviceName = other147.serviceName;
-  port = other147.port;
-  method = other147.method;
-  target = other147.target;
-  headers = other147.headers;
-  body = other147.body;
-  remainingMillis = other147.remainingMillis;
-  idempotent = other147.idempotent;
-  depth = other147.depth;
-  callerHost = other147.callerHost;
-  version = other147.version;
-  digest = other147.digest;
-  __isset = other147.__isset;
+CallRequest::CallRequest(const CallRequest& other173) {
+  callId = other173.callId;
+  entry = other173.entry;
+  serviceName = other173.serviceName;
+  port = other173.port;
+  method = other173.method;
+  target = other173.target;
+  headers = other173.headers;
+  body = other173.body;
+  remainingMillis = other173.remainingMillis;
+  idempotent = other173.idempotent;
+  depth = other173.depth;
+  callerHost = other173.callerHost;
+  version = other173.version;
+  digest = other173.digest;
+  __isset = other173.__isset;
 }
-CallRequest::CallRequest(CallRequest&& other148) noexcept {
-  callId = std::move(other148.callId);
-  entry = std::move(other148.entry);
-  serviceName = std::move(other148.serviceName);
-  port = other148.port;
-  method = std::move(other148.method);
-  target = std::move(other148.target);
-  headers = std::move(other148.headers);
-  body = std::move(other148.body);
-  remainingMillis = other148.remainingMillis;
-  idempotent = other148.idempotent;
-  depth = other148.depth;
-  callerHost = std::move(other148.callerHost);
-  version = other148.version;
-  digest = other148.digest;
-  __isset = other148.__isset;
+CallRequest::CallRequest(CallRequest&& other174) noexcept {
+  callId = std::move(other174.callId);
+  entry = std::move(other174.entry);
+  serviceName = std::move(other174.serviceName);
+  port = other174.port;
+  method = std::move(other174.method);
+  target = std::move(other174.target);
+  headers = std::move(other174.headers);
+  body = std::move(other174.body);
+  remainingMillis = other174.remainingMillis;
+  idempotent = other174.idempotent;
+  depth = other174.depth;
+  callerHost = std::move(other174.callerHost);
+  version = other174.version;
+  digest = other174.digest;
+  __isset = other174.__isset;
 }
-CallRequest& CallRequest::operator=(const CallRequest& other149) {
-  callId = other149.callId;
-  entry = other149.entry;
-  serviceName = other149.serviceName;
-  port = other149.port;
-  method = other149.method;
-  target = other149.target;
-  headers = other149.headers;
-  body = other149.body;
-  remainingMillis = other149.remainingMillis;
-  idempotent = other149.idempotent;
-  depth = other149.depth;
-  callerHost = other149.callerHost;
-  version = other149.version;
-  digest = other149.digest;
-  __isset = other149.__isset;
+CallRequest& CallRequest::operator=(const CallRequest& other175) {
+  callId = other175.callId;
+  entry = other175.entry;
+  serviceName = other175.serviceName;
+  port = other175.port;
+  method = other175.method;
+  target = other175.target;
+  headers = other175.headers;
+  body = other175.body;
+  remainingMillis = other175.remainingMillis;
+  idempotent = other175.idempotent;
+  depth = other175.depth;
+  callerHost = other175.callerHost;
+  version = other175.version;
+  digest = other175.digest;
+  __isset = other175.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other150) noexcept {
-  callId = std::move(other150.callId);
-  entry = std::move(other150.entry);
-  serviceName = std::move(other150.serviceName);
-  port = other150.port;
-  method = std::move(other150.method);
-  target = std::move(other150.target);
-  headers = std::move(other150.headers);
-  body = std::move(other150.body);
-  remainingMillis = other150.remainingMillis;
-  idempotent = other150.idempotent;
-  depth = other150.depth;
-  callerHost = std::move(other150.callerHost);
-  version = other150.version;
-  digest = other150.digest;
-  __isset = other150.__isset;
+CallRequest& CallRequest::operator=(CallRequest&& other176) noexcept {
+  callId = std::move(other176.callId);
+  entry = std::move(other176.entry);
+  serviceName = std::move(other176.serviceName);
+  port = other176.port;
+  method = std::move(other176.method);
+  target = std::move(other176.target);
+  headers = std::move(other176.headers);
+  body = std::move(other176.body);
+  remainingMillis = other176.remainingMillis;
+  idempotent = other176.idempotent;
+  depth = other176.depth;
+  callerHost = std::move(other176.callerHost);
+  version = other176.version;
+  digest = other176.digest;
+  __isset = other176.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -3816,9 +4320,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast151;
-          xfer += iprot->readI32(ecast151);
-          this->outcome = static_cast<CallOutcome::type>(ecast151);
+          int32_t ecast177;
+          xfer += iprot->readI32(ecast177);
+          this->outcome = static_cast<CallOutcome::type>(ecast177);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3836,17 +4340,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _ktype153;
-            ::apache::thrift::protocol::TType _vtype154;
-            xfer += iprot->readMapBegin(_ktype153, _vtype154, _size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _ktype179;
+            ::apache::thrift::protocol::TType _vtype180;
+            xfer += iprot->readMapBegin(_ktype179, _vtype180, _size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              std::string _key157;
-              xfer += iprot->readString(_key157);
-              std::string& _val158 = this->headers[_key157];
-              xfer += iprot->readString(_val158);
+              std::string _key183;
+              xfer += iprot->readString(_key183);
+              std::string& _val184 = this->headers[_key183];
+              xfer += iprot->readString(_val184);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3991,11 +4495,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter159;
-    for (_iter159 = this->headers.begin(); _iter159 != this->headers.end(); ++_iter159)
+    std::map<std::string, std::string> ::const_iterator _iter185;
+    for (_iter185 = this->headers.begin(); _iter185 != this->headers.end(); ++_iter185)
     {
-      xfer += oprot->writeString(_iter159->first);
-      xfer += oprot->writeString(_iter159->second);
+      xfer += oprot->writeString(_iter185->first);
+      xfer += oprot->writeString(_iter185->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4080,86 +4584,86 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other160) {
-  callId = other160.callId;
-  outcome = other160.outcome;
-  status = other160.status;
-  headers = other160.headers;
-  body = other160.body;
-  bodyHash = other160.bodyHash;
-  reason = other160.reason;
-  owner = other160.owner;
-  limit = other160.limit;
-  retryAfterMillis = other160.retryAfterMillis;
-  running = other160.running;
-  waiting = other160.waiting;
-  slots = other160.slots;
-  serverLost = other160.serverLost;
-  serviceMicros = other160.serviceMicros;
-  bound = other160.bound;
-  seen = other160.seen;
-  __isset = other160.__isset;
-}
-CallAnswer::CallAnswer(CallAnswer&& other161) noexcept {
-  callId = std::move(other161.callId);
-  outcome = other161.outcome;
-  status = other161.status;
-  headers = std::move(other161.headers);
-  body = std::move(other161.body);
-  bodyHash = other161.bodyHash;
-  reason = std::move(other161.reason);
-  owner = std::move(other161.owner);
-  limit = std::move(other161.limit);
-  retryAfterMillis = other161.retryAfterMillis;
-  running = other161.running;
-  waiting = other161.waiting;
-  slots = other161.slots;
-  serverLost = other161.serverLost;
-  serviceMicros = other161.serviceMicros;
-  bound = other161.bound;
-  seen = other161.seen;
-  __isset = other161.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other162) {
-  callId = other162.callId;
-  outcome = other162.outcome;
-  status = other162.status;
-  headers = other162.headers;
-  body = other162.body;
-  bodyHash = other162.bodyHash;
-  reason = other162.reason;
-  owner = other162.owner;
-  limit = other162.limit;
-  retryAfterMillis = other162.retryAfterMillis;
-  running = other162.running;
-  waiting = other162.waiting;
-  slots = other162.slots;
-  serverLost = other162.serverLost;
-  serviceMicros = other162.serviceMicros;
-  bound = other162.bound;
-  seen = other162.seen;
-  __isset = other162.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other186) {
+  callId = other186.callId;
+  outcome = other186.outcome;
+  status = other186.status;
+  headers = other186.headers;
+  body = other186.body;
+  bodyHash = other186.bodyHash;
+  reason = other186.reason;
+  owner = other186.owner;
+  limit = other186.limit;
+  retryAfterMillis = other186.retryAfterMillis;
+  running = other186.running;
+  waiting = other186.waiting;
+  slots = other186.slots;
+  serverLost = other186.serverLost;
+  serviceMicros = other186.serviceMicros;
+  bound = other186.bound;
+  seen = other186.seen;
+  __isset = other186.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other187) noexcept {
+  callId = std::move(other187.callId);
+  outcome = other187.outcome;
+  status = other187.status;
+  headers = std::move(other187.headers);
+  body = std::move(other187.body);
+  bodyHash = other187.bodyHash;
+  reason = std::move(other187.reason);
+  owner = std::move(other187.owner);
+  limit = std::move(other187.limit);
+  retryAfterMillis = other187.retryAfterMillis;
+  running = other187.running;
+  waiting = other187.waiting;
+  slots = other187.slots;
+  serverLost = other187.serverLost;
+  serviceMicros = other187.serviceMicros;
+  bound = other187.bound;
+  seen = other187.seen;
+  __isset = other187.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other188) {
+  callId = other188.callId;
+  outcome = other188.outcome;
+  status = other188.status;
+  headers = other188.headers;
+  body = other188.body;
+  bodyHash = other188.bodyHash;
+  reason = other188.reason;
+  owner = other188.owner;
+  limit = other188.limit;
+  retryAfterMillis = other188.retryAfterMillis;
+  running = other188.running;
+  waiting = other188.waiting;
+  slots = other188.slots;
+  serverLost = other188.serverLost;
+  serviceMicros = other188.serviceMicros;
+  bound = other188.bound;
+  seen = other188.seen;
+  __isset = other188.__isset;
   return *this;
 }
-CallAnswer& CallAnswer::operator=(CallAnswer&& other163) noexcept {
-  callId = std::move(other163.callId);
-  outcome = other163.outcome;
-  status = other163.status;
-  headers = std::move(other163.headers);
-  body = std::move(other163.body);
-  bodyHash = other163.bodyHash;
-  reason = std::move(other163.reason);
-  owner = std::move(other163.owner);
-  limit = std::move(other163.limit);
-  retryAfterMillis = other163.retryAfterMillis;
-  running = other163.running;
-  waiting = other163.waiting;
-  slots = other163.slots;
-  serverLost = other163.serverLost;
-  serviceMicros = other163.serviceMicros;
-  bound = other163.bound;
-  seen = other163.seen;
-  __isset = other163.__isset;
+CallAnswer& CallAnswer::operator=(CallAnswer&& other189) noexcept {
+  callId = std::move(other189.callId);
+  outcome = other189.outcome;
+  status = other189.status;
+  headers = std::move(other189.headers);
+  body = std::move(other189.body);
+  bodyHash = other189.bodyHash;
+  reason = std::move(other189.reason);
+  owner = std::move(other189.owner);
+  limit = std::move(other189.limit);
+  retryAfterMillis = other189.retryAfterMillis;
+  running = other189.running;
+  waiting = other189.waiting;
+  slots = other189.slots;
+  serverLost = other189.serverLost;
+  serviceMicros = other189.serviceMicros;
+  bound = other189.bound;
+  seen = other189.seen;
+  __isset = other189.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -4261,22 +4765,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other164) {
-  callId = other164.callId;
-  __isset = other164.__isset;
+CallCancel::CallCancel(const CallCancel& other190) {
+  callId = other190.callId;
+  __isset = other190.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other165) noexcept {
-  callId = std::move(other165.callId);
-  __isset = other165.__isset;
+CallCancel::CallCancel(CallCancel&& other191) noexcept {
+  callId = std::move(other191.callId);
+  __isset = other191.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other166) {
-  callId = other166.callId;
-  __isset = other166.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other192) {
+  callId = other192.callId;
+  __isset = other192.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other167) noexcept {
-  callId = std::move(other167.callId);
-  __isset = other167.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other193) noexcept {
+  callId = std::move(other193.callId);
+  __isset = other193.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -4379,26 +4883,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallQuery::CallQuery(const CallQuery& other168) {
-  callId = other168.callId;
-  incarnation = other168.incarnation;
-  __isset = other168.__isset;
+CallQuery::CallQuery(const CallQuery& other194) {
+  callId = other194.callId;
+  incarnation = other194.incarnation;
+  __isset = other194.__isset;
 }
-CallQuery::CallQuery(CallQuery&& other169) noexcept {
-  callId = std::move(other169.callId);
-  incarnation = other169.incarnation;
-  __isset = other169.__isset;
+CallQuery::CallQuery(CallQuery&& other195) noexcept {
+  callId = std::move(other195.callId);
+  incarnation = other195.incarnation;
+  __isset = other195.__isset;
 }
-CallQuery& CallQuery::operator=(const CallQuery& other170) {
-  callId = other170.callId;
-  incarnation = other170.incarnation;
-  __isset = other170.__isset;
+CallQuery& CallQuery::operator=(const CallQuery& other196) {
+  callId = other196.callId;
+  incarnation = other196.incarnation;
+  __isset = other196.__isset;
   return *this;
 }
-CallQuery& CallQuery::operator=(CallQuery&& other171) noexcept {
-  callId = std::move(other171.callId);
-  incarnation = other171.incarnation;
-  __isset = other171.__isset;
+CallQuery& CallQuery::operator=(CallQuery&& other197) noexcept {
+  callId = std::move(other197.callId);
+  incarnation = other197.incarnation;
+  __isset = other197.__isset;
   return *this;
 }
 void CallQuery::printTo(std::ostream& out) const {
@@ -4471,9 +4975,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast172;
-          xfer += iprot->readI32(ecast172);
-          this->wanted = static_cast<ClaimState::type>(ecast172);
+          int32_t ecast198;
+          xfer += iprot->readI32(ecast198);
+          this->wanted = static_cast<ClaimState::type>(ecast198);
           this->__isset.wanted = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4521,30 +5025,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other173) {
-  keyHash = other173.keyHash;
-  holder = other173.holder;
-  wanted = other173.wanted;
-  __isset = other173.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other199) {
+  keyHash = other199.keyHash;
+  holder = other199.holder;
+  wanted = other199.wanted;
+  __isset = other199.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other174) noexcept {
-  keyHash = other174.keyHash;
-  holder = std::move(other174.holder);
-  wanted = other174.wanted;
-  __isset = other174.__isset;
+ClaimRequest::ClaimRequest(ClaimRequest&& other200) noexcept {
+  keyHash = other200.keyHash;
+  holder = std::move(other200.holder);
+  wanted = other200.wanted;
+  __isset = other200.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other175) {
-  keyHash = other175.keyHash;
-  holder = other175.holder;
-  wanted = other175.wanted;
-  __isset = other175.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other201) {
+  keyHash = other201.keyHash;
+  holder = other201.holder;
+  wanted = other201.wanted;
+  __isset = other201.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other176) noexcept {
-  keyHash = other176.keyHash;
-  holder = std::move(other176.holder);
-  wanted = other176.wanted;
-  __isset = other176.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other202) noexcept {
+  keyHash = other202.keyHash;
+  holder = std::move(other202.holder);
+  wanted = other202.wanted;
+  __isset = other202.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -4618,9 +5122,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast177;
-          xfer += iprot->readI32(ecast177);
-          this->result = static_cast<ClaimResult::type>(ecast177);
+          int32_t ecast203;
+          xfer += iprot->readI32(ecast203);
+          this->result = static_cast<ClaimResult::type>(ecast203);
           this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4668,30 +5172,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other178) {
-  keyHash = other178.keyHash;
-  holder = other178.holder;
-  result = other178.result;
-  __isset = other178.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other204) {
+  keyHash = other204.keyHash;
+  holder = other204.holder;
+  result = other204.result;
+  __isset = other204.__isset;
 }
-ClaimAnswer::ClaimAnswer(ClaimAnswer&& other179) noexcept {
-  keyHash = other179.keyHash;
-  holder = std::move(other179.holder);
-  result = other179.result;
-  __isset = other179.__isset;
+ClaimAnswer::ClaimAnswer(ClaimAnswer&& other205) noexcept {
+  keyHash = other205.keyHash;
+  holder = std::move(other205.holder);
+  result = other205.result;
+  __isset = other205.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other180) {
-  keyHash = other180.keyHash;
-  holder = other180.holder;
-  result = other180.result;
-  __isset = other180.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other206) {
+  keyHash = other206.keyHash;
+  holder = other206.holder;
+  result = other206.result;
+  __isset = other206.__isset;
   return *this;
 }
-ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other181) noexcept {
-  keyHash = other181.keyHash;
-  holder = std::move(other181.holder);
-  result = other181.result;
-  __isset = other181.__isset;
+ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other207) noexcept {
+  keyHash = other207.keyHash;
+  holder = std::move(other207.holder);
+  result = other207.result;
+  __isset = other207.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
@@ -4704,6 +5208,296 @@
 }
 
 
+Claim::~Claim() noexcept {
+}
+
+
+void Claim::__set_keyHash(const int64_t val) {
+  this->keyHash = val;
+}
+
+void Claim::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void Claim::__set_state(const ClaimState::type val) {
+  this->state = val;
+}
+
+void Claim::__set_wallMillis(const int64_t val) {
+  this->wallMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const Claim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Claim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->keyHash);
+          this->__isset.keyHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast208;
+          xfer += iprot->readI32(ecast208);
+          this->state = static_cast<ClaimState::type>(ecast208);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wallMillis);
+          this->__isset.wallMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Claim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Claim");
+
+  xfer += oprot->writeFieldBegin("keyHash", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->keyHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wallMillis", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->wallMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Claim &a, Claim &b) {
+  using ::std::swap;
+  swap(a.keyHash, b.keyHash);
+  swap(a.holder, b.holder);
+  swap(a.state, b.state);
+  swap(a.wallMillis, b.wallMillis);
+  swap(a.__isset, b.__isset);
+}
+
+Claim::Claim(const Claim& other209) {
+  keyHash = other209.keyHash;
+  holder = other209.holder;
+  state = other209.state;
+  wallMillis = other209.wallMillis;
+  __isset = other209.__isset;
+}
+Claim::Claim(Claim&& other210) noexcept {
+  keyHash = other210.keyHash;
+  holder = std::move(other210.holder);
+  state = other210.state;
+  wallMillis = other210.wallMillis;
+  __isset = other210.__isset;
+}
+Claim& Claim::operator=(const Claim& other211) {
+  keyHash = other211.keyHash;
+  holder = other211.holder;
+  state = other211.state;
+  wallMillis = other211.wallMillis;
+  __isset = other211.__isset;
+  return *this;
+}
+Claim& Claim::operator=(Claim&& other212) noexcept {
+  keyHash = other212.keyHash;
+  holder = std::move(other212.holder);
+  state = other212.state;
+  wallMillis = other212.wallMillis;
+  __isset = other212.__isset;
+  return *this;
+}
+void Claim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Claim(";
+  out << "keyHash=" << to_string(keyHash);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "wallMillis=" << to_string(wallMillis);
+  out << ")";
+}
+
+
+ClaimShardValue::~ClaimShardValue() noexcept {
+}
+
+
+void ClaimShardValue::__set_claims(const std::vector<Claim> & val) {
+  this->claims = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimShardValue& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimShardValue::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->claims.clear();
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->claims.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
+            {
+              xfer += this->claims[_i217].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.claims = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimShardValue::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimShardValue");
+
+  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
+    std::vector<Claim> ::const_iterator _iter218;
+    for (_iter218 = this->claims.begin(); _iter218 != this->claims.end(); ++_iter218)
+    {
+      xfer += (*_iter218).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimShardValue &a, ClaimShardValue &b) {
+  using ::std::swap;
+  swap(a.claims, b.claims);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimShardValue::ClaimShardValue(const ClaimShardValue& other219) {
+  claims = other219.claims;
+  __isset = other219.__isset;
+}
+ClaimShardValue::ClaimShardValue(ClaimShardValue&& other220) noexcept {
+  claims = std::move(other220.claims);
+  __isset = other220.__isset;
+}
+ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other221) {
+  claims = other221.claims;
+  __isset = other221.__isset;
+  return *this;
+}
+ClaimShardValue& ClaimShardValue::operator=(ClaimShardValue&& other222) noexcept {
+  claims = std::move(other222.claims);
+  __isset = other222.__isset;
+  return *this;
+}
+void ClaimShardValue::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimShardValue(";
+  out << "claims=" << to_string(claims);
+  out << ")";
+}
+
+
 EntryReport::~EntryReport() noexcept {
 }
 
@@ -4879,14 +5673,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callers.clear();
-            uint32_t _size182;
-            ::apache::thrift::protocol::TType _etype185;
-            xfer += iprot->readListBegin(_etype185, _size182);
-            this->callers.resize(_size182);
-            uint32_t _i186;
-            for (_i186 = 0; _i186 < _size182; ++_i186)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->callers.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += iprot->readString(this->callers[_i186]);
+              xfer += iprot->readString(this->callers[_i227]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4967,10 +5761,10 @@
   xfer += oprot->writeFieldBegin("callers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->callers.size()));
-    std::vector<std::string> ::const_iterator _iter187;
-    for (_iter187 = this->callers.begin(); _iter187 != this->callers.end(); ++_iter187)
+    std::vector<std::string> ::const_iterator _iter228;
+    for (_iter228 = this->callers.begin(); _iter228 != this->callers.end(); ++_iter228)
     {
-      xfer += oprot->writeString((*_iter187));
+      xfer += oprot->writeString((*_iter228));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5003,70 +5797,70 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryReport::EntryReport(const EntryReport& other188) {
-  entry = other188.entry;
-  owner = other188.owner;
-  calls = other188.calls;
-  refused = other188.refused;
-  slow = other188.slow;
-  p50Micros = other188.p50Micros;
-  p99Micros = other188.p99Micros;
-  limit = other188.limit;
-  bound = other188.bound;
-  seen = other188.seen;
-  sinceWallMillis = other188.sinceWallMillis;
-  callers = other188.callers;
-  unknown = other188.unknown;
-  __isset = other188.__isset;
-}
-EntryReport::EntryReport(EntryReport&& other189) noexcept {
-  entry = std::move(other189.entry);
-  owner = std::move(other189.owner);
-  calls = other189.calls;
-  refused = other189.refused;
-  slow = other189.slow;
-  p50Micros = other189.p50Micros;
-  p99Micros = other189.p99Micros;
-  limit = std::move(other189.limit);
-  bound = other189.bound;
-  seen = other189.seen;
-  sinceWallMillis = other189.sinceWallMillis;
-  callers = std::move(other189.callers);
-  unknown = other189.unknown;
-  __isset = other189.__isset;
-}
-EntryReport& EntryReport::operator=(const EntryReport& other190) {
-  entry = other190.entry;
-  owner = other190.owner;
-  calls = other190.calls;
-  refused = other190.refused;
-  slow = other190.slow;
-  p50Micros = other190.p50Micros;
-  p99Micros = other190.p99Micros;
-  limit = other190.limit;
-  bound = other190.bound;
-  seen = other190.seen;
-  sinceWallMillis = other190.sinceWallMillis;
-  callers = other190.callers;
-  unknown = other190.unknown;
-  __isset = other190.__isset;
+EntryReport::EntryReport(const EntryReport& other229) {
+  entry = other229.entry;
+  owner = other229.owner;
+  calls = other229.calls;
+  refused = other229.refused;
+  slow = other229.slow;
+  p50Micros = other229.p50Micros;
+  p99Micros = other229.p99Micros;
+  limit = other229.limit;
+  bound = other229.bound;
+  seen = other229.seen;
+  sinceWallMillis = other229.sinceWallMillis;
+  callers = other229.callers;
+  unknown = other229.unknown;
+  __isset = other229.__isset;
+}
+EntryReport::EntryReport(EntryReport&& other230) noexcept {
+  entry = std::move(other230.entry);
+  owner = std::move(other230.owner);
+  calls = other230.calls;
+  refused = other230.refused;
+  slow = other230.slow;
+  p50Micros = other230.p50Micros;
+  p99Micros = other230.p99Micros;
+  limit = std::move(other230.limit);
+  bound = other230.bound;
+  seen = other230.seen;
+  sinceWallMillis = other230.sinceWallMillis;
+  callers = std::move(other230.callers);
+  unknown = other230.unknown;
+  __isset = other230.__isset;
+}
+EntryReport& EntryReport::operator=(const EntryReport& other231) {
+  entry = other231.entry;
+  owner = other231.owner;
+  calls = other231.calls;
+  refused = other231.refused;
+  slow = other231.slow;
+  p50Micros = other231.p50Micros;
+  p99Micros = other231.p99Micros;
+  limit = other231.limit;
+  bound = other231.bound;
+  seen = other231.seen;
+  sinceWallMillis = other231.sinceWallMillis;
+  callers = other231.callers;
+  unknown = other231.unknown;
+  __isset = other231.__isset;
   return *this;
 }
-EntryReport& EntryReport::operator=(EntryReport&& other191) noexcept {
-  entry = std::move(other191.entry);
-  owner = std::move(other191.owner);
-  calls = other191.calls;
-  refused = other191.refused;
-  slow = other191.slow;
-  p50Micros = other191.p50Micros;
-  p99Micros = other191.p99Micros;
-  limit = std::move(other191.limit);
-  bound = other191.bound;
-  seen = other191.seen;
-  sinceWallMillis = other191.sinceWallMillis;
-  callers = std::move(other191.callers);
-  unknown = other191.unknown;
-  __isset = other191.__isset;
+EntryReport& EntryReport::operator=(EntryReport&& other232) noexcept {
+  entry = std::move(other232.entry);
+  owner = std::move(other232.owner);
+  calls = other232.calls;
+  refused = other232.refused;
+  slow = other232.slow;
+  p50Micros = other232.p50Micros;
+  p99Micros = other232.p99Micros;
+  limit = std::move(other232.limit);
+  bound = other232.bound;
+  seen = other232.seen;
+  sinceWallMillis = other232.sinceWallMillis;
+  callers = std::move(other232.callers);
+  unknown = other232.unknown;
+  __isset = other232.__isset;
   return *this;
 }
 void EntryReport::printTo(std::ostream& out) const {
@@ -5164,14 +5958,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->entries.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->entries.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
             {
-              xfer += this->entries[_i196].read(iprot);
+              xfer += this->entries[_i237].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5212,10 +6006,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<EntryReport> ::const_iterator _iter197;
-    for (_iter197 = this->entries.begin(); _iter197 != this->entries.end(); ++_iter197)
+    std::vector<EntryReport> ::const_iterator _iter238;
+    for (_iter238 = this->entries.begin(); _iter238 != this->entries.end(); ++_iter238)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter238).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5235,34 +6029,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReport::StatusReport(const StatusReport& other198) {
-  host = other198.host;
-  domain = other198.domain;
-  version = other198.version;
-  entries = other198.entries;
-  __isset = other198.__isset;
-}
-StatusReport::StatusReport(StatusReport&& other199) noexcept {
-  host = std::move(other199.host);
-  domain = std::move(other199.domain);
-  version = other199.version;
-  entries = std::move(other199.entries);
-  __isset = other199.__isset;
-}
-StatusReport& StatusReport::operator=(const StatusReport& other200) {
-  host = other200.host;
-  domain = other200.domain;
-  version = other200.version;
-  entries = other200.entries;
-  __isset = other200.__isset;
+StatusReport::StatusReport(const StatusReport& other239) {
+  host = other239.host;
+  domain = other239.domain;
+  version = other239.version;
+  entries = other239.entries;
+  __isset = other239.__isset;
+}
+StatusReport::StatusReport(StatusReport&& other240) noexcept {
+  host = std::move(other240.host);
+  domain = std::move(other240.domain);
+  version = other240.version;
+  entries = std::move(other240.entries);
+  __isset = other240.__isset;
+}
+StatusReport& StatusReport::operator=(const StatusReport& other241) {
+  host = other241.host;
+  domain = other241.domain;
+  version = other241.version;
+  entries = other241.entries;
+  __isset = other241.__isset;
   return *this;
 }
-StatusReport& StatusReport::operator=(StatusReport&& other201) noexcept {
-  host = std::move(other201.host);
-  domain = std::move(other201.domain);
-  version = other201.version;
-  entries = std::move(other201.entries);
-  __isset = other201.__isset;
+StatusReport& StatusReport::operator=(StatusReport&& other242) noexcept {
+  host = std::move(other242.host);
+  domain = std::move(other242.domain);
+  version = other242.version;
+  entries = std::move(other242.entries);
+  __isset = other242.__isset;
   return *this;
 }
 void StatusReport::printTo(std::ostream& out) const {
@@ -5351,22 +6145,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other202) noexcept {
-  sequence = other202.sequence;
-  __isset = other202.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other243) noexcept {
+  sequence = other243.sequence;
+  __isset = other243.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other203) noexcept {
-  sequence = other203.sequence;
-  __isset = other203.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other244) noexcept {
+  sequence = other244.sequence;
+  __isset = other244.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other204) noexcept {
-  sequence = other204.sequence;
-  __isset = other204.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other245) noexcept {
+  sequence = other245.sequence;
+  __isset = other245.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other205) noexcept {
-  sequence = other205.sequence;
-  __isset = other205.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other246) noexcept {
+  sequence = other246.sequence;
+  __isset = other246.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -5465,6 +6259,11 @@
   this->heartbeat = val;
 __isset.heartbeat = true;
 }
+
+void Envelope::__set_loadReport(const LoadReport& val) {
+  this->loadReport = val;
+__isset.loadReport = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -5629,6 +6428,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loadReport.read(iprot);
+          this->__isset.loadReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5731,6 +6538,11 @@
     xfer += this->heartbeat.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.loadReport) {
+    xfer += oprot->writeFieldBegin("loadReport", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->loadReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5755,89 +6567,94 @@
   swap(a.claimAnswer, b.claimAnswer);
   swap(a.statusReport, b.statusReport);
   swap(a.heartbeat, b.heartbeat);
+  swap(a.loadReport, b.loadReport);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other206) {
-  hello = other206.hello;
-  ping = other206.ping;
-  ack = other206.ack;
-  pingRequest = other206.pingRequest;
-  memberSync = other206.memberSync;
-  domainSummary = other206.domainSummary;
-  configPush = other206.configPush;
-  configFetch = other206.configFetch;
-  configAnswer = other206.configAnswer;
-  callRequest = other206.callRequest;
-  callAnswer = other206.callAnswer;
-  callCancel = other206.callCancel;
-  callQuery = other206.callQuery;
-  claimRequest = other206.claimRequest;
-  claimAnswer = other206.claimAnswer;
-  statusReport = other206.statusReport;
-  heartbeat = other206.heartbeat;
-  __isset = other206.__isset;
-}
-Envelope::Envelope(Envelope&& other207) noexcept {
-  hello = std::move(other207.hello);
-  ping = std::move(other207.ping);
-  ack = std::move(other207.ack);
-  pingRequest = std::move(other207.pingRequest);
-  memberSync = std::move(other207.memberSync);
-  domainSummary = std::move(other207.domainSummary);
-  configPush = std::move(other207.configPush);
-  configFetch = std::move(other207.configFetch);
-  configAnswer = std::move(other207.configAnswer);
-  callRequest = std::move(other207.callRequest);
-  callAnswer = std::move(other207.callAnswer);
-  callCancel = std::move(other207.callCancel);
-  callQuery = std::move(other207.callQuery);
-  claimRequest = std::move(other207.claimRequest);
-  claimAnswer = std::move(other207.claimAnswer);
-  statusReport = std::move(other207.statusReport);
-  heartbeat = std::move(other207.heartbeat);
-  __isset = other207.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other208) {
-  hello = other208.hello;
-  ping = other208.ping;
-  ack = other208.ack;
-  pingRequest = other208.pingRequest;
-  memberSync = other208.memberSync;
-  domainSummary = other208.domainSummary;
-  configPush = other208.configPush;
-  configFetch = other208.configFetch;
-  configAnswer = other208.configAnswer;
-  callRequest = other208.callRequest;
-  callAnswer = other208.callAnswer;
-  callCancel = other208.callCancel;
-  callQuery = other208.callQuery;
-  claimRequest = other208.claimRequest;
-  claimAnswer = other208.claimAnswer;
-  statusReport = other208.statusReport;
-  heartbeat = other208.heartbeat;
-  __isset = other208.__isset;
+Envelope::Envelope(const Envelope& other247) {
+  hello = other247.hello;
+  ping = other247.ping;
+  ack = other247.ack;
+  pingRequest = other247.pingRequest;
+  memberSync = other247.memberSync;
+  domainSummary = other247.domainSummary;
+  configPush = other247.configPush;
+  configFetch = other247.configFetch;
+  configAnswer = other247.configAnswer;
+  callRequest = other247.callRequest;
+  callAnswer = other247.callAnswer;
+  callCancel = other247.callCancel;
+  callQuery = other247.callQuery;
+  claimRequest = other247.claimRequest;
+  claimAnswer = other247.claimAnswer;
+  statusReport = other247.statusReport;
+  heartbeat = other247.heartbeat;
+  loadReport = other247.loadReport;
+  __isset = other247.__isset;
+}
+Envelope::Envelope(Envelope&& other248) noexcept {
+  hello = std::move(other248.hello);
+  ping = std::move(other248.ping);
+  ack = std::move(other248.ack);
+  pingRequest = std::move(other248.pingRequest);
+  memberSync = std::move(other248.memberSync);
+  domainSummary = std::move(other248.domainSummary);
+  configPush = std::move(other248.configPush);
+  configFetch = std::move(other248.configFetch);
+  configAnswer = std::move(other248.configAnswer);
+  callRequest = std::move(other248.callRequest);
+  callAnswer = std::move(other248.callAnswer);
+  callCancel = std::move(other248.callCancel);
+  callQuery = std::move(other248.callQuery);
+  claimRequest = std::move(other248.claimRequest);
+  claimAnswer = std::move(other248.claimAnswer);
+  statusReport = std::move(other248.statusReport);
+  heartbeat = std::move(other248.heartbeat);
+  loadReport = std::move(other248.loadReport);
+  __isset = other248.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other249) {
+  hello = other249.hello;
+  ping = other249.ping;
+  ack = other249.ack;
+  pingRequest = other249.pingRequest;
+  memberSync = other249.memberSync;
+  domainSummary = other249.domainSummary;
+  configPush = other249.configPush;
+  configFetch = other249.configFetch;
+  configAnswer = other249.configAnswer;
+  callRequest = other249.callRequest;
+  callAnswer = other249.callAnswer;
+  callCancel = other249.callCancel;
+  callQuery = other249.callQuery;
+  claimRequest = other249.claimRequest;
+  claimAnswer = other249.claimAnswer;
+  statusReport = other249.statusReport;
+  heartbeat = other249.heartbeat;
+  loadReport = other249.loadReport;
+  __isset = other249.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other209) noexcept {
-  hello = std::move(other209.hello);
-  ping = std::move(other209.ping);
-  ack = std::move(other209.ack);
-  pingRequest = std::move(other209.pingRequest);
-  memberSync = std::move(other209.memberSync);
-  domainSummary = std::move(other209.domainSummary);
-  configPush = std::move(other209.configPush);
-  configFetch = std::move(other209.configFetch);
-  configAnswer = std::move(other209.configAnswer);
-  callRequest = std::move(other209.callRequest);
-  callAnswer = std::move(other209.callAnswer);
-  callCancel = std::move(other209.callCancel);
-  callQuery = std::move(other209.callQuery);
-  claimRequest = std::move(other209.claimRequest);
-  claimAnswer = std::move(other209.claimAnswer);
-  statusReport = std::move(other209.statusReport);
-  heartbeat = std::move(other209.heartbeat);
-  __isset = other209.__isset;
+Envelope& Envelope::operator=(Envelope&& other250) noexcept {
+  hello = std::move(other250.hello);
+  ping = std::move(other250.ping);
+  ack = std::move(other250.ack);
+  pingRequest = std::move(other250.pingRequest);
+  memberSync = std::move(other250.memberSync);
+  domainSummary = std::move(other250.domainSummary);
+  configPush = std::move(other250.configPush);
+  configFetch = std::move(other250.configFetch);
+  configAnswer = std::move(other250.configAnswer);
+  callRequest = std::move(other250.callRequest);
+  callAnswer = std::move(other250.callAnswer);
+  callCancel = std::move(other250.callCancel);
+  callQuery = std::move(other250.callQuery);
+  claimRequest = std::move(other250.claimRequest);
+  claimAnswer = std::move(other250.claimAnswer);
+  statusReport = std::move(other250.statusReport);
+  heartbeat = std::move(other250.heartbeat);
+  loadReport = std::move(other250.loadReport);
+  __isset = other250.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -5860,6 +6677,7 @@
   out << ", " << "claimAnswer="; (__isset.claimAnswer ? (out << to_string(claimAnswer)) : (out << "<null>"));
   out << ", " << "statusReport="; (__isset.statusReport ? (out << to_string(statusReport)) : (out << "<null>"));
   out << ", " << "heartbeat="; (__isset.heartbeat ? (out << to_string(heartbeat)) : (out << "<null>"));
+  out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
   out << ")";
 }
 
