Assemble the daemon from its services

Cause: the slices need one process. Change: control, calls and admin service, each on its thread; a graceful stop tells peers, refuses new work as not run and finishes calls in flight.

--- a/src/ctl/daemonclient.cpp
+++ b/src/ctl/daemonclient.cpp
@@ -1,6 +1,6 @@
 #include "ctl/daemonclient.h"
 
-#include "platform/httptransfer.h"
+#include "platform/storetransfer.h"
 
 #include <fmt/format.h>
 
@@ -26,7 +26,7 @@
   request.connectBound = kConnectBound;
   request.bound = kRequestBound;
   request.maxAnswerBytes = kMaxAnswerBytes;
-  HttpTransfer transfer;
+  StoreTransfer transfer;
   const auto answer = transfer.Run(request);
   if (!answer) {
     return failure(DaemonError{ answer.error().detail });
--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t kRingCapacity = 16384;
 constexpr Millis kTickInterval = 10;
 constexpr Millis kMarksInterval = 200;
+constexpr std::size_t kMarksPerMessage = 8;
 constexpr std::size_t kMaxAnswerBytes = 7U << 20U; // Fits a peer frame.
 
 /** Whether something accepts connections on a port of this host. */
@@ -46,6 +47,14 @@
   return config;
 }
 
+QuarantineConfig
+QuarantineOf(const Settings& aSettings)
+{
+  QuarantineConfig config;
+  config.host = aSettings.host;
+  return config;
+}
+
 EntryCallsConfig
 EntryConfig(const Settings& aSettings, std::int64_t aIncarnation)
 {
@@ -74,7 +83,7 @@
   : settings(aSettings)
   , hooks(std::move(aHooks))
   , clock(Clock::Steady())
-  , quarantine(this->clock)
+  , quarantine(QuarantineOf(aSettings), this->clock)
   , stats(this->clock)
   , server(ServerConfig(aSettings),
            { [this](RequestId aRequest, HttpRequest aData) {
@@ -125,10 +134,10 @@
   entryHooks.claim = this->hooks.claim;
   entryHooks.settleClaim = this->hooks.settleClaim;
   entryHooks.isQuarantined = [this](std::uint64_t aDigest) {
-    return this->quarantine.IsRefused(aDigest);
+    return this->Check(aDigest) == QuarantineVerdict::Refused;
   };
   entryHooks.hasLostServer = [this](std::uint64_t aDigest) {
-    return this->quarantine.RunsAlone(aDigest);
+    return this->Check(aDigest) != QuarantineVerdict::Free;
   };
   entryHooks.ended = [this](const EntryCall& aCall, const Ending& aEnding) {
     this->RecordEnd(aCall, aEnding);
@@ -151,10 +160,10 @@
     this->client.Cancel(aCallId);
   };
   destinationHooks.isQuarantined = [this](std::uint64_t aDigest) {
-    return this->quarantine.IsRefused(aDigest);
+    return this->Check(aDigest) == QuarantineVerdict::Refused;
   };
   destinationHooks.serverLost = [this](std::uint64_t aDigest) {
-    this->quarantine.ServerLost(aDigest);
+    this->quarantine.CountLoss(static_cast<std::int64_t>(aDigest));
     this->marksDueAt = 0;
   };
   destinationHooks.isListening = [this](int aPort) {
@@ -181,7 +190,10 @@
 CallsService::StopIntake()
 {
   this->server.StopIntake();
-  this->loop.Post([this] { this->entryCalls.StopIntake(); });
+  this->loop.Post([this] {
+    this->entryCalls.StopIntake();
+    this->destinationCalls.StopIntake();
+  });
 }
 
 void
@@ -216,7 +228,7 @@
 {
   this->loop.Post([this, event = std::move(aEvent)]() mutable {
     if (event.kind == PeerEventKind::SessionLost) {
-      this->entryCalls.HandleSessionLost(event.remote, !event.wasOpen);
+      this->entryCalls.HandleSessionLost(event.remote, !event.wasConnected);
       return;
     }
     this->HandleMessage(event.session, std::move(event.envelope));
@@ -305,10 +317,16 @@
 }
 
 std::vector<wire::QuarantineMark>
-CallsService::Marks() const
+CallsService::TakeMarks()
 {
   const std::lock_guard lock(this->marksMutex);
-  return this->marks;
+  return std::exchange(this->marks, {});
+}
+
+QuarantineVerdict
+CallsService::Check(std::uint64_t aDigest)
+{
+  return this->quarantine.Check(static_cast<std::int64_t>(aDigest));
 }
 
 std::size_t
@@ -339,7 +357,9 @@
   }
   this->marksDueAt = this->clock.Now() + kMarksInterval;
   const std::lock_guard lock(this->marksMutex);
-  this->marks = this->quarantine.Marks();
+  if (this->marks.empty()) {
+    this->marks = this->quarantine.TakeMarks(kMarksPerMessage);
+  }
 }
 
 void
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -59,8 +59,8 @@
   void HandleClaim(const std::string& aHolder, wire::ClaimResult::type aResult);
   void MergeMarks(std::vector<wire::QuarantineMark> aMarks);
 
-  /** Quarantine marks as of the last tick. */
-  std::vector<wire::QuarantineMark> Marks() const;
+  /** Quarantine marks to send with the next datagram. */
+  std::vector<wire::QuarantineMark> TakeMarks();
 
   /** Calls that entered here or run here and have not ended. */
   std::size_t InFlight();
@@ -77,6 +77,7 @@
   void HandleMessage(SessionId aSession, wire::Envelope aEnvelope);
   void AnswerOrigin(SessionId aOrigin, wire::CallAnswer aAnswer);
   void BeginCall(RequestId aRequest, HttpRequest aRequestData);
+  QuarantineVerdict Check(std::uint64_t aDigest);
   void RecordEnd(const EntryCall& aCall, const Ending& aEnding);
 
   Settings settings;
@@ -88,7 +89,7 @@
   HttpClient client;
   EntryCalls entryCalls;
   DestinationCalls destinationCalls;
-  mutable std::mutex marksMutex;
+  std::mutex marksMutex;
   std::vector<wire::QuarantineMark> marks;
   Millis marksDueAt = 0;
   EventLoop loop; // Last, so that its thread ends before what it uses.
--- /dev/null
+++ b/src/daemon/controlservice.cpp
@@ -0,0 +1,502 @@
+#include "daemon/controlservice.h"
+
+#include "common/log.h"
+#include "common/random.h"
+#include "platform/httpobjectstore.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("control");
+constexpr std::size_t kRingCapacity = 16384;
+constexpr std::size_t kJobCapacity = 256;
+constexpr Millis kTickInterval = 50;
+
+ObjectStore
+MakeStore(const Settings& aSettings, const std::atomic<bool>& aIsStopping)
+{
+  HttpStoreConfig config;
+  config.baseUrl = fmt::format(
+    "http://{}:{}", aSettings.platform.address, aSettings.platform.port);
+  config.connectBound = std::min<Millis>(1000, aSettings.platformTimeout);
+  config.requestBound = aSettings.platformTimeout;
+  config.shouldStop = [&aIsStopping] { return aIsStopping.load(); };
+  return MakeHttpObjectStore(std::move(config));
+}
+
+CallBudgetConfig
+BudgetOf(const Settings& aSettings)
+{
+  CallBudgetConfig budget;
+  budget.callsPerSecond = aSettings.platformCallsPerSecond;
+  return budget;
+}
+
+PlatformWatchConfig
+WatchOf(std::string aPrefix)
+{
+  PlatformWatchConfig config;
+  config.prefix = std::move(aPrefix);
+  return config;
+}
+
+ClaimWriterConfig
+WriterConfig(const Settings& aSettings)
+{
+  ClaimWriterConfig config;
+  config.limits.retention = aSettings.claimRetention;
+  return config;
+}
+
+ClaimClientConfig
+ClientConfig(const Settings& aSettings)
+{
+  ClaimClientConfig config;
+  config.self = aSettings.host;
+  config.totalTimeout = aSettings.claimWait;
+  config.tryTimeout = std::max<Millis>(aSettings.claimWait / 3, 1);
+  return config;
+}
+
+} // namespace
+
+ControlService::ControlService(const Settings& aSettings,
+                               std::int64_t aIncarnation,
+                               ControlServiceHooks aHooks)
+  : settings(aSettings)
+  , hooks(std::move(aHooks))
+  , clock(Clock::Steady())
+  , store(MakeStore(aSettings, this->isStopping))
+  , platform(
+      this->store,
+      kJobCapacity,
+      [this](Completion aDone) { this->loop.Post(std::move(aDone)); },
+      BudgetOf(aSettings))
+  , membership(this->MemberConfig(aIncarnation),
+               this->clock,
+               Clock::Wall(),
+               SystemRandom(),
+               this->MemberHooks())
+  , distributor(this->DistributionConfig(),
+                this->clock,
+                SystemRandom(),
+                this->DistributionHooks())
+  , claimWriter(WriterConfig(aSettings),
+                this->clock,
+                Clock::Wall(),
+                { [this](PlatformJob aJob) {
+                   return this->platform.Submit(std::move(aJob));
+                 },
+                  [this] {
+                    const auto writers = this->membership.LiveHostsOfRegion(
+                      this->settings.platformRegion);
+                    return std::max<std::size_t>(writers.size(), 1);
+                  } })
+  , claimClient(ClientConfig(aSettings), this->clock, this->ClaimHooks())
+  , seeds(aSettings.domain,
+          this->clock,
+          [this](PlatformJob aJob) {
+            return this->platform.Submit(std::move(aJob));
+          })
+  , acceptedWatch(this->store, WatchOf("accepted/"), this->WatchHook(false))
+  , catalogueWatch(this->store, WatchOf("catalogue/"), this->WatchHook(true))
+  , loop("control", kRingCapacity, kTickInterval, [this] { this->Tick(); })
+{
+}
+
+ControlService::~ControlService()
+{
+  this->Stop();
+}
+
+MembershipConfig
+ControlService::MemberConfig(std::int64_t aIncarnation) const
+{
+  MembershipConfig config;
+  config.host = this->settings.host;
+  config.address = this->settings.address;
+  config.peerPort = this->settings.peerPort;
+  config.region = this->settings.region;
+  config.domain = this->settings.domain;
+  std::ranges::transform(this->settings.peers,
+                         std::back_inserter(config.peers),
+                         [](const SocketAddress& aPeer) {
+                           return PeerAddress{ aPeer.address, aPeer.port };
+                         });
+  config.gossipInterval = this->settings.gossipInterval;
+  config.suspicionTime = this->settings.suspicionTime;
+  config.endpointTimeout = this->settings.endpointTimeout;
+  config.feeders = static_cast<std::size_t>(this->settings.feeders);
+  config.fanout = static_cast<std::size_t>(this->settings.fanout);
+  config.incarnation = aIncarnation;
+  return config;
+}
+
+MembershipHooks
+ControlService::MemberHooks()
+{
+  MembershipHooks member;
+  member.sendDatagram = this->hooks.sendDatagram;
+  member.sendControl = [this](const PeerAddress& aTo,
+                              wire::Envelope aEnvelope) {
+    this->hooks.sendControl(aTo, std::move(aEnvelope));
+  };
+  member.reply = this->hooks.reply;
+  member.onPeerVersion = [this](const std::string& aHost,
+                                std::int64_t aVersion) {
+    this->distributor.PeerVersion(aHost, aVersion);
+  };
+  member.ownVersion = [this] { return this->distributor.Held()->Version(); };
+  member.takeMarks = this->hooks.takeMarks;
+  member.mergeMarks = [this](const std::vector<wire::QuarantineMark>& aMarks) {
+    this->hooks.mergeMarks(aMarks);
+  };
+  member.seedPeers = [this] { return this->seeds.Peers(); };
+  return member;
+}
+
+DistributorConfig
+ControlService::DistributionConfig() const
+{
+  DistributorConfig config;
+  config.host = this->settings.host;
+  config.domain = this->settings.domain;
+  config.region = this->settings.region;
+  config.platformRegion = this->settings.platformRegion;
+  config.feeders = this->settings.feeders;
+  config.fanout = this->settings.fanout;
+  config.startWait = this->settings.startWait;
+  return config;
+}
+
+DistributorHooks
+ControlService::DistributionHooks()
+{
+  DistributorHooks distribution;
+  distribution.send = [this](const std::string& aHost,
+                             wire::Envelope aEnvelope) {
+    if (const auto address = this->membership.AddressOf(aHost)) {
+      this->hooks.sendControl(*address, std::move(aEnvelope));
+    }
+  };
+  distribution.reply = this->hooks.reply;
+  distribution.domainMembers = [this] {
+    return this->membership.LiveHosts(this->settings.domain);
+  };
+  distribution.acceptorCandidates = [this] {
+    auto hosts =
+      this->membership.LiveHostsOfRegion(this->settings.platformRegion);
+    return hosts.empty() ? this->membership.AllLiveHosts() : hosts;
+  };
+  distribution.submit = [this](PlatformJob aJob) {
+    return this->platform.Submit(std::move(aJob));
+  };
+  distribution.onHeld = [this](const SnapshotPtr&) {
+    this->PublishConfiguration();
+  };
+  return distribution;
+}
+
+ClaimClientHooks
+ControlService::ClaimHooks()
+{
+  ClaimClientHooks claim;
+  claim.writers = [this] {
+    return this->membership.LiveHostsOfRegion(this->settings.platformRegion);
+  };
+  claim.send = [this](const std::string& aHost,
+                      const wire::Envelope& aEnvelope) {
+    const auto address = this->membership.AddressOf(aHost);
+    return address && this->hooks.sendControl(*address, aEnvelope);
+  };
+  claim.writeDirectly = [this](const wire::ClaimRequest& aRequest) {
+    this->claimWriter.Handle(aRequest,
+                             [this](const wire::ClaimAnswer& aAnswer) {
+                               this->claimClient.HandleAnswer(aAnswer);
+                             });
+  };
+  return claim;
+}
+
+PlatformWatch::Hook
+ControlService::WatchHook(bool aIsCatalogue)
+{
+  return
+    [this, aIsCatalogue](PlatformResult<ObjectList> aResult, bool aIsFullList) {
+      this->loop.Post([this, aIsCatalogue, aIsFullList, result = aResult] {
+        if (result) {
+          this->platformSeenAt = this->clock.Now();
+        }
+        if (aIsCatalogue) {
+          this->distributor.CatalogueChanged(result, aIsFullList);
+        } else {
+          this->distributor.AcceptedChanged(result, aIsFullList);
+        }
+      });
+    };
+}
+
+void
+ControlService::Start()
+{
+  this->loop.Start();
+  this->platform.Start();
+  this->acceptedWatch.Start();
+  this->catalogueWatch.Start();
+}
+
+void
+ControlService::Leave()
+{
+  this->loop.Run([this] { this->membership.Leave(); });
+}
+
+void
+ControlService::Stop()
+{
+  this->isStopping = true;
+  this->acceptedWatch.Stop();
+  this->catalogueWatch.Stop();
+  this->platform.Stop();
+  this->loop.Stop();
+}
+
+void
+ControlService::HandlePeerEvent(PeerEvent aEvent)
+{
+  // A dropped event is made good by the next gossip round.
+  this->loop.Post([this, event = std::move(aEvent)] {
+    if (event.kind == PeerEventKind::Datagram) {
+      this->membership.HandleDatagram(event.remote, event.envelope);
+    } else if (event.kind == PeerEventKind::Message) {
+      this->HandleMessage(event);
+    }
+  });
+}
+
+void
+ControlService::HandleMessage(const PeerEvent& aEvent)
+{
+  const wire::Envelope& envelope = aEvent.envelope;
+  const std::string& from = aEvent.hello.host;
+  if (envelope.__isset.configPush) {
+    this->distributor.HandlePush(from, envelope.configPush);
+  } else if (envelope.__isset.configFetch) {
+    this->distributor.HandleFetch(aEvent.session, from, envelope.configFetch);
+  } else if (envelope.__isset.configAnswer) {
+    this->distributor.HandleAnswer(from, envelope.configAnswer);
+  } else if (envelope.__isset.claimRequest || envelope.__isset.claimAnswer) {
+    this->HandleClaimMessage(aEvent);
+  } else {
+    this->membership.HandleControl(aEvent.session, from, envelope);
+  }
+}
+
+void
+ControlService::HandleClaimMessage(const PeerEvent& aEvent)
+{
+  if (aEvent.envelope.__isset.claimAnswer) {
+    this->claimClient.HandleAnswer(aEvent.envelope.claimAnswer);
+    return;
+  }
+  const SessionId session = aEvent.session;
+  this->claimWriter.Handle(aEvent.envelope.claimRequest,
+                           [this, session](const wire::ClaimAnswer& aAnswer) {
+                             wire::Envelope envelope;
+                             envelope.__set_claimAnswer(aAnswer);
+                             this->hooks.reply(session, std::move(envelope));
+                           });
+}
+
+void
+ControlService::Announce(const Announcement& aAnnouncement)
+{
+  this->loop.Post([this, aAnnouncement] {
+    this->membership.Announce(aAnnouncement);
+    this->PublishEndpoints();
+    this->PublishConfiguration();
+  });
+}
+
+bool
+ControlService::Claim(std::uint64_t aKeyHash, const std::string& aHolder)
+{
+  return this->loop.Post([this, aKeyHash, aHolder] {
+    this->claimClient.Claim(static_cast<std::int64_t>(aKeyHash),
+                            aHolder,
+                            this->settings.claimWait,
+                            [this, aHolder](wire::ClaimResult::type aResult) {
+                              this->hooks.onClaim(aHolder, aResult);
+                            });
+  });
+}
+
+void
+ControlService::Settle(std::uint64_t aKeyHash,
+                       const std::string& aHolder,
+                       Outcome aOutcome)
+{
+  this->loop.Post([this, aKeyHash, aHolder, aOutcome] {
+    const auto keyHash = static_cast<std::int64_t>(aKeyHash);
+    if (aOutcome == Outcome::NotRun) {
+      this->claimClient.Release(keyHash, aHolder);
+    } else {
+      this->claimClient.MarkDone(keyHash, aHolder);
+    }
+  });
+}
+
+void
+ControlService::Tick()
+{
+  this->membership.Tick();
+  this->distributor.Tick();
+  this->claimWriter.Tick();
+  this->claimClient.Tick();
+  this->SetWatches();
+  this->PublishSeeds();
+  this->PublishEndpoints();
+  this->PublishConfiguration();
+}
+
+void
+ControlService::SetWatches()
+{
+  this->acceptedWatch.SetActive(this->distributor.IsFeeder() ||
+                                this->distributor.IsAcceptor());
+  this->catalogueWatch.SetActive(this->distributor.IsAcceptor());
+}
+
+void
+ControlService::PublishSeeds()
+{
+  const auto hosts = this->membership.LiveHosts(this->settings.domain);
+  this->seeds.ReadWhenAlone(hosts.size() <= 1);
+  if (!this->distributor.IsFeeder() || hosts.size() <= 1) {
+    return;
+  }
+  std::vector<PeerAddress> members;
+  std::ranges::for_each(hosts, [&](const std::string& aHost) {
+    if (const auto address = this->membership.AddressOf(aHost)) {
+      members.push_back(*address);
+    }
+  });
+  this->seeds.Publish(members);
+}
+
+void
+ControlService::PublishConfiguration()
+{
+  EndpointViewPtr view = this->membership.View();
+  SnapshotPtr snapshot =
+    this->distributor.IsReady() ? this->distributor.Held() : nullptr;
+  if (snapshot == this->publishedSnapshot && view == this->publishedView) {
+    return;
+  }
+  if (snapshot && snapshot != this->publishedSnapshot) {
+    kLog.Info("version {} is in force", snapshot->Version());
+  }
+  this->publishedSnapshot = snapshot;
+  this->publishedView = view;
+  this->hooks.onConfiguration(std::move(snapshot), std::move(view));
+}
+
+void
+ControlService::PublishEndpoints()
+{
+  std::map<std::pair<std::string, int>, wire::Endpoint> present;
+  std::ranges::for_each(
+    this->membership.Self().endpoints, [&](const wire::Endpoint& aEndpoint) {
+      present.emplace(std::pair(aEndpoint.serviceName, aEndpoint.port),
+                      aEndpoint);
+    });
+  if (present == this->publishedEndpoints) {
+    return;
+  }
+  std::ranges::for_each(this->publishedEndpoints, [&](const auto& aPair) {
+    if (!present.contains(aPair.first)) {
+      this->hooks.onEndpointGone(aPair.first.first, aPair.first.second);
+    }
+  });
+  std::ranges::for_each(present, [this](const auto& aPair) {
+    this->hooks.onEndpoint(aPair.second);
+  });
+  this->publishedEndpoints = std::move(present);
+}
+
+ControlService::Json
+ControlService::State()
+{
+  Json state = Json::object();
+  this->loop.Run([this, &state] {
+    const SnapshotPtr& held = this->distributor.Held();
+    state = { { "host", this->settings.host },
+              { "region", this->settings.region },
+              { "domain", this->settings.domain },
+              { "version", held->Version() },
+              { "contentHash", held->ContentHash() },
+              { "ready", this->distributor.IsReady() },
+              { "feeder", this->distributor.IsFeeder() },
+              { "acceptor", this->distributor.IsAcceptor() },
+              { "members",
+                this->membership.LiveHosts(this->settings.domain).size() },
+              { "platformAgeMs",
+                this->platformSeenAt == 0
+                  ? Json()
+                  : Json(this->clock.Now() - this->platformSeenAt) } };
+  });
+  return state;
+}
+
+ControlService::Json
+ControlService::Members()
+{
+  Json rows = Json::array();
+  this->loop.Run([this, &rows] {
+    this->membership.Table().ForEach(
+      [&rows](const wire::MemberRecord& aRecord) {
+        Json endpoints = Json::array();
+        std::ranges::transform(
+          aRecord.endpoints,
+          std::back_inserter(endpoints),
+          [](const wire::Endpoint& aEndpoint) {
+            return Json{ { "service", aEndpoint.serviceName },
+                         { "port", aEndpoint.port },
+                         { "slots", aEndpoint.slots },
+                         { "state", fmt::format("{}", aEndpoint.state) } };
+          });
+        rows.push_back({ { "host", aRecord.host },
+                         { "domain", aRecord.domain },
+                         { "incarnation", aRecord.incarnation },
+                         { "sequence", aRecord.sequence },
+                         { "state", fmt::format("{}", aRecord.state) },
+                         { "endpoints", std::move(endpoints) } });
+      });
+  });
+  return rows;
+}
+
+ControlService::Json
+ControlService::EntryState(const std::string& aName)
+{
+  Json state;
+  this->loop.Run([this, &aName, &state] {
+    const SnapshotPtr& held = this->distributor.Held();
+    const AcceptedEntry* const accepted = held->Find(aName);
+    if (accepted != nullptr && this->distributor.IsReady()) {
+      state = { { "name", aName },
+                { "revision", accepted->revision },
+                { "version", held->Version() } };
+    }
+  });
+  return state;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,213 @@
+#include "daemon/daemon.h"
+
+#include "common/log.h"
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("daemon");
+
+// Peers need a moment to learn that this daemon leaves before it refuses
+// what they send.
+constexpr Millis kLeaveNotice = 300;
+
+// Requests that were on their way when the intake stopped are still refused
+// as not run, rather than lost with their session.
+constexpr Millis kRefusalTime = 700;
+
+EndpointState
+StateOf(wire::EndpointState::type aState)
+{
+  switch (aState) {
+    case wire::EndpointState::READY:
+      return EndpointState::Ready;
+    case wire::EndpointState::DRAINING:
+      return EndpointState::Draining;
+    default:
+      return EndpointState::Starting;
+  }
+}
+
+} // namespace
+
+Daemon::Daemon(const Settings& aSettings)
+  : settings(aSettings)
+  , incarnation(Clock::Wall().Now())
+  , network(this->NetworkConfig(),
+            { [this](PeerEvent aEvent) {
+               this->control.HandlePeerEvent(std::move(aEvent));
+             },
+              [this](PeerEvent aEvent) {
+                this->calls.HandlePeerEvent(std::move(aEvent));
+              } })
+  , calls(aSettings, this->incarnation, this->CallsHooks())
+  , control(aSettings, this->incarnation, this->ControlHooks())
+  , admin(aSettings, this->AdministrationHooks())
+{
+}
+
+PeerNetworkConfig
+Daemon::NetworkConfig() const
+{
+  PeerNetworkConfig config;
+  config.listen = { this->settings.address, this->settings.peerPort };
+  config.self.protocol = wire::g_peer_constants.PROTOCOL_VERSION;
+  config.self.host = this->settings.host;
+  config.self.incarnation = this->incarnation;
+  config.self.region = this->settings.region;
+  config.self.domain = this->settings.domain;
+  return config;
+}
+
+CallsServiceHooks
+Daemon::CallsHooks()
+{
+  CallsServiceHooks hooks;
+  hooks.send = [this](const PeerAddress& aTo, wire::Envelope aEnvelope) {
+    return this->network.Send(
+      aTo, wire::SessionKind::CALLS, std::move(aEnvelope));
+  };
+  hooks.reply = [this](SessionId aSession, wire::Envelope aEnvelope) {
+    this->network.Reply(aSession, std::move(aEnvelope));
+  };
+  hooks.claim = [this](std::uint64_t aKeyHash, const std::string& aHolder) {
+    return this->control.Claim(aKeyHash, aHolder);
+  };
+  hooks.settleClaim = [this](std::uint64_t aKeyHash,
+                             const std::string& aHolder,
+                             Outcome aOutcome) {
+    this->control.Settle(aKeyHash, aHolder, aOutcome);
+  };
+  return hooks;
+}
+
+ControlServiceHooks
+Daemon::ControlHooks()
+{
+  ControlServiceHooks hooks;
+  hooks.sendDatagram = [this](const PeerAddress& aTo,
+                              wire::Envelope aEnvelope) {
+    this->network.SendDatagram(aTo, std::move(aEnvelope));
+  };
+  hooks.sendControl = [this](const PeerAddress& aTo, wire::Envelope aEnvelope) {
+    return this->network.Send(
+      aTo, wire::SessionKind::CONTROL, std::move(aEnvelope));
+  };
+  hooks.reply = [this](SessionId aSession, wire::Envelope aEnvelope) {
+    this->network.Reply(aSession, std::move(aEnvelope));
+  };
+  hooks.onConfiguration = [this](SnapshotPtr aSnapshot, EndpointViewPtr aView) {
+    this->calls.SetConfiguration(std::move(aSnapshot), std::move(aView));
+  };
+  hooks.onEndpoint = [this](const wire::Endpoint& aEndpoint) {
+    this->calls.SetEndpoint(aEndpoint.serviceName,
+                            aEndpoint.port,
+                            aEndpoint.slots,
+                            aEndpoint.connections,
+                            StateOf(aEndpoint.state));
+  };
+  hooks.onEndpointGone = [this](const std::string& aService, int aPort) {
+    this->calls.RemoveEndpoint(aService, aPort);
+  };
+  hooks.onClaim = [this](const std::string& aHolder,
+                         wire::ClaimResult::type aResult) {
+    this->calls.HandleClaim(aHolder, aResult);
+  };
+  hooks.takeMarks = [this] { return this->calls.TakeMarks(); };
+  hooks.mergeMarks = [this](std::vector<wire::QuarantineMark> aMarks) {
+    this->calls.MergeMarks(std::move(aMarks));
+  };
+  return hooks;
+}
+
+AdminHooks
+Daemon::AdministrationHooks()
+{
+  AdminHooks hooks;
+  hooks.announce = [this](const Announcement& aAnnouncement) {
+    this->control.Announce(aAnnouncement);
+  };
+  hooks.state = [this] { return this->State(); };
+  hooks.members = [this] { return this->control.Members().dump() + "\n"; };
+  hooks.entry = [this](const std::string& aName) -> std::optional<std::string> {
+    const auto entry = this->control.EntryState(aName);
+    if (entry.is_null()) {
+      return std::nullopt;
+    }
+    return entry.dump() + "\n";
+  };
+  hooks.metrics = [this] { return this->Metrics(); };
+  return hooks;
+}
+
+bool
+Daemon::Start()
+{
+  if (!this->network.Start()) {
+    kLog.Error("cannot listen for peers on {}:{}",
+               this->settings.address,
+               this->settings.peerPort);
+    return false;
+  }
+  this->control.Start();
+  if (!this->calls.Start() || !this->admin.Start()) {
+    return false;
+  }
+  kLog.Info("{} in {}, {} is up: calls on port {}, admin on port {}",
+            this->settings.host,
+            this->settings.domain,
+            this->settings.region,
+            this->settings.callPort,
+            this->settings.adminPort);
+  return true;
+}
+
+void
+Daemon::Stop()
+{
+  kLog.Info("stopping: no new calls, {} in flight", this->calls.InFlight());
+  this->control.Leave();
+  std::this_thread::sleep_for(std::chrono::milliseconds(kLeaveNotice));
+  this->calls.StopIntake();
+  std::this_thread::sleep_for(std::chrono::milliseconds(kRefusalTime));
+  this->FinishCalls();
+  this->admin.Stop();
+  this->calls.Stop();
+  this->control.Stop();
+  this->network.Stop();
+  kLog.Info("stopped");
+}
+
+void
+Daemon::FinishCalls()
+{
+  constexpr std::chrono::milliseconds kPoll(20);
+  const Clock clock = Clock::Steady();
+  const Millis limit = clock.Now() + this->settings.stopLimit;
+  std::size_t inFlight = this->calls.InFlight();
+  while (inFlight > 0 && clock.Now() < limit) {
+    std::this_thread::sleep_for(kPoll);
+    inFlight = this->calls.InFlight();
+  }
+  if (inFlight > 0) {
+    kLog.Warning("{} calls did not end within the stop limit of {} ms; their "
+                 "outcome is unknown",
+                 inFlight,
+                 this->settings.stopLimit);
+  }
+}
+
+std::string
+Daemon::State()
+{
+  auto state = this->control.State();
+  state["inFlight"] = this->calls.InFlight();
+  return state.dump() + "\n";
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "daemon/adminservice.h"
+#include "daemon/callsservice.h"
+#include "daemon/controlservice.h"
+#include "peer/peernetwork.h"
+#include "settings/settings.h"
+
+#include <cstdint>
+#include <string>
+
+namespace lacewingwharf {
+
+/** Assembles the threads of one daemon and orders their start and stop. */
+class Daemon
+{
+public:
+  explicit Daemon(const Settings& aSettings);
+
+  /** False when a port cannot be bound. */
+  bool Start();
+
+  /**
+   * Graceful stop: no new calls, peers are told, calls in flight are finished
+   * up to the stop limit.
+   */
+  void Stop();
+
+private:
+  PeerNetworkConfig NetworkConfig() const;
+  CallsServiceHooks CallsHooks();
+  ControlServiceHooks ControlHooks();
+  AdminHooks AdministrationHooks();
+  std::string State();
+  std::string Metrics();
+  void FinishCalls();
+
+  Settings settings;
+  std::int64_t incarnation;
+  PeerNetwork network;
+  CallsService calls;
+  ControlService control;
+  AdminService admin;
+};
+
+} // namespace lacewingwharf
--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -81,6 +81,10 @@
     kLog.Info("call {} is known or fenced and was not started again", id);
     return;
   }
+  if (this->isStopping) {
+    this->hooks.answer(aOrigin, NotRun(id, RefusalReason::ShuttingDown));
+    return;
+  }
   const AcceptedEntry* const accepted =
     this->snapshot ? this->snapshot->Find(aRequest.entry) : nullptr;
   if (accepted == nullptr) {
--- a/src/execution/destinationcalls.h
+++ b/src/execution/destinationcalls.h
@@ -69,6 +69,9 @@
   void HandleExchange(ExchangeResult aResult);
   void Tick();
 
+  /** Refuses new calls as not run; those known here go on. */
+  void StopIntake();
+
   /** Calls that wait or run. */
   std::size_t InFlight() const;
 
@@ -113,9 +116,16 @@
   std::deque<std::pair<Millis, std::string>> fenceQueue;
   std::deque<std::string> keptAnswers; // Oldest first.
   std::size_t keptBytes = 0;
+  bool isStopping = false;
   std::size_t inFlight = 0;
 };
 
+inline void
+DestinationCalls::StopIntake()
+{
+  this->isStopping = true;
+}
+
 inline Admission&
 DestinationCalls::Slots()
 {
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -3,7 +3,7 @@
 #include "common/random.h"
 #include "membership/failuredetector.h"
 #include "membership/membershipconfig.h"
-#include "membership/pushtree.h"
+#include "membership/recordpush.h"
 #include "membership/updatequeue.h"
 
 #include <map>
@@ -90,7 +90,7 @@
   GossipHooks hooks;
   FailureDetector detector;
   UpdateQueue queue;
-  PushTree pushes;
+  RecordPush pushes;
   std::map<std::int64_t, Relay> relays;
 };
 
--- a/src/membership/pushtree.cpp
+++ b/src/membership/recordpush.cpp
@@ -1,4 +1,4 @@
-#include "membership/pushtree.h"
+#include "membership/recordpush.h"
 
 #include "membership/wiresize.h"
 
@@ -51,13 +51,13 @@
 }
 
 void
-PushTree::Add(const wire::MemberRecord& aRecord)
+RecordPush::Add(const wire::MemberRecord& aRecord)
 {
   this->pending[aRecord.host] = aRecord;
 }
 
 std::map<std::string, std::vector<wire::MemberRecord>>
-PushTree::Take(const std::vector<std::string>& aHosts,
+RecordPush::Take(const std::vector<std::string>& aHosts,
                const std::string& aSelf,
                std::size_t aFanout)
 {
--- a/src/membership/pushtree.h
+++ b/src/membership/recordpush.h
@@ -25,7 +25,7 @@
  * Gossip alone takes the logarithm of the member count in intervals, longer
  * than a draining endpoint may stay in use.
  */
-class PushTree
+class RecordPush
 {
 public:
   void Add(const wire::MemberRecord& aRecord);
--- a/src/peer/peernetwork.h
+++ b/src/peer/peernetwork.h
@@ -39,6 +39,12 @@
   PeerAddress remote; // As dialled, or the socket address when accepted.
   wire::Hello hello;  // Of the other side; empty for datagrams.
   wire::Envelope envelope;
+
+  /**
+   * Of a lost session: when false, the connection was never made, so nothing
+   * that was to be sent on it can have arrived.
+   */
+  bool wasConnected = false;
 };
 
 /** Settings of the peer thread. */
--- a/src/peer/peersession.cpp
+++ b/src/peer/peersession.cpp
@@ -77,6 +77,7 @@
   }
   const Ptr session(new PeerSession(aContext, aId, aRemote));
   session->isDialled = true;
+  session->wasConnected = false;
   session->kind = aKind;
   session->state = State::Connecting;
   // Hosts are told apart by address, so the source is the listen address.
@@ -174,6 +175,7 @@
     return;
   }
   SetNoDelay(this->stream);
+  this->wasConnected = true;
   this->state = State::WaitingForHello;
   this->startedAt = this->context.clock.Now();
   this->lastReceived = this->startedAt;
--- a/src/peer/peersession.h
+++ b/src/peer/peersession.h
@@ -72,6 +72,7 @@
   bool IsOpen() const;
   bool IsClosed() const;
   bool IsDialled() const;
+  bool WasConnected() const;
   bool HasOutgoing() const;
   wire::SessionKind::type Kind() const;
   const PeerAddress& Remote() const;
@@ -109,6 +110,7 @@
   ACE_SOCK_Stream stream;
   State state = State::WaitingForHello;
   bool isDialled = false;
+  bool wasConnected = true;
   bool wantsWrites = false;
   wire::SessionKind::type kind = wire::SessionKind::CONTROL;
   wire::Hello remoteHello;
@@ -141,6 +143,12 @@
   return this->state == State::Closed;
 }
 
+inline bool
+PeerSession::WasConnected() const
+{
+  return this->wasConnected;
+}
+
 inline bool
 PeerSession::IsDialled() const
 {
--- a/src/peer/peerthread.cpp
+++ b/src/peer/peerthread.cpp
@@ -238,7 +238,9 @@
     this->Queue(session, std::move(aCommand.bytes));
     return;
   }
-  this->ReportLost(0, aCommand.to, aCommand.sessionKind, {});
+  PeerEvent event;
+  event.remote = aCommand.to;
+  this->ReportLost(aCommand.sessionKind, std::move(event));
 }
 
 void
@@ -347,19 +349,20 @@
     this->backoff.Failed(aSession.Remote());
   }
   if (aSession.IsDialled() || wasOpen) {
-    this->ReportLost(
-      id, aSession.Remote(), aSession.Kind(), aSession.RemoteHello());
+    PeerEvent event;
+    event.session = id;
+    event.remote = aSession.Remote();
+    event.hello = aSession.RemoteHello();
+    event.wasConnected = aSession.WasConnected();
+    this->ReportLost(aSession.Kind(), std::move(event));
   }
 }
 
 void
-PeerThread::ReportLost(SessionId aSession,
-                       const PeerAddress& aRemote,
-                       wire::SessionKind::type aKind,
-                       const wire::Hello& aHello)
+PeerThread::ReportLost(wire::SessionKind::type aKind, PeerEvent aEvent) const
 {
-  this->Report(aKind,
-               { PeerEventKind::SessionLost, aSession, aRemote, aHello, {} });
+  aEvent.kind = PeerEventKind::SessionLost;
+  this->Report(aKind, std::move(aEvent));
 }
 
 void
--- a/src/peer/peerthread.h
+++ b/src/peer/peerthread.h
@@ -73,10 +73,7 @@
   void FlushQueued();
   void FlushBeforeStop();
   void Closed(PeerSession& aSession);
-  void ReportLost(SessionId aSession,
-                  const PeerAddress& aRemote,
-                  wire::SessionKind::type aKind,
-                  const wire::Hello& aHello);
+  void ReportLost(wire::SessionKind::type aKind, PeerEvent aEvent) const;
   void Report(wire::SessionKind::type aKind, PeerEvent aEvent) const;
   std::vector<PeerSession::Ptr> AllSessions() const;
 
--- a/src/platform/httpobjectstore.cpp
+++ b/src/platform/httpobjectstore.cpp
@@ -1,6 +1,6 @@
 #include "platform/httpobjectstore.h"
 
-#include "platform/httptransfer.h"
+#include "platform/storetransfer.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -238,19 +238,19 @@
     return ListOfBody(answer.value().body);
   }
 
-  HttpTransfer& TransferOfThread()
+  StoreTransfer& TransferOfThread()
   {
     const std::lock_guard lock(this->mutex);
     auto& transfer = this->transfers[std::this_thread::get_id()];
     if (!transfer) {
-      transfer = std::make_unique<HttpTransfer>();
+      transfer = std::make_unique<StoreTransfer>();
     }
     return *transfer;
   }
 
   HttpStoreConfig config;
   std::mutex mutex;
-  std::map<std::thread::id, std::unique_ptr<HttpTransfer>> transfers;
+  std::map<std::thread::id, std::unique_ptr<StoreTransfer>> transfers;
 };
 
 } // namespace
--- a/src/platform/httptransfer.cpp
+++ b/src/platform/storetransfer.cpp
@@ -1,4 +1,4 @@
-#include "platform/httptransfer.h"
+#include "platform/storetransfer.h"
 
 #include <curl/curl.h>
 #include <fmt/format.h>
@@ -101,7 +101,7 @@
 
 } // namespace
 
-class HttpTransfer::Impl
+class StoreTransfer::Impl
 {
 public:
   Impl()
@@ -195,15 +195,15 @@
   bool needsNewConnection = false;
 };
 
-HttpTransfer::HttpTransfer()
+StoreTransfer::StoreTransfer()
   : impl(std::make_unique<Impl>())
 {
 }
 
-HttpTransfer::~HttpTransfer() = default;
+StoreTransfer::~StoreTransfer() = default;
 
 PlatformResult<TransferAnswer>
-HttpTransfer::Run(const TransferRequest& aRequest)
+StoreTransfer::Run(const TransferRequest& aRequest)
 {
   return this->impl->Run(aRequest);
 }
--- a/src/platform/httptransfer.h
+++ b/src/platform/storetransfer.h
@@ -40,14 +40,14 @@
  * One libcurl easy handle and its connection, for one thread at a time. It
  * never sends a write twice.
  */
-class HttpTransfer
+class StoreTransfer
 {
 public:
-  HttpTransfer();
-  ~HttpTransfer();
+  StoreTransfer();
+  ~StoreTransfer();
 
-  HttpTransfer(const HttpTransfer&) = delete;
-  HttpTransfer& operator=(const HttpTransfer&) = delete;
+  StoreTransfer(const StoreTransfer&) = delete;
+  StoreTransfer& operator=(const StoreTransfer&) = delete;
 
   PlatformResult<TransferAnswer> Run(const TransferRequest& aRequest);
 
