--- /dev/null
+++ b/src/execution/claims_test.cpp
@@ -0,0 +1,425 @@
+#include "execution/claimclient.h"
+#include "execution/claimwriter.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+#include "common/random.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+using namespace lacewingwharf;
+
+namespace {
+
+using ClaimResult = wire::ClaimResult;
+
+/** The platform's objects in memory, with faults. */
+struct FakePlatform
+{
+  std::map<std::string, StoredObject> objects;
+  std::int64_t revision = 0;
+  bool isDown = false;
+  bool isUnfenced = false; // The naive version: writes without comparing.
+  int losePutAnswers = 0;
+  int puts = 0;
+  std::function<void()> beforePut;
+
+  ObjectStore Hooks()
+  {
+    ObjectStore store;
+    store.get = [this](const std::string& aName) { return this->Get(aName); };
+    store.put = [this](const auto& aName, const auto& aValue, auto aExpected) {
+      return this->Put(aName, aValue, aExpected);
+    };
+    return store;
+  }
+
+  PlatformResult<StoredObject> Get(const std::string& aName) const
+  {
+    if (this->isDown) {
+      return PlatformError{ PlatformErrorCode::Unreachable, "down" };
+    }
+    const auto object = this->objects.find(aName);
+    if (object == this->objects.end()) {
+      return PlatformError{ PlatformErrorCode::NotFound, aName };
+    }
+    return object->second;
+  }
+
+  PlatformResult<std::int64_t> Put(const std::string& aName,
+                                   const std::string& aValue,
+                                   std::int64_t aExpected)
+  {
+    if (this->beforePut) {
+      std::exchange(this->beforePut, nullptr)();
+    }
+    if (this->isDown) {
+      return PlatformError{ PlatformErrorCode::Unreachable, "down" };
+    }
+    StoredObject& object = this->objects[aName];
+    if (!this->isUnfenced && object.revision != aExpected) {
+      return PlatformError{ PlatformErrorCode::Conflict, aName };
+    }
+    object = { aName, ++this->revision, aValue, false };
+    ++this->puts;
+    if (this->losePutAnswers > 0) {
+      --this->losePutAnswers;
+      return PlatformError{ PlatformErrorCode::TimedOut, "answer lost" };
+    }
+    return this->revision;
+  }
+};
+
+/** Daemons with a writer and a client each, joined by a message queue. */
+struct Fleet
+{
+  struct Daemon
+  {
+    std::string host;
+    std::unique_ptr<ClaimWriter> writer;
+    std::unique_ptr<ClaimClient> client;
+    bool isFrozen = false;
+    std::vector<std::function<void()>> waiting;
+    std::deque<PlatformJob> jobs;
+  };
+
+  explicit Fleet(std::size_t aCount, std::uint64_t aSeed = 1)
+    : random(SeededRandom(aSeed))
+    , daemons(aCount)
+  {
+    for (std::size_t index = 0; index < aCount; ++index) {
+      this->Build(index);
+    }
+  }
+
+  void Build(std::size_t aIndex)
+  {
+    Daemon& daemon = this->daemons[aIndex];
+    daemon.host = fmt::format("host-{}", aIndex);
+    const Clock view = this->clock.View();
+    ClaimWriterHooks writerHooks;
+    writerHooks.submit = [&daemon](PlatformJob aJob) {
+      daemon.jobs.push_back(std::move(aJob));
+      return true;
+    };
+    daemon.writer = std::make_unique<ClaimWriter>(
+      ClaimWriterConfig{}, view, view, std::move(writerHooks));
+    ClaimClientHooks hooks;
+    hooks.writers = [this] { return this->Hosts(); };
+    hooks.send = [this, aIndex](const auto& aHost, const auto& aEnvelope) {
+      this->SendRequest(aIndex, aHost, aEnvelope.claimRequest);
+      return true;
+    };
+    hooks.writeDirectly = [&daemon](const auto& aRequest) {
+      daemon.writer->Handle(aRequest, [&daemon](const auto& aAnswer) {
+        daemon.client->HandleAnswer(aAnswer);
+      });
+    };
+    daemon.client = std::make_unique<ClaimClient>(
+      ClaimClientConfig{ daemon.host }, view, std::move(hooks));
+  }
+
+  std::vector<std::string> Hosts() const
+  {
+    std::vector<std::string> hosts(this->daemons.size());
+    std::ranges::transform(this->daemons, hosts.begin(), &Daemon::host);
+    return hosts;
+  }
+
+  /** The writers of a key in order, as every daemon computes them. */
+  std::vector<std::size_t> OrderOf(std::int64_t aKey) const
+  {
+    const auto order =
+      RendezvousOrder(ClaimShardName(ClaimShardOf(aKey)), this->Hosts());
+    std::vector<std::size_t> indices;
+    indices.reserve(order.size());
+    for (const std::string& host : order) {
+      indices.push_back(std::stoul(host.substr(5)));
+    }
+    return indices;
+  }
+
+  void SendRequest(std::size_t aFrom,
+                   const std::string& aHost,
+                   const wire::ClaimRequest& aRequest)
+  {
+    const std::size_t to = std::stoul(aHost.substr(5));
+    this->Post(to, [this, aFrom, to, aRequest] {
+      const auto reply = [this, aFrom](const wire::ClaimAnswer& aAnswer) {
+        this->Post(aFrom, [this, aFrom, aAnswer] {
+          this->daemons[aFrom].client->HandleAnswer(aAnswer);
+        });
+      };
+      this->daemons[to].writer->Handle(aRequest, reply);
+    });
+  }
+
+  void Post(std::size_t aTo, const std::function<void()>& aRun)
+  {
+    if (RandomBelow(this->random, 100) < this->lossPercent) {
+      return;
+    }
+    const Millis delay =
+      1 + static_cast<Millis>(RandomBelow(this->random, this->maxDelay));
+    this->messages.emplace(this->clock.View().Now() + delay,
+                           std::pair(aTo, aRun));
+  }
+
+  void RunJob(std::size_t aIndex)
+  {
+    Daemon& daemon = this->daemons[aIndex];
+    if (daemon.jobs.empty() || daemon.isFrozen) {
+      return;
+    }
+    const PlatformJob job = std::move(daemon.jobs.front());
+    daemon.jobs.pop_front();
+    if (RandomBelow(this->random, 100) < this->interleavePercent) {
+      const std::size_t other = RandomBelow(this->random, this->daemons.size());
+      this->platform.beforePut = [this, other] { this->RunJob(other); };
+    }
+    if (RandomBelow(this->random, 100) < this->lostAnswerPercent) {
+      this->platform.losePutAnswers = 1;
+    }
+    job(this->platform.Hooks())();
+  }
+
+  void Run(Millis aMillis)
+  {
+    for (Millis step = 0; step < aMillis; step += 10) {
+      this->clock.Advance(10);
+      this->Deliver();
+      for (std::size_t index = 0; index < this->daemons.size(); ++index) {
+        if (!this->daemons[index].isFrozen) {
+          this->RunJob(index);
+          this->daemons[index].writer->Tick();
+          this->daemons[index].client->Tick();
+        }
+      }
+    }
+  }
+
+  void Deliver()
+  {
+    while (!this->messages.empty() &&
+           this->messages.begin()->first <= this->clock.View().Now()) {
+      const auto [to, run] = this->messages.begin()->second;
+      this->messages.erase(this->messages.begin());
+      Daemon& daemon = this->daemons[to];
+      if (daemon.isFrozen) {
+        daemon.waiting.push_back(run);
+      } else {
+        run();
+      }
+    }
+  }
+
+  void Wake(std::size_t aIndex)
+  {
+    Daemon& daemon = this->daemons[aIndex];
+    daemon.isFrozen = false;
+    for (const auto& run : std::exchange(daemon.waiting, {})) {
+      run();
+    }
+  }
+
+  std::optional<ClaimResult::type> Claim(std::size_t aDaemon,
+                                         std::int64_t aKey,
+                                         const std::string& aHolder,
+                                         Millis aWait = 3000)
+  {
+    auto result = std::make_shared<std::optional<ClaimResult::type>>();
+    this->daemons[aDaemon].client->Claim(
+      aKey, aHolder, 2500, [result](auto aResult) { *result = aResult; });
+    this->Run(aWait);
+    return *result;
+  }
+
+  ManualClock clock{ 1000000 };
+  Random random;
+  FakePlatform platform;
+  unsigned lossPercent = 0;
+  unsigned interleavePercent = 0;
+  unsigned lostAnswerPercent = 0;
+  std::uint64_t maxDelay = 1;
+  std::vector<Daemon> daemons;
+  std::multimap<Millis, std::pair<std::size_t, std::function<void()>>> messages;
+};
+
+void Quiet()
+{
+  // Malformed values and full queues are expected here.
+  Log::SetLevel(LogLevel::Error);
+}
+
+} // namespace
+
+TestSuite(claims, .init = Quiet);
+
+// Guards against one key granted twice by two writers that read the same shard.
+Test(claims, TwoWritersAtOnceGrantAKeyOnce)
+{
+  Fleet fleet(2);
+  std::vector<ClaimResult::type> results;
+  for (std::size_t index = 0; index < 2; ++index) {
+    wire::ClaimRequest request;
+    request.keyHash = 5;
+    request.holder = fmt::format("call-{}", index);
+    request.wanted = wire::ClaimState::HELD;
+    fleet.daemons[index].writer->Handle(
+      request,
+      [&results](const auto& aAnswer) { results.push_back(aAnswer.result); });
+  }
+  fleet.platform.beforePut = [&fleet] { fleet.RunJob(1); };
+  fleet.RunJob(0);
+  cr_assert_eq(results.size(), 2U);
+  cr_assert_eq(std::ranges::count(results, ClaimResult::GRANTED), 1);
+  cr_assert_eq(std::ranges::count(results, ClaimResult::DUPLICATE), 1);
+}
+
+// Guards against a claim refused as a duplicate of itself.
+Test(claims, LostAnswerAfterTheWriteIsRecognised)
+{
+  Fleet fleet(3);
+  fleet.platform.losePutAnswers = 1;
+  cr_assert_eq(fleet.Claim(0, 5, "call-1"), ClaimResult::GRANTED);
+  cr_assert_eq(fleet.platform.puts, 1);
+  cr_assert_eq(fleet.Claim(1, 5, "call-2"), ClaimResult::DUPLICATE);
+}
+
+// Guards against a call that waits for the platform without bound, and against
+// a key that stays taken although its call was never handed over.
+Test(claims, UnavailableKeyIsUsableAfterTheOutage)
+{
+  Fleet fleet(3);
+  fleet.platform.isDown = true;
+  cr_assert_eq(fleet.Claim(0, 5, "call-1"), ClaimResult::UNAVAILABLE);
+  fleet.platform.isDown = false;
+  fleet.Run(5000);
+  cr_assert_eq(fleet.daemons[0].client->Updates(), 0U);
+  cr_assert_eq(fleet.Claim(1, 5, "call-2"), ClaimResult::GRANTED);
+}
+
+// Guards against a late claim that takes its key back after the release.
+Test(claims, ReleasedKeyIsNotTakenByItsLateClaim)
+{
+  Fleet fleet(3);
+  cr_assert_eq(fleet.Claim(0, 5, "call-1"), ClaimResult::GRANTED);
+  fleet.daemons[0].client->Release(5, "call-1");
+  fleet.Run(4000);
+  cr_assert_eq(fleet.Claim(1, 5, "call-1"), ClaimResult::UNAVAILABLE);
+  cr_assert_eq(fleet.Claim(1, 5, "call-2"), ClaimResult::GRANTED);
+  fleet.daemons[1].client->MarkDone(5, "call-2");
+  fleet.Run(4000);
+  cr_assert_eq(fleet.Claim(2, 5, "call-3"), ClaimResult::DUPLICATE);
+}
+
+// Guards against a writer that answers from what it cached before its pause.
+Test(claims, FrozenWriterDoesNotAnswerFromItsCache)
+{
+  Fleet fleet(4);
+  const std::int64_t first = 5;
+  const std::int64_t second = first + kClaimShards; // Of the same shard.
+  const auto order = fleet.OrderOf(first);
+  const std::size_t frozen = order[0];
+  const std::size_t client = order[3];
+  cr_assert_eq(fleet.Claim(client, first, "call-1"), ClaimResult::GRANTED);
+  fleet.daemons[frozen].isFrozen = true;
+  cr_assert_eq(fleet.Claim(client, second, "call-2"), ClaimResult::GRANTED);
+  fleet.daemons[client].client->Release(first, "call-1");
+  fleet.Run(10000);
+  fleet.Wake(frozen);
+  // A fresh claim of the released key and one of the key granted meanwhile.
+  cr_assert_eq(fleet.Claim(client, first, "call-3"), ClaimResult::GRANTED);
+  cr_assert_eq(fleet.Claim(client, second, "call-4"), ClaimResult::DUPLICATE);
+}
+
+// Guards against values above the platform's limit and claims kept for ever.
+Test(claims, FullShardRefusesUntilClaimsArePruned)
+{
+  ClaimShard shard({ 1000, 100, 2000 });
+  wire::ClaimRequest request;
+  request.holder = "call";
+  int granted = 0;
+  for (request.keyHash = 0; request.keyHash < 200; ++request.keyHash) {
+    granted += shard.Apply(request, 10) == ClaimResult::GRANTED ? 1 : 0;
+  }
+  cr_assert_gt(granted, 20);
+  cr_assert_lt(granted, 200);
+  cr_assert_leq(shard.Encode().size(), 2000U);
+  const auto copy = ClaimShard::Parse(shard.Encode(), {});
+  cr_assert_eq(copy->Size(), shard.Size());
+  shard.Prune(1011);
+  cr_assert_eq(shard.Size(), 0U);
+  cr_assert_eq(shard.Apply(request, 1011), ClaimResult::GRANTED);
+}
+
+// Guards against a damaged object that is overwritten with an empty one.
+Test(claims, MalformedShardIsLeftAsItIs)
+{
+  Log::SetLevel(LogLevel::Error);
+  Fleet fleet(1);
+  const std::string name = ClaimShardName(ClaimShardOf(5));
+  fleet.platform.objects[name] = { name, 3, "not a shard", false };
+  fleet.platform.revision = 3;
+  cr_assert_eq(fleet.Claim(0, 5, "call-1"), ClaimResult::UNAVAILABLE);
+  cr_assert_eq(fleet.platform.objects[name].value, "not a shard");
+}
+
+namespace {
+
+/** How many keys were granted to two holders in one random schedule. */
+std::size_t TwiceGranted(std::uint64_t aSeed, bool aIsNaive)
+{
+  Fleet fleet(4, aSeed);
+  fleet.platform.isUnfenced = aIsNaive;
+  fleet.lossPercent = 10;
+  fleet.interleavePercent = 30;
+  fleet.lostAnswerPercent = 10;
+  fleet.maxDelay = 400;
+  std::map<std::int64_t, std::set<std::string>> granted;
+  for (int round = 0; round < 30; ++round) {
+    const std::size_t daemon = RandomBelow(fleet.random, 4);
+    const auto key = static_cast<std::int64_t>(RandomBelow(fleet.random, 6));
+    const std::string holder = fmt::format("call-{}", round);
+    // One shard for all keys, so that the writers get in each other's way.
+    fleet.daemons[daemon].client->Claim(
+      key * kClaimShards, holder, 2500, [&granted, key, holder](auto aResult) {
+        if (aResult == ClaimResult::GRANTED) {
+          granted[key].insert(holder);
+        }
+      });
+    const std::size_t other = RandomBelow(fleet.random, 4);
+    fleet.daemons[other].isFrozen = RandomBelow(fleet.random, 4) == 0;
+    fleet.Run(static_cast<Millis>(RandomBelow(fleet.random, 300)));
+    fleet.Wake(RandomBelow(fleet.random, 4));
+  }
+  for (std::size_t index = 0; index < 4; ++index) {
+    fleet.Wake(index);
+  }
+  fleet.Run(10000);
+  return static_cast<std::size_t>(std::ranges::count_if(
+    granted, [](const auto& aItem) { return aItem.second.size() > 1; }));
+}
+
+} // namespace
+
+// Guards against any interleaving that runs one key twice; the naive version
+// writes shards without comparing the revision.
+Test(claims, NoScheduleGrantsAKeyTwice)
+{
+  std::size_t naive = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    cr_assert_eq(TwiceGranted(seed, false), 0U, "seed %lu", seed);
+    naive += TwiceGranted(seed, true);
+  }
+  cr_assert_gt(naive, 0U, "the naive version has to break");
+}
--- /dev/null
+++ b/src/execution/claimwriter.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "common/clock.h"
+#include "execution/claimshard.h"
+#include "platform/platformjob.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace lacewingwharf {
+
+struct ClaimWork;
+
+struct ClaimWriterConfig
+{
+  ClaimShardLimits limits;
+
+  /** Of all writers together; the platform takes several hundred. */
+  double writesPerSecond = 200;
+  double burst = 16;
+
+  /** Requests older than this are refused; their clients gave up. */
+  Millis requestLimit = 3000;
+
+  /** How long updates wait for a write that happens anyway. */
+  Millis lazyDelay = 1000;
+  std::size_t maxWaitingPerShard = 1024;
+
+  /** Shards beyond this many cached claims are read again when needed. */
+  std::size_t maxCachedClaims = 200000;
+};
+
+struct ClaimWriterHooks
+{
+  SubmitPlatformJob submit;
+
+  /** Daemons that share the writes; at least 1. */
+  std::function<std::size_t()> writerCount;
+};
+
+/**
+ * Batches claim requests by shard object. Any daemon may write any shard; the
+ * compare-and-swap keeps them apart. Used by one thread.
+ */
+class ClaimWriter
+{
+public:
+  using Reply = std::function<void(const wire::ClaimAnswer&)>;
+
+  ClaimWriter(ClaimWriterConfig aConfig,
+              Clock aClock,
+              Clock aWall,
+              ClaimWriterHooks aHooks);
+
+  void Handle(const wire::ClaimRequest& aRequest, Reply aReply);
+
+  /** To be called about every 100 ms. */
+  void Tick();
+
+  std::uint64_t Writes() const;
+
+private:
+  struct Waiting
+  {
+    wire::ClaimRequest request;
+    Reply reply;
+    Millis since = 0;
+  };
+
+  struct Shard
+  {
+    std::vector<Waiting> waiting;
+    bool isBusy = false;
+    std::shared_ptr<ClaimShard> cached;
+    std::int64_t revision = 0;
+    Millis usedAt = 0;
+  };
+
+  void RefuseStale(Shard& aShard, Millis aNow) const;
+  bool IsDue(const Shard& aShard, Millis aNow) const;
+  void Pump();
+  bool Start(int aShard);
+  void Finished(ClaimWork& aWork, const std::vector<Waiting>& aBatch);
+  void Refill(Millis aNow);
+  void LimitCache();
+
+  ClaimWriterConfig config;
+  Clock clock;
+  Clock wall;
+  ClaimWriterHooks hooks;
+  std::array<Shard, kClaimShards> shards;
+  double tokens;
+  Millis refilledAt;
+  bool isThrottled = false;
+  std::uint64_t writes = 0;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+inline std::uint64_t ClaimWriter::Writes() const
+{
+  return this->writes;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/quarantine.cpp
@@ -0,0 +1,161 @@
+#include "execution/quarantine.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <tuple>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("quarantine");
+constexpr int kRefusedFrom = 2;
+
+// Two origins are enough to refuse; a few more only cover expiry.
+constexpr std::size_t kMaxOrigins = 4;
+
+} // namespace
+
+Quarantine::Quarantine(QuarantineConfig aConfig, Clock aClock)
+  : config(std::move(aConfig))
+  , clock(std::move(aClock))
+  , origin(static_cast<std::int64_t>(Hash64(this->config.host)))
+{
+}
+
+int Quarantine::LossesOf(const Counts& aCounts)
+{
+  return std::accumulate(
+    aCounts.begin(), aCounts.end(), 0, [](int aSum, const auto& aItem) {
+      return aSum + aItem.second.losses;
+    });
+}
+
+QuarantineVerdict Quarantine::Check(std::int64_t aDigest)
+{
+  this->Expire();
+  const auto position = this->digests.find(aDigest);
+  if (position == this->digests.end()) {
+    return QuarantineVerdict::Free;
+  }
+  return LossesOf(position->second) >= kRefusedFrom
+           ? QuarantineVerdict::Refused
+           : QuarantineVerdict::RunAlone;
+}
+
+void Quarantine::CountLoss(std::int64_t aDigest)
+{
+  this->Expire();
+  int losses = 1;
+  const auto position = this->digests.find(aDigest);
+  if (position != this->digests.end()) {
+    const auto own = position->second.find(this->origin);
+    losses += own == position->second.end() ? 0 : own->second.losses;
+  }
+  const Millis expiresAt = this->clock.Now() + this->config.duration;
+  this->MergeOne(aDigest, this->origin, { losses, expiresAt, 0 });
+  kLog.Warning("request {} lost a backend server: {}",
+               HexOf(static_cast<std::uint64_t>(aDigest)),
+               kQuarantineVerdictNames.NameOf(this->Check(aDigest)));
+}
+
+void Quarantine::Merge(const std::vector<wire::QuarantineMark>& aMarks)
+{
+  this->Expire();
+  const Millis now = this->clock.Now();
+  for (const wire::QuarantineMark& mark : aMarks) {
+    const Millis remaining =
+      std::min<Millis>(mark.remainingMillis, this->config.duration);
+    if (mark.losses > 0 && remaining > 0) {
+      this->MergeOne(
+        mark.digest, mark.origin, { mark.losses, now + remaining, 0 });
+    }
+  }
+}
+
+bool Quarantine::MergeOne(std::int64_t aDigest,
+                          std::int64_t aOrigin,
+                          Count aCount)
+{
+  if (!this->digests.contains(aDigest) &&
+      this->digests.size() >= this->config.maxDigests) {
+    this->EvictOne();
+  }
+  Counts& counts = this->digests[aDigest];
+  Count& held = counts[aOrigin];
+  // An equal count never extends the time: marks that travel in circles would
+  // otherwise stay for ever.
+  if (aCount.losses <= held.losses) {
+    return false;
+  }
+  held = aCount;
+  if (counts.size() > kMaxOrigins) {
+    counts.erase(std::ranges::min_element(counts, {}, [](const auto& aItem) {
+      return std::tuple(
+        aItem.second.losses, aItem.second.expiresAt, aItem.first);
+    }));
+  }
+  return true;
+}
+
+void Quarantine::Expire()
+{
+  const Millis now = this->clock.Now();
+  for (auto& [digest, counts] : this->digests) {
+    std::erase_if(counts, [now](const auto& aItem) {
+      return now >= aItem.second.expiresAt;
+    });
+  }
+  std::erase_if(this->digests,
+                [](const auto& aItem) { return aItem.second.empty(); });
+}
+
+void Quarantine::EvictOne()
+{
+  // Refused digests stay longest: a flood of single losses cannot free them.
+  const auto victim =
+    std::ranges::min_element(this->digests, {}, [](const auto& aItem) {
+      Millis expiresAt = 0;
+      for (const auto& [origin, count] : aItem.second) {
+        expiresAt = std::max(expiresAt, count.expiresAt);
+      }
+      return std::tuple(LossesOf(aItem.second), expiresAt, aItem.first);
+    });
+  this->digests.erase(victim);
+}
+
+std::vector<wire::QuarantineMark> Quarantine::TakeMarks(std::size_t aCount)
+{
+  this->Expire();
+  using Item = std::tuple<int, std::int64_t, std::int64_t>;
+  std::vector<Item> items; // Times sent, digest, origin.
+  for (const auto& [digest, counts] : this->digests) {
+    for (const auto& [origin, count] : counts) {
+      if (count.sent < this->config.maxSends) {
+        items.emplace_back(count.sent, digest, origin);
+      }
+    }
+  }
+  std::ranges::sort(items);
+  items.resize(std::min(items.size(), aCount));
+  std::vector<wire::QuarantineMark> marks;
+  for (const auto& [sent, digest, origin] : items) {
+    Count& count = this->digests[digest][origin];
+    ++count.sent;
+    wire::QuarantineMark mark;
+    mark.digest = digest;
+    mark.losses = count.losses;
+    mark.origin = origin;
+    mark.remainingMillis =
+      static_cast<std::int32_t>(count.expiresAt - this->clock.Now());
+    marks.push_back(mark);
+  }
+  return marks;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/quarantine_test.cpp
@@ -0,0 +1,89 @@
+#include "execution/quarantine.h"
+
+#include "common/log.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace lacewingwharf;
+
+namespace {
+
+struct Daemon
+{
+  explicit Daemon(const std::string& aHost, std::size_t aMaxDigests = 4096)
+    : quarantine({ aHost, 600000, aMaxDigests, 12 }, this->clock.View())
+  {
+  }
+
+  ManualClock clock;
+  Quarantine quarantine;
+};
+
+void Quiet()
+{
+  Log::SetLevel(LogLevel::Error);
+}
+
+} // namespace
+
+TestSuite(quarantine, .init = Quiet);
+
+// Guards against a request that crashes one backend server after another.
+Test(quarantine, SecondLossRefusesForTenMinutes)
+{
+  Daemon daemon("a");
+  cr_assert_eq(daemon.quarantine.Check(7), QuarantineVerdict::Free);
+  daemon.quarantine.CountLoss(7);
+  cr_assert_eq(daemon.quarantine.Check(7), QuarantineVerdict::RunAlone);
+  daemon.quarantine.CountLoss(7);
+  cr_assert_eq(daemon.quarantine.Check(7), QuarantineVerdict::Refused);
+  daemon.clock.Advance(599999);
+  cr_assert_eq(daemon.quarantine.Check(7), QuarantineVerdict::Refused);
+  daemon.clock.Advance(2);
+  cr_assert_eq(daemon.quarantine.Check(7), QuarantineVerdict::Free);
+}
+
+// Guards against losses seen by two daemons that are not added up, and against
+// marks that count twice because they arrive twice or in another order.
+Test(quarantine, MarksOfTwoDaemonsAddUpInEveryOrder)
+{
+  std::vector<wire::QuarantineMark> marks;
+  for (const char* host : { "a", "b" }) {
+    Daemon daemon(host);
+    daemon.quarantine.CountLoss(7);
+    marks.push_back(daemon.quarantine.TakeMarks(1).front());
+  }
+  marks.push_back(marks.front());
+  std::ranges::sort(marks, {}, &wire::QuarantineMark::origin);
+  do {
+    Daemon receiver("c");
+    receiver.quarantine.Merge({ marks.front() });
+    receiver.quarantine.Merge({ marks.front() });
+    cr_assert_eq(receiver.quarantine.Check(7), QuarantineVerdict::RunAlone);
+    receiver.quarantine.Merge(marks);
+    cr_assert_eq(receiver.quarantine.Check(7), QuarantineVerdict::Refused);
+    cr_assert_eq(receiver.quarantine.TakeMarks(9).size(), 2U);
+  } while (
+    std::ranges::next_permutation(marks, {}, &wire::QuarantineMark::origin)
+      .found);
+}
+
+// Guards against marks that circulate for ever and against unbounded memory.
+Test(quarantine, SendsAndDigestsAreBounded)
+{
+  Daemon daemon("a", 100);
+  daemon.quarantine.CountLoss(-1);
+  daemon.quarantine.CountLoss(-1);
+  for (std::int64_t digest = 0; digest < 1000; ++digest) {
+    daemon.quarantine.CountLoss(digest);
+  }
+  cr_assert_eq(daemon.quarantine.Size(), 100U);
+  cr_assert_eq(daemon.quarantine.Check(-1), QuarantineVerdict::Refused);
+  std::size_t sent = 0;
+  while (!daemon.quarantine.TakeMarks(8).empty()) {
+    ++sent;
+  }
+  cr_assert_leq(sent, 100U * 12U / 8U);
+}
--- a/src/membership/domainsummaries.cpp
+++ b/src/membership/domainsummaries.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -98,8 +97,8 @@
     const auto mean = static_cast<int>(this->slowdownSum / this->ready);
     summary.slowdownPercent = mean / kSlowdownStep * kSlowdownStep;
     std::ranges::sort(this->candidates, std::greater<>{}, &Candidate::weight);
-    const auto count = std::min(this->candidates.size(), kSampleSize);
-    std::ranges::transform(this->candidates | std::views::take(count),
+    this->candidates.resize(std::min(this->candidates.size(), kSampleSize));
+    std::ranges::transform(this->candidates,
                            std::back_inserter(summary.sample),
                            &Candidate::endpoint);
     return summary;
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -85,14 +85,14 @@
   const auto byChild = this->pushes.Take(
     this->table.LiveHosts(), this->config.host, this->config.fanout);
   for (const auto& [child, records] : byChild) {
-    for (auto& group : SplitBySize(records, kMaxRecordBytes)) {
+    for (const auto& group : SplitBySize(records, kMaxRecordBytes)) {
       // An answer to no ping; sequences of pings start at 1.
       wire::Ack push;
       push.host = this->config.host;
-      push.updates = std::move(group);
+      push.updates = group;
       wire::Envelope envelope;
       envelope.__set_ack(push);
-      this->SendTo(child, std::move(envelope));
+      this->SendTo(child, envelope);
     }
   }
 }
@@ -112,10 +112,10 @@
   aMessage.updates = this->queue.Take(left, this->table.LiveHosts().size());
 }
 
-void Gossip::SendTo(const std::string& aHost, wire::Envelope aEnvelope)
+void Gossip::SendTo(const std::string& aHost, const wire::Envelope& aEnvelope)
 {
   if (const wire::MemberRecord* const record = this->table.Find(aHost)) {
-    this->network.sendDatagram(AddressIn(*record), std::move(aEnvelope));
+    this->network.sendDatagram(AddressIn(*record), aEnvelope);
   }
 }
 
@@ -126,7 +126,7 @@
   this->Fill(ping);
   wire::Envelope envelope;
   envelope.__set_ping(ping);
-  this->SendTo(aHost, std::move(envelope));
+  this->SendTo(aHost, envelope);
 }
 
 void Gossip::SendAck(const PeerAddress& aTo, std::int64_t aSequence)
@@ -136,7 +136,7 @@
   this->Fill(ack);
   wire::Envelope envelope;
   envelope.__set_ack(ack);
-  this->network.sendDatagram(aTo, std::move(envelope));
+  this->network.sendDatagram(aTo, envelope);
 }
 
 void Gossip::SendPingRequest(const std::string& aVia,
@@ -149,7 +149,7 @@
   request.target = aTarget;
   wire::Envelope envelope;
   envelope.__set_pingRequest(request);
-  this->SendTo(aVia, std::move(envelope));
+  this->SendTo(aVia, envelope);
 }
 
 void Gossip::JudgeAs(const std::string& aHost, wire::MemberState::type aState)
@@ -228,7 +228,7 @@
   forwarded.version = aAck.version;
   wire::Envelope envelope;
   envelope.__set_ack(forwarded);
-  this->network.sendDatagram(relay->second.origin, std::move(envelope));
+  this->network.sendDatagram(relay->second.origin, envelope);
   this->relays.erase(relay);
 }
 
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -62,7 +62,7 @@
   };
 
   FailureDetectorHooks DetectorHooks();
-  void SendTo(const std::string& aHost, wire::Envelope aEnvelope);
+  void SendTo(const std::string& aHost, const wire::Envelope& aEnvelope);
   void SendPing(const std::string& aHost, std::int64_t aSequence);
   void SendAck(const PeerAddress& aTo, std::int64_t aSequence);
   void SendPingRequest(const std::string& aVia,
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -40,8 +40,7 @@
 std::vector<std::string> SortedUnique(std::vector<std::string> aHosts)
 {
   std::ranges::sort(aHosts);
-  const auto rest = std::ranges::unique(aHosts);
-  aHosts.erase(rest.begin(), rest.end());
+  aHosts.erase(std::unique(aHosts.begin(), aHosts.end()), aHosts.end());
   return aHosts;
 }
 
@@ -68,7 +67,11 @@
            { [this](const auto& aRecord, Spread aSpread) {
              this->MergeRecord(aRecord, aSpread);
            } })
-  , exchange(this->config, this->hooks, this->table, this->syncBudget, aWall)
+  , exchange(this->config,
+             this->hooks,
+             this->table,
+             this->syncBudget,
+             std::move(aWall))
 {
   this->table.Merge(this->self, this->clock.Now());
 }
--- a/src/membership/memorynetwork.h
+++ b/src/membership/memorynetwork.h
@@ -161,23 +161,21 @@
   MembershipHooks HooksOf(std::size_t aNode)
   {
     MembershipHooks hooks;
-    hooks.sendDatagram = [this, aNode](const auto& aTo, auto aEnvelope) {
-      this->SendDatagram(aNode, aTo, std::move(aEnvelope));
+    hooks.sendDatagram = [this, aNode](const auto& aTo, const auto& aEnvelope) {
+      this->SendDatagram(aNode, aTo, aEnvelope);
     };
-    hooks.sendControl = [this, aNode](const auto& aTo, auto aEnvelope) {
+    hooks.sendControl = [this, aNode](const auto& aTo, const auto& aEnvelope) {
       const auto to = this->byAddress.find(aTo);
       if (to != this->byAddress.end()) {
-        this->SendControl(aNode,
-                          to->second,
-                          this->SessionOf(aNode, to->second),
-                          std::move(aEnvelope));
+        this->SendControl(
+          aNode, to->second, this->SessionOf(aNode, to->second), aEnvelope);
       }
     };
-    hooks.reply = [this, aNode](SessionId aSession, auto aEnvelope) {
+    hooks.reply = [this, aNode](SessionId aSession, const auto& aEnvelope) {
       const Session& session = this->sessions[aSession];
       const std::size_t to =
         session.dialler == aNode ? session.listener : session.dialler;
-      this->SendControl(aNode, to, aSession, std::move(aEnvelope));
+      this->SendControl(aNode, to, aSession, aEnvelope);
     };
     return hooks;
   }
@@ -206,7 +204,7 @@
 
   void SendDatagram(std::size_t aFrom,
                     const PeerAddress& aTo,
-                    wire::Envelope aEnvelope)
+                    const wire::Envelope& aEnvelope)
   {
     const auto to = this->byAddress.find(aTo);
     if (to == this->byAddress.end()) {
@@ -221,7 +219,7 @@
     }
     const bool isTwice =
       RandomBelow(this->random, 100) < this->faults.duplicatePercent;
-    const auto shared = std::make_shared<wire::Envelope>(std::move(aEnvelope));
+    const auto shared = std::make_shared<wire::Envelope>(aEnvelope);
     for (int copy = 0; copy < (isTwice ? 2 : 1); ++copy) {
       this->Enqueue(aFrom, to->second, [this, aFrom, to = to->second, shared] {
         const MembershipConfig& from = this->nodes[aFrom].config;
@@ -235,12 +233,12 @@
   void SendControl(std::size_t aFrom,
                    std::size_t aTo,
                    SessionId aSession,
-                   wire::Envelope aEnvelope)
+                   const wire::Envelope& aEnvelope)
   {
     const std::size_t bytes = EncodedSize(aEnvelope) + 4;
     this->nodes[aFrom].controlBytes += bytes;
     this->Count(aFrom, aTo, bytes);
-    const auto shared = std::make_shared<wire::Envelope>(std::move(aEnvelope));
+    const auto shared = std::make_shared<wire::Envelope>(aEnvelope);
     this->Enqueue(aFrom, aTo, [this, aFrom, aTo, aSession, shared] {
       this->Tapped(aTo, *shared);
       this->nodes[aTo].membership->HandleControl(
--- a/src/membership/summaryexchange.cpp
+++ b/src/membership/summaryexchange.cpp
@@ -26,7 +26,7 @@
 constexpr Millis kLoadInterval = 10000;
 constexpr Millis kLoadRepeat = 60000;
 
-wire::Envelope Wrap(wire::DomainSummary aSummary)
+wire::Envelope Wrap(const wire::DomainSummary& aSummary)
 {
   wire::Envelope envelope;
   envelope.__set_domainSummary(aSummary);
@@ -139,7 +139,7 @@
     this->AnswerBehind(aSession, *held);
   }
   if (news) {
-    this->PassOn(aFrom, std::move(*news));
+    this->PassOn(aFrom, *news);
   }
 }
 
@@ -181,13 +181,13 @@
   if (aRequest.domain == this->config.domain) {
     this->summaries.RaiseStamp(aRequest.stamp);
   }
-  wire::DomainSummary answer =
+  const wire::DomainSummary answer =
     this->summaries.Since(aRequest.domain, aRequest.stamp);
   if (answer.stamp <= aRequest.stamp) {
     return;
   }
   this->budget.Spend(EncodedSize(answer));
-  this->network.reply(aSession, Wrap(std::move(answer)));
+  this->network.reply(aSession, Wrap(answer));
 }
 
 void SummaryExchange::RequestMissing(SessionId aSession,
@@ -250,9 +250,9 @@
 void SummaryExchange::SendAllTo(SessionId aSession)
 {
   for (const auto& [domain, held] : this->summaries.Others()) {
-    wire::DomainSummary summary = this->summaries.Since(domain, 0);
+    const wire::DomainSummary summary = this->summaries.Since(domain, 0);
     this->budget.Spend(EncodedSize(summary));
-    this->network.reply(aSession, Wrap(std::move(summary)));
+    this->network.reply(aSession, Wrap(summary));
   }
 }
 
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -857,6 +857,10 @@
 void QuarantineMark::__set_remainingMillis(const int32_t val) {
   this->remainingMillis = val;
 }
+
+void QuarantineMark::__set_origin(const int64_t val) {
+  this->origin = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuarantineMark& obj)
 {
   obj.printTo(out);
@@ -909,6 +913,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->origin);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -938,6 +950,10 @@
   xfer += oprot->writeI32(this->remainingMillis);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->origin);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -948,6 +964,7 @@
   swap(a.digest, b.digest);
   swap(a.losses, b.losses);
   swap(a.remainingMillis, b.remainingMillis);
+  swap(a.origin, b.origin);
   swap(a.__isset, b.__isset);
 }
 
@@ -955,12 +972,14 @@
   digest = other15.digest;
   losses = other15.losses;
   remainingMillis = other15.remainingMillis;
+  origin = other15.origin;
   __isset = other15.__isset;
 }
 QuarantineMark& QuarantineMark::operator=(const QuarantineMark& other16) noexcept {
   digest = other16.digest;
   losses = other16.losses;
   remainingMillis = other16.remainingMillis;
+  origin = other16.origin;
   __isset = other16.__isset;
   return *this;
 }
@@ -970,6 +989,7 @@
   out << "digest=" << to_string(digest);
   out << ", " << "losses=" << to_string(losses);
   out << ", " << "remainingMillis=" << to_string(remainingMillis);
+  out << ", " << "origin=" << to_string(origin);
   out << ")";
 }
 
@@ -4631,6 +4651,10 @@
 void ClaimAnswer::__set_result(const ClaimResult::type val) {
   this->result = val;
 }
+
+void ClaimAnswer::__set_wanted(const ClaimState::type val) {
+  this->wanted = val;
+}
 std::ostream& operator<<(std::ostream& out, const ClaimAnswer& obj)
 {
   obj.printTo(out);
@@ -4685,6 +4709,16 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast158;
+          xfer += iprot->readI32(ecast158);
+          this->wanted = static_cast<ClaimState::type>(ecast158);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4714,6 +4748,10 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->result));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->wanted));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4724,20 +4762,23 @@
   swap(a.keyHash, b.keyHash);
   swap(a.holder, b.holder);
   swap(a.result, b.result);
+  swap(a.wanted, b.wanted);
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other158) {
-  keyHash = other158.keyHash;
-  holder = other158.holder;
-  result = other158.result;
-  __isset = other158.__isset;
-}
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other159) {
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other159) {
   keyHash = other159.keyHash;
   holder = other159.holder;
   result = other159.result;
+  wanted = other159.wanted;
   __isset = other159.__isset;
+}
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other160) {
+  keyHash = other160.keyHash;
+  holder = other160.holder;
+  result = other160.result;
+  wanted = other160.wanted;
+  __isset = other160.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
@@ -4746,6 +4787,7 @@
   out << "keyHash=" << to_string(keyHash);
   out << ", " << "holder=" << to_string(holder);
   out << ", " << "result=" << to_string(result);
+  out << ", " << "wanted=" << to_string(wanted);
   out << ")";
 }
 
@@ -4760,6 +4802,7 @@
 
 void Claim::__set_holder(const std::string& val) {
   this->holder = val;
+__isset.holder = true;
 }
 
 void Claim::__set_state(const ClaimState::type val) {
@@ -4815,9 +4858,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast160;
-          xfer += iprot->readI32(ecast160);
-          this->state = static_cast<ClaimState::type>(ecast160);
+          int32_t ecast161;
+          xfer += iprot->readI32(ecast161);
+          this->state = static_cast<ClaimState::type>(ecast161);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4852,10 +4895,11 @@
   xfer += oprot->writeI64(this->keyHash);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->holder);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.holder) {
+    xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->holder);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
   xfer += oprot->writeI32(static_cast<int32_t>(this->state));
   xfer += oprot->writeFieldEnd();
@@ -4878,26 +4922,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Claim::Claim(const Claim& other161) {
-  keyHash = other161.keyHash;
-  holder = other161.holder;
-  state = other161.state;
-  wallMillis = other161.wallMillis;
-  __isset = other161.__isset;
-}
-Claim& Claim::operator=(const Claim& other162) {
+Claim::Claim(const Claim& other162) {
   keyHash = other162.keyHash;
   holder = other162.holder;
   state = other162.state;
   wallMillis = other162.wallMillis;
   __isset = other162.__isset;
+}
+Claim& Claim::operator=(const Claim& other163) {
+  keyHash = other163.keyHash;
+  holder = other163.holder;
+  state = other163.state;
+  wallMillis = other163.wallMillis;
+  __isset = other163.__isset;
   return *this;
 }
 void Claim::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Claim(";
   out << "keyHash=" << to_string(keyHash);
-  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "holder="; (__isset.holder ? (out << to_string(holder)) : (out << "<null>"));
   out << ", " << "state=" << to_string(state);
   out << ", " << "wallMillis=" << to_string(wallMillis);
   out << ")";
@@ -4943,14 +4987,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->claims.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->claims.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->claims[_i167].read(iprot);
+              xfer += this->claims[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4979,10 +5023,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<Claim> ::const_iterator _iter168;
-    for (_iter168 = this->claims.begin(); _iter168 != this->claims.end(); ++_iter168)
+    std::vector<Claim> ::const_iterator _iter169;
+    for (_iter169 = this->claims.begin(); _iter169 != this->claims.end(); ++_iter169)
     {
-      xfer += (*_iter168).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4999,13 +5043,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimShardValue::ClaimShardValue(const ClaimShardValue& other169) {
-  claims = other169.claims;
-  __isset = other169.__isset;
-}
-ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other170) {
+ClaimShardValue::ClaimShardValue(const ClaimShardValue& other170) {
   claims = other170.claims;
   __isset = other170.__isset;
+}
+ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other171) {
+  claims = other171.claims;
+  __isset = other171.__isset;
   return *this;
 }
 void ClaimShardValue::printTo(std::ostream& out) const {
@@ -5191,14 +5235,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callers.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->callers.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->callers.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              xfer += iprot->readString(this->callers[_i175]);
+              xfer += iprot->readString(this->callers[_i176]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5279,10 +5323,10 @@
   xfer += oprot->writeFieldBegin("callers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->callers.size()));
-    std::vector<std::string> ::const_iterator _iter176;
-    for (_iter176 = this->callers.begin(); _iter176 != this->callers.end(); ++_iter176)
+    std::vector<std::string> ::const_iterator _iter177;
+    for (_iter177 = this->callers.begin(); _iter177 != this->callers.end(); ++_iter177)
     {
-      xfer += oprot->writeString((*_iter176));
+      xfer += oprot->writeString((*_iter177));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5315,23 +5359,7 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryReport::EntryReport(const EntryReport& other177) {
-  entry = other177.entry;
-  owner = other177.owner;
-  calls = other177.calls;
-  refused = other177.refused;
-  slow = other177.slow;
-  p50Micros = other177.p50Micros;
-  p99Micros = other177.p99Micros;
-  limit = other177.limit;
-  bound = other177.bound;
-  seen = other177.seen;
-  sinceWallMillis = other177.sinceWallMillis;
-  callers = other177.callers;
-  unknown = other177.unknown;
-  __isset = other177.__isset;
-}
-EntryReport& EntryReport::operator=(const EntryReport& other178) {
+EntryReport::EntryReport(const EntryReport& other178) {
   entry = other178.entry;
   owner = other178.owner;
   calls = other178.calls;
@@ -5346,6 +5374,22 @@
   callers = other178.callers;
   unknown = other178.unknown;
   __isset = other178.__isset;
+}
+EntryReport& EntryReport::operator=(const EntryReport& other179) {
+  entry = other179.entry;
+  owner = other179.owner;
+  calls = other179.calls;
+  refused = other179.refused;
+  slow = other179.slow;
+  p50Micros = other179.p50Micros;
+  p99Micros = other179.p99Micros;
+  limit = other179.limit;
+  bound = other179.bound;
+  seen = other179.seen;
+  sinceWallMillis = other179.sinceWallMillis;
+  callers = other179.callers;
+  unknown = other179.unknown;
+  __isset = other179.__isset;
   return *this;
 }
 void EntryReport::printTo(std::ostream& out) const {
@@ -5443,14 +5487,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size179;
-            ::apache::thrift::protocol::TType _etype182;
-            xfer += iprot->readListBegin(_etype182, _size179);
-            this->entries.resize(_size179);
-            uint32_t _i183;
-            for (_i183 = 0; _i183 < _size179; ++_i183)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->entries.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += this->entries[_i183].read(iprot);
+              xfer += this->entries[_i184].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5491,10 +5535,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<EntryReport> ::const_iterator _iter184;
-    for (_iter184 = this->entries.begin(); _iter184 != this->entries.end(); ++_iter184)
+    std::vector<EntryReport> ::const_iterator _iter185;
+    for (_iter185 = this->entries.begin(); _iter185 != this->entries.end(); ++_iter185)
     {
-      xfer += (*_iter184).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5514,19 +5558,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReport::StatusReport(const StatusReport& other185) {
-  host = other185.host;
-  domain = other185.domain;
-  version = other185.version;
-  entries = other185.entries;
-  __isset = other185.__isset;
-}
-StatusReport& StatusReport::operator=(const StatusReport& other186) {
+StatusReport::StatusReport(const StatusReport& other186) {
   host = other186.host;
   domain = other186.domain;
   version = other186.version;
   entries = other186.entries;
   __isset = other186.__isset;
+}
+StatusReport& StatusReport::operator=(const StatusReport& other187) {
+  host = other187.host;
+  domain = other187.domain;
+  version = other187.version;
+  entries = other187.entries;
+  __isset = other187.__isset;
   return *this;
 }
 void StatusReport::printTo(std::ostream& out) const {
@@ -5615,13 +5659,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other187) noexcept {
-  sequence = other187.sequence;
-  __isset = other187.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other188) noexcept {
+Heartbeat::Heartbeat(const Heartbeat& other188) noexcept {
   sequence = other188.sequence;
   __isset = other188.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other189) noexcept {
+  sequence = other189.sequence;
+  __isset = other189.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -6032,28 +6076,7 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other189) {
-  hello = other189.hello;
-  ping = other189.ping;
-  ack = other189.ack;
-  pingRequest = other189.pingRequest;
-  memberSync = other189.memberSync;
-  domainSummary = other189.domainSummary;
-  configPush = other189.configPush;
-  configFetch = other189.configFetch;
-  configAnswer = other189.configAnswer;
-  callRequest = other189.callRequest;
-  callAnswer = other189.callAnswer;
-  callCancel = other189.callCancel;
-  callQuery = other189.callQuery;
-  claimRequest = other189.claimRequest;
-  claimAnswer = other189.claimAnswer;
-  statusReport = other189.statusReport;
-  heartbeat = other189.heartbeat;
-  loadReport = other189.loadReport;
-  __isset = other189.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other190) {
+Envelope::Envelope(const Envelope& other190) {
   hello = other190.hello;
   ping = other190.ping;
   ack = other190.ack;
@@ -6073,6 +6096,27 @@
   heartbeat = other190.heartbeat;
   loadReport = other190.loadReport;
   __isset = other190.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other191) {
+  hello = other191.hello;
+  ping = other191.ping;
+  ack = other191.ack;
+  pingRequest = other191.pingRequest;
+  memberSync = other191.memberSync;
+  domainSummary = other191.domainSummary;
+  configPush = other191.configPush;
+  configFetch = other191.configFetch;
+  configAnswer = other191.configAnswer;
+  callRequest = other191.callRequest;
+  callAnswer = other191.callAnswer;
+  callCancel = other191.callCancel;
+  callQuery = other191.callQuery;
+  claimRequest = other191.claimRequest;
+  claimAnswer = other191.claimAnswer;
+  statusReport = other191.statusReport;
+  heartbeat = other191.heartbeat;
+  loadReport = other191.loadReport;
+  __isset = other191.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -428,10 +428,11 @@
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
 
 typedef struct _QuarantineMark__isset {
-  _QuarantineMark__isset() : digest(false), losses(false), remainingMillis(false) {}
+  _QuarantineMark__isset() : digest(false), losses(false), remainingMillis(false), origin(false) {}
   bool digest :1;
   bool losses :1;
   bool remainingMillis :1;
+  bool origin :1;
 } _QuarantineMark__isset;
 
 class QuarantineMark : public virtual ::apache::thrift::TBase {
@@ -442,13 +443,18 @@
   QuarantineMark() noexcept
                  : digest(0),
                    losses(0),
-                   remainingMillis(0) {
+                   remainingMillis(0),
+                   origin(0) {
   }
 
   virtual ~QuarantineMark() noexcept;
   int64_t digest;
   int32_t losses;
   int32_t remainingMillis;
+  /**
+   * Hash of the host that counted; counts of different hosts add up.
+   */
+  int64_t origin;
 
   _QuarantineMark__isset __isset;
 
@@ -458,6 +464,8 @@
 
   void __set_remainingMillis(const int32_t val);
 
+  void __set_origin(const int64_t val);
+
   bool operator == (const QuarantineMark & rhs) const
   {
     if (!(digest == rhs.digest))
@@ -466,6 +474,8 @@
       return false;
     if (!(remainingMillis == rhs.remainingMillis))
       return false;
+    if (!(origin == rhs.origin))
+      return false;
     return true;
   }
   bool operator != (const QuarantineMark &rhs) const {
@@ -1901,10 +1911,11 @@
 std::ostream& operator<<(std::ostream& out, const ClaimRequest& obj);
 
 typedef struct _ClaimAnswer__isset {
-  _ClaimAnswer__isset() : keyHash(false), holder(false), result(false) {}
+  _ClaimAnswer__isset() : keyHash(false), holder(false), result(false), wanted(false) {}
   bool keyHash :1;
   bool holder :1;
   bool result :1;
+  bool wanted :1;
 } _ClaimAnswer__isset;
 
 class ClaimAnswer : public virtual ::apache::thrift::TBase {
@@ -1915,7 +1926,8 @@
   ClaimAnswer() noexcept
               : keyHash(0),
                 holder(),
-                result(static_cast<ClaimResult::type>(0)) {
+                result(static_cast<ClaimResult::type>(0)),
+                wanted(static_cast<ClaimState::type>(0)) {
   }
 
   virtual ~ClaimAnswer() noexcept;
@@ -1926,6 +1938,12 @@
    * @see ClaimResult
    */
   ClaimResult::type result;
+  /**
+   * As in the request, since answers may arrive late.
+   * 
+   * @see ClaimState
+   */
+  ClaimState::type wanted;
 
   _ClaimAnswer__isset __isset;
 
@@ -1935,6 +1953,8 @@
 
   void __set_result(const ClaimResult::type val);
 
+  void __set_wanted(const ClaimState::type val);
+
   bool operator == (const ClaimAnswer & rhs) const
   {
     if (!(keyHash == rhs.keyHash))
@@ -1943,6 +1963,8 @@
       return false;
     if (!(result == rhs.result))
       return false;
+    if (!(wanted == rhs.wanted))
+      return false;
     return true;
   }
   bool operator != (const ClaimAnswer &rhs) const {
@@ -1986,6 +2008,9 @@
 
   virtual ~Claim() noexcept;
   int64_t keyHash;
+  /**
+   * Left out once done, when nothing depends on it any more.
+   */
   std::string holder;
   /**
    * 
@@ -2011,7 +2036,9 @@
   {
     if (!(keyHash == rhs.keyHash))
       return false;
-    if (!(holder == rhs.holder))
+    if (__isset.holder != rhs.__isset.holder)
+      return false;
+    else if (__isset.holder && !(holder == rhs.holder))
       return false;
     if (!(state == rhs.state))
       return false;
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -65,6 +65,8 @@
   1: i64 digest
   2: i32 losses
   3: i32 remainingMillis
+  /** Hash of the host that counted; counts of different hosts add up. */
+  4: i64 origin
 }
 
 struct Ping {
@@ -257,12 +259,15 @@
   1: i64 keyHash
   2: string holder
   3: ClaimResult result
+  /** As in the request, since answers may arrive late. */
+  4: ClaimState wanted
 }
 
 /** One claim in a shard object. */
 struct Claim {
   1: i64 keyHash
-  2: string holder
+  /** Left out once done, when nothing depends on it any more. */
+  2: optional string holder
   3: ClaimState state
   /** Wall-clock milliseconds of the last change; for pruning. */
   4: i64 wallMillis
--- a/src/peer/peernetwork.h
+++ b/src/peer/peernetwork.h
@@ -16,6 +16,8 @@
   std::string address;
   int port = 0;
 
+  // clang-tidy takes the 0 of a defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const PeerAddress&) const = default;
 };
 
