--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -88,14 +88,14 @@
   const auto byChild = this->pushes.Take(
     this->table.LiveHosts(), this->config.host, this->config.fanout);
   for (const auto& [child, records] : byChild) {
-    for (auto& group : SplitBySize(records, kMaxRecordBytes)) {
+    for (const auto& group : SplitBySize(records, kMaxRecordBytes)) {
       // An answer to no ping; sequences of pings start at 1.
       wire::Ack push;
       push.host = this->config.host;
-      push.updates = std::move(group);
+      push.updates = group;
       wire::Envelope envelope;
       envelope.__set_ack(push);
-      this->SendTo(child, std::move(envelope));
+      this->SendTo(child, envelope);
     }
   }
 }
@@ -117,10 +117,10 @@
 }
 
 void
-Gossip::SendTo(const std::string& aHost, wire::Envelope aEnvelope)
+Gossip::SendTo(const std::string& aHost, const wire::Envelope& aEnvelope)
 {
   if (const wire::MemberRecord* const record = this->table.Find(aHost)) {
-    this->network.sendDatagram(AddressIn(*record), std::move(aEnvelope));
+    this->network.sendDatagram(AddressIn(*record), aEnvelope);
   }
 }
 
@@ -132,7 +132,7 @@
   this->Fill(ping);
   wire::Envelope envelope;
   envelope.__set_ping(ping);
-  this->SendTo(aHost, std::move(envelope));
+  this->SendTo(aHost, envelope);
 }
 
 void
@@ -143,7 +143,7 @@
   this->Fill(ack);
   wire::Envelope envelope;
   envelope.__set_ack(ack);
-  this->network.sendDatagram(aTo, std::move(envelope));
+  this->network.sendDatagram(aTo, envelope);
 }
 
 void
@@ -157,7 +157,7 @@
   request.target = aTarget;
   wire::Envelope envelope;
   envelope.__set_pingRequest(request);
-  this->SendTo(aVia, std::move(envelope));
+  this->SendTo(aVia, envelope);
 }
 
 void
@@ -242,7 +242,7 @@
   forwarded.version = aAck.version;
   wire::Envelope envelope;
   envelope.__set_ack(forwarded);
-  this->network.sendDatagram(relay->second.origin, std::move(envelope));
+  this->network.sendDatagram(relay->second.origin, envelope);
   this->relays.erase(relay);
 }
 
--- a/src/membership/recordpush.cpp
+++ b/src/membership/recordpush.cpp
@@ -58,8 +58,8 @@
 
 std::map<std::string, std::vector<wire::MemberRecord>>
 RecordPush::Take(const std::vector<std::string>& aHosts,
-               const std::string& aSelf,
-               std::size_t aFanout)
+                 const std::string& aSelf,
+                 std::size_t aFanout)
 {
   std::map<std::string, std::vector<wire::MemberRecord>> byChild;
   for (const auto& [host, record] : this->pending) {
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -918,6 +918,10 @@
 void QuarantineMark::__set_remainingMillis(const int32_t val) {
   this->remainingMillis = val;
 }
+
+void QuarantineMark::__set_origin(const int64_t val) {
+  this->origin = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuarantineMark& obj)
 {
   obj.printTo(out);
@@ -970,6 +974,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->origin);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -999,6 +1011,10 @@
   xfer += oprot->writeI32(this->remainingMillis);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->origin);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1009,6 +1025,7 @@
   swap(a.digest, b.digest);
   swap(a.losses, b.losses);
   swap(a.remainingMillis, b.remainingMillis);
+  swap(a.origin, b.origin);
   swap(a.__isset, b.__isset);
 }
 
@@ -1016,18 +1033,21 @@
   digest = other21.digest;
   losses = other21.losses;
   remainingMillis = other21.remainingMillis;
+  origin = other21.origin;
   __isset = other21.__isset;
 }
 QuarantineMark::QuarantineMark(QuarantineMark&& other22) noexcept {
   digest = other22.digest;
   losses = other22.losses;
   remainingMillis = other22.remainingMillis;
+  origin = other22.origin;
   __isset = other22.__isset;
 }
 QuarantineMark& QuarantineMark::operator=(const QuarantineMark& other23) noexcept {
   digest = other23.digest;
   losses = other23.losses;
   remainingMillis = other23.remainingMillis;
+  origin = other23.origin;
   __isset = other23.__isset;
   return *this;
 }
@@ -1035,6 +1055,7 @@
   digest = other24.digest;
   losses = other24.losses;
   remainingMillis = other24.remainingMillis;
+  origin = other24.origin;
   __isset = other24.__isset;
   return *this;
 }
@@ -1044,6 +1065,7 @@
   out << "digest=" << to_string(digest);
   out << ", " << "losses=" << to_string(losses);
   out << ", " << "remainingMillis=" << to_string(remainingMillis);
+  out << ", " << "origin=" << to_string(origin);
   out << ")";
 }
 
@@ -5076,6 +5098,10 @@
 void ClaimAnswer::__set_result(const ClaimResult::type val) {
   this->result = val;
 }
+
+void ClaimAnswer::__set_wanted(const ClaimState::type val) {
+  this->wanted = val;
+}
 std::ostream& operator<<(std::ostream& out, const ClaimAnswer& obj)
 {
   obj.printTo(out);
@@ -5130,6 +5156,16 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast204;
+          xfer += iprot->readI32(ecast204);
+          this->wanted = static_cast<ClaimState::type>(ecast204);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5159,6 +5195,10 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->result));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->wanted));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5169,41 +5209,47 @@
   swap(a.keyHash, b.keyHash);
   swap(a.holder, b.holder);
   swap(a.result, b.result);
+  swap(a.wanted, b.wanted);
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other204) {
-  keyHash = other204.keyHash;
-  holder = other204.holder;
-  result = other204.result;
-  __isset = other204.__isset;
-}
-ClaimAnswer::ClaimAnswer(ClaimAnswer&& other205) noexcept {
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other205) {
   keyHash = other205.keyHash;
-  holder = std::move(other205.holder);
+  holder = other205.holder;
   result = other205.result;
+  wanted = other205.wanted;
   __isset = other205.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other206) {
+ClaimAnswer::ClaimAnswer(ClaimAnswer&& other206) noexcept {
   keyHash = other206.keyHash;
-  holder = other206.holder;
+  holder = std::move(other206.holder);
   result = other206.result;
+  wanted = other206.wanted;
   __isset = other206.__isset;
-  return *this;
 }
-ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other207) noexcept {
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other207) {
   keyHash = other207.keyHash;
-  holder = std::move(other207.holder);
+  holder = other207.holder;
   result = other207.result;
+  wanted = other207.wanted;
   __isset = other207.__isset;
   return *this;
 }
+ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other208) noexcept {
+  keyHash = other208.keyHash;
+  holder = std::move(other208.holder);
+  result = other208.result;
+  wanted = other208.wanted;
+  __isset = other208.__isset;
+  return *this;
+}
 void ClaimAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ClaimAnswer(";
   out << "keyHash=" << to_string(keyHash);
   out << ", " << "holder=" << to_string(holder);
   out << ", " << "result=" << to_string(result);
+  out << ", " << "wanted=" << to_string(wanted);
   out << ")";
 }
 
@@ -5218,6 +5264,7 @@
 
 void Claim::__set_holder(const std::string& val) {
   this->holder = val;
+__isset.holder = true;
 }
 
 void Claim::__set_state(const ClaimState::type val) {
@@ -5273,9 +5320,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast208;
-          xfer += iprot->readI32(ecast208);
-          this->state = static_cast<ClaimState::type>(ecast208);
+          int32_t ecast209;
+          xfer += iprot->readI32(ecast209);
+          this->state = static_cast<ClaimState::type>(ecast209);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5310,10 +5357,11 @@
   xfer += oprot->writeI64(this->keyHash);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->holder);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.holder) {
+    xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->holder);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
   xfer += oprot->writeI32(static_cast<int32_t>(this->state));
   xfer += oprot->writeFieldEnd();
@@ -5336,41 +5384,41 @@
   swap(a.__isset, b.__isset);
 }
 
-Claim::Claim(const Claim& other209) {
-  keyHash = other209.keyHash;
-  holder = other209.holder;
-  state = other209.state;
-  wallMillis = other209.wallMillis;
-  __isset = other209.__isset;
-}
-Claim::Claim(Claim&& other210) noexcept {
+Claim::Claim(const Claim& other210) {
   keyHash = other210.keyHash;
-  holder = std::move(other210.holder);
+  holder = other210.holder;
   state = other210.state;
   wallMillis = other210.wallMillis;
   __isset = other210.__isset;
 }
-Claim& Claim::operator=(const Claim& other211) {
+Claim::Claim(Claim&& other211) noexcept {
   keyHash = other211.keyHash;
-  holder = other211.holder;
+  holder = std::move(other211.holder);
   state = other211.state;
   wallMillis = other211.wallMillis;
   __isset = other211.__isset;
-  return *this;
 }
-Claim& Claim::operator=(Claim&& other212) noexcept {
+Claim& Claim::operator=(const Claim& other212) {
   keyHash = other212.keyHash;
-  holder = std::move(other212.holder);
+  holder = other212.holder;
   state = other212.state;
   wallMillis = other212.wallMillis;
   __isset = other212.__isset;
   return *this;
 }
+Claim& Claim::operator=(Claim&& other213) noexcept {
+  keyHash = other213.keyHash;
+  holder = std::move(other213.holder);
+  state = other213.state;
+  wallMillis = other213.wallMillis;
+  __isset = other213.__isset;
+  return *this;
+}
 void Claim::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Claim(";
   out << "keyHash=" << to_string(keyHash);
-  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "holder="; (__isset.holder ? (out << to_string(holder)) : (out << "<null>"));
   out << ", " << "state=" << to_string(state);
   out << ", " << "wallMillis=" << to_string(wallMillis);
   out << ")";
@@ -5416,14 +5464,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size213;
-            ::apache::thrift::protocol::TType _etype216;
-            xfer += iprot->readListBegin(_etype216, _size213);
-            this->claims.resize(_size213);
-            uint32_t _i217;
-            for (_i217 = 0; _i217 < _size213; ++_i217)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->claims.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->claims[_i217].read(iprot);
+              xfer += this->claims[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5452,10 +5500,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<Claim> ::const_iterator _iter218;
-    for (_iter218 = this->claims.begin(); _iter218 != this->claims.end(); ++_iter218)
+    std::vector<Claim> ::const_iterator _iter219;
+    for (_iter219 = this->claims.begin(); _iter219 != this->claims.end(); ++_iter219)
     {
-      xfer += (*_iter218).write(oprot);
+      xfer += (*_iter219).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5472,24 +5520,24 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimShardValue::ClaimShardValue(const ClaimShardValue& other219) {
-  claims = other219.claims;
-  __isset = other219.__isset;
-}
-ClaimShardValue::ClaimShardValue(ClaimShardValue&& other220) noexcept {
-  claims = std::move(other220.claims);
+ClaimShardValue::ClaimShardValue(const ClaimShardValue& other220) {
+  claims = other220.claims;
   __isset = other220.__isset;
 }
-ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other221) {
-  claims = other221.claims;
+ClaimShardValue::ClaimShardValue(ClaimShardValue&& other221) noexcept {
+  claims = std::move(other221.claims);
   __isset = other221.__isset;
-  return *this;
 }
-ClaimShardValue& ClaimShardValue::operator=(ClaimShardValue&& other222) noexcept {
-  claims = std::move(other222.claims);
+ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other222) {
+  claims = other222.claims;
   __isset = other222.__isset;
   return *this;
 }
+ClaimShardValue& ClaimShardValue::operator=(ClaimShardValue&& other223) noexcept {
+  claims = std::move(other223.claims);
+  __isset = other223.__isset;
+  return *this;
+}
 void ClaimShardValue::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ClaimShardValue(";
@@ -5673,14 +5721,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callers.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->callers.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->callers.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += iprot->readString(this->callers[_i227]);
+              xfer += iprot->readString(this->callers[_i228]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5761,10 +5809,10 @@
   xfer += oprot->writeFieldBegin("callers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->callers.size()));
-    std::vector<std::string> ::const_iterator _iter228;
-    for (_iter228 = this->callers.begin(); _iter228 != this->callers.end(); ++_iter228)
+    std::vector<std::string> ::const_iterator _iter229;
+    for (_iter229 = this->callers.begin(); _iter229 != this->callers.end(); ++_iter229)
     {
-      xfer += oprot->writeString((*_iter228));
+      xfer += oprot->writeString((*_iter229));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5797,72 +5845,72 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryReport::EntryReport(const EntryReport& other229) {
-  entry = other229.entry;
-  owner = other229.owner;
-  calls = other229.calls;
-  refused = other229.refused;
-  slow = other229.slow;
-  p50Micros = other229.p50Micros;
-  p99Micros = other229.p99Micros;
-  limit = other229.limit;
-  bound = other229.bound;
-  seen = other229.seen;
-  sinceWallMillis = other229.sinceWallMillis;
-  callers = other229.callers;
-  unknown = other229.unknown;
-  __isset = other229.__isset;
-}
-EntryReport::EntryReport(EntryReport&& other230) noexcept {
-  entry = std::move(other230.entry);
-  owner = std::move(other230.owner);
+EntryReport::EntryReport(const EntryReport& other230) {
+  entry = other230.entry;
+  owner = other230.owner;
   calls = other230.calls;
   refused = other230.refused;
   slow = other230.slow;
   p50Micros = other230.p50Micros;
   p99Micros = other230.p99Micros;
-  limit = std::move(other230.limit);
+  limit = other230.limit;
   bound = other230.bound;
   seen = other230.seen;
   sinceWallMillis = other230.sinceWallMillis;
-  callers = std::move(other230.callers);
+  callers = other230.callers;
   unknown = other230.unknown;
   __isset = other230.__isset;
 }
-EntryReport& EntryReport::operator=(const EntryReport& other231) {
-  entry = other231.entry;
-  owner = other231.owner;
+EntryReport::EntryReport(EntryReport&& other231) noexcept {
+  entry = std::move(other231.entry);
+  owner = std::move(other231.owner);
   calls = other231.calls;
   refused = other231.refused;
   slow = other231.slow;
   p50Micros = other231.p50Micros;
   p99Micros = other231.p99Micros;
-  limit = other231.limit;
+  limit = std::move(other231.limit);
   bound = other231.bound;
   seen = other231.seen;
   sinceWallMillis = other231.sinceWallMillis;
-  callers = other231.callers;
+  callers = std::move(other231.callers);
   unknown = other231.unknown;
   __isset = other231.__isset;
-  return *this;
 }
-EntryReport& EntryReport::operator=(EntryReport&& other232) noexcept {
-  entry = std::move(other232.entry);
-  owner = std::move(other232.owner);
+EntryReport& EntryReport::operator=(const EntryReport& other232) {
+  entry = other232.entry;
+  owner = other232.owner;
   calls = other232.calls;
   refused = other232.refused;
   slow = other232.slow;
   p50Micros = other232.p50Micros;
   p99Micros = other232.p99Micros;
-  limit = std::move(other232.limit);
+  limit = other232.limit;
   bound = other232.bound;
   seen = other232.seen;
   sinceWallMillis = other232.sinceWallMillis;
-  callers = std::move(other232.callers);
+  callers = other232.callers;
   unknown = other232.unknown;
   __isset = other232.__isset;
   return *this;
 }
+EntryReport& EntryReport::operator=(EntryReport&& other233) noexcept {
+  entry = std::move(other233.entry);
+  owner = std::move(other233.owner);
+  calls = other233.calls;
+  refused = other233.refused;
+  slow = other233.slow;
+  p50Micros = other233.p50Micros;
+  p99Micros = other233.p99Micros;
+  limit = std::move(other233.limit);
+  bound = other233.bound;
+  seen = other233.seen;
+  sinceWallMillis = other233.sinceWallMillis;
+  callers = std::move(other233.callers);
+  unknown = other233.unknown;
+  __isset = other233.__isset;
+  return *this;
+}
 void EntryReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "EntryReport(";
@@ -5958,14 +6006,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->entries.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->entries.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += this->entries[_i237].read(iprot);
+              xfer += this->entries[_i238].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6006,10 +6054,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<EntryReport> ::const_iterator _iter238;
-    for (_iter238 = this->entries.begin(); _iter238 != this->entries.end(); ++_iter238)
+    std::vector<EntryReport> ::const_iterator _iter239;
+    for (_iter239 = this->entries.begin(); _iter239 != this->entries.end(); ++_iter239)
     {
-      xfer += (*_iter238).write(oprot);
+      xfer += (*_iter239).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6029,36 +6077,36 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReport::StatusReport(const StatusReport& other239) {
-  host = other239.host;
-  domain = other239.domain;
-  version = other239.version;
-  entries = other239.entries;
-  __isset = other239.__isset;
-}
-StatusReport::StatusReport(StatusReport&& other240) noexcept {
-  host = std::move(other240.host);
-  domain = std::move(other240.domain);
+StatusReport::StatusReport(const StatusReport& other240) {
+  host = other240.host;
+  domain = other240.domain;
   version = other240.version;
-  entries = std::move(other240.entries);
+  entries = other240.entries;
   __isset = other240.__isset;
 }
-StatusReport& StatusReport::operator=(const StatusReport& other241) {
-  host = other241.host;
-  domain = other241.domain;
+StatusReport::StatusReport(StatusReport&& other241) noexcept {
+  host = std::move(other241.host);
+  domain = std::move(other241.domain);
   version = other241.version;
-  entries = other241.entries;
+  entries = std::move(other241.entries);
   __isset = other241.__isset;
-  return *this;
 }
-StatusReport& StatusReport::operator=(StatusReport&& other242) noexcept {
-  host = std::move(other242.host);
-  domain = std::move(other242.domain);
+StatusReport& StatusReport::operator=(const StatusReport& other242) {
+  host = other242.host;
+  domain = other242.domain;
   version = other242.version;
-  entries = std::move(other242.entries);
+  entries = other242.entries;
   __isset = other242.__isset;
   return *this;
 }
+StatusReport& StatusReport::operator=(StatusReport&& other243) noexcept {
+  host = std::move(other243.host);
+  domain = std::move(other243.domain);
+  version = other243.version;
+  entries = std::move(other243.entries);
+  __isset = other243.__isset;
+  return *this;
+}
 void StatusReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "StatusReport(";
@@ -6145,24 +6193,24 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other243) noexcept {
-  sequence = other243.sequence;
-  __isset = other243.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other244) noexcept {
+Heartbeat::Heartbeat(const Heartbeat& other244) noexcept {
   sequence = other244.sequence;
   __isset = other244.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other245) noexcept {
+Heartbeat::Heartbeat(Heartbeat&& other245) noexcept {
   sequence = other245.sequence;
   __isset = other245.__isset;
-  return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other246) noexcept {
+Heartbeat& Heartbeat::operator=(const Heartbeat& other246) noexcept {
   sequence = other246.sequence;
   __isset = other246.__isset;
   return *this;
 }
+Heartbeat& Heartbeat::operator=(Heartbeat&& other247) noexcept {
+  sequence = other247.sequence;
+  __isset = other247.__isset;
+  return *this;
+}
 void Heartbeat::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Heartbeat(";
@@ -6571,92 +6619,92 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other247) {
-  hello = other247.hello;
-  ping = other247.ping;
-  ack = other247.ack;
-  pingRequest = other247.pingRequest;
-  memberSync = other247.memberSync;
-  domainSummary = other247.domainSummary;
-  configPush = other247.configPush;
-  configFetch = other247.configFetch;
-  configAnswer = other247.configAnswer;
-  callRequest = other247.callRequest;
-  callAnswer = other247.callAnswer;
-  callCancel = other247.callCancel;
-  callQuery = other247.callQuery;
-  claimRequest = other247.claimRequest;
-  claimAnswer = other247.claimAnswer;
-  statusReport = other247.statusReport;
-  heartbeat = other247.heartbeat;
-  loadReport = other247.loadReport;
-  __isset = other247.__isset;
-}
-Envelope::Envelope(Envelope&& other248) noexcept {
-  hello = std::move(other248.hello);
-  ping = std::move(other248.ping);
-  ack = std::move(other248.ack);
-  pingRequest = std::move(other248.pingRequest);
-  memberSync = std::move(other248.memberSync);
-  domainSummary = std::move(other248.domainSummary);
-  configPush = std::move(other248.configPush);
-  configFetch = std::move(other248.configFetch);
-  configAnswer = std::move(other248.configAnswer);
-  callRequest = std::move(other248.callRequest);
-  callAnswer = std::move(other248.callAnswer);
-  callCancel = std::move(other248.callCancel);
-  callQuery = std::move(other248.callQuery);
-  claimRequest = std::move(other248.claimRequest);
-  claimAnswer = std::move(other248.claimAnswer);
-  statusReport = std::move(other248.statusReport);
-  heartbeat = std::move(other248.heartbeat);
-  loadReport = std::move(other248.loadReport);
+Envelope::Envelope(const Envelope& other248) {
+  hello = other248.hello;
+  ping = other248.ping;
+  ack = other248.ack;
+  pingRequest = other248.pingRequest;
+  memberSync = other248.memberSync;
+  domainSummary = other248.domainSummary;
+  configPush = other248.configPush;
+  configFetch = other248.configFetch;
+  configAnswer = other248.configAnswer;
+  callRequest = other248.callRequest;
+  callAnswer = other248.callAnswer;
+  callCancel = other248.callCancel;
+  callQuery = other248.callQuery;
+  claimRequest = other248.claimRequest;
+  claimAnswer = other248.claimAnswer;
+  statusReport = other248.statusReport;
+  heartbeat = other248.heartbeat;
+  loadReport = other248.loadReport;
   __isset = other248.__isset;
 }
-Envelope& Envelope::operator=(const Envelope& other249) {
-  hello = other249.hello;
-  ping = other249.ping;
-  ack = other249.ack;
-  pingRequest = other249.pingRequest;
-  memberSync = other249.memberSync;
-  domainSummary = other249.domainSummary;
-  configPush = other249.configPush;
-  configFetch = other249.configFetch;
-  configAnswer = other249.configAnswer;
-  callRequest = other249.callRequest;
-  callAnswer = other249.callAnswer;
-  callCancel = other249.callCancel;
-  callQuery = other249.callQuery;
-  claimRequest = other249.claimRequest;
-  claimAnswer = other249.claimAnswer;
-  statusReport = other249.statusReport;
-  heartbeat = other249.heartbeat;
-  loadReport = other249.loadReport;
+Envelope::Envelope(Envelope&& other249) noexcept {
+  hello = std::move(other249.hello);
+  ping = std::move(other249.ping);
+  ack = std::move(other249.ack);
+  pingRequest = std::move(other249.pingRequest);
+  memberSync = std::move(other249.memberSync);
+  domainSummary = std::move(other249.domainSummary);
+  configPush = std::move(other249.configPush);
+  configFetch = std::move(other249.configFetch);
+  configAnswer = std::move(other249.configAnswer);
+  callRequest = std::move(other249.callRequest);
+  callAnswer = std::move(other249.callAnswer);
+  callCancel = std::move(other249.callCancel);
+  callQuery = std::move(other249.callQuery);
+  claimRequest = std::move(other249.claimRequest);
+  claimAnswer = std::move(other249.claimAnswer);
+  statusReport = std::move(other249.statusReport);
+  heartbeat = std::move(other249.heartbeat);
+  loadReport = std::move(other249.loadReport);
   __isset = other249.__isset;
-  return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other250) noexcept {
-  hello = std::move(other250.hello);
-  ping = std::move(other250.ping);
-  ack = std::move(other250.ack);
-  pingRequest = std::move(other250.pingRequest);
-  memberSync = std::move(other250.memberSync);
-  domainSummary = std::move(other250.domainSummary);
-  configPush = std::move(other250.configPush);
-  configFetch = std::move(other250.configFetch);
-  configAnswer = std::move(other250.configAnswer);
-  callRequest = std::move(other250.callRequest);
-  callAnswer = std::move(other250.callAnswer);
-  callCancel = std::move(other250.callCancel);
-  callQuery = std::move(other250.callQuery);
-  claimRequest = std::move(other250.claimRequest);
-  claimAnswer = std::move(other250.claimAnswer);
-  statusReport = std::move(other250.statusReport);
-  heartbeat = std::move(other250.heartbeat);
-  loadReport = std::move(other250.loadReport);
+Envelope& Envelope::operator=(const Envelope& other250) {
+  hello = other250.hello;
+  ping = other250.ping;
+  ack = other250.ack;
+  pingRequest = other250.pingRequest;
+  memberSync = other250.memberSync;
+  domainSummary = other250.domainSummary;
+  configPush = other250.configPush;
+  configFetch = other250.configFetch;
+  configAnswer = other250.configAnswer;
+  callRequest = other250.callRequest;
+  callAnswer = other250.callAnswer;
+  callCancel = other250.callCancel;
+  callQuery = other250.callQuery;
+  claimRequest = other250.claimRequest;
+  claimAnswer = other250.claimAnswer;
+  statusReport = other250.statusReport;
+  heartbeat = other250.heartbeat;
+  loadReport = other250.loadReport;
   __isset = other250.__isset;
   return *this;
 }
+Envelope& Envelope::operator=(Envelope&& other251) noexcept {
+  hello = std::move(other251.hello);
+  ping = std::move(other251.ping);
+  ack = std::move(other251.ack);
+  pingRequest = std::move(other251.pingRequest);
+  memberSync = std::move(other251.memberSync);
+  domainSummary = std::move(other251.domainSummary);
+  configPush = std::move(other251.configPush);
+  configFetch = std::move(other251.configFetch);
+  configAnswer = std::move(other251.configAnswer);
+  callRequest = std::move(other251.callRequest);
+  callAnswer = std::move(other251.callAnswer);
+  callCancel = std::move(other251.callCancel);
+  callQuery = std::move(other251.callQuery);
+  claimRequest = std::move(other251.claimRequest);
+  claimAnswer = std::move(other251.claimAnswer);
+  statusReport = std::move(other251.statusReport);
+  heartbeat = std::move(other251.heartbeat);
+  loadReport = std::move(other251.loadReport);
+  __isset = other251.__isset;
+  return *this;
+}
 void Envelope::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Envelope(";
