Let a restarted acceptor hear its peers before it publishes

Cause: a test with a restored store and an acceptor that restarts cut off from its peers published version 2 a second time with other content: start questions were sent once only, and the start was over before a peer could be heard.

Focused tests of the distributor.

--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -84,7 +84,7 @@
   if (this->clock.Now() >= this->dutiesDueAt) {
     this->RefreshDuties();
   }
-  if (!this->isStartOver) {
+  if (!this->isStartOver || !this->startRule.MayPublish()) {
     this->TickStart();
   }
   this->TickFetch();
@@ -126,27 +126,26 @@
     this->isPlatformAsked = true;
     this->AskPlatform();
   }
+  if (this->isStartOver) {
+    return;
+  }
   this->isStartOver = this->startRule.IsOver(this->IsBehind());
   if (this->isStartOver) {
     kLog.Info("start is over with version {}", this->Held()->Version());
   }
 }
 
-void Distributor::AskPeers(const std::vector<std::string>& aHosts)
+void Distributor::AskPeers(std::vector<std::string> aHosts)
 {
+  std::erase(aHosts, this->config.host);
   if (aHosts.empty()) {
     return;
   }
   // A start at random spreads the questions over the members.
-  const std::size_t first = RandomBelow(this->random, aHosts.size());
-  for (std::size_t step = 0; step < aHosts.size(); ++step) {
-    const std::string& host = aHosts[(first + step) % aHosts.size()];
-    if (host == this->config.host) {
-      continue;
-    }
-    if (!this->startRule.Ask(host)) {
-      return;
-    }
+  const auto first =
+    static_cast<std::ptrdiff_t>(RandomBelow(this->random, aHosts.size()));
+  std::ranges::rotate(aHosts, aHosts.begin() + first);
+  for (const std::string& host : this->startRule.TakeDue(aHosts)) {
     this->hooks.send(host, FetchEnvelope(kVersionQuery));
   }
 }
@@ -229,7 +228,7 @@
 {
   this->acceptor.SetActive(this->isAcceptor);
   // An acceptor that knows of a newer version would publish from an old base.
-  if (this->isStartOver && !this->IsBehind()) {
+  if (this->isStartOver && this->startRule.MayPublish() && !this->IsBehind()) {
     this->acceptor.Tick();
   }
 }
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -91,7 +91,7 @@
   OfferOutcome Offer(const Delta& aDelta, std::string_view aSource);
   void RefreshDuties();
   void TickStart();
-  void AskPeers(const std::vector<std::string>& aHosts);
+  void AskPeers(std::vector<std::string> aHosts);
   void AskPlatform();
   void PlatformAnswered(const PlatformResult<ChainRead>& aRead);
   void TickFetch();
--- /dev/null
+++ b/src/distribution/distributor_test.cpp
@@ -0,0 +1,268 @@
+#include "common/hash.h"
+#include "common/log.h"
+#include "distribution/simnodes.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingwharf;
+
+namespace {
+
+std::unique_ptr<SimNode> MakeNode(FleetSim& aSim, const std::string& aHost)
+{
+  return std::make_unique<RealNode>(
+    aSim, aHost, std::vector<std::string>{ "h0" });
+}
+
+/** A fleet that holds aVersions versions and is quiet. */
+struct Fleet
+{
+  explicit Fleet(int aHosts, int aVersions = 1)
+    : sim(aHosts, 7, MakeNode)
+  {
+    Log::SetLevel(LogLevel::Error);
+    this->sim.Run(3000);
+    for (int index = 0; index < aVersions; ++index) {
+      this->Edit();
+      this->sim.Run(1000);
+    }
+    this->AssertAllHold(aVersions);
+  }
+
+  void Edit()
+  {
+    this->sim.store.Edit("catalogue/s",
+                         ServiceText(fmt::format("o{}", ++this->edits)));
+  }
+
+  const Distributor& Get(const std::string& aHost) const
+  {
+    return static_cast<const RealNode&>(*this->sim.hosts.at(aHost).node).Get();
+  }
+
+  void AssertAllHold(std::int64_t aVersion)
+  {
+    for (const std::string& name : this->sim.names) {
+      cr_assert_eq(this->Get(name).Held()->Version(),
+                   aVersion,
+                   "%s holds %ld",
+                   name.c_str(),
+                   static_cast<long>(this->Get(name).Held()->Version()));
+    }
+  }
+
+  void CutOff(const std::string& aHost, bool aIsCutOff)
+  {
+    this->sim.hosts.at(aHost).isCutOff = aIsCutOff;
+    this->sim.hosts.at(aHost).isPartitioned = aIsCutOff;
+  }
+
+  /** The first host that is neither acceptor nor feeder. */
+  std::string Plain() const
+  {
+    return *std::ranges::find_if(
+      this->sim.names, [this](const std::string& aName) {
+        return !this->Get(aName).IsFeeder() && !this->Get(aName).IsAcceptor();
+      });
+  }
+
+  FleetSim sim;
+  int edits = 0;
+};
+
+} // namespace
+
+// Guards against a daemon that serves without a version, and against one that
+// stays without after the partition ends.
+Test(distributor, ADaemonRestartedIntoAPartitionWaitsForAVersion)
+{
+  Fleet fleet(6, 3);
+  const std::string host = fleet.Plain();
+  fleet.CutOff(host, true);
+  fleet.sim.Restart(host);
+  fleet.sim.Run(10000);
+  cr_assert_not(fleet.Get(host).IsReady());
+  fleet.CutOff(host, false);
+  fleet.sim.Run(4000);
+  cr_assert(fleet.Get(host).IsReady());
+  fleet.AssertAllHold(3);
+}
+
+// Guards against a start that is held up by a platform that is down.
+Test(distributor, ADaemonStartsFromItsPeersWithoutThePlatform)
+{
+  Fleet fleet(6, 3);
+  const std::string host = fleet.Plain();
+  fleet.sim.hosts.at(host).isCutOff = true;
+  fleet.sim.Restart(host);
+  fleet.sim.Run(2100);
+  cr_assert(fleet.Get(host).IsReady());
+  fleet.AssertAllHold(3);
+}
+
+// Guards R1 across a restart: the platform was restored to version 1, so a new
+// process must not serve before it has what its peers hold.
+Test(distributor, AStartTakesTheHighestVersionOffered)
+{
+  Fleet fleet(6, 1);
+  const auto backup = fleet.sim.store.All();
+  const std::int64_t revision = fleet.sim.store.Revision();
+  for (int edit = 0; edit < 3; ++edit) {
+    fleet.Edit();
+    fleet.sim.Run(1000);
+  }
+  fleet.sim.store.Restore(backup, revision);
+  const std::string host = fleet.Plain();
+  fleet.sim.Restart(host);
+  for (int step = 0; step < 400 && !fleet.Get(host).IsReady(); ++step) {
+    fleet.sim.Run(10);
+  }
+  cr_assert(fleet.Get(host).IsReady());
+  cr_assert_geq(fleet.Get(host).Held()->Version(), 4);
+}
+
+// Guards R1 and R9 when the store is restored to an older state.
+Test(distributor, AFleetMovesOnAfterARestoredStore)
+{
+  Fleet fleet(6, 2);
+  const auto backup = fleet.sim.store.All();
+  const std::int64_t revision = fleet.sim.store.Revision();
+  fleet.Edit();
+  fleet.sim.Run(1000);
+  fleet.AssertAllHold(3);
+  const std::string text = fleet.Get("h0").Held()->Find("s")->text;
+  fleet.sim.store.Restore(backup, revision);
+  fleet.sim.Run(20000);
+  fleet.AssertAllHold(1024);
+  cr_assert_eq(fleet.Get("h3").Held()->Find("s")->text, text);
+  fleet.Edit();
+  fleet.sim.Run(3000);
+  fleet.AssertAllHold(1025);
+  cr_assert_eq(fleet.sim.violations.wentBack, 0);
+  cr_assert_eq(fleet.sim.violations.differsFromChain, 0);
+}
+
+// Guards against a change that waits for the first feeder to come back.
+Test(distributor, TheSecondFeederPushesWhenTheFirstIsFrozen)
+{
+  Fleet fleet(40, 1);
+  const auto order = RendezvousOrder("feeder/d", fleet.sim.names);
+  cr_assert(fleet.Get(order[0]).IsFeeder());
+  cr_assert(fleet.Get(order[1]).IsFeeder());
+  cr_assert_neq(order[0], "h0", "the acceptor must not be frozen");
+  fleet.sim.hosts.at(order[0]).isPaused = true;
+  fleet.Edit();
+  fleet.sim.Run(800);
+  int holders = 0;
+  for (const std::string& name : fleet.sim.names) {
+    holders += fleet.Get(name).Held()->Version() == 2 ? 1 : 0;
+  }
+  cr_assert_gt(holders, 30, "only %d of 40 hold the new version", holders);
+}
+
+// Guards control bytes: a change reaches each member by one push.
+Test(distributor, AChangeCostsOneMessagePerMember)
+{
+  Fleet fleet(40, 1);
+  const std::uint64_t before = fleet.sim.messages;
+  fleet.Edit();
+  fleet.sim.Run(5000);
+  fleet.AssertAllHold(2);
+  const std::uint64_t sent = fleet.sim.messages - before;
+  cr_assert_leq(sent, 50U, "%lu messages", static_cast<unsigned long>(sent));
+}
+
+// Guards R1 when the acceptor restarts after the store was restored: it must
+// not publish from the old version that the store offers it.
+Test(distributor, ARestartedAcceptorWaitsForWhatItsPeersHold)
+{
+  Fleet fleet(6, 1);
+  const auto backup = fleet.sim.store.All();
+  const std::int64_t revision = fleet.sim.store.Revision();
+  for (int edit = 0; edit < 3; ++edit) {
+    fleet.Edit();
+    fleet.sim.Run(1000);
+  }
+  fleet.sim.store.Restore(backup, revision);
+  fleet.Edit();
+  fleet.CutOff("h0", true);
+  fleet.sim.Restart("h0");
+  fleet.sim.hosts.at("h0").isCutOff = false;
+  fleet.sim.Run(1900);
+  fleet.CutOff("h0", false);
+  fleet.sim.Run(20000);
+  cr_assert_eq(fleet.sim.violations.differsFromChain, 0);
+  cr_assert_eq(fleet.Get("h0").Held()->Stamp().storeEpoch, 1);
+  // The fifth edit came before the restore was detected, so it is below the
+  // floor and waits until it is made again.
+  cr_assert_eq(fleet.Get("h0").Held()->Find("s")->text, ServiceText("o4"));
+  fleet.Edit();
+  fleet.sim.Run(3000);
+  cr_assert_eq(fleet.Get("h0").Held()->Find("s")->text, ServiceText("o6"));
+}
+
+/** One distributor without a network; what it sends is kept. */
+struct Single
+{
+  ManualClock clock{ 1000 };
+  std::vector<std::int64_t> fetches; // The version each fetch starts from.
+  Distributor distributor{
+    MakeConfig(),
+    clock.View(),
+    SeededRandom(1),
+    { [this](const std::string&, const wire::Envelope& aEnvelope) {
+       this->fetches.push_back(aEnvelope.configFetch.held);
+     },
+      [](SessionId, const wire::Envelope&) {},
+      [] { return std::vector<std::string>{ "a" }; },
+      [] { return std::vector<std::string>{ "b" }; },
+      [](const PlatformJob&) { return false; },
+      [](const SnapshotPtr&) {} }
+  };
+
+  static DistributorConfig MakeConfig()
+  {
+    DistributorConfig config;
+    config.host = "a";
+    config.startWait = 0;
+    return config;
+  }
+};
+
+SnapshotPtr OneService(std::int64_t aVersion)
+{
+  const std::string text = ServiceText(fmt::format("o{}", aVersion));
+  AcceptedEntries entries;
+  entries["s"] = std::make_shared<const AcceptedEntry>(
+    AcceptedEntry{ ParseEntry("s", text).assume_value(), aVersion, text });
+  return Snapshot::Build({ aVersion, 0, 0 }, entries).assume_value();
+}
+
+// Guards R3 and recovery: a body that was changed on its way is refused, and
+// the whole version is fetched from the peer instead.
+Test(distributor, ARefusedPushLeadsToAWholeFetch)
+{
+  Log::SetLevel(LogLevel::Error);
+  Single single;
+  Distributor& distributor = single.distributor;
+  distributor.Tick();
+  single.fetches.clear();
+  const SnapshotPtr first = OneService(1);
+  const SnapshotPtr second = OneService(2);
+  wire::ConfigPush push;
+  push.root = "b";
+  push.body = ToWire(WholeOf(*first));
+  distributor.HandlePush("b", push);
+  push.body = ToWire(DeltaBetween(*first, *second));
+  push.body.changed.front().revision = 9;
+  distributor.HandlePush("b", push);
+  cr_assert_eq(distributor.Held()->Version(), 1);
+  single.clock.Advance(300);
+  distributor.Tick();
+  cr_assert_eq(single.fetches, std::vector<std::int64_t>{ 0 });
+  wire::ConfigAnswer answer;
+  answer.held = 2;
+  answer.bodies = { ToWire(WholeOf(*second)) };
+  distributor.HandleAnswer("b", answer);
+  cr_assert_eq(distributor.Held()->ContentHash(), second->ContentHash());
+}
--- a/src/distribution/startrule.cpp
+++ b/src/distribution/startrule.cpp
@@ -1,5 +1,6 @@
 #include "distribution/startrule.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingwharf {
@@ -11,18 +12,44 @@
 // Some of the asked peers may be dead without the member list knowing it yet.
 constexpr std::size_t kPeersToAsk = 5;
 
+// Questions and answers get lost while the network comes up.
+constexpr Millis kAskInterval = 500;
+
+// An acceptor that cannot reach its peers publishes all the same after this,
+// so that a partition does not hold up every change.
+constexpr Millis kLongestSilence = 10000;
+
 } // namespace
 
 StartRule::StartRule(Clock aClock, Millis aStartWait)
   : clock(std::move(aClock))
-  , deadline(this->clock.Now() + aStartWait)
+  , startedAt(this->clock.Now())
+  , startWait(aStartWait)
+{
+}
+
+bool StartRule::IsDue(const std::string& aPeer) const
 {
+  const auto found = this->asked.find(aPeer);
+  if (found == this->asked.end()) {
+    return this->asked.size() < kPeersToAsk;
+  }
+  return !this->answered.contains(aPeer) &&
+         this->clock.Now() - found->second >= kAskInterval;
 }
 
-bool StartRule::Ask(const std::string& aHost)
+std::vector<std::string> StartRule::TakeDue(
+  const std::vector<std::string>& aPeers)
 {
-  return !this->isOver && this->asked.size() < kPeersToAsk &&
-         this->asked.insert(aHost).second;
+  this->knownPeers = std::max(this->knownPeers, aPeers.size());
+  std::vector<std::string> due;
+  for (const std::string& peer : aPeers) {
+    if (this->IsDue(peer)) {
+      this->asked[peer] = this->clock.Now();
+      due.push_back(peer);
+    }
+  }
+  return due;
 }
 
 void StartRule::PeerAnswered(const std::string& aHost)
@@ -41,10 +68,18 @@
 {
   const bool isComplete = this->answered.size() >= kPeersToHear &&
                           this->isPlatformAnswered && !aIsBehind;
-  if (isComplete || this->clock.Now() >= this->deadline) {
+  const Millis age = this->clock.Now() - this->startedAt;
+  if (isComplete || age >= this->startWait) {
     this->isOver = true;
   }
   return this->isOver;
 }
 
+bool StartRule::MayPublish() const
+{
+  const std::size_t needed = std::min(kPeersToHear, this->knownPeers);
+  return this->answered.size() >= needed ||
+         this->clock.Now() - this->startedAt >= kLongestSilence;
+}
+
 } // namespace lacewingwharf
--- a/src/distribution/startrule.h
+++ b/src/distribution/startrule.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 
 #include <cstddef>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,18 +19,29 @@
 public:
   StartRule(Clock aClock, Millis aStartWait);
 
-  /** True when aHost is to be asked; it counts as asked from then on. */
-  bool Ask(const std::string& aHost);
+  /** Those of aPeers that are to be asked now, for the first time or again. */
+  std::vector<std::string> TakeDue(const std::vector<std::string>& aPeers);
   void PeerAnswered(const std::string& aHost);
   void PlatformAnswered();
 
   /** True once enough have answered, or startwait has passed. */
   bool IsOver(bool aIsBehind);
 
+  /**
+   * True once the versions of the peers are known well enough to publish the
+   * next one. When the store was restored to an older state and the acceptor
+   * restarts, the newest version is only with its peers.
+   */
+  bool MayPublish() const;
+
 private:
+  bool IsDue(const std::string& aPeer) const;
+
   Clock clock;
-  Millis deadline;
-  std::set<std::string, std::less<>> asked;
+  Millis startedAt;
+  Millis startWait;
+  std::size_t knownPeers = 0;
+  std::map<std::string, Millis, std::less<>> asked; // With the last time.
   std::set<std::string, std::less<>> answered;
   bool isPlatformAnswered = false;
   bool isOver = false;
