Fix the linter's findings in catalogue and distribution

Cause: clang-tidy reported copies and a repeated branch.

Change: arguments by reference; the acceptor's side jobs have their own function.

--- a/src/catalogue/catalogue_test.cpp
+++ b/src/catalogue/catalogue_test.cpp
@@ -26,7 +26,8 @@
 }
 
 /** Builds without the hash check, which Apply() does last. */
-CatalogueResult<SnapshotPtr> BuildFrom(std::vector<ChangedEntry> aChanged)
+CatalogueResult<SnapshotPtr> BuildFrom(
+  const std::vector<ChangedEntry>& aChanged)
 {
   AcceptedEntries entries;
   for (const ChangedEntry& changed : aChanged) {
--- a/src/distribution/acceptorrole.cpp
+++ b/src/distribution/acceptorrole.cpp
@@ -90,13 +90,22 @@
   const Millis now = this->clock.Now();
   if (now >= this->nextRound) {
     this->StartRound();
-  } else if (now < this->nextSideJob) {
-    return;
-  } else if (this->IsSnapshotDue()) {
+  } else if (now >= this->nextSideJob) {
+    this->StartSideJob();
+  }
+}
+
+void AcceptorRole::StartSideJob()
+{
+  if (this->IsSnapshotDue()) {
     this->StartSnapshot();
-  } else if (!this->isDecided) {
     return;
-  } else if (!this->isStatusLoaded) {
+  }
+  // Without a decision of its own it cannot tell which status is out of date.
+  if (!this->isDecided) {
+    return;
+  }
+  if (!this->isStatusLoaded) {
     this->LoadStatus();
   } else if (this->WantedStatus() != this->writtenStatus) {
     this->StartStatus();
--- a/src/distribution/acceptorrole.h
+++ b/src/distribution/acceptorrole.h
@@ -58,6 +58,7 @@
   void TakeDeltas(const RoundOutcome& aOutcome);
   void Retry(Millis aDelay);
 
+  void StartSideJob();
   bool IsSnapshotDue() const;
   void StartSnapshot();
 
--- a/src/distribution/distribution_test.cpp
+++ b/src/distribution/distribution_test.cpp
@@ -172,7 +172,8 @@
     RunSchedule(other);
     naive = naive + other.violations;
   }
-  cr_assert_gt(versions, 10 * kSeeds, "too few versions to show anything");
+  cr_assert_gt(
+    versions, kSeeds * std::int64_t(10), "too few versions to show anything");
   cr_log_info("%ld versions; naive: %d went back, %d differ, %d dangling",
               static_cast<long>(versions),
               naive.wentBack,
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -144,7 +144,7 @@
   // A start at random spreads the questions over the members.
   const auto first =
     static_cast<std::ptrdiff_t>(RandomBelow(this->random, aHosts.size()));
-  std::ranges::rotate(aHosts, aHosts.begin() + first);
+  std::rotate(aHosts.begin(), aHosts.begin() + first, aHosts.end());
   for (const std::string& host : this->startRule.TakeDue(aHosts)) {
     this->hooks.send(host, FetchEnvelope(kVersionQuery));
   }
@@ -283,7 +283,7 @@
   wire::Envelope envelope;
   envelope.__set_configAnswer(
     this->fetchServer.Answer(this->holder, aFetch.held));
-  this->hooks.reply(aSession, std::move(envelope));
+  this->hooks.reply(aSession, envelope);
 }
 
 void Distributor::HandleAnswer(const std::string& aFromHost,
--- a/src/distribution/edits.cpp
+++ b/src/distribution/edits.cpp
@@ -154,7 +154,7 @@
 
 void Edits::Reject(EditGroup& aGroup,
                    CatalogueErrorCode aCode,
-                   std::string aReason)
+                   const std::string& aReason)
 {
   aGroup.isRejected = true;
   for (const Edit& edit : aGroup.edits) {
--- a/src/distribution/edits.h
+++ b/src/distribution/edits.h
@@ -37,7 +37,9 @@
   const Edit* StandingEdit(const std::string& aName);
 
   /** Rejects a whole group and notes the reason for each of its edits. */
-  void Reject(EditGroup& aGroup, CatalogueErrorCode aCode, std::string aReason);
+  void Reject(EditGroup& aGroup,
+              CatalogueErrorCode aCode,
+              const std::string& aReason);
 
   bool HasStandingEdits() const;
 
--- a/src/distribution/simnodes.h
+++ b/src/distribution/simnodes.h
@@ -89,10 +89,10 @@
 
   DistributorHooks MakeHooks(std::vector<std::string> aCandidates)
   {
-    return { [this](const std::string& aTo, wire::Envelope aEnvelope) {
+    return { [this](const std::string& aTo, const wire::Envelope& aEnvelope) {
               this->sim.Send(this->host, aTo, aEnvelope);
             },
-             [this](SessionId aSession, wire::Envelope aEnvelope) {
+             [this](SessionId aSession, const wire::Envelope& aEnvelope) {
                this->sim.Send(
                  this->host, "h" + std::to_string(aSession - 1), aEnvelope);
              },
@@ -102,7 +102,7 @@
                this->sim.Submit(this->host, std::move(aJob));
                return true;
              },
-             [this](SnapshotPtr aHeld) {
+             [this](const SnapshotPtr& aHeld) {
                this->sim.Check(this->host, aHeld->Version(), ContentOf(*aHeld));
              } };
   }
--- a/src/distribution/versionholder_test.cpp
+++ b/src/distribution/versionholder_test.cpp
@@ -104,6 +104,7 @@
 {
   for (const int count : { 1, 2, 8, 9, 10, 74, 1000 }) {
     std::vector<std::string> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
       members.push_back(fmt::format("host{:04}", index));
     }
--- a/src/distribution/wireconversion.cpp
+++ b/src/distribution/wireconversion.cpp
@@ -77,7 +77,7 @@
     return;
   }
   packed.text.resize(size);
-  aBody.changed = { std::move(packed) };
+  aBody.changed = { packed };
   aBody.removed.clear();
 }
 
