--- a/src/catalogue/catalogue_test.cpp
+++ b/src/catalogue/catalogue_test.cpp
@@ -29,7 +29,7 @@
 
 /** Builds without the hash check, which Apply() does last. */
 CatalogueResult<SnapshotPtr>
-BuildFrom(std::vector<ChangedEntry> aChanged)
+BuildFrom(const std::vector<ChangedEntry>& aChanged)
 {
   AcceptedEntries entries;
   for (const ChangedEntry& changed : aChanged) {
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -88,7 +88,7 @@
   if (this->clock.Now() >= this->dutiesDueAt) {
     this->RefreshDuties();
   }
-  if (!this->isStartOver) {
+  if (!this->isStartOver || !this->startRule.MayPublish()) {
     this->TickStart();
   }
   this->TickFetch();
@@ -133,6 +133,9 @@
     this->isPlatformAsked = true;
     this->AskPlatform();
   }
+  if (this->isStartOver) {
+    return;
+  }
   this->isStartOver = this->startRule.IsOver(this->IsBehind());
   if (this->isStartOver) {
     kLog.Info("start is over with version {}", this->Held()->Version());
@@ -140,21 +143,17 @@
 }
 
 void
-Distributor::AskPeers(const std::vector<std::string>& aHosts)
+Distributor::AskPeers(std::vector<std::string> aHosts)
 {
+  std::erase(aHosts, this->config.host);
   if (aHosts.empty()) {
     return;
   }
   // A start at random spreads the questions over the members.
-  const std::size_t first = RandomBelow(this->random, aHosts.size());
-  for (std::size_t step = 0; step < aHosts.size(); ++step) {
-    const std::string& host = aHosts[(first + step) % aHosts.size()];
-    if (host == this->config.host) {
-      continue;
-    }
-    if (!this->startRule.Ask(host)) {
-      return;
-    }
+  const auto first =
+    static_cast<std::ptrdiff_t>(RandomBelow(this->random, aHosts.size()));
+  std::rotate(aHosts.begin(), aHosts.begin() + first, aHosts.end());
+  for (const std::string& host : this->startRule.TakeDue(aHosts)) {
     this->hooks.send(host, FetchEnvelope(kVersionQuery));
   }
 }
@@ -243,7 +242,7 @@
 {
   this->acceptor.SetActive(this->isAcceptor);
   // An acceptor that knows of a newer version would publish from an old base.
-  if (this->isStartOver && !this->IsBehind()) {
+  if (this->isStartOver && this->startRule.MayPublish() && !this->IsBehind()) {
     this->acceptor.Tick();
   }
 }
@@ -301,7 +300,7 @@
   wire::Envelope envelope;
   envelope.__set_configAnswer(
     this->fetchServer.Answer(this->holder, aFetch.held));
-  this->hooks.reply(aSession, std::move(envelope));
+  this->hooks.reply(aSession, envelope);
 }
 
 void
--- a/src/distribution/edits.cpp
+++ b/src/distribution/edits.cpp
@@ -161,7 +161,9 @@
 }
 
 void
-Edits::Reject(EditGroup& aGroup, CatalogueErrorCode aCode, std::string aReason)
+Edits::Reject(EditGroup& aGroup,
+              CatalogueErrorCode aCode,
+              const std::string& aReason)
 {
   aGroup.isRejected = true;
   for (const Edit& edit : aGroup.edits) {
--- a/src/distribution/startrule.cpp
+++ b/src/distribution/startrule.cpp
@@ -1,5 +1,6 @@
 #include "distribution/startrule.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingwharf {
@@ -11,19 +12,45 @@
 // Some of the asked peers may be dead without the member list knowing it yet.
 constexpr std::size_t kPeersToAsk = 5;
 
+// Questions and answers get lost while the network comes up.
+constexpr Millis kAskInterval = 500;
+
+// An acceptor that cannot reach its peers publishes all the same after this,
+// so that a partition does not hold up every change.
+constexpr Millis kLongestSilence = 10000;
+
 } // namespace
 
 StartRule::StartRule(Clock aClock, Millis aStartWait)
   : clock(std::move(aClock))
-  , deadline(this->clock.Now() + aStartWait)
+  , startedAt(this->clock.Now())
+  , startWait(aStartWait)
 {
 }
 
 bool
-StartRule::Ask(const std::string& aHost)
+StartRule::IsDue(const std::string& aPeer) const
 {
-  return !this->isOver && this->asked.size() < kPeersToAsk &&
-         this->asked.insert(aHost).second;
+  const auto found = this->asked.find(aPeer);
+  if (found == this->asked.end()) {
+    return this->asked.size() < kPeersToAsk;
+  }
+  return !this->answered.contains(aPeer) &&
+         this->clock.Now() - found->second >= kAskInterval;
+}
+
+std::vector<std::string>
+StartRule::TakeDue(const std::vector<std::string>& aPeers)
+{
+  this->knownPeers = std::max(this->knownPeers, aPeers.size());
+  std::vector<std::string> due;
+  for (const std::string& peer : aPeers) {
+    if (this->IsDue(peer)) {
+      this->asked[peer] = this->clock.Now();
+      due.push_back(peer);
+    }
+  }
+  return due;
 }
 
 void
@@ -45,10 +72,19 @@
 {
   const bool isComplete = this->answered.size() >= kPeersToHear &&
                           this->isPlatformAnswered && !aIsBehind;
-  if (isComplete || this->clock.Now() >= this->deadline) {
+  const Millis age = this->clock.Now() - this->startedAt;
+  if (isComplete || age >= this->startWait) {
     this->isOver = true;
   }
   return this->isOver;
 }
 
+bool
+StartRule::MayPublish() const
+{
+  const std::size_t needed = std::min(kPeersToHear, this->knownPeers);
+  return this->answered.size() >= needed ||
+         this->clock.Now() - this->startedAt >= kLongestSilence;
+}
+
 } // namespace lacewingwharf
--- a/src/distribution/wireconversion.cpp
+++ b/src/distribution/wireconversion.cpp
@@ -81,7 +81,7 @@
     return;
   }
   packed.text.resize(size);
-  aBody.changed = { std::move(packed) };
+  aBody.changed = { packed };
   aBody.removed.clear();
 }
 
