--- a/src/ctl/fleetinspector.cpp
+++ b/src/ctl/fleetinspector.cpp
@@ -97,6 +97,23 @@
   return status.value("reason", "rejected");
 }
 
+ExitCode
+FleetInspector::Explain()
+{
+  const std::string& name = this->options.arguments.front();
+  const auto objects = this->store.list(fmt::format("status/{}/", name));
+  if (!objects) {
+    this->error(fmt::format(
+      "{}: {}\n", name, kPlatformErrorNames.NameOf(objects.error().code)));
+    return ExitCode::PlatformFailed;
+  }
+  std::ranges::for_each(
+    objects.value().objects, [this](const StoredObject& aObject) {
+      this->out(fmt::format("{}: {}\n", aObject.name, aObject.value));
+    });
+  return ExitCode::Ok;
+}
+
 ExitCode
 FleetInspector::Wait()
 {
--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -84,7 +84,6 @@
   , hooks(std::move(aHooks))
   , clock(Clock::Steady())
   , quarantine(QuarantineOf(aSettings), this->clock)
-  , stats(this->clock)
   , server(ServerConfig(aSettings),
            { [this](RequestId aRequest, HttpRequest aData) {
               this->BeginCall(aRequest, std::move(aData));
@@ -139,9 +138,7 @@
   entryHooks.hasLostServer = [this](std::uint64_t aDigest) {
     return this->Check(aDigest) != QuarantineVerdict::Free;
   };
-  entryHooks.ended = [this](const EntryCall& aCall, const Ending& aEnding) {
-    this->RecordEnd(aCall, aEnding);
-  };
+  entryHooks.ended = [](const EntryCall&, const Ending&) {};
   return entryHooks;
 }
 
@@ -339,14 +336,6 @@
   return count + this->server.InFlight();
 }
 
-bool
-CallsService::Run(
-  const std::function<void(EntryStats&, const DestinationCalls&)>& aRead)
-{
-  return this->loop.Run(
-    [this, &aRead] { aRead(this->stats, this->destinationCalls); });
-}
-
 void
 CallsService::Tick()
 {
@@ -362,19 +351,4 @@
   }
 }
 
-void
-CallsService::RecordEnd(const EntryCall& aCall, const Ending& aEnding)
-{
-  if (aCall.entry == nullptr) {
-    return;
-  }
-  EndedCall ended;
-  ended.entry = aCall.entry->name;
-  ended.owner = aCall.entry->owner;
-  ended.workClass = aCall.entry->workClass;
-  ended.caller = aCall.http.callerAddress;
-  ended.latencyMillis = this->clock.PreciseNow() - aCall.startedAt;
-  this->stats.Record(ended);
-}
-
 } // namespace lacewingwharf
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -8,7 +8,6 @@
 #include "proxy/httpclient.h"
 #include "proxy/httpserver.h"
 #include "settings/settings.h"
-#include "status/entrystats.h"
 
 #include <cstdint>
 #include <functional>
@@ -65,9 +64,6 @@
   /** Calls that entered here or run here and have not ended. */
   std::size_t InFlight();
 
-  /** Reads on the calls thread what status and metrics need. */
-  bool Run(
-    const std::function<void(EntryStats&, const DestinationCalls&)>& aRead);
   std::uint64_t Overflows() const;
 
 private:
@@ -78,13 +74,11 @@
   void AnswerOrigin(SessionId aOrigin, wire::CallAnswer aAnswer);
   void BeginCall(RequestId aRequest, HttpRequest aRequestData);
   QuarantineVerdict Check(std::uint64_t aDigest);
-  void RecordEnd(const EntryCall& aCall, const Ending& aEnding);
 
   Settings settings;
   CallsServiceHooks hooks;
   Clock clock;
   Quarantine quarantine;
-  EntryStats stats;
   HttpServer server;
   HttpClient client;
   EntryCalls entryCalls;
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -75,7 +75,6 @@
 
   /** Null when the held version does not have the entry. */
   Json EntryState(const std::string& aName);
-  Json Metrics();
 
 private:
   MembershipConfig MemberConfig(std::int64_t aIncarnation) const;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -56,7 +56,6 @@
 {
   PeerNetworkConfig config;
   config.listen = { this->settings.address, this->settings.peerPort };
-  config.self.protocol = wire::g_peer_constants.PROTOCOL_VERSION;
   config.self.host = this->settings.host;
   config.self.incarnation = this->incarnation;
   config.self.region = this->settings.region;
@@ -141,7 +140,7 @@
     }
     return entry.dump() + "\n";
   };
-  hooks.metrics = [this] { return this->Metrics(); };
+  hooks.metrics = [] { return std::string(); };
   return hooks;
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -32,7 +32,6 @@
   ControlServiceHooks ControlHooks();
   AdminHooks AdministrationHooks();
   std::string State();
-  std::string Metrics();
   void FinishCalls();
 
   Settings settings;
