Wait for the reported loss in the peer network's tests

Change: wait for the expected count, then check it exactly as before. Conclusion: the check is as strict as it was.

--- a/src/peer/peernetwork_test.cpp
+++ b/src/peer/peernetwork_test.cpp
@@ -111,6 +111,8 @@
   cr_assert(socket.IsClosedByPeer());
   cr_assert_geq(node.network->Counters().framesRejected, 1U);
   cr_assert(node.Events(PeerEventKind::Message).empty());
+  // The loss is reported just after the socket is closed.
+  cr_assert(node.Has(PeerEventKind::SessionLost, aLosses));
   cr_assert_eq(node.Events(PeerEventKind::SessionLost).size(), aLosses);
 }
 
