Add admission at the destination daemon and the retry budget

Cause: nothing decides yet which call gets a slot of a backend server. Change: Admission with SlotQueue (slots, bounded queue, class then owner with the fewest running calls, displacement), LimitShare and LimitBook (fleet-wide limits by largest remainder, domains first and hosts inside), TokenBucket, and RetryBudget. While calls of others wait, no owner takes the last quarter of the slots. A differential test compares 200 random schedules with a plain list; another 200 check slots, deadlines and exactly one decision per offer. The limits of several daemons and the retry budget's guard are still to be tried.

--- /dev/null
+++ b/src/admission/limitbook.cpp
@@ -0,0 +1,170 @@
+#include "admission/limitbook.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+// Rates are split in thousandths of a call per second; whole calls would leave
+// most hosts of a large service without any share of a small limit.
+constexpr std::int64_t kRateUnits = 1000;
+
+// A bucket holds this many seconds of its rate, and at least one call.
+constexpr double kBurstSeconds = 0.25;
+
+void SetShares(LimitUse& aUse,
+               const Limits& aLimits,
+               const LimitShare& aShare,
+               std::string_view aSalt)
+{
+  aUse.concurrency.reset();
+  aUse.ratePerSecond.reset();
+  if (aLimits.concurrency > 0) {
+    aUse.concurrency = aShare.Of(aLimits.concurrency, aSalt);
+  }
+  if (aLimits.ratePerSecond > 0) {
+    const std::int64_t units =
+      aShare.Of(aLimits.ratePerSecond * kRateUnits, aSalt);
+    const double rate =
+      static_cast<double>(units) / static_cast<double>(kRateUnits);
+    aUse.ratePerSecond = rate;
+    aUse.bucket.SetRate(rate, std::max(1.0, rate * kBurstSeconds));
+  }
+}
+
+std::optional<Refusal> CheckConcurrency(const LimitUse& aUse,
+                                        RefusalReason aReason)
+{
+  if (!aUse.concurrency || aUse.inFlight < *aUse.concurrency) {
+    return std::nullopt;
+  }
+  Refusal refusal;
+  refusal.reason = aReason;
+  refusal.bound = *aUse.concurrency;
+  refusal.seen = aUse.inFlight + 1;
+  return refusal;
+}
+
+std::optional<Refusal> CheckRate(LimitUse& aUse,
+                                 RefusalReason aReason,
+                                 double aNow)
+{
+  if (!aUse.ratePerSecond) {
+    return std::nullopt;
+  }
+  aUse.bucket.CountAttempt(aNow);
+  if (*aUse.ratePerSecond > 0 && aUse.bucket.HasToken(aNow)) {
+    return std::nullopt;
+  }
+  Refusal refusal;
+  refusal.reason = aReason;
+  refusal.bound = std::llround(std::ceil(*aUse.ratePerSecond));
+  refusal.seen = std::llround(std::ceil(aUse.bucket.AttemptsPerSecond(aNow)));
+  refusal.seen = std::max(refusal.seen, refusal.bound + 1);
+  refusal.retryAfter = std::llround(std::ceil(aUse.bucket.MillisToToken(aNow)));
+  return refusal;
+}
+
+ServiceView ViewOf(const EndpointView& aView, const std::string& aService)
+{
+  const auto found = aView.services.find(aService);
+  return found == aView.services.end() ? ServiceView{} : found->second;
+}
+
+} // namespace
+
+LimitBook::LimitBook(std::string aHost)
+  : host(std::move(aHost))
+{
+}
+
+void LimitBook::Configure(const Snapshot& aSnapshot,
+                          const EndpointView& aView,
+                          const OwnSlots& aOwnSlots)
+{
+  this->ConfigureEntries(aSnapshot, aView, aOwnSlots);
+  this->ConfigureOwners(aSnapshot, aView, aOwnSlots);
+}
+
+void LimitBook::ConfigureEntries(const Snapshot& aSnapshot,
+                                 const EndpointView& aView,
+                                 const OwnSlots& aOwnSlots)
+{
+  std::erase_if(this->entries, [&aSnapshot](const auto& aUse) {
+    return aUse.second.inFlight == 0 && !aSnapshot.Find(aUse.first);
+  });
+  for (const auto& [name, accepted] : aSnapshot.Entries()) {
+    const Entry& entry = accepted->entry;
+    const std::int64_t ownSlots = aOwnSlots(entry.service);
+    if (entry.kind != EntryKind::Route || ownSlots == 0) {
+      continue;
+    }
+    LimitShare share(this->host);
+    share.Add(ViewOf(aView, entry.service), ownSlots);
+    SetShares(this->entries[name], entry.limits, share, name);
+  }
+}
+
+void LimitBook::ConfigureOwners(const Snapshot& aSnapshot,
+                                const EndpointView& aView,
+                                const OwnSlots& aOwnSlots)
+{
+  std::map<std::string, std::set<std::string>> services;
+  for (const auto& [name, accepted] : aSnapshot.Entries()) {
+    const Entry& entry = accepted->entry;
+    if (entry.kind == EntryKind::Route && aSnapshot.OwnerLimits(entry.owner)) {
+      services[entry.owner].insert(entry.service);
+    }
+  }
+  std::erase_if(this->owners, [&services](const auto& aUse) {
+    return aUse.second.inFlight == 0 && !services.contains(aUse.first);
+  });
+  for (const auto& [owner, used] : services) {
+    LimitShare share(this->host);
+    for (const std::string& service : used) {
+      share.Add(ViewOf(aView, service), aOwnSlots(service));
+    }
+    const Entry* const entry = aSnapshot.OwnerLimits(owner);
+    SetShares(this->owners[owner], entry->limits, share, owner);
+  }
+}
+
+std::optional<Refusal> LimitBook::Check(const AdmissionRequest& aRequest,
+                                        double aNow)
+{
+  LimitUse& entry = this->entries[aRequest.entry];
+  LimitUse& owner = this->owners[aRequest.owner];
+  auto refusal = CheckConcurrency(entry, RefusalReason::EntryConcurrency);
+  if (!refusal) {
+    refusal = CheckConcurrency(owner, RefusalReason::OwnerConcurrency);
+  }
+  auto rate = CheckRate(entry, RefusalReason::EntryRate, aNow);
+  auto ownerRate = CheckRate(owner, RefusalReason::OwnerRate, aNow);
+  if (!refusal) {
+    refusal = rate ? rate : ownerRate;
+  }
+  return refusal;
+}
+
+void LimitBook::Admit(const AdmissionRequest& aRequest, double aNow)
+{
+  for (LimitUse* const use :
+       { &this->entries[aRequest.entry], &this->owners[aRequest.owner] }) {
+    ++use->inFlight;
+    if (use->ratePerSecond) {
+      use->bucket.Take(aNow);
+    }
+  }
+}
+
+void LimitBook::Release(const AdmissionRequest& aRequest)
+{
+  --this->entries[aRequest.entry].inFlight;
+  --this->owners[aRequest.owner].inFlight;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/admission/retrybudget_test.cpp
@@ -0,0 +1,44 @@
+#include "admission/retrybudget.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingwharf;
+
+// Guards against a retry storm: every call to a failing service is sent again.
+Test(retrybudget, FailingServiceSeesFewRetries)
+{
+  ManualClock clock;
+  RetryBudget budget(clock.View());
+  constexpr int kSeconds = 60;
+  constexpr int kCallsPerSecond = 1000;
+  int retries = 0;
+  for (int call = 0; call < kSeconds * kCallsPerSecond; ++call) {
+    clock.Advance(1);
+    retries += budget.TryRetry("orders") ? 1 : 0;
+  }
+  cr_assert_leq(retries, 3 * kSeconds + 3);
+  cr_assert_geq(retries, 3 * kSeconds - 3);
+}
+
+// Guards against a healthy period whose credit pays for a storm much later.
+Test(retrybudget, CreditOfSuccessesDecays)
+{
+  ManualClock clock;
+  RetryBudget budget(clock.View());
+  for (int call = 0; call < 10000; ++call) {
+    budget.CountSuccess("orders");
+  }
+  cr_assert_geq(budget.Available("orders"), 1000);
+  clock.Advance(100000);
+  cr_assert_leq(budget.Available("orders"), 4);
+}
+
+// Guards against one failing service that uses up the retries of another.
+Test(retrybudget, ServicesHaveBudgetsOfTheirOwn)
+{
+  ManualClock clock;
+  RetryBudget budget(clock.View());
+  while (budget.TryRetry("orders")) {
+  }
+  cr_assert(budget.TryRetry("fonts"));
+}
