Test fleet-wide limits and fairness between owners

Cause: limits over several daemons and fairness had no test, and three tests of admission passed without the code that they guard. Change: limits_test runs an Admission on each of up to 21 hosts with one view and with views that differ; fairness_test floods one server. The expected wait leaves out calls of owners that have reached their cap, since they start later. The tests for a second offer, nested hooks and a missing configuration now fail without their guard; the retry budget's test no longer loops without end. Beside a flood of 10 times the server's capacity an owner within its share has no refusal. Conclusion: limits are exact under one view and stay within the stated overshoot. A full queue still refuses the lower class first, whoever fills it.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -138,33 +138,42 @@
 // call can arrive twice.
 Test(admission, SecondOfferOfTheSameCallIsIgnored)
 {
-  OneServer server(1);
+  OneServer server(2);
   server.admission.Offer(RequestOf("call"));
   server.admission.Offer(RequestOf("call"));
   cr_assert_eq(server.seen.starts["call"], 1);
+  cr_assert_eq(server.admission.LoadOf(kService, kPort).running, 1);
   cr_assert(server.seen.refusals.empty());
 }
 
-// Guards against use of the queue while it changes: a hook may call back.
-Test(admission, HooksMayCallBack)
+// Guards against a stack that grows with the queue: a hook may call back.
+Test(admission, HooksThatCallBackAreNotNested)
 {
   ManualClock clock;
   std::unique_ptr<Admission> admission;
   int started = 0;
+  int depth = 0;
+  const auto finishAtOnce = [&](const std::string& aId) {
+    cr_assert_eq(++depth, 1);
+    ++started;
+    if (aId != "first") {
+      admission->Finish(aId, 1);
+    }
+    --depth;
+  };
   admission = std::make_unique<Admission>(
     "host",
     clock.View(),
-    Admission::Hooks{ [&](const std::string& aId) {
-                       ++started;
-                       admission->Finish(aId, 1);
-                     },
+    Admission::Hooks{ finishAtOnce,
                       [](const std::string&, const Refusal&) {} });
   admission->SetConfiguration(CatalogueWith({}, {}), ViewOf({ { "host", 1 } }));
   admission->SetEndpoint(kService, kPort, 1, 0, EndpointState::Ready);
-  for (int index = 0; index < 100; ++index) {
+  admission->Offer(RequestOf("first"));
+  for (int index = 0; index < 4; ++index) {
     admission->Offer(RequestOf(std::to_string(index)));
   }
-  cr_assert_eq(started, 100);
+  admission->Finish("first", 1);
+  cr_assert_eq(started, 5);
   cr_assert_eq(admission->LoadOf(kService, kPort).running, 0);
 }
 
@@ -189,5 +198,6 @@
   Admission admission("host", clock.View(), seen.Hooks());
   admission.SetEndpoint(kService, kPort, 1, 0, EndpointState::Ready);
   admission.Offer(RequestOf("call"));
+  cr_assert_eq(seen.refusals["call"], 1);
   cr_assert_eq(seen.reasons["call"], RefusalReason::NoConfiguration);
 }
--- /dev/null
+++ b/src/admission/fairness_test.cpp
@@ -0,0 +1,158 @@
+#include "admission/admissionharness.h"
+#include "common/random.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace lacewingwharf;
+using namespace lacewingwharf::testing;
+
+namespace {
+
+constexpr int kSlots = 8;
+constexpr double kServiceMillis = 20;
+constexpr double kLongMillis = 60;
+
+/** One server under a flood of "greedy" beside the calls of "modest". */
+class FloodedServer
+{
+public:
+  FloodedServer(WorkClass aGreedyClass, Millis aGreedyQueueWait)
+    : greedyClass(aGreedyClass)
+    , greedyQueueWait(aGreedyQueueWait)
+  {
+    this->admission.SetConfiguration(CatalogueWith({}, {}), ViewOf({}));
+    this->admission.SetEndpoint(
+      kService, kPort, kSlots, 0, EndpointState::Ready);
+  }
+
+  /** Calls per step of 1 ms; returns the finished calls of "modest". */
+  int Run(int aSteps, double aGreedyPerStep, double aModestPerStep)
+  {
+    double greedy = 0;
+    double modest = 0;
+    for (int step = 0; step < aSteps; ++step) {
+      this->clock.Advance(1);
+      this->FinishDue();
+      for (greedy += aGreedyPerStep; greedy >= 1; greedy -= 1) {
+        this->Offer("greedy", this->greedyClass);
+      }
+      for (modest += aModestPerStep; modest >= 1; modest -= 1) {
+        this->Offer("modest", WorkClass::Interactive);
+      }
+      this->admission.Tick();
+    }
+    return this->modestDone;
+  }
+
+  int modestDone = 0;
+  int modestRefused = 0;
+  double greedyMillis = kServiceMillis;
+
+private:
+  struct RunningCall
+  {
+    std::string id;
+    double until;
+  };
+
+  Admission::Hooks Hooks()
+  {
+    const auto start = [this](const std::string& aId) {
+      this->running.push_back(
+        { aId, this->clock.View().PreciseNow() + this->ServiceOf(aId) });
+    };
+    const auto refuse = [this](const std::string& aId, const Refusal&) {
+      this->modestRefused += aId.starts_with("modest") ? 1 : 0;
+    };
+    return { start, refuse };
+  }
+
+  double ServiceOf(const std::string& aId) const
+  {
+    return aId.starts_with("greedy") ? this->greedyMillis : kServiceMillis;
+  }
+
+  void Offer(const std::string& aOwner, WorkClass aClass)
+  {
+    const Millis now = this->clock.View().Now();
+    auto request =
+      RequestOf(aOwner + std::to_string(this->sequence++), now + 1000);
+    request.owner = aOwner;
+    request.workClass = aClass;
+    request.queueWait = aOwner == "greedy" ? this->greedyQueueWait : 200;
+    this->admission.Offer(request);
+  }
+
+  void FinishDue()
+  {
+    const double now = this->clock.View().PreciseNow();
+    std::vector<std::string> due;
+    std::erase_if(this->running, [&](const RunningCall& aCall) {
+      if (aCall.until <= now) {
+        due.push_back(aCall.id);
+      }
+      return aCall.until <= now;
+    });
+    for (const std::string& id : due) {
+      this->modestDone += id.starts_with("modest") ? 1 : 0;
+      this->admission.Finish(id, this->ServiceOf(id));
+    }
+  }
+
+  WorkClass greedyClass;
+  Millis greedyQueueWait;
+  ManualClock clock;
+  std::vector<RunningCall> running;
+  int sequence = 0;
+  Admission admission{ "host", clock.View(), this->Hooks() };
+};
+
+} // namespace
+
+// Guards against an owner that floods and takes the share of another: the
+// server can do 0.4 calls a step, so an owner's share is 0.2 a step.
+Test(fairness, FloodTakesNothingFromAShareOfTheSameClass)
+{
+  constexpr int kSteps = 10000;
+  for (const double flood : { 0.4, 1.0, 4.0 }) {
+    FloodedServer server(WorkClass::Interactive, 200);
+    const int done = server.Run(kSteps, flood, 0.19);
+    cr_assert_eq(server.modestRefused, 0, "flood %f", flood);
+    cr_assert_geq(done, 0.185 * kSteps, "flood %f", flood);
+  }
+}
+
+// Guards against an owner that gets less than half when both flood.
+Test(fairness, TwoFloodsShareEqually)
+{
+  constexpr int kSteps = 10000;
+  FloodedServer server(WorkClass::Interactive, 200);
+  const int done = server.Run(kSteps, 4, 1);
+  cr_assert_geq(done, 0.19 * kSteps);
+  cr_assert_leq(done, 0.21 * kSteps);
+}
+
+// Guards against an owner that takes more slots by sending longer calls: half
+// of the slots can do 0.2 of the short calls a step.
+Test(fairness, LongCallsDoNotTakeTheSlotsOfShortOnes)
+{
+  constexpr int kSteps = 10000;
+  FloodedServer server(WorkClass::Interactive, 200);
+  server.greedyMillis = kLongMillis;
+  const int done = server.Run(kSteps, 4, 1);
+  cr_assert_geq(done, 0.18 * kSteps);
+}
+
+// Guards against starvation of all other owners by a flood in an important
+// class: a quarter of the slots (0.1 calls a step) remains for them as long as
+// the flood's own queue time keeps it from filling the queue. A full queue
+// refuses the lower class first, whoever fills it.
+Test(fairness, FloodOfAnImportantClassLeavesAQuarter)
+{
+  constexpr int kSteps = 10000;
+  FloodedServer server(WorkClass::Critical, 50);
+  const int done = server.Run(kSteps, 4, 0.09);
+  cr_assert_geq(done, 0.08 * kSteps);
+}
--- /dev/null
+++ b/src/admission/limits_test.cpp
@@ -0,0 +1,229 @@
+#include "admission/admissionharness.h"
+#include "admission/limitshare.h"
+#include "common/random.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <memory>
+
+using namespace lacewingwharf;
+using namespace lacewingwharf::testing;
+
+namespace {
+
+struct Daemon
+{
+  Daemon(const std::string& aHost, const Clock& aClock, int aSlots)
+    : admission(aHost, aClock, this->seen.Hooks())
+  {
+    this->admission.SetEndpoint(
+      kService, kPort, aSlots, 0, EndpointState::Ready);
+  }
+
+  Recorder seen;
+  Admission admission;
+};
+
+using Hosts = std::vector<std::pair<std::string, int>>;
+
+Hosts HostsWithSlots(const std::vector<int>& aSlots)
+{
+  Hosts hosts;
+  for (const int slots : aSlots) {
+    hosts.emplace_back("host" + std::to_string(hosts.size()), slots);
+  }
+  return hosts;
+}
+
+/** One Admission on each host. */
+struct Fleet
+{
+  Fleet(const Hosts& aHosts, const SnapshotPtr& aSnapshot)
+  {
+    for (const auto& [host, slots] : aHosts) {
+      auto daemon = std::make_unique<Daemon>(host, this->clock.View(), slots);
+      daemon->admission.SetConfiguration(aSnapshot, ViewOf(aHosts));
+      this->daemons.push_back(std::move(daemon));
+    }
+  }
+
+  void OfferEverywhere(int aCalls, const std::string& aPrefix)
+  {
+    for (int call = 0; call < aCalls; ++call) {
+      for (const auto& daemon : this->daemons) {
+        daemon->admission.Offer(RequestOf(aPrefix + std::to_string(call)));
+      }
+    }
+  }
+
+  std::size_t Started() const
+  {
+    std::size_t sum = 0;
+    for (const auto& daemon : this->daemons) {
+      sum += daemon->seen.starts.size();
+    }
+    return sum;
+  }
+
+  ManualClock clock;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+};
+
+Limits Concurrency(int aCalls)
+{
+  Limits limits;
+  limits.concurrency = aCalls;
+  return limits;
+}
+
+Limits Rate(int aPerSecond)
+{
+  Limits limits;
+  limits.ratePerSecond = aPerSecond;
+  return limits;
+}
+
+} // namespace
+
+// Guards against a fleet limit that is exceeded in the sum, or not usable in
+// full because of rounding, when all daemons have the same view.
+Test(limits, ConcurrencyIsExactOverDaemonsWithOneView)
+{
+  const Random random = SeededRandom(7);
+  for (int trial = 0; trial < 50; ++trial) {
+    std::vector<int> slots(2 + RandomBelow(random, 20));
+    std::ranges::generate(slots, [&random] {
+      return 10 + static_cast<int>(RandomBelow(random, 20));
+    });
+    const auto limit = static_cast<std::size_t>(RandomBelow(random, 20)) + 1;
+    const int bound = static_cast<int>(limit);
+    Fleet byEntry(HostsWithSlots(slots), CatalogueWith(Concurrency(bound), {}));
+    byEntry.OfferEverywhere(20, "call");
+    cr_assert_eq(byEntry.Started(), limit);
+    Fleet byOwner(HostsWithSlots(slots), CatalogueWith({}, Concurrency(bound)));
+    byOwner.OfferEverywhere(20, "call");
+    cr_assert_eq(byOwner.Started(), limit);
+  }
+}
+
+// Guards against more than the stated overshoot while views differ: at most
+// the sum of the shares of the endpoints that one side lacks.
+Test(limits, OvershootIsBoundedByTheSharesOfMissingEndpoints)
+{
+  constexpr int kLimit = 40;
+  const Hosts hosts = HostsWithSlots({ 10, 10, 10, 10, 10, 10, 10, 10 });
+  const Hosts known(hosts.begin(), hosts.begin() + 6);
+  const auto snapshot = CatalogueWith(Concurrency(kLimit), {});
+  Fleet fleet(hosts, snapshot);
+  for (std::size_t index = 0; index < known.size(); ++index) {
+    fleet.daemons[index]->admission.SetConfiguration(snapshot, ViewOf(known));
+  }
+  fleet.OfferEverywhere(20, "call");
+  constexpr std::size_t kMissingShares = 2 * kLimit / 8;
+  cr_assert_gt(fleet.Started(), 0U + kLimit);
+  cr_assert_leq(fleet.Started(), kLimit + kMissingShares);
+}
+
+// Guards against a rate that is exceeded in the sum over the daemons.
+Test(limits, RateHoldsOverDaemons)
+{
+  constexpr int kRate = 50;
+  constexpr int kSeconds = 10;
+  const Hosts hosts = HostsWithSlots({ 6, 6, 12, 7 });
+  Fleet fleet(hosts, CatalogueWith(Rate(kRate), {}));
+  for (int step = 0; step < kSeconds * 100; ++step) {
+    fleet.clock.Advance(10);
+    const std::string id = std::to_string(step);
+    for (const auto& daemon : fleet.daemons) {
+      daemon->admission.Offer(RequestOf(id));
+      daemon->admission.Finish(id, 1);
+    }
+  }
+  // A quarter of a second's calls as burst, and one call for each host.
+  cr_assert_leq(fleet.Started(), kRate * kSeconds + kRate / 4 + hosts.size());
+  cr_assert_geq(fleet.Started(), 0U + kRate * kSeconds - hosts.size());
+}
+
+// Guards against a refusal that does not say whose limit it was.
+Test(limits, RefusalNamesTheLimit)
+{
+  Fleet fleet(HostsWithSlots({ 10 }), CatalogueWith(Concurrency(3), {}));
+  fleet.OfferEverywhere(4, "call");
+  const Refusal& refusal = fleet.daemons[0]->seen.last;
+  cr_assert_eq(refusal.reason, RefusalReason::EntryConcurrency);
+  cr_assert_str_eq(refusal.entry.c_str(), "tills");
+  cr_assert_str_eq(refusal.owner.c_str(), "shop");
+  cr_assert_eq(refusal.bound, 3);
+  cr_assert_eq(refusal.seen, 4);
+}
+
+// Guards against a limit that shrinks to nothing as calls come and go.
+Test(limits, FinishedCallsGiveTheirShareBack)
+{
+  Fleet fleet(HostsWithSlots({ 10 }), CatalogueWith(Concurrency(2), {}));
+  Admission& admission = fleet.daemons[0]->admission;
+  for (std::size_t round = 0; round < 5; ++round) {
+    const std::string id = std::to_string(round);
+    fleet.OfferEverywhere(3, id + "-");
+    cr_assert_eq(fleet.Started(), 2 * (round + 1));
+    admission.Finish(id + "-0", 1);
+    admission.Finish(id + "-1", 1);
+  }
+}
+
+// Guards against shares that depend on the distances, which differ between the
+// daemons of two failure domains, and on records that only one of them has.
+Test(limits, AggregatesOfOtherDomainsGiveTheSameSplit)
+{
+  constexpr int kLimit = 25;
+  const std::vector<std::string> domains{ "bangor", "wrecsam" };
+  std::int64_t sum = 0;
+  for (const std::string& own : domains) {
+    ServiceView view;
+    for (const std::string& domain : domains) {
+      const bool isOwn = domain == own;
+      view.domains.push_back(
+        { domain,
+          isOwn ? Distance::SameDomain : Distance::SameRegion,
+          3,
+          domain == "bangor" ? 18 : 30,
+          0,
+          1.0 });
+    }
+    for (int index = 0; index < 3; ++index) {
+      EndpointInfo info;
+      info.host = own + std::to_string(index);
+      info.domain = own;
+      info.slots = own == "bangor" ? 6 : 10;
+      view.endpoints.push_back(info);
+    }
+    for (int index = 0; index < 3; ++index) {
+      LimitShare share(own + std::to_string(index));
+      share.Add(view, 10);
+      sum += share.Of(kLimit, "tills");
+    }
+  }
+  cr_assert_eq(sum, kLimit);
+}
+
+// Guards against small limits that all fall to the same first hosts.
+Test(limits, RemaindersOfDifferentEntriesGoToDifferentHosts)
+{
+  std::map<std::string, std::int64_t> perHost;
+  for (int entry = 0; entry < 100; ++entry) {
+    std::vector<SharePart> parts;
+    parts.reserve(10);
+    for (int host = 0; host < 10; ++host) {
+      parts.push_back({ "host" + std::to_string(host), 6, 0 });
+    }
+    SplitByLargestRemainder(1, "entry" + std::to_string(entry), parts);
+    for (const SharePart& part : parts) {
+      perHost[part.name] += part.share;
+    }
+  }
+  for (const auto& [host, calls] : perHost) {
+    cr_assert_leq(calls, 30);
+    cr_assert_geq(calls, 1);
+  }
+}
--- a/src/admission/retrybudget_test.cpp
+++ b/src/admission/retrybudget_test.cpp
@@ -38,7 +38,9 @@
 {
   ManualClock clock;
   RetryBudget budget(clock.View());
-  while (budget.TryRetry("orders")) {
+  for (int retry = 0; retry < 10; ++retry) {
+    budget.TryRetry("orders");
   }
+  cr_assert_not(budget.TryRetry("orders"));
   cr_assert(budget.TryRetry("fonts"));
 }
--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -158,17 +158,21 @@
 /**
  * Calls that start before a new call of this class and owner: all of more
  * important classes, and in its own class those of each owner that come up
- * before this owner has had its earlier calls started.
+ * before this owner has had its earlier calls started. Calls of owners that
+ * have reached their cap come later.
  */
 int SlotQueue::StartsBefore(const AdmissionRequest& aRequest) const
 {
   int before = 0;
   std::map<std::string_view, int> byOwner;
   for (const WaitingCall& call : this->waiting) {
-    if (call.request.workClass < aRequest.workClass) {
-      ++before;
-    } else if (call.request.workClass == aRequest.workClass) {
-      ++byOwner[call.request.owner];
+    const AdmissionRequest& other = call.request;
+    const bool isLater = other.owner != aRequest.owner &&
+                         this->RunningOf(other.owner) >= this->OwnerCap();
+    if (other.workClass < aRequest.workClass) {
+      before += isLater ? 0 : 1;
+    } else if (other.workClass == aRequest.workClass && !isLater) {
+      ++byOwner[other.owner];
     }
   }
   const int own = byOwner[aRequest.owner];
