Test the choice of backend server

Change: serverchooser_test covers tried endpoints, ejection, its cap, slow and falsely reporting servers, slow start, spill-over and its recovery. Seen failing on a scratch copy without their guard: tried endpoints, consecutive errors, doubling, end of ejection, error ratio, cap, near endpoints first under the cap, latency, bound on reported load, use of reported load, slow start, pressure, its decay, nearest first, and refusals by limits that do not count as a full domain.

--- /dev/null
+++ b/src/routing/serverchooser_test.cpp
@@ -0,0 +1,260 @@
+#include "routing/chooserharness.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <map>
+
+using namespace lacewingwharf;
+using namespace lacewingwharf::testing;
+
+namespace {
+
+const std::set<EndpointKey> kNoneTried;
+
+struct Fixture
+{
+  std::string ChooseHost()
+  {
+    return this->chooser.Choose(kService, kNoneTried)->endpoint.host;
+  }
+
+  /** One call at a time, each to the chosen host; counts by host. */
+  std::map<std::string, int> Run(
+    int aCalls,
+    const std::function<Observation(const std::string&)>& aAnswer)
+  {
+    std::map<std::string, int> chosen;
+    for (int call = 0; call < aCalls; ++call) {
+      const std::string host = this->ChooseHost();
+      ++chosen[host];
+      this->chooser.Started(KeyOf(host));
+      this->clock.Advance(1);
+      this->chooser.Finished(KeyOf(host), aAnswer(host));
+    }
+    return chosen;
+  }
+
+  void Fail(const std::string& aHost, CallEnd aEnd, int aTimes)
+  {
+    for (int time = 0; time < aTimes; ++time) {
+      this->chooser.Started(KeyOf(aHost));
+      this->chooser.Finished(KeyOf(aHost), Ended(aEnd));
+    }
+  }
+
+  ManualClock clock{ 1000 };
+  ServerChooser chooser{ clock.View(), SeededRandom(11) };
+};
+
+} // namespace
+
+// Guards against attempts that go back to an endpoint that was tried, and
+// against a choice out of nothing.
+Test(serverchooser, TriedEndpointsAreLeftOutUntilNoneIsLeft)
+{
+  Fixture fixture;
+  cr_assert_not(fixture.chooser.Choose(kService, kNoneTried).has_value());
+  fixture.chooser.SetView(
+    ViewBuilder().Add("a").Add("b").Add("c", Distance::OtherRegion).Build());
+  fixture.Fail("a", CallEnd::Lost, 1);
+  std::set<EndpointKey> tried;
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    const auto choice = fixture.chooser.Choose(kService, tried);
+    cr_assert(choice.has_value());
+    cr_assert(tried.insert(KeyOf(choice->endpoint.host)).second);
+  }
+  cr_assert_not(fixture.chooser.Choose(kService, tried).has_value());
+  cr_assert_not(fixture.chooser.Choose("unknown", kNoneTried).has_value());
+}
+
+// Guards against calls to an endpoint that fails every call, and against an
+// ejection that never ends or does not grow.
+Test(serverchooser, FailingEndpointIsEjectedForTwoThenFourSeconds)
+{
+  Fixture fixture;
+  fixture.chooser.SetView(ViewBuilder().Add("a").Add("b").Build());
+  const auto isUsed = [&fixture](const std::string& aHost) {
+    bool used = false;
+    for (int call = 0; call < 50; ++call) {
+      used = used || fixture.ChooseHost() == aHost;
+    }
+    return used;
+  };
+  fixture.Fail("a", CallEnd::Failed, 4);
+  cr_assert(isUsed("a"));
+  fixture.Fail("a", CallEnd::Failed, 1);
+  cr_assert_not(isUsed("a"));
+  fixture.clock.Advance(1999);
+  cr_assert_not(isUsed("a"));
+  fixture.clock.Advance(1);
+  cr_assert(isUsed("a"));
+  fixture.Fail("a", CallEnd::Lost, 1);
+  fixture.clock.Advance(3999);
+  cr_assert_not(isUsed("a"));
+  fixture.clock.Advance(1);
+  cr_assert(isUsed("a"));
+}
+
+// Guards against an endpoint that fails most calls but never five in a row.
+Test(serverchooser, ErrorRatioAboveOneHalfEjects)
+{
+  Fixture fixture;
+  fixture.chooser.SetView(ViewBuilder().Add("a").Add("b").Build());
+  for (int round = 0; round < 4; ++round) {
+    fixture.Fail("a", CallEnd::Failed, 2);
+    fixture.Fail("a", CallEnd::Succeeded, 1);
+  }
+  cr_assert_eq(
+    fixture.Run(
+      50, [](const std::string&) { return Ended(CallEnd::Succeeded); })["a"],
+    0);
+}
+
+// Guards against a service that is left to its last endpoints because most
+// make calls fail, be it by a fault near this daemon.
+Test(serverchooser, AtMostHalfOfTheEndpointsAreEjected)
+{
+  for (const int count : { 2, 3, 4, 5, 23 }) {
+    Fixture fixture;
+    fixture.chooser.SetView(
+      ViewBuilder().AddMany(count, "host", Distance::SameDomain).Build());
+    for (int index = 1; index < count; ++index) {
+      fixture.Fail("host" + std::to_string(index), CallEnd::Lost, 3);
+    }
+    std::map<std::string, int> chosen;
+    for (int call = 0; call < 2000; ++call) {
+      ++chosen[fixture.ChooseHost()];
+    }
+    cr_assert_eq(static_cast<int>(chosen.size()), count - count / 2);
+  }
+}
+
+// Guards against a region that cannot be reached and uses up the cap, so that
+// a dead endpoint nearby stays in use.
+Test(serverchooser, NearEndpointsComeFirstUnderTheCap)
+{
+  Fixture fixture;
+  fixture.chooser.SetView(ViewBuilder()
+                            .AddMany(4, "far", Distance::OtherRegion)
+                            .AddMany(4, "near", Distance::SameDomain)
+                            .Build());
+  for (int index = 0; index < 4; ++index) {
+    fixture.Fail("far" + std::to_string(index), CallEnd::Lost, 3);
+  }
+  fixture.Fail("near0", CallEnd::Lost, 1);
+  cr_assert_eq(fixture.Run(100,
+                           [](const std::string&) {
+                             return Ended(CallEnd::Succeeded);
+                           })["near0"],
+               0);
+}
+
+// Guards against a slow server that keeps its share of the calls.
+Test(serverchooser, SlowServerGetsFewCalls)
+{
+  Fixture fixture;
+  fixture.chooser.SetView(
+    ViewBuilder().AddMany(4, "host", Distance::SameDomain).Build());
+  const auto chosen = fixture.Run(1000, [](const std::string& aHost) {
+    return Ended(CallEnd::Succeeded, aHost == "host0" ? 100 : 5);
+  });
+  cr_assert_leq(chosen.at("host0"), 20);
+}
+
+// Guards against a server that reports no load while it is the slowest: its
+// report may not outweigh what this daemon measured.
+Test(serverchooser, FalseLoadReportDoesNotAttractCalls)
+{
+  Fixture fixture;
+  fixture.chooser.SetView(
+    ViewBuilder().AddMany(4, "host", Distance::SameDomain).Build());
+  const auto chosen = fixture.Run(1000, [](const std::string& aHost) {
+    auto observation = Ended(CallEnd::Succeeded, aHost == "host0" ? 20 : 5);
+    observation.running = aHost == "host0" ? 0 : 6;
+    observation.waiting = aHost == "host0" ? 0 : 24;
+    observation.slots = 6;
+    return observation;
+  });
+  cr_assert_leq(chosen.at("host0"), 50);
+}
+
+// Guards against an idle server that is passed over for a loaded one when
+// their latencies are equal.
+Test(serverchooser, ReportedLoadDecidesBetweenEquals)
+{
+  Fixture fixture;
+  fixture.chooser.SetView(ViewBuilder().Add("busy").Add("idle").Build());
+  const auto answer = [](const std::string& aHost) {
+    auto observation = Ended(CallEnd::Succeeded, 5);
+    observation.running = aHost == "busy" ? 6 : 1;
+    observation.waiting = 0;
+    observation.slots = 6;
+    return observation;
+  };
+  auto chosen = fixture.Run(200, answer);
+  cr_assert_gt(chosen["idle"], 4 * chosen["busy"]);
+}
+
+// Guards against a server that is flooded while its caches are cold.
+Test(serverchooser, NewEndpointStartsSlowly)
+{
+  Fixture fixture;
+  const auto answer = [](const std::string&) {
+    return Ended(CallEnd::Succeeded);
+  };
+  fixture.chooser.SetView(ViewBuilder().Add("a").Add("b").Add("c").Build());
+  fixture.Run(100, answer);
+  fixture.chooser.SetView(
+    ViewBuilder().Add("a").Add("b").Add("c").Add("new").Build());
+  const int early = fixture.Run(500, answer)["new"];
+  fixture.clock.Advance(5000);
+  const int later = fixture.Run(500, answer)["new"];
+  cr_assert_leq(early, 25);
+  cr_assert_geq(later, 75);
+}
+
+// Guards against calls that cross the region link while nearer endpoints have
+// room, and against refusals for good when they have none.
+Test(serverchooser, FullDomainSpillsOverAndRecovers)
+{
+  Fixture fixture;
+  fixture.chooser.SetView(ViewBuilder()
+                            .AddMany(2, "near", Distance::SameDomain)
+                            .AddMany(2, "next", Distance::SameRegion)
+                            .AddMany(2, "far", Distance::OtherRegion)
+                            .Build());
+  const auto isNear = [](const auto& aChosen) {
+    int near = 0;
+    for (const auto& [host, calls] : aChosen) {
+      near += host.starts_with("near") ? calls : 0;
+    }
+    return near;
+  };
+  const auto succeed = [](const std::string&) {
+    return Ended(CallEnd::Succeeded);
+  };
+  cr_assert_eq(isNear(fixture.Run(500, succeed)), 500);
+  const auto full = fixture.Run(1000, [](const std::string& aHost) {
+    return aHost.starts_with("near") ? RefusedFull()
+                                     : Ended(CallEnd::Succeeded);
+  });
+  cr_assert_leq(isNear(full), 200);
+  cr_assert_eq(full.count("far0") + full.count("far1"), 0U);
+  fixture.clock.Advance(20000);
+  cr_assert_eq(isNear(fixture.Run(500, succeed)), 500);
+}
+
+// Guards against a domain that is passed over because of the limit of one
+// entry while its servers have free slots.
+Test(serverchooser, RefusalsByLimitsDoNotMoveCallsAway)
+{
+  Fixture fixture;
+  fixture.chooser.SetView(
+    ViewBuilder().Add("near").Add("far", Distance::OtherRegion).Build());
+  auto refused = RefusedFull();
+  refused.running = 1;
+  const auto chosen =
+    fixture.Run(200, [&](const std::string&) { return refused; });
+  cr_assert_eq(chosen.at("near"), 200);
+}
