--- a/src/distribution/acceptorrole_test.cpp
+++ b/src/distribution/acceptorrole_test.cpp
@@ -164,10 +164,12 @@
 {
   Pair pair;
   pair.EditService("s", "o1");
+  pair.store.Edit("catalogue/bad", "{");
   pair.store.answersToLose = 1;
   pair.a.role.Tick();
   pair.a.RunJob();
   cr_assert_eq(pair.a.Version(), 1);
+  cr_assert_eq(pair.a.role.Rejections().size(), 1U, "taken for a stranger's");
   cr_assert_eq(pair.store.puts[AcceptedName(1)], 1);
   cr_assert_eq(pair.store.All().count(AcceptedName(2)), 0U);
 }
@@ -257,6 +259,12 @@
     pair.a.Settle();
   }
   cr_assert_eq(pair.store.puts[name], 1);
+  pair.store.Edit("catalogue/worse", "[");
+  pair.a.Round();
+  pair.clock.Advance(5000);
+  pair.a.Settle();
+  cr_assert_eq(pair.store.puts["status/worse/acceptance"], 1);
+  cr_assert_eq(pair.store.puts[name], 1);
   pair.EditService("bad", "o");
   pair.b.Round();
   pair.clock.Advance(5000);
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -14,7 +14,8 @@
 
 constexpr Log kLog("distribution");
 
-// Ordering all members costs more than anything else in Tick().
+// Comparing all members costs more than anything else in Tick(); they are
+// ordered by hash only when they changed.
 constexpr Millis kDutyInterval = 500;
 
 // Gossip usually reports a new version while its push is still on the way.
@@ -95,8 +96,22 @@
 void Distributor::RefreshDuties()
 {
   this->dutiesDueAt = this->clock.Now() + kDutyInterval;
-  this->members = this->hooks.domainMembers();
-  std::ranges::sort(this->members);
+  std::vector<std::string> live = this->hooks.domainMembers();
+  std::ranges::sort(live);
+  if (live != this->members) {
+    this->members = std::move(live);
+    this->RefreshFeeders();
+  }
+  std::vector<std::string> candidates = this->hooks.acceptorCandidates();
+  if (candidates != this->candidates) {
+    this->candidates = std::move(candidates);
+    const auto order = RendezvousOrder("acceptor", this->candidates);
+    this->isAcceptor = !order.empty() && order.front() == this->config.host;
+  }
+}
+
+void Distributor::RefreshFeeders()
+{
   const auto rank =
     RankOf(RendezvousOrder("feeder/" + this->config.domain, this->members),
            this->config.host,
@@ -108,9 +123,6 @@
               this->config.domain);
   }
   this->feederRank = rank;
-  const auto order =
-    RendezvousOrder("acceptor", this->hooks.acceptorCandidates());
-  this->isAcceptor = !order.empty() && order.front() == this->config.host;
 }
 
 bool Distributor::IsBehind() const
@@ -121,7 +133,7 @@
 void Distributor::TickStart()
 {
   this->AskPeers(this->members);
-  this->AskPeers(this->hooks.acceptorCandidates());
+  this->AskPeers(this->candidates);
   if (!this->isPlatformAsked && this->clock.Now() >= this->platformDueAt) {
     this->isPlatformAsked = true;
     this->AskPlatform();
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -90,6 +90,7 @@
 private:
   OfferOutcome Offer(const Delta& aDelta, std::string_view aSource);
   void RefreshDuties();
+  void RefreshFeeders();
   void TickStart();
   void AskPeers(std::vector<std::string> aHosts);
   void AskPlatform();
@@ -117,7 +118,8 @@
   bool isPlatformBusy = false;
   Millis platformDueAt = 0;
   Millis dutiesDueAt = 0;
-  std::vector<std::string> members; // Sorted; of the own failure domain.
+  std::vector<std::string> members;    // Sorted; of the own failure domain.
+  std::vector<std::string> candidates; // For the acceptor role.
   std::optional<int> feederRank;
   bool isAcceptor = false;
   bool isStoreOlder = false;
--- a/src/distribution/distributor_test.cpp
+++ b/src/distribution/distributor_test.cpp
@@ -121,6 +121,34 @@
   cr_assert_geq(fleet.Get(host).Held()->Version(), 4);
 }
 
+// Guards against a start that is over before three peers and the platform
+// have answered, or while a newer version is known but not yet fetched.
+Test(distributor, AStartHearsThreePeersAndThePlatform)
+{
+  ManualClock clock(1000);
+  StartRule rule(clock.View(), 2000);
+  const std::vector<std::string> peers{ "a", "b", "c", "d", "e", "f" };
+  cr_assert_eq(rule.TakeDue(peers).size(), 5U);
+  cr_assert(rule.TakeDue(peers).empty());
+  rule.PlatformAnswered();
+  rule.PeerAnswered("a");
+  rule.PeerAnswered("b");
+  cr_assert_not(rule.IsOver(false));
+  cr_assert_not(rule.MayPublish());
+  clock.Advance(500);
+  cr_assert_eq(rule.TakeDue(peers).size(), 3U, "the silent ones again");
+  rule.PeerAnswered("c");
+  cr_assert_not(rule.IsOver(true));
+  cr_assert(rule.MayPublish());
+  cr_assert(rule.IsOver(false));
+  StartRule alone(clock.View(), 2000);
+  cr_assert(alone.MayPublish());
+  clock.Advance(1999);
+  cr_assert_not(alone.IsOver(false));
+  clock.Advance(1);
+  cr_assert(alone.IsOver(false));
+}
+
 // Guards R1 and R9 when the store is restored to an older state.
 Test(distributor, AFleetMovesOnAfterARestoredStore)
 {
--- a/src/distribution/fetchplan.cpp
+++ b/src/distribution/fetchplan.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-// A whole snapshot over the link between regions takes well under this time.
-constexpr Millis kAnswerTimeout = 2000;
+// A whole snapshot of the target size has about 6 KB and takes well under this
+// time; a daemon whose question was lost is behind for that much longer.
+constexpr Millis kAnswerTimeout = 1000;
 
 // A version that no peer reports any more may have left with its last holder;
 // it must not hold up the acceptor for ever.
