--- a/src/distribution/acceptancestatus.h
+++ b/src/distribution/acceptancestatus.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace lacewingwharf {
 
@@ -14,6 +15,16 @@
 std::string
 EncodeRejection(const Rejection& aRejection);
 
+/**
+ * The name under which the state of the store itself is reported; no entry can
+ * have it.
+ */
+inline constexpr std::string_view kStoreStatusName = ".store";
+
+/** Tells operators that edits at or below the floor must be made again. */
+std::string
+EncodeStoreStatus(const VersionStamp& aStamp);
+
 std::string
 AcceptanceName(const std::string& aEntry);
 
--- a/src/distribution/acceptorrole_test.cpp
+++ b/src/distribution/acceptorrole_test.cpp
@@ -159,15 +159,29 @@
   pair.AssertSame();
 }
 
+// Guards against an acceptor that takes a store which is far ahead, so that
+// its own version is compacted away, for one that was restored.
+Test(acceptorrole, AnAcceptorFarBehindDoesNotStartAnEpoch)
+{
+  Pair pair;
+  pair.Publish(pair.a, 3);
+  pair.Publish(pair.b, 200);
+  pair.a.Round();
+  cr_assert_eq(pair.a.holder.Held()->Stamp().storeEpoch, 0);
+  pair.AssertSame();
+}
+
 // Guards against a version that is written twice because its answer was lost.
 Test(acceptorrole, ALostAnswerIsRecognisedByItsNonce)
 {
   Pair pair;
   pair.EditService("s", "o1");
+  pair.store.Edit("catalogue/bad", "{");
   pair.store.answersToLose = 1;
   pair.a.role.Tick();
   pair.a.RunJob();
   cr_assert_eq(pair.a.Version(), 1);
+  cr_assert_eq(pair.a.role.Rejections().size(), 1U, "taken for a stranger's");
   cr_assert_eq(pair.store.puts[AcceptedName(1)], 1);
   cr_assert_eq(pair.store.All().count(AcceptedName(2)), 0U);
 }
@@ -209,6 +223,9 @@
   cr_assert_eq(pair.a.holder.Held()->Stamp().storeEpoch, 1);
   cr_assert_eq(pair.a.holder.Held()->Find("s")->text, newest);
   cr_assert_not_null(pair.a.holder.Held()->Find("t"));
+  pair.clock.Advance(2000);
+  pair.a.Settle();
+  cr_assert(pair.store.All().contains("status/.store/acceptance"));
   pair.b.Round();
   pair.AssertSame();
   pair.Publish(pair.b, 2);
@@ -257,6 +274,12 @@
     pair.a.Settle();
   }
   cr_assert_eq(pair.store.puts[name], 1);
+  pair.store.Edit("catalogue/worse", "[");
+  pair.a.Round();
+  pair.clock.Advance(5000);
+  pair.a.Settle();
+  cr_assert_eq(pair.store.puts["status/worse/acceptance"], 1);
+  cr_assert_eq(pair.store.puts[name], 1);
   pair.EditService("bad", "o");
   pair.b.Round();
   pair.clock.Advance(5000);
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -84,12 +84,16 @@
   /** True when the held version may be served. */
   bool IsReady() const;
 
+  /** True while the store's newest version is older than the held one. */
+  bool IsStoreOlder() const;
+
   /** Rejections of the last round; empty when not the acceptor. */
   const std::vector<Rejection>& Rejections() const;
 
 private:
   OfferOutcome Offer(const Delta& aDelta, std::string_view aSource);
   void RefreshDuties();
+  void RefreshFeeders();
   void TickStart();
   void AskPeers(std::vector<std::string> aHosts);
   void AskPlatform();
@@ -117,7 +121,8 @@
   bool isPlatformBusy = false;
   Millis platformDueAt = 0;
   Millis dutiesDueAt = 0;
-  std::vector<std::string> members; // Sorted; of the own failure domain.
+  std::vector<std::string> members;    // Sorted; of the own failure domain.
+  std::vector<std::string> candidates; // For the acceptor role.
   std::optional<int> feederRank;
   bool isAcceptor = false;
   bool isStoreOlder = false;
@@ -147,6 +152,12 @@
   return this->isStartOver && this->Held()->Version() > 0;
 }
 
+inline bool
+Distributor::IsStoreOlder() const
+{
+  return this->isStoreOlder;
+}
+
 inline const std::vector<Rejection>&
 Distributor::Rejections() const
 {
--- a/src/distribution/distributor_test.cpp
+++ b/src/distribution/distributor_test.cpp
@@ -122,6 +122,34 @@
   cr_assert_geq(fleet.Get(host).Held()->Version(), 4);
 }
 
+// Guards against a start that is over before three peers and the platform
+// have answered, or while a newer version is known but not yet fetched.
+Test(distributor, AStartHearsThreePeersAndThePlatform)
+{
+  ManualClock clock(1000);
+  StartRule rule(clock.View(), 2000);
+  const std::vector<std::string> peers{ "a", "b", "c", "d", "e", "f" };
+  cr_assert_eq(rule.TakeDue(peers).size(), 5U);
+  cr_assert(rule.TakeDue(peers).empty());
+  rule.PlatformAnswered();
+  rule.PeerAnswered("a");
+  rule.PeerAnswered("b");
+  cr_assert_not(rule.IsOver(false));
+  cr_assert_not(rule.MayPublish());
+  clock.Advance(500);
+  cr_assert_eq(rule.TakeDue(peers).size(), 3U, "the silent ones again");
+  rule.PeerAnswered("c");
+  cr_assert_not(rule.IsOver(true));
+  cr_assert(rule.MayPublish());
+  cr_assert(rule.IsOver(false));
+  StartRule alone(clock.View(), 2000);
+  cr_assert(alone.MayPublish());
+  clock.Advance(1999);
+  cr_assert_not(alone.IsOver(false));
+  clock.Advance(1);
+  cr_assert(alone.IsOver(false));
+}
+
 // Guards R1 and R9 when the store is restored to an older state.
 Test(distributor, AFleetMovesOnAfterARestoredStore)
 {
@@ -207,15 +235,22 @@
 {
   ManualClock clock{ 1000 };
   std::vector<std::int64_t> fetches; // The version each fetch starts from.
+  std::vector<std::int64_t> pushes;  // The versions passed on.
   Distributor distributor{
     MakeConfig(),
     clock.View(),
     SeededRandom(1),
     { [this](const std::string&, const wire::Envelope& aEnvelope) {
-       this->fetches.push_back(aEnvelope.configFetch.held);
+       if (aEnvelope.__isset.configPush) {
+         this->pushes.push_back(aEnvelope.configPush.body.version);
+       } else {
+         this->fetches.push_back(aEnvelope.configFetch.held);
+       }
      },
       [](SessionId, const wire::Envelope&) {},
-      [] { return std::vector<std::string>{ "a" }; },
+      [] {
+        return std::vector<std::string>{ "a", "b", "c" };
+      },
       [] { return std::vector<std::string>{ "b" }; },
       [](const PlatformJob&) { return false; },
       [](const SnapshotPtr&) {} }
@@ -226,6 +261,7 @@
     DistributorConfig config;
     config.host = "a";
     config.startWait = 0;
+    config.fanout = 1;
     return config;
   }
 };
@@ -268,3 +304,25 @@
   distributor.HandleAnswer("b", answer);
   cr_assert_eq(distributor.Held()->ContentHash(), second->ContentHash());
 }
+
+// Guards control bytes: a push that arrives again, or one that is older than
+// the held version, is not passed on; another root's tree is another way.
+Test(distributor, APushIsPassedOnOncePerRoot)
+{
+  Single single;
+  single.distributor.Tick();
+  const SnapshotPtr first = OneService(1);
+  wire::ConfigPush push;
+  push.root = "c"; // The tree of degree 1 is then c, a, b.
+  push.body = ToWire(WholeOf(*OneService(2)));
+  single.distributor.HandlePush("c", push);
+  single.distributor.HandlePush("c", push);
+  cr_assert_eq(single.pushes, std::vector<std::int64_t>{ 2 });
+  push.body = ToWire(WholeOf(*first));
+  push.root = "a";
+  single.distributor.HandlePush("b", push);
+  cr_assert_eq(single.pushes, std::vector<std::int64_t>{ 2 });
+  push.body = ToWire(WholeOf(*OneService(2)));
+  single.distributor.HandlePush("b", push);
+  cr_assert_eq(single.pushes, (std::vector<std::int64_t>{ 2, 2 }));
+}
