--- a/src/execution/quarantine_test.cpp
+++ b/src/execution/quarantine_test.cpp
@@ -1,6 +1,7 @@
 #include "execution/quarantine.h"
 
 #include "common/log.h"
+#include "membership/memorynetwork.h"
 
 #include <criterion/criterion.h>
 
@@ -87,3 +88,31 @@
   }
   cr_assert_leq(sent, 100U * 12U / 8U);
 }
+
+// Guards against a crashing request that its caller sends to another daemon.
+Test(quarantine, MarksSpreadByGossip)
+{
+  MemoryNetwork network(1);
+  std::vector<std::unique_ptr<Quarantine>> quarantines;
+  network.extendHooks = [&](std::size_t aNode, MembershipHooks& aHooks) {
+    quarantines.push_back(std::make_unique<Quarantine>(
+      QuarantineConfig{ fmt::format("host-{}", aNode) }, network.clock.View()));
+    aHooks.takeMarks = [&quarantines, aNode] {
+      return quarantines[aNode]->TakeMarks(8);
+    };
+    aHooks.mergeMarks = [&quarantines, aNode](const auto& aMarks) {
+      quarantines[aNode]->Merge(aMarks);
+    };
+  };
+  for (int node = 0; node < 30; ++node) {
+    network.Add("north", "bangor");
+  }
+  network.Run(10000);
+  quarantines[3]->CountLoss(7);
+  quarantines[20]->CountLoss(7);
+  network.Run(10000);
+  for (const auto& quarantine : quarantines) {
+    cr_assert_eq(quarantine->Check(7), QuarantineVerdict::Refused);
+  }
+  cr_assert_leq(network.largestDatagram, kMaxDatagramBytes);
+}
--- a/src/membership/domainsummaries.cpp
+++ b/src/membership/domainsummaries.cpp
@@ -2,10 +2,10 @@
 
 #include "common/hash.h"
 #include "membership/membertable.h"
+#include "membership/wiresize.h"
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 namespace lacewingwharf {
@@ -14,8 +14,8 @@
 
 constexpr std::size_t kSampleSize = 8;
 
-// All services are repeated once in this many refreshes.
-constexpr std::size_t kRepairParts = 16;
+// Enough that a few differing services bring few others along.
+constexpr std::size_t kBuckets = 32;
 
 // Free slots and slowdown are rounded, so that small variations of load do
 // not cross the region link.
@@ -142,6 +142,16 @@
          aLeft.slowdownPercent == aRight.slowdownPercent;
 }
 
+/** Two feeders may stamp in the same millisecond; the hash then decides. */
+bool Replaces(const wire::ServiceSummary& aLeft,
+              const wire::ServiceSummary& aRight)
+{
+  if (aLeft.stamp != aRight.stamp) {
+    return aLeft.stamp > aRight.stamp;
+  }
+  return EncodedHash(aLeft) > EncodedHash(aRight);
+}
+
 /** Adds empty summaries for services that have no ready endpoint any more. */
 void KeepVanished(const Services& aBefore, Services& aNow)
 {
@@ -154,6 +164,11 @@
   }
 }
 
+std::size_t BucketOf(const std::string& aService)
+{
+  return Hash64(aService) % kBuckets;
+}
+
 struct HostLocation
 {
   PeerAddress address;
@@ -203,7 +218,7 @@
 
 std::int64_t DomainSummaries::NextStamp(Millis aWallNow) const
 {
-  return std::max({ aWallNow, this->own.stamp + 1, this->stampFloor + 1 });
+  return std::max(aWallNow, this->own.stamp + 1);
 }
 
 SummaryChange DomainSummaries::Build(const MemberTable& aTable,
@@ -247,8 +262,10 @@
     return false;
   }
   const auto before = this->built.find(service);
-  const bool isUnchanged =
-    before != this->built.end() && HasSameContent(before->second, aBuilt);
+  // A service that only the other feeder has seen was absent here before.
+  const bool isUnchanged = before == this->built.end()
+                             ? aBuilt.ready == 0
+                             : HasSameContent(before->second, aBuilt);
   if (aHeld.stamp == 0 || !isUnchanged) {
     this->disagreedSince.erase(service);
     return true;
@@ -258,9 +275,8 @@
   return aWallNow - since >= kDisagreementLimit;
 }
 
-std::optional<wire::DomainSummary> DomainSummaries::Merge(
-  const wire::DomainSummary& aSummary,
-  Millis aNow)
+MergedSummary DomainSummaries::Merge(const wire::DomainSummary& aSummary,
+                                     Millis aNow)
 {
   const bool isOwn = aSummary.domain == this->own.domain;
   HeldSummary& held = isOwn ? this->own : this->others[aSummary.domain];
@@ -269,37 +285,46 @@
   held.region = aSummary.region;
   wire::DomainSummary news = aSummary;
   news.services.clear();
+  std::vector<wire::ServiceSummary> newer;
   for (const wire::ServiceSummary& service : aSummary.services) {
-    wire::ServiceSummary& known = held.services[service.serviceName];
-    if (service.stamp <= known.stamp) {
-      continue;
-    }
-    if (known.stamp == 0 || !HasSameContent(known, service)) {
-      news.services.push_back(service);
+    const auto [position, isNew] =
+      held.services.try_emplace(service.serviceName);
+    wire::ServiceSummary& known = position->second;
+    if (isNew || Replaces(service, known)) {
+      if (isNew || !HasSameContent(known, service)) {
+        news.services.push_back(service);
+      }
+      known = service;
+    } else if (Replaces(known, service)) {
+      newer.push_back(known);
     }
-    known = service;
-  }
-  if (!news.services.empty()) {
-    ++this->version;
   }
+  this->version += news.services.empty() ? 0U : 1U;
   this->MergeHeader(held, aSummary);
   const bool isNewer = aSummary.stamp > held.seenStamp;
   held.seenStamp = std::max(held.seenStamp, aSummary.stamp);
-  if (!isNewer && news.services.empty()) {
-    return std::nullopt;
+  MergedSummary merged;
+  if (isNewer || !news.services.empty()) {
+    merged.news = std::move(news);
+  }
+  if (!newer.empty()) {
+    merged.correction = this->Since(aSummary.domain, held.stamp);
+    merged.correction->services = std::move(newer);
   }
-  return news;
+  return merged;
 }
 
 void DomainSummaries::MergeHeader(HeldSummary& aHeld,
                                   const wire::DomainSummary& aSummary)
 {
   // With a gap before it, the summary does not make the held one complete.
-  if (aSummary.stamp <= aHeld.stamp || aSummary.base > aHeld.stamp) {
+  const bool isOwn = &aHeld == &this->own;
+  if (aSummary.stamp <= aHeld.stamp ||
+      (aSummary.base > aHeld.stamp && !isOwn)) {
     return;
   }
   aHeld.stamp = aSummary.stamp;
-  if (aHeld.contacts != aSummary.contacts) {
+  if (!isOwn && aHeld.contacts != aSummary.contacts) {
     aHeld.contacts = aSummary.contacts;
     ++this->version;
   }
@@ -348,34 +373,29 @@
   return summary;
 }
 
-void DomainSummaries::AddRepair(wire::DomainSummary& aSummary)
+std::vector<std::int64_t> DomainSummaries::Digests(
+  const std::string& aDomain) const
 {
-  const Services& services = this->own.services;
-  const std::size_t count = (services.size() + kRepairParts - 1) / kRepairParts;
-  std::set<std::string> included;
-  for (const wire::ServiceSummary& service : aSummary.services) {
-    included.insert(service.serviceName);
-  }
-  auto position = services.upper_bound(this->repairedUpTo);
-  for (std::size_t added = 0; added < count; ++added, ++position) {
-    if (position == services.end()) {
-      position = services.begin();
+  std::vector<std::uint64_t> sums(kBuckets, 0);
+  if (const HeldSummary* const held = this->Find(aDomain)) {
+    for (const auto& [service, content] : held->services) {
+      sums[BucketOf(service)] ^= EncodedHash(content);
     }
-    if (included.insert(position->first).second) {
-      aSummary.services.push_back(position->second);
-    }
-    this->repairedUpTo = position->first;
   }
+  return { sums.begin(), sums.end() };
 }
 
-void DomainSummaries::RaiseStamp(std::int64_t aStamp)
+wire::DomainSummary DomainSummaries::Differing(
+  const std::string& aDomain,
+  const std::vector<std::int64_t>& aBuckets) const
 {
-  if (aStamp <= this->own.stamp) {
-    return;
-  }
-  this->stampFloor = std::max(this->stampFloor, aStamp);
-  // Everything is stamped again by the next Build().
-  this->own.services.clear();
+  const auto held = this->Digests(aDomain);
+  wire::DomainSummary summary = this->Since(aDomain, 0);
+  std::erase_if(summary.services, [&held, &aBuckets](const auto& aService) {
+    const std::size_t bucket = BucketOf(aService.serviceName);
+    return bucket < aBuckets.size() && aBuckets[bucket] == held[bucket];
+  });
+  return summary;
 }
 
 std::optional<PeerAddress> DomainSummaries::AddressOf(
--- a/src/membership/domainsummaries.h
+++ b/src/membership/domainsummaries.h
@@ -37,6 +37,16 @@
   Millis heardAt = 0;
 };
 
+/** What follows from merging a summary. */
+struct MergedSummary
+{
+  /** What travels on: services that were news. Empty for known stamps. */
+  std::optional<wire::DomainSummary> news;
+
+  /** What the sender has to learn: services held with a higher stamp. */
+  std::optional<wire::DomainSummary> correction;
+};
+
 /**
  * Summaries of all failure domains. Services merge one by one, the higher
  * stamp wins. A failure domain that is unreachable keeps its last summary.
@@ -52,12 +62,7 @@
                       std::vector<wire::MemberRecord> aContacts,
                       Millis aWallNow);
 
-  /**
-   * Merges a summary; returns what has to travel on, with the services that
-   * were news. Nothing travels on when the stamp was known.
-   */
-  std::optional<wire::DomainSummary> Merge(const wire::DomainSummary& aSummary,
-                                           Millis aNow);
+  MergedSummary Merge(const wire::DomainSummary& aSummary, Millis aNow);
 
   /** True when the services between the held stamp and aSummary.base lack. */
   bool HasGapBefore(const wire::DomainSummary& aSummary) const;
@@ -69,14 +74,13 @@
   wire::DomainSummary Since(const std::string& aDomain,
                             std::int64_t aSince) const;
 
-  /** Adds a rotating part of all services, to repair what a receiver lost. */
-  void AddRepair(wire::DomainSummary& aSummary);
+  /** Hash per bucket of a domain's services and their stamps. */
+  std::vector<std::int64_t> Digests(const std::string& aDomain) const;
 
-  /**
-   * Makes the own stamps exceed aStamp. Used when a receiver holds a stamp
-   * from a feeder whose clock is ahead.
-   */
-  void RaiseStamp(std::int64_t aStamp);
+  /** The services in the buckets that differ from aBuckets. */
+  wire::DomainSummary Differing(
+    const std::string& aDomain,
+    const std::vector<std::int64_t>& aBuckets) const;
 
   const HeldSummary* Find(const std::string& aDomain) const;
   const HeldSummary& Own() const;
@@ -99,11 +103,9 @@
   void MergeHeader(HeldSummary& aHeld, const wire::DomainSummary& aSummary);
 
   HeldSummary own;
-  std::int64_t stampFloor = 0;
   std::map<std::string, wire::ServiceSummary> built; // By the last Build().
   std::map<std::string, Millis> disagreedSince;
   std::map<std::string, HeldSummary> others;
-  std::string repairedUpTo;
   std::uint64_t version = 0;
 };
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -16,6 +16,9 @@
 // A member that returns within this time is recognised; later it is new.
 constexpr Millis kDeadRetention = 600000;
 
+// The first daemon of a fleet has nobody to sync with.
+constexpr Millis kAloneAfter = 10000;
+
 wire::MemberRecord MakeSelf(const MembershipConfig& aConfig, const Clock& aWall)
 {
   wire::MemberRecord self;
@@ -73,7 +76,8 @@
              this->syncBudget,
              std::move(aWall))
 {
-  this->table.Merge(this->self, this->clock.Now());
+  this->startedAt = this->clock.Now();
+  this->table.Merge(this->self, this->startedAt);
 }
 
 void Membership::Announce(const Announcement& aAnnouncement)
@@ -114,12 +118,17 @@
   }
   if (this->gossip.Tick(now)) {
     this->registry.RestartTimeouts(now);
+    this->exchange.HoldBack(now);
+    this->syncer.SyncSoon(now);
   }
   if (this->registry.Expire(now)) {
     this->PublishSelf(wire::MemberState::ALIVE);
     this->gossip.FlushPushes();
   }
   this->StartSyncs(now);
+  if (!this->syncer.HasSynced() && now - this->startedAt < kAloneAfter) {
+    this->exchange.HoldBack(now);
+  }
   this->exchange.Tick(now);
   this->table.Prune(now - kDeadRetention);
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -102,6 +102,7 @@
   MemberSyncer syncer;
   Gossip gossip;
   SummaryExchange exchange;
+  Millis startedAt = 0;
   bool isSelfDirty = true;
   bool hasLeft = false;
   std::uint64_t viewTableVersion = ~0ULL;
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -91,3 +91,266 @@
     cr_assert_not(Sees(network, node, host), "node %zu", node);
   }
 }
+
+namespace {
+
+std::size_t DeadSeen(MemoryNetwork& aNetwork, std::size_t aNode)
+{
+  return aNetwork.At(aNode).Table().HostsIn(wire::MemberState::DEAD).size();
+}
+
+std::uint64_t BytesOf(const MemoryNetwork& aNetwork)
+{
+  std::uint64_t bytes = 0;
+  for (const MemoryNetwork::Node& node : aNetwork.nodes) {
+    bytes += node.datagramBytes + node.controlBytes;
+  }
+  return bytes;
+}
+
+/** One failure domain with a service. */
+void AddOneDomain(MemoryNetwork& aNetwork, std::size_t aCount)
+{
+  for (std::size_t index = 0; index < aCount; ++index) {
+    aNetwork.Announce(aNetwork.Add("north", "bangor"), ReadyAt("orders"));
+  }
+}
+
+} // namespace
+
+// Guards against a crashed daemon that stays in the views, and against one
+// that comes back and is not seen.
+Test(membership, CrashedMemberIsRemovedAndReturns)
+{
+  MemoryNetwork network(3);
+  AddOneDomain(network, 20);
+  network.Run(10000);
+  network.Crash(7);
+  network.Run(15000);
+  for (const std::size_t node : { 0U, 6U, 19U }) {
+    cr_assert_eq(EndpointsSeen(network, node), 19U);
+  }
+  network.Start(7);
+  network.Run(5000);
+  for (const std::size_t node : { 0U, 6U, 19U }) {
+    cr_assert_eq(EndpointsSeen(network, node), 20U);
+  }
+}
+
+// Guards against a daemon that is cut off by itself and removes all others.
+Test(membership, IsolatedMemberKeepsTheOthers)
+{
+  MemoryNetwork network(4);
+  AddOneDomain(network, 20);
+  network.Run(10000);
+  network.isCut = [](const auto& aLeft, const auto& aRight) {
+    return (aLeft.config.host == "bangor-0005") !=
+           (aRight.config.host == "bangor-0005");
+  };
+  network.Run(60000);
+  cr_assert_eq(DeadSeen(network, 5), 0U);
+  cr_assert_eq(
+    EndpointsSeen(network, 5), 20U, "%zu", EndpointsSeen(network, 5));
+  cr_assert_eq(EndpointsSeen(network, 0), 19U);
+  network.isCut = nullptr;
+  network.Run(15000);
+  for (std::size_t node = 0; node < network.nodes.size(); ++node) {
+    cr_assert_eq(EndpointsSeen(network, node), 20U, "node %zu", node);
+  }
+}
+
+// Guards against timers that ran out during a pause of the daemon itself.
+Test(membership, FrozenMemberDeclaresNobodyDead)
+{
+  for (std::uint64_t seed = 50; seed < 55; ++seed) {
+    MemoryNetwork network(seed);
+    AddOneDomain(network, 20);
+    network.Run(10000);
+    // A suspicion of the member that crashes runs when the pause begins.
+    network.Crash(9);
+    while (network.At(5).Table().SuspectCount() == 0) {
+      network.Run(100);
+    }
+    network.Freeze(5);
+    network.Run(20000);
+    network.Start(9);
+    network.Run(3000);
+    // What others said meanwhile is lost, only its own timers speak.
+    network.nodes[5].waiting.clear();
+    network.Wake(5, true);
+    network.At(5).Tick();
+    cr_assert_eq(DeadSeen(network, 5), 0U);
+    network.Run(5000);
+    for (std::size_t node = 0; node < network.nodes.size(); ++node) {
+      cr_assert_eq(EndpointsSeen(network, node), 20U, "node %zu", node);
+      cr_assert_eq(DeadSeen(network, node), 0U, "node %zu", node);
+    }
+  }
+}
+
+// Guards against a failure domain that loses its own members or its knowledge
+// of the others while it is cut off, and against views that stay different.
+Test(membership, DomainCutOffKeepsWorkingAndHeals)
+{
+  MemoryNetwork network(6);
+  AddDomains(network, 8);
+  // More services than the rotating repair repeats soon.
+  for (int service = 0; service < 64; ++service) {
+    network.Announce(service % 24,
+                     ReadyAt(fmt::format("service-{}", service), service));
+  }
+  network.Run(20000);
+  network.isCut = [](const auto& aLeft, const auto& aRight) {
+    return (aLeft.config.domain == "abertawe") !=
+           (aRight.config.domain == "abertawe");
+  };
+  network.Run(60000);
+  for (std::size_t node = 0; node < network.nodes.size(); ++node) {
+    cr_assert_eq(EndpointsSeen(network, node), 24U, "node %zu", node);
+    cr_assert_eq(network.At(node).View()->services.size(),
+                 65U,
+                 "node %zu: %zu",
+                 node,
+                 network.At(node).View()->services.size());
+  }
+  const auto drain = [&network](std::size_t aNode, Announcement aReady) {
+    aReady.state = wire::EndpointState::DRAINING;
+    network.Announce(aNode, aReady);
+    network.Run(5000);
+  };
+  drain(2, ReadyAt("orders"));
+  drain(5, ReadyAt("service-5", 5));
+  drain(8, ReadyAt("service-8", 8));
+  cr_assert_eq(EndpointsSeen(network, 5), 23U);
+  cr_assert_eq(EndpointsSeen(network, 0), 24U);
+  network.isCut = nullptr;
+  network.Run(15000);
+  for (std::size_t node = 0; node < network.nodes.size(); ++node) {
+    cr_assert_eq(EndpointsSeen(network, node), 23U, "node %zu", node);
+    cr_assert_eq(network.At(node).View()->services.size(), 63U);
+  }
+}
+
+// Guards against two halves of a failure domain that never find back together.
+Test(membership, HalvesOfADomainFindBackTogether)
+{
+  MemoryNetwork network(7);
+  AddOneDomain(network, 20);
+  network.Run(10000);
+  network.isCut = [](const auto& aLeft, const auto& aRight) {
+    return (aLeft.config.host < "bangor-0006") !=
+           (aRight.config.host < "bangor-0006");
+  };
+  network.Run(60000);
+  network.isCut = nullptr;
+  network.Run(60000);
+  for (std::size_t node = 0; node < network.nodes.size(); ++node) {
+    cr_assert_eq(EndpointsSeen(network, node), 20U, "node %zu", node);
+  }
+}
+
+// Guards against reconnect storms: what seeds send while everything restarts
+// is bounded, and everyone is seen again soon.
+Test(membership, HerdRestartIsBounded)
+{
+  MemoryNetwork network(8);
+  network.adjustConfig = [](MembershipConfig& aConfig) {
+    aConfig.syncBytesPerSecond = 16000;
+    aConfig.syncBurstBytes = 32000;
+  };
+  AddOneDomain(network, 150);
+  network.Run(30000);
+  const std::uint64_t before = BytesOf(network);
+  const std::uint64_t seedBefore = network.nodes[0].controlBytes;
+  for (std::size_t node = 0; node < network.nodes.size(); ++node) {
+    network.Start(node);
+  }
+  network.Run(20000);
+  for (std::size_t node = 0; node < network.nodes.size(); ++node) {
+    cr_assert_eq(EndpointsSeen(network, node), 150U, "node %zu", node);
+  }
+  const std::uint64_t perDaemon = (BytesOf(network) - before) / 150;
+  cr_assert_leq(perDaemon, 240000U, "%lu bytes", perDaemon);
+  // One answer may exceed the budget; its own requests and the answers for
+  // the busy come on top.
+  const std::uint64_t seed = network.nodes[0].controlBytes - seedBefore;
+  cr_assert_leq(seed, 32000U + 320000U + 80000U, "%lu bytes", seed);
+  cr_assert_leq(network.largestDatagram, kMaxDatagramBytes);
+}
+
+// Guards against a herd that sends its first syncs in the same moment.
+Test(membership, FirstSyncsAreSpread)
+{
+  MemoryNetwork network(13);
+  AddOneDomain(network, 100);
+  int requests = 0;
+  network.tap = [&requests](std::size_t, const wire::Envelope& aEnvelope) {
+    requests +=
+      aEnvelope.__isset.memberSync && !aEnvelope.memberSync.isReply ? 1 : 0;
+  };
+  network.Run(300);
+  cr_assert_gt(requests, 0);
+  cr_assert_lt(requests, 60);
+}
+
+// Guards against a false suspicion when only the path between two members is
+// broken.
+Test(membership, IndirectProbesPreventASuspicion)
+{
+  MemoryNetwork network(9);
+  AddOneDomain(network, 10);
+  network.Run(10000);
+  network.isCut = [](const auto& aLeft, const auto& aRight) {
+    const auto& left = aLeft.config.host;
+    const auto& right = aRight.config.host;
+    return (left == "bangor-0002" && right == "bangor-0003") ||
+           (left == "bangor-0003" && right == "bangor-0002");
+  };
+  const std::int64_t sequence = network.At(2).Self().sequence;
+  network.Run(60000);
+  cr_assert_eq(network.At(2).Self().sequence, sequence, "it had to refute");
+}
+
+// Guards against a stopped daemon that keeps getting calls.
+Test(membership, LeavingIsKnownAtOnce)
+{
+  MemoryNetwork network(10);
+  AddOneDomain(network, 100);
+  network.Run(20000);
+  network.At(42).Leave();
+  network.nodes[42].announcements.clear();
+  network.Run(1000);
+  for (std::size_t node = 0; node < network.nodes.size(); ++node) {
+    cr_assert(node == 42 || EndpointsSeen(network, node) == 99U);
+  }
+}
+
+// Guards against a new process that a record of its predecessor outranks.
+Test(membership, IncarnationRisesAboveAnyThatWasSeen)
+{
+  MemoryNetwork network(11);
+  AddOneDomain(network, 3);
+  network.Run(5000);
+  wire::MemberRecord earlier = network.At(1).Self();
+  earlier.incarnation += 1000000;
+  earlier.state = wire::MemberState::DEAD;
+  wire::Envelope envelope;
+  envelope.ack.updates.push_back(earlier);
+  envelope.__isset.ack = true;
+  network.At(1).HandleDatagram({}, envelope);
+  network.At(0).HandleDatagram({}, envelope);
+  network.Run(5000);
+  cr_assert_gt(network.At(1).Self().incarnation, earlier.incarnation);
+  cr_assert_eq(EndpointsSeen(network, 0), 3U);
+}
+
+// Guards against views that are rebuilt on every look.
+Test(membership, ViewIsRebuiltOnlyOnChange)
+{
+  MemoryNetwork network(12);
+  AddOneDomain(network, 5);
+  network.Run(40000);
+  const EndpointViewPtr view = network.At(0).View();
+  network.Run(5000);
+  cr_assert_eq(view, network.At(0).View());
+}
--- a/src/membership/membersyncer.cpp
+++ b/src/membership/membersyncer.cpp
@@ -66,6 +66,7 @@
 MemberSyncer::MemberSyncer(MemberSyncerConfig aConfig, Random aRandom)
   : config(std::move(aConfig))
   , random(std::move(aRandom))
+  , interval(this->config.retryInterval)
 {
 }
 
@@ -85,12 +86,21 @@
   if (aNow < *this->nextAt) {
     return false;
   }
-  this->nextAt =
-    aNow + this->Jittered(this->hasSynced ? this->config.interval
-                                          : this->config.retryInterval);
+  if (!this->hasSynced) {
+    this->nextAt = aNow + this->Jittered(this->config.retryInterval);
+    return true;
+  }
+  this->nextAt = aNow + this->Jittered(this->interval);
+  this->interval = std::min(2 * this->interval, this->config.interval);
   return true;
 }
 
+void MemberSyncer::SyncSoon(Millis aNow)
+{
+  this->interval = this->config.retryInterval;
+  this->nextAt = aNow + this->config.startJitter / 2;
+}
+
 wire::MemberSync MemberSyncer::Request(const MemberTable& aTable) const
 {
   wire::MemberSync request;
@@ -146,7 +156,7 @@
   }
   if (!this->hasSynced) {
     this->hasSynced = true;
-    this->nextAt = aNow + this->Jittered(this->config.interval);
+    this->nextAt = aNow + this->Jittered(this->interval);
   }
   const std::set<std::int32_t> differing(aAnswer.differing.begin(),
                                          aAnswer.differing.end());
--- a/src/membership/membersyncer.h
+++ b/src/membership/membersyncer.h
@@ -51,6 +51,9 @@
   /** True when a request has to be sent now; schedules the next one. */
   bool IsDue(Millis aNow);
 
+  /** After a pause the table is old. */
+  void SyncSoon(Millis aNow);
+
   /** The first complete answer ends the retries of the start. */
   bool HasSynced() const;
 
@@ -73,6 +76,9 @@
 
   MemberSyncerConfig config;
   Random random;
+  // Doubles after each sync: members that start together miss each other in
+  // their first syncs.
+  Millis interval;
   std::optional<Millis> nextAt;
   bool hasSynced = false;
 };
--- a/src/membership/memorynetwork.h
+++ b/src/membership/memorynetwork.h
@@ -86,6 +86,9 @@
     ++node.restarts;
     MembershipConfig config = node.config;
     config.incarnation = this->clock.View().Now();
+    if (this->adjustConfig) {
+      this->adjustConfig(config);
+    }
     node.membership = std::make_unique<Membership>(config,
                                                    this->clock.View(),
                                                    this->clock.View(),
@@ -96,6 +99,7 @@
   void Crash(std::size_t aNode)
   {
     this->nodes[aNode].isDown = true;
+    this->nodes[aNode].isFrozen = false;
     this->nodes[aNode].membership.reset();
   }
 
@@ -146,6 +150,8 @@
   std::vector<Node> nodes;
   std::function<bool(const Node&, const Node&)> isCut;
   Tap tap;
+  std::function<void(std::size_t aNode, MembershipHooks&)> extendHooks;
+  std::function<void(MembershipConfig&)> adjustConfig;
   std::size_t largestDatagram = 0;
 
 private:
@@ -177,6 +183,9 @@
         session.dialler == aNode ? session.listener : session.dialler;
       this->SendControl(aNode, to, aSession, aEnvelope);
     };
+    if (this->extendHooks) {
+      this->extendHooks(aNode, hooks);
+    }
     return hooks;
   }
 
--- a/src/membership/pushtree.cpp
+++ b/src/membership/pushtree.cpp
@@ -25,8 +25,11 @@
                                       const std::string& aSelf,
                                       std::size_t aFanout)
 {
-  if (aHosts.empty()) {
-    return {};
+  if (!std::ranges::binary_search(aHosts, aRoot)) {
+    // A member that leaves is no longer live where its record arrived.
+    std::vector<std::string> hosts = aHosts;
+    hosts.insert(std::ranges::lower_bound(hosts, aRoot), aRoot);
+    return TreeChildren(hosts, aRoot, aSelf, aFanout);
   }
   const std::size_t count = aHosts.size();
   const std::size_t root = PositionOf(aHosts, aRoot);
--- /dev/null
+++ b/src/membership/schedules_test.cpp
@@ -0,0 +1,151 @@
+#include "membership/memorynetwork.h"
+
+#include "common/log.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <vector>
+
+using namespace lacewingwharf;
+
+namespace {
+
+constexpr std::size_t kMembers = 24;
+
+/** What a daemon would hold that takes the last record to arrive. */
+using NaiveTable = std::map<std::string, wire::MemberRecord>;
+
+struct Outcome
+{
+  std::size_t wrong = 0;
+  std::size_t naiveWrong = 0;
+};
+
+void TapRecords(std::vector<NaiveTable>& aTables,
+                std::size_t aTo,
+                const wire::Envelope& aEnvelope)
+{
+  const auto* records = &aEnvelope.memberSync.records;
+  if (aEnvelope.__isset.ping) {
+    records = &aEnvelope.ping.updates;
+  } else if (aEnvelope.__isset.ack) {
+    records = &aEnvelope.ack.updates;
+  }
+  for (const wire::MemberRecord& record : *records) {
+    aTables[aTo][record.host] = record;
+  }
+}
+
+void Disturb(MemoryNetwork& aNetwork)
+{
+  const std::size_t node = RandomBelow(aNetwork.random, kMembers);
+  MemoryNetwork::Node& target = aNetwork.nodes[node];
+  switch (RandomBelow(aNetwork.random, 5)) {
+    case 0:
+      if (target.isDown) {
+        aNetwork.Start(node);
+      } else if (node >= 3) {
+        aNetwork.Crash(node);
+      }
+      break;
+    case 1:
+      if (!target.isDown && !target.isFrozen) {
+        aNetwork.Freeze(node);
+      } else if (target.isFrozen) {
+        aNetwork.Wake(node, RandomBelow(aNetwork.random, 2) == 0);
+      }
+      break;
+    default:
+      if (aNetwork.IsUp(node)) {
+        const int slots = static_cast<int>(RandomBelow(aNetwork.random, 50));
+        aNetwork.Announce(
+          node, { "orders", 9000, slots, 110, wire::EndpointState::READY });
+      }
+  }
+}
+
+void WakeAll(MemoryNetwork& aNetwork)
+{
+  for (std::size_t node = 0; node < kMembers; ++node) {
+    if (aNetwork.nodes[node].isFrozen) {
+      aNetwork.Wake(node, true);
+    }
+  }
+}
+
+/** The truth: what each running daemon says of itself. */
+bool IsRight(MemoryNetwork& aNetwork,
+             std::size_t aSubject,
+             const wire::MemberRecord* aRecord)
+{
+  if (aNetwork.nodes[aSubject].isDown) {
+    return aRecord == nullptr || !IsLive(*aRecord);
+  }
+  return aRecord != nullptr && *aRecord == aNetwork.At(aSubject).Self();
+}
+
+Outcome RunSchedule(std::uint64_t aSeed)
+{
+  MemoryNetwork network(aSeed);
+  std::vector<NaiveTable> naive(kMembers);
+  for (std::size_t node = 0; node < kMembers; ++node) {
+    network.Add("north", "bangor");
+  }
+  network.tap = [&naive](std::size_t aTo, const wire::Envelope& aEnvelope) {
+    TapRecords(naive, aTo, aEnvelope);
+  };
+  network.faults = { 20, 10, 1, 400 };
+  for (int step = 0; step < 60; ++step) {
+    Disturb(network);
+    network.Run(500);
+  }
+  WakeAll(network);
+  network.faults = { 5, 5, 1, 50 };
+  network.Run(50000);
+  // Without loss nobody is suspected at the moment of the comparison.
+  network.faults = { 0, 5, 1, 50 };
+  network.Run(10000);
+  Outcome outcome;
+  for (std::size_t node = 0; node < kMembers; ++node) {
+    if (network.nodes[node].isDown) {
+      continue;
+    }
+    for (std::size_t subject = 0; subject < kMembers; ++subject) {
+      const std::string& host = network.nodes[subject].config.host;
+      const auto held = naive[node].find(host);
+      outcome.wrong +=
+        IsRight(network, subject, network.At(node).Table().Find(host)) ? 0 : 1;
+      outcome.naiveWrong +=
+        node == subject ||
+            IsRight(network,
+                    subject,
+                    held == naive[node].end() ? nullptr : &held->second)
+          ? 0
+          : 1;
+    }
+  }
+  return outcome;
+}
+
+void Quiet()
+{
+  Log::SetLevel(LogLevel::Error);
+}
+
+} // namespace
+
+TestSuite(schedules, .init = Quiet);
+
+// Guards against tables that stay wrong after loss, delay, reordering,
+// duplication, pauses and restarts. The naive table takes the last arrival.
+Test(schedules, TablesAgreeAfterEverySchedule, .timeout = 200)
+{
+  std::size_t naiveWrong = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    const Outcome outcome = RunSchedule(seed);
+    cr_assert_eq(outcome.wrong, 0U, "seed %lu: %zu", seed, outcome.wrong);
+    naiveWrong += outcome.naiveWrong;
+  }
+  cr_assert_gt(naiveWrong, 0U, "the naive table has to be wrong sometimes");
+}
--- a/src/membership/summaryexchange.cpp
+++ b/src/membership/summaryexchange.cpp
@@ -22,6 +22,9 @@
 constexpr Millis kRefreshInterval = 10000;
 constexpr Millis kRequestInterval = 1000;
 
+// After its start or a pause a feeder first catches up with its own domain.
+constexpr Millis kCatchUpTime = 3000;
+
 // Loads change all the time; a feeder hears of each host at most this often.
 constexpr Millis kLoadInterval = 10000;
 constexpr Millis kLoadRepeat = 60000;
@@ -62,9 +65,15 @@
   this->UpdateOwn(aNow);
 }
 
+void SummaryExchange::HoldBack(Millis aNow)
+{
+  this->holdUntil = aNow + kCatchUpTime;
+}
+
 void SummaryExchange::UpdateOwn(Millis aNow)
 {
-  if (this->sentAt && aNow - *this->sentAt < kMinSendInterval) {
+  const bool isEarly = this->sentAt && aNow - *this->sentAt < kMinSendInterval;
+  if (isEarly || aNow < this->holdUntil) {
     return;
   }
   std::erase_if(this->loads, [this](const auto& aItem) {
@@ -88,7 +97,7 @@
   this->sentAt = aNow;
   if (aIsRefresh) {
     this->refreshedAt = aNow;
-    this->summaries.AddRepair(summary);
+    summary.buckets = this->summaries.Digests(this->config.domain);
   }
   const std::size_t rank = this->OwnRank();
   for (const auto& [domain, held] : this->summaries.Others()) {
@@ -126,20 +135,19 @@
     this->refreshedAt.reset();
   }
   const bool hasGap = this->summaries.HasGapBefore(aSummary);
-  auto news = this->summaries.Merge(aSummary, aNow);
+  const MergedSummary merged = this->summaries.Merge(aSummary, aNow);
+  if (merged.correction) {
+    // Otherwise a sender whose clock is behind would never be believed.
+    this->network.reply(aSession, Wrap(*merged.correction));
+  }
   if (aSummary.domain == this->config.domain) {
     return;
   }
-  if (hasGap) {
+  if (hasGap || this->Differs(aSummary)) {
     this->RequestMissing(aSession, aSummary, aNow);
   }
-  const HeldSummary* const held = this->summaries.Find(aSummary.domain);
-  if (held->seenStamp > aSummary.stamp && !this->table.Find(aFrom)) {
-    // A feeder that is behind, for example by its clock, raises its stamps.
-    this->AnswerBehind(aSession, *held);
-  }
-  if (news) {
-    this->PassOn(aFrom, *news);
+  if (merged.news) {
+    this->PassOn(aFrom, *merged.news);
   }
 }
 
@@ -165,25 +173,18 @@
                             Wrap(request));
 }
 
-void SummaryExchange::AnswerBehind(SessionId aSession, const HeldSummary& aHeld)
+bool SummaryExchange::Differs(const wire::DomainSummary& aSummary) const
 {
-  wire::DomainSummary request;
-  request.region = aHeld.region;
-  request.domain = aHeld.domain;
-  request.stamp = aHeld.seenStamp;
-  request.isRequest = true;
-  this->network.reply(aSession, Wrap(request));
+  return !aSummary.buckets.empty() &&
+         aSummary.buckets != this->summaries.Digests(aSummary.domain);
 }
 
 void SummaryExchange::AnswerRequest(SessionId aSession,
                                     const wire::DomainSummary& aRequest)
 {
-  if (aRequest.domain == this->config.domain) {
-    this->summaries.RaiseStamp(aRequest.stamp);
-  }
   const wire::DomainSummary answer =
-    this->summaries.Since(aRequest.domain, aRequest.stamp);
-  if (answer.stamp <= aRequest.stamp) {
+    this->summaries.Differing(aRequest.domain, aRequest.buckets);
+  if (answer.stamp == 0) {
     return;
   }
   this->budget.Spend(EncodedSize(answer));
@@ -200,11 +201,10 @@
     return;
   }
   position->second = aNow;
-  const HeldSummary* const held = this->summaries.Find(aSummary.domain);
   wire::DomainSummary request;
   request.region = aSummary.region;
   request.domain = aSummary.domain;
-  request.stamp = held == nullptr ? 0 : held->stamp;
+  request.buckets = this->summaries.Digests(aSummary.domain);
   request.isRequest = true;
   this->network.reply(aSession, Wrap(request));
 }
--- a/src/membership/summaryexchange.h
+++ b/src/membership/summaryexchange.h
@@ -30,6 +30,9 @@
 
   void Tick(Millis aNow);
 
+  /** What is known of the own domain is old or incomplete. */
+  void HoldBack(Millis aNow);
+
   /** aSession is 0 when there is nobody to reply to. */
   void Handle(SessionId aSession,
               const std::string& aFrom,
@@ -62,7 +65,7 @@
   void SendOwn(Millis aNow, bool aIsRefresh);
   void AnswerRequest(SessionId aSession, const wire::DomainSummary& aRequest);
   void MeetDomain(const wire::DomainSummary& aIntroduction, Millis aNow);
-  void AnswerBehind(SessionId aSession, const HeldSummary& aHeld);
+  bool Differs(const wire::DomainSummary& aSummary) const;
   void RequestMissing(SessionId aSession,
                       const wire::DomainSummary& aSummary,
                       Millis aNow);
@@ -82,6 +85,7 @@
   wire::LoadReport sentLoad;
   std::vector<std::string> loadSentTo;
   Millis loadSentAt = 0;
+  Millis holdUntil = 0;
   std::optional<Millis> sentAt;
   std::optional<Millis> refreshedAt;
   std::int64_t sentStamp = 0;
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -2263,6 +2263,10 @@
 void DomainSummary::__set_root(const std::string& val) {
   this->root = val;
 }
+
+void DomainSummary::__set_buckets(const std::vector<int64_t> & val) {
+  this->buckets = val;
+}
 std::ostream& operator<<(std::ostream& out, const DomainSummary& obj)
 {
   obj.printTo(out);
@@ -2379,6 +2383,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->buckets.clear();
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->buckets.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
+            {
+              xfer += iprot->readI64(this->buckets[_i91]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.buckets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2411,10 +2435,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceSummary> ::const_iterator _iter87;
-    for (_iter87 = this->services.begin(); _iter87 != this->services.end(); ++_iter87)
+    std::vector<ServiceSummary> ::const_iterator _iter92;
+    for (_iter92 = this->services.begin(); _iter92 != this->services.end(); ++_iter92)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2423,10 +2447,10 @@
   xfer += oprot->writeFieldBegin("contacts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contacts.size()));
-    std::vector<MemberRecord> ::const_iterator _iter88;
-    for (_iter88 = this->contacts.begin(); _iter88 != this->contacts.end(); ++_iter88)
+    std::vector<MemberRecord> ::const_iterator _iter93;
+    for (_iter93 = this->contacts.begin(); _iter93 != this->contacts.end(); ++_iter93)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2444,6 +2468,18 @@
   xfer += oprot->writeString(this->root);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
+    std::vector<int64_t> ::const_iterator _iter94;
+    for (_iter94 = this->buckets.begin(); _iter94 != this->buckets.end(); ++_iter94)
+    {
+      xfer += oprot->writeI64((*_iter94));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2459,30 +2495,33 @@
   swap(a.base, b.base);
   swap(a.isRequest, b.isRequest);
   swap(a.root, b.root);
+  swap(a.buckets, b.buckets);
   swap(a.__isset, b.__isset);
 }
 
-DomainSummary::DomainSummary(const DomainSummary& other89) {
-  region = other89.region;
-  domain = other89.domain;
-  stamp = other89.stamp;
-  services = other89.services;
-  contacts = other89.contacts;
-  base = other89.base;
-  isRequest = other89.isRequest;
-  root = other89.root;
-  __isset = other89.__isset;
-}
-DomainSummary& DomainSummary::operator=(const DomainSummary& other90) {
-  region = other90.region;
-  domain = other90.domain;
-  stamp = other90.stamp;
-  services = other90.services;
-  contacts = other90.contacts;
-  base = other90.base;
-  isRequest = other90.isRequest;
-  root = other90.root;
-  __isset = other90.__isset;
+DomainSummary::DomainSummary(const DomainSummary& other95) {
+  region = other95.region;
+  domain = other95.domain;
+  stamp = other95.stamp;
+  services = other95.services;
+  contacts = other95.contacts;
+  base = other95.base;
+  isRequest = other95.isRequest;
+  root = other95.root;
+  buckets = other95.buckets;
+  __isset = other95.__isset;
+}
+DomainSummary& DomainSummary::operator=(const DomainSummary& other96) {
+  region = other96.region;
+  domain = other96.domain;
+  stamp = other96.stamp;
+  services = other96.services;
+  contacts = other96.contacts;
+  base = other96.base;
+  isRequest = other96.isRequest;
+  root = other96.root;
+  buckets = other96.buckets;
+  __isset = other96.__isset;
   return *this;
 }
 void DomainSummary::printTo(std::ostream& out) const {
@@ -2496,6 +2535,7 @@
   out << ", " << "base=" << to_string(base);
   out << ", " << "isRequest=" << to_string(isRequest);
   out << ", " << "root=" << to_string(root);
+  out << ", " << "buckets=" << to_string(buckets);
   out << ")";
 }
 
@@ -2609,17 +2649,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceLoad::ServiceLoad(const ServiceLoad& other91) {
-  serviceName = other91.serviceName;
-  freeSlots = other91.freeSlots;
-  slowdownPercent = other91.slowdownPercent;
-  __isset = other91.__isset;
+ServiceLoad::ServiceLoad(const ServiceLoad& other97) {
+  serviceName = other97.serviceName;
+  freeSlots = other97.freeSlots;
+  slowdownPercent = other97.slowdownPercent;
+  __isset = other97.__isset;
 }
-ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other92) {
-  serviceName = other92.serviceName;
-  freeSlots = other92.freeSlots;
-  slowdownPercent = other92.slowdownPercent;
-  __isset = other92.__isset;
+ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other98) {
+  serviceName = other98.serviceName;
+  freeSlots = other98.freeSlots;
+  slowdownPercent = other98.slowdownPercent;
+  __isset = other98.__isset;
   return *this;
 }
 void ServiceLoad::printTo(std::ostream& out) const {
@@ -2683,14 +2723,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->services.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->services.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->services[_i97].read(iprot);
+              xfer += this->services[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2723,10 +2763,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceLoad> ::const_iterator _iter98;
-    for (_iter98 = this->services.begin(); _iter98 != this->services.end(); ++_iter98)
+    std::vector<ServiceLoad> ::const_iterator _iter104;
+    for (_iter104 = this->services.begin(); _iter104 != this->services.end(); ++_iter104)
     {
-      xfer += (*_iter98).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2744,15 +2784,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other99) {
-  host = other99.host;
-  services = other99.services;
-  __isset = other99.__isset;
+LoadReport::LoadReport(const LoadReport& other105) {
+  host = other105.host;
+  services = other105.services;
+  __isset = other105.__isset;
 }
-LoadReport& LoadReport::operator=(const LoadReport& other100) {
-  host = other100.host;
-  services = other100.services;
-  __isset = other100.__isset;
+LoadReport& LoadReport::operator=(const LoadReport& other106) {
+  host = other106.host;
+  services = other106.services;
+  __isset = other106.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -2873,17 +2913,17 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryText::EntryText(const EntryText& other101) {
-  name = other101.name;
-  revision = other101.revision;
-  text = other101.text;
-  __isset = other101.__isset;
+EntryText::EntryText(const EntryText& other107) {
+  name = other107.name;
+  revision = other107.revision;
+  text = other107.text;
+  __isset = other107.__isset;
 }
-EntryText& EntryText::operator=(const EntryText& other102) {
-  name = other102.name;
-  revision = other102.revision;
-  text = other102.text;
-  __isset = other102.__isset;
+EntryText& EntryText::operator=(const EntryText& other108) {
+  name = other108.name;
+  revision = other108.revision;
+  text = other108.text;
+  __isset = other108.__isset;
   return *this;
 }
 void EntryText::printTo(std::ostream& out) const {
@@ -3003,14 +3043,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->changed.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->changed.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->changed[_i107].read(iprot);
+              xfer += this->changed[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3023,14 +3063,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->removed.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->removed.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += iprot->readString(this->removed[_i112]);
+              xfer += iprot->readString(this->removed[_i118]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3087,10 +3127,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<EntryText> ::const_iterator _iter113;
-    for (_iter113 = this->changed.begin(); _iter113 != this->changed.end(); ++_iter113)
+    std::vector<EntryText> ::const_iterator _iter119;
+    for (_iter119 = this->changed.begin(); _iter119 != this->changed.end(); ++_iter119)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3099,10 +3139,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter114;
-    for (_iter114 = this->removed.begin(); _iter114 != this->removed.end(); ++_iter114)
+    std::vector<std::string> ::const_iterator _iter120;
+    for (_iter120 = this->removed.begin(); _iter120 != this->removed.end(); ++_iter120)
     {
-      xfer += oprot->writeString((*_iter114));
+      xfer += oprot->writeString((*_iter120));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3130,27 +3170,27 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigBody::ConfigBody(const ConfigBody& other115) {
-  base = other115.base;
-  version = other115.version;
-  contentHash = other115.contentHash;
-  storeEpoch = other115.storeEpoch;
-  floorRevision = other115.floorRevision;
-  changed = other115.changed;
-  removed = other115.removed;
-  whole = other115.whole;
-  __isset = other115.__isset;
-}
-ConfigBody& ConfigBody::operator=(const ConfigBody& other116) {
-  base = other116.base;
-  version = other116.version;
-  contentHash = other116.contentHash;
-  storeEpoch = other116.storeEpoch;
-  floorRevision = other116.floorRevision;
-  changed = other116.changed;
-  removed = other116.removed;
-  whole = other116.whole;
-  __isset = other116.__isset;
+ConfigBody::ConfigBody(const ConfigBody& other121) {
+  base = other121.base;
+  version = other121.version;
+  contentHash = other121.contentHash;
+  storeEpoch = other121.storeEpoch;
+  floorRevision = other121.floorRevision;
+  changed = other121.changed;
+  removed = other121.removed;
+  whole = other121.whole;
+  __isset = other121.__isset;
+}
+ConfigBody& ConfigBody::operator=(const ConfigBody& other122) {
+  base = other122.base;
+  version = other122.version;
+  contentHash = other122.contentHash;
+  storeEpoch = other122.storeEpoch;
+  floorRevision = other122.floorRevision;
+  changed = other122.changed;
+  removed = other122.removed;
+  whole = other122.whole;
+  __isset = other122.__isset;
   return *this;
 }
 void ConfigBody::printTo(std::ostream& out) const {
@@ -3260,15 +3300,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other117) {
-  root = other117.root;
-  body = other117.body;
-  __isset = other117.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other123) {
+  root = other123.root;
+  body = other123.body;
+  __isset = other123.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other118) {
-  root = other118.root;
-  body = other118.body;
-  __isset = other118.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other124) {
+  root = other124.root;
+  body = other124.body;
+  __isset = other124.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -3355,13 +3395,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFetch::ConfigFetch(const ConfigFetch& other119) noexcept {
-  held = other119.held;
-  __isset = other119.__isset;
+ConfigFetch::ConfigFetch(const ConfigFetch& other125) noexcept {
+  held = other125.held;
+  __isset = other125.__isset;
 }
-ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other120) noexcept {
-  held = other120.held;
-  __isset = other120.__isset;
+ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other126) noexcept {
+  held = other126.held;
+  __isset = other126.__isset;
   return *this;
 }
 void ConfigFetch::printTo(std::ostream& out) const {
@@ -3427,14 +3467,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bodies.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->bodies.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->bodies.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
             {
-              xfer += this->bodies[_i125].read(iprot);
+              xfer += this->bodies[_i131].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3475,10 +3515,10 @@
   xfer += oprot->writeFieldBegin("bodies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->bodies.size()));
-    std::vector<ConfigBody> ::const_iterator _iter126;
-    for (_iter126 = this->bodies.begin(); _iter126 != this->bodies.end(); ++_iter126)
+    std::vector<ConfigBody> ::const_iterator _iter132;
+    for (_iter132 = this->bodies.begin(); _iter132 != this->bodies.end(); ++_iter132)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter132).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3501,17 +3541,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigAnswer::ConfigAnswer(const ConfigAnswer& other127) {
-  held = other127.held;
-  bodies = other127.bodies;
-  retryAfterMillis = other127.retryAfterMillis;
-  __isset = other127.__isset;
+ConfigAnswer::ConfigAnswer(const ConfigAnswer& other133) {
+  held = other133.held;
+  bodies = other133.bodies;
+  retryAfterMillis = other133.retryAfterMillis;
+  __isset = other133.__isset;
 }
-ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other128) {
-  held = other128.held;
-  bodies = other128.bodies;
-  retryAfterMillis = other128.retryAfterMillis;
-  __isset = other128.__isset;
+ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other134) {
+  held = other134.held;
+  bodies = other134.bodies;
+  retryAfterMillis = other134.retryAfterMillis;
+  __isset = other134.__isset;
   return *this;
 }
 void ConfigAnswer::printTo(std::ostream& out) const {
@@ -3663,17 +3703,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _ktype130;
-            ::apache::thrift::protocol::TType _vtype131;
-            xfer += iprot->readMapBegin(_ktype130, _vtype131, _size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _ktype136;
+            ::apache::thrift::protocol::TType _vtype137;
+            xfer += iprot->readMapBegin(_ktype136, _vtype137, _size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              std::string _key134;
-              xfer += iprot->readString(_key134);
-              std::string& _val135 = this->headers[_key134];
-              xfer += iprot->readString(_val135);
+              std::string _key140;
+              xfer += iprot->readString(_key140);
+              std::string& _val141 = this->headers[_key140];
+              xfer += iprot->readString(_val141);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3782,11 +3822,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter136;
-    for (_iter136 = this->headers.begin(); _iter136 != this->headers.end(); ++_iter136)
+    std::map<std::string, std::string> ::const_iterator _iter142;
+    for (_iter142 = this->headers.begin(); _iter142 != this->headers.end(); ++_iter142)
     {
-      xfer += oprot->writeString(_iter136->first);
-      xfer += oprot->writeString(_iter136->second);
+      xfer += oprot->writeString(_iter142->first);
+      xfer += oprot->writeString(_iter142->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3844,39 +3884,39 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other137) {
-  callId = other137.callId;
-  entry = other137.entry;
-  serviceName = other137.serviceName;
-  port = other137.port;
-  method = other137.method;
-  target = other137.target;
-  headers = other137.headers;
-  body = other137.body;
-  remainingMillis = other137.remainingMillis;
-  idempotent = other137.idempotent;
-  depth = other137.depth;
-  callerHost = other137.callerHost;
-  version = other137.version;
-  digest = other137.digest;
-  __isset = other137.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other138) {
-  callId = other138.callId;
-  entry = other138.entry;
-  serviceName = other138.serviceName;
-  port = other138.port;
-  method = other138.method;
-  target = other138.target;
-  headers = other138.headers;
-  body = other138.body;
-  remainingMillis = other138.remainingMillis;
-  idempotent = other138.idempotent;
-  depth = other138.depth;
-  callerHost = other138.callerHost;
-  version = other138.version;
-  digest = other138.digest;
-  __isset = other138.__isset;
+CallRequest::CallRequest(const CallRequest& other143) {
+  callId = other143.callId;
+  entry = other143.entry;
+  serviceName = other143.serviceName;
+  port = other143.port;
+  method = other143.method;
+  target = other143.target;
+  headers = other143.headers;
+  body = other143.body;
+  remainingMillis = other143.remainingMillis;
+  idempotent = other143.idempotent;
+  depth = other143.depth;
+  callerHost = other143.callerHost;
+  version = other143.version;
+  digest = other143.digest;
+  __isset = other143.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other144) {
+  callId = other144.callId;
+  entry = other144.entry;
+  serviceName = other144.serviceName;
+  port = other144.port;
+  method = other144.method;
+  target = other144.target;
+  headers = other144.headers;
+  body = other144.body;
+  remainingMillis = other144.remainingMillis;
+  idempotent = other144.idempotent;
+  depth = other144.depth;
+  callerHost = other144.callerHost;
+  version = other144.version;
+  digest = other144.digest;
+  __isset = other144.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -4001,9 +4041,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast139;
-          xfer += iprot->readI32(ecast139);
-          this->outcome = static_cast<CallOutcome::type>(ecast139);
+          int32_t ecast145;
+          xfer += iprot->readI32(ecast145);
+          this->outcome = static_cast<CallOutcome::type>(ecast145);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4021,17 +4061,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _ktype141;
-            ::apache::thrift::protocol::TType _vtype142;
-            xfer += iprot->readMapBegin(_ktype141, _vtype142, _size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _ktype147;
+            ::apache::thrift::protocol::TType _vtype148;
+            xfer += iprot->readMapBegin(_ktype147, _vtype148, _size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              std::string _key145;
-              xfer += iprot->readString(_key145);
-              std::string& _val146 = this->headers[_key145];
-              xfer += iprot->readString(_val146);
+              std::string _key151;
+              xfer += iprot->readString(_key151);
+              std::string& _val152 = this->headers[_key151];
+              xfer += iprot->readString(_val152);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4160,11 +4200,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter147;
-    for (_iter147 = this->headers.begin(); _iter147 != this->headers.end(); ++_iter147)
+    std::map<std::string, std::string> ::const_iterator _iter153;
+    for (_iter153 = this->headers.begin(); _iter153 != this->headers.end(); ++_iter153)
     {
-      xfer += oprot->writeString(_iter147->first);
-      xfer += oprot->writeString(_iter147->second);
+      xfer += oprot->writeString(_iter153->first);
+      xfer += oprot->writeString(_iter153->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4239,41 +4279,41 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other148) {
-  callId = other148.callId;
-  outcome = other148.outcome;
-  status = other148.status;
-  headers = other148.headers;
-  body = other148.body;
-  bodyHash = other148.bodyHash;
-  reason = other148.reason;
-  owner = other148.owner;
-  limit = other148.limit;
-  retryAfterMillis = other148.retryAfterMillis;
-  running = other148.running;
-  waiting = other148.waiting;
-  slots = other148.slots;
-  serverLost = other148.serverLost;
-  serviceMicros = other148.serviceMicros;
-  __isset = other148.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other149) {
-  callId = other149.callId;
-  outcome = other149.outcome;
-  status = other149.status;
-  headers = other149.headers;
-  body = other149.body;
-  bodyHash = other149.bodyHash;
-  reason = other149.reason;
-  owner = other149.owner;
-  limit = other149.limit;
-  retryAfterMillis = other149.retryAfterMillis;
-  running = other149.running;
-  waiting = other149.waiting;
-  slots = other149.slots;
-  serverLost = other149.serverLost;
-  serviceMicros = other149.serviceMicros;
-  __isset = other149.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other154) {
+  callId = other154.callId;
+  outcome = other154.outcome;
+  status = other154.status;
+  headers = other154.headers;
+  body = other154.body;
+  bodyHash = other154.bodyHash;
+  reason = other154.reason;
+  owner = other154.owner;
+  limit = other154.limit;
+  retryAfterMillis = other154.retryAfterMillis;
+  running = other154.running;
+  waiting = other154.waiting;
+  slots = other154.slots;
+  serverLost = other154.serverLost;
+  serviceMicros = other154.serviceMicros;
+  __isset = other154.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other155) {
+  callId = other155.callId;
+  outcome = other155.outcome;
+  status = other155.status;
+  headers = other155.headers;
+  body = other155.body;
+  bodyHash = other155.bodyHash;
+  reason = other155.reason;
+  owner = other155.owner;
+  limit = other155.limit;
+  retryAfterMillis = other155.retryAfterMillis;
+  running = other155.running;
+  waiting = other155.waiting;
+  slots = other155.slots;
+  serverLost = other155.serverLost;
+  serviceMicros = other155.serviceMicros;
+  __isset = other155.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -4373,13 +4413,13 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other150) {
-  callId = other150.callId;
-  __isset = other150.__isset;
+CallCancel::CallCancel(const CallCancel& other156) {
+  callId = other156.callId;
+  __isset = other156.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other151) {
-  callId = other151.callId;
-  __isset = other151.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other157) {
+  callId = other157.callId;
+  __isset = other157.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -4482,15 +4522,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CallQuery::CallQuery(const CallQuery& other152) {
-  callId = other152.callId;
-  incarnation = other152.incarnation;
-  __isset = other152.__isset;
+CallQuery::CallQuery(const CallQuery& other158) {
+  callId = other158.callId;
+  incarnation = other158.incarnation;
+  __isset = other158.__isset;
 }
-CallQuery& CallQuery::operator=(const CallQuery& other153) {
-  callId = other153.callId;
-  incarnation = other153.incarnation;
-  __isset = other153.__isset;
+CallQuery& CallQuery::operator=(const CallQuery& other159) {
+  callId = other159.callId;
+  incarnation = other159.incarnation;
+  __isset = other159.__isset;
   return *this;
 }
 void CallQuery::printTo(std::ostream& out) const {
@@ -4563,9 +4603,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast154;
-          xfer += iprot->readI32(ecast154);
-          this->wanted = static_cast<ClaimState::type>(ecast154);
+          int32_t ecast160;
+          xfer += iprot->readI32(ecast160);
+          this->wanted = static_cast<ClaimState::type>(ecast160);
           this->__isset.wanted = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4613,17 +4653,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other155) {
-  keyHash = other155.keyHash;
-  holder = other155.holder;
-  wanted = other155.wanted;
-  __isset = other155.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other161) {
+  keyHash = other161.keyHash;
+  holder = other161.holder;
+  wanted = other161.wanted;
+  __isset = other161.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other156) {
-  keyHash = other156.keyHash;
-  holder = other156.holder;
-  wanted = other156.wanted;
-  __isset = other156.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other162) {
+  keyHash = other162.keyHash;
+  holder = other162.holder;
+  wanted = other162.wanted;
+  __isset = other162.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -4701,9 +4741,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast157;
-          xfer += iprot->readI32(ecast157);
-          this->result = static_cast<ClaimResult::type>(ecast157);
+          int32_t ecast163;
+          xfer += iprot->readI32(ecast163);
+          this->result = static_cast<ClaimResult::type>(ecast163);
           this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4711,9 +4751,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast158;
-          xfer += iprot->readI32(ecast158);
-          this->wanted = static_cast<ClaimState::type>(ecast158);
+          int32_t ecast164;
+          xfer += iprot->readI32(ecast164);
+          this->wanted = static_cast<ClaimState::type>(ecast164);
           this->__isset.wanted = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4766,19 +4806,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other159) {
-  keyHash = other159.keyHash;
-  holder = other159.holder;
-  result = other159.result;
-  wanted = other159.wanted;
-  __isset = other159.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other165) {
+  keyHash = other165.keyHash;
+  holder = other165.holder;
+  result = other165.result;
+  wanted = other165.wanted;
+  __isset = other165.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other160) {
-  keyHash = other160.keyHash;
-  holder = other160.holder;
-  result = other160.result;
-  wanted = other160.wanted;
-  __isset = other160.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other166) {
+  keyHash = other166.keyHash;
+  holder = other166.holder;
+  result = other166.result;
+  wanted = other166.wanted;
+  __isset = other166.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
@@ -4858,9 +4898,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast161;
-          xfer += iprot->readI32(ecast161);
-          this->state = static_cast<ClaimState::type>(ecast161);
+          int32_t ecast167;
+          xfer += iprot->readI32(ecast167);
+          this->state = static_cast<ClaimState::type>(ecast167);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4922,19 +4962,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Claim::Claim(const Claim& other162) {
-  keyHash = other162.keyHash;
-  holder = other162.holder;
-  state = other162.state;
-  wallMillis = other162.wallMillis;
-  __isset = other162.__isset;
+Claim::Claim(const Claim& other168) {
+  keyHash = other168.keyHash;
+  holder = other168.holder;
+  state = other168.state;
+  wallMillis = other168.wallMillis;
+  __isset = other168.__isset;
 }
-Claim& Claim::operator=(const Claim& other163) {
-  keyHash = other163.keyHash;
-  holder = other163.holder;
-  state = other163.state;
-  wallMillis = other163.wallMillis;
-  __isset = other163.__isset;
+Claim& Claim::operator=(const Claim& other169) {
+  keyHash = other169.keyHash;
+  holder = other169.holder;
+  state = other169.state;
+  wallMillis = other169.wallMillis;
+  __isset = other169.__isset;
   return *this;
 }
 void Claim::printTo(std::ostream& out) const {
@@ -4987,14 +5027,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->claims.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->claims.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += this->claims[_i168].read(iprot);
+              xfer += this->claims[_i174].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5023,10 +5063,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<Claim> ::const_iterator _iter169;
-    for (_iter169 = this->claims.begin(); _iter169 != this->claims.end(); ++_iter169)
+    std::vector<Claim> ::const_iterator _iter175;
+    for (_iter175 = this->claims.begin(); _iter175 != this->claims.end(); ++_iter175)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5043,13 +5083,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimShardValue::ClaimShardValue(const ClaimShardValue& other170) {
-  claims = other170.claims;
-  __isset = other170.__isset;
+ClaimShardValue::ClaimShardValue(const ClaimShardValue& other176) {
+  claims = other176.claims;
+  __isset = other176.__isset;
 }
-ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other171) {
-  claims = other171.claims;
-  __isset = other171.__isset;
+ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other177) {
+  claims = other177.claims;
+  __isset = other177.__isset;
   return *this;
 }
 void ClaimShardValue::printTo(std::ostream& out) const {
@@ -5235,14 +5275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callers.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->callers.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->callers.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += iprot->readString(this->callers[_i176]);
+              xfer += iprot->readString(this->callers[_i182]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5323,10 +5363,10 @@
   xfer += oprot->writeFieldBegin("callers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->callers.size()));
-    std::vector<std::string> ::const_iterator _iter177;
-    for (_iter177 = this->callers.begin(); _iter177 != this->callers.end(); ++_iter177)
+    std::vector<std::string> ::const_iterator _iter183;
+    for (_iter183 = this->callers.begin(); _iter183 != this->callers.end(); ++_iter183)
     {
-      xfer += oprot->writeString((*_iter177));
+      xfer += oprot->writeString((*_iter183));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5359,37 +5399,37 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryReport::EntryReport(const EntryReport& other178) {
-  entry = other178.entry;
-  owner = other178.owner;
-  calls = other178.calls;
-  refused = other178.refused;
-  slow = other178.slow;
-  p50Micros = other178.p50Micros;
-  p99Micros = other178.p99Micros;
-  limit = other178.limit;
-  bound = other178.bound;
-  seen = other178.seen;
-  sinceWallMillis = other178.sinceWallMillis;
-  callers = other178.callers;
-  unknown = other178.unknown;
-  __isset = other178.__isset;
-}
-EntryReport& EntryReport::operator=(const EntryReport& other179) {
-  entry = other179.entry;
-  owner = other179.owner;
-  calls = other179.calls;
-  refused = other179.refused;
-  slow = other179.slow;
-  p50Micros = other179.p50Micros;
-  p99Micros = other179.p99Micros;
-  limit = other179.limit;
-  bound = other179.bound;
-  seen = other179.seen;
-  sinceWallMillis = other179.sinceWallMillis;
-  callers = other179.callers;
-  unknown = other179.unknown;
-  __isset = other179.__isset;
+EntryReport::EntryReport(const EntryReport& other184) {
+  entry = other184.entry;
+  owner = other184.owner;
+  calls = other184.calls;
+  refused = other184.refused;
+  slow = other184.slow;
+  p50Micros = other184.p50Micros;
+  p99Micros = other184.p99Micros;
+  limit = other184.limit;
+  bound = other184.bound;
+  seen = other184.seen;
+  sinceWallMillis = other184.sinceWallMillis;
+  callers = other184.callers;
+  unknown = other184.unknown;
+  __isset = other184.__isset;
+}
+EntryReport& EntryReport::operator=(const EntryReport& other185) {
+  entry = other185.entry;
+  owner = other185.owner;
+  calls = other185.calls;
+  refused = other185.refused;
+  slow = other185.slow;
+  p50Micros = other185.p50Micros;
+  p99Micros = other185.p99Micros;
+  limit = other185.limit;
+  bound = other185.bound;
+  seen = other185.seen;
+  sinceWallMillis = other185.sinceWallMillis;
+  callers = other185.callers;
+  unknown = other185.unknown;
+  __isset = other185.__isset;
   return *this;
 }
 void EntryReport::printTo(std::ostream& out) const {
@@ -5487,14 +5527,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->entries.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->entries.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->entries[_i184].read(iprot);
+              xfer += this->entries[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5535,10 +5575,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<EntryReport> ::const_iterator _iter185;
-    for (_iter185 = this->entries.begin(); _iter185 != this->entries.end(); ++_iter185)
+    std::vector<EntryReport> ::const_iterator _iter191;
+    for (_iter191 = this->entries.begin(); _iter191 != this->entries.end(); ++_iter191)
     {
-      xfer += (*_iter185).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5558,19 +5598,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReport::StatusReport(const StatusReport& other186) {
-  host = other186.host;
-  domain = other186.domain;
-  version = other186.version;
-  entries = other186.entries;
-  __isset = other186.__isset;
+StatusReport::StatusReport(const StatusReport& other192) {
+  host = other192.host;
+  domain = other192.domain;
+  version = other192.version;
+  entries = other192.entries;
+  __isset = other192.__isset;
 }
-StatusReport& StatusReport::operator=(const StatusReport& other187) {
-  host = other187.host;
-  domain = other187.domain;
-  version = other187.version;
-  entries = other187.entries;
-  __isset = other187.__isset;
+StatusReport& StatusReport::operator=(const StatusReport& other193) {
+  host = other193.host;
+  domain = other193.domain;
+  version = other193.version;
+  entries = other193.entries;
+  __isset = other193.__isset;
   return *this;
 }
 void StatusReport::printTo(std::ostream& out) const {
@@ -5659,13 +5699,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other188) noexcept {
-  sequence = other188.sequence;
-  __isset = other188.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other194) noexcept {
+  sequence = other194.sequence;
+  __isset = other194.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other189) noexcept {
-  sequence = other189.sequence;
-  __isset = other189.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other195) noexcept {
+  sequence = other195.sequence;
+  __isset = other195.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -6076,47 +6116,47 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other190) {
-  hello = other190.hello;
-  ping = other190.ping;
-  ack = other190.ack;
-  pingRequest = other190.pingRequest;
-  memberSync = other190.memberSync;
-  domainSummary = other190.domainSummary;
-  configPush = other190.configPush;
-  configFetch = other190.configFetch;
-  configAnswer = other190.configAnswer;
-  callRequest = other190.callRequest;
-  callAnswer = other190.callAnswer;
-  callCancel = other190.callCancel;
-  callQuery = other190.callQuery;
-  claimRequest = other190.claimRequest;
-  claimAnswer = other190.claimAnswer;
-  statusReport = other190.statusReport;
-  heartbeat = other190.heartbeat;
-  loadReport = other190.loadReport;
-  __isset = other190.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other191) {
-  hello = other191.hello;
-  ping = other191.ping;
-  ack = other191.ack;
-  pingRequest = other191.pingRequest;
-  memberSync = other191.memberSync;
-  domainSummary = other191.domainSummary;
-  configPush = other191.configPush;
-  configFetch = other191.configFetch;
-  configAnswer = other191.configAnswer;
-  callRequest = other191.callRequest;
-  callAnswer = other191.callAnswer;
-  callCancel = other191.callCancel;
-  callQuery = other191.callQuery;
-  claimRequest = other191.claimRequest;
-  claimAnswer = other191.claimAnswer;
-  statusReport = other191.statusReport;
-  heartbeat = other191.heartbeat;
-  loadReport = other191.loadReport;
-  __isset = other191.__isset;
+Envelope::Envelope(const Envelope& other196) {
+  hello = other196.hello;
+  ping = other196.ping;
+  ack = other196.ack;
+  pingRequest = other196.pingRequest;
+  memberSync = other196.memberSync;
+  domainSummary = other196.domainSummary;
+  configPush = other196.configPush;
+  configFetch = other196.configFetch;
+  configAnswer = other196.configAnswer;
+  callRequest = other196.callRequest;
+  callAnswer = other196.callAnswer;
+  callCancel = other196.callCancel;
+  callQuery = other196.callQuery;
+  claimRequest = other196.claimRequest;
+  claimAnswer = other196.claimAnswer;
+  statusReport = other196.statusReport;
+  heartbeat = other196.heartbeat;
+  loadReport = other196.loadReport;
+  __isset = other196.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other197) {
+  hello = other197.hello;
+  ping = other197.ping;
+  ack = other197.ack;
+  pingRequest = other197.pingRequest;
+  memberSync = other197.memberSync;
+  domainSummary = other197.domainSummary;
+  configPush = other197.configPush;
+  configFetch = other197.configFetch;
+  configAnswer = other197.configAnswer;
+  callRequest = other197.callRequest;
+  callAnswer = other197.callAnswer;
+  callCancel = other197.callCancel;
+  callQuery = other197.callQuery;
+  claimRequest = other197.claimRequest;
+  claimAnswer = other197.claimAnswer;
+  statusReport = other197.statusReport;
+  heartbeat = other197.heartbeat;
+  loadReport = other197.loadReport;
+  __isset = other197.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -950,7 +950,7 @@
 std::ostream& operator<<(std::ostream& out, const ServiceSummary& obj);
 
 typedef struct _DomainSummary__isset {
-  _DomainSummary__isset() : region(false), domain(false), stamp(false), services(false), contacts(false), base(false), isRequest(false), root(false) {}
+  _DomainSummary__isset() : region(false), domain(false), stamp(false), services(false), contacts(false), base(false), isRequest(false), root(false), buckets(false) {}
   bool region :1;
   bool domain :1;
   bool stamp :1;
@@ -959,6 +959,7 @@
   bool base :1;
   bool isRequest :1;
   bool root :1;
+  bool buckets :1;
 } _DomainSummary__isset;
 
 class DomainSummary : public virtual ::apache::thrift::TBase {
@@ -992,13 +993,17 @@
    */
   int64_t base;
   /**
-   * Asks for what changed after the stamp; carries no services.
+   * Asks for the services in the buckets that differ; carries none.
    */
   bool isRequest;
   /**
    * Root of the tree along which it travels in the receiving domain.
    */
   std::string root;
+  /**
+   * Hash per bucket of the services held; in requests and refreshes.
+   */
+  std::vector<int64_t>  buckets;
 
   _DomainSummary__isset __isset;
 
@@ -1018,6 +1023,8 @@
 
   void __set_root(const std::string& val);
 
+  void __set_buckets(const std::vector<int64_t> & val);
+
   bool operator == (const DomainSummary & rhs) const
   {
     if (!(region == rhs.region))
@@ -1036,6 +1043,8 @@
       return false;
     if (!(root == rhs.root))
       return false;
+    if (!(buckets == rhs.buckets))
+      return false;
     return true;
   }
   bool operator != (const DomainSummary &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -136,10 +136,12 @@
   5: list<MemberRecord> contacts
   /** Services unchanged since this stamp are left out; 0 is complete. */
   6: i64 base
-  /** Asks for what changed after the stamp; carries no services. */
+  /** Asks for the services in the buckets that differ; carries none. */
   7: bool isRequest
   /** Root of the tree along which it travels in the receiving domain. */
   8: string root
+  /** Hash per bucket of the services held; in requests and refreshes. */
+  9: list<i64> buckets
 }
 
 struct ServiceLoad {
