--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -2445,6 +2445,10 @@
 void DomainSummary::__set_root(const std::string& val) {
   this->root = val;
 }
+
+void DomainSummary::__set_buckets(const std::vector<int64_t> & val) {
+  this->buckets = val;
+}
 std::ostream& operator<<(std::ostream& out, const DomainSummary& obj)
 {
   obj.printTo(out);
@@ -2561,6 +2565,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->buckets.clear();
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->buckets.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
+            {
+              xfer += iprot->readI64(this->buckets[_i111]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.buckets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2593,10 +2617,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceSummary> ::const_iterator _iter107;
-    for (_iter107 = this->services.begin(); _iter107 != this->services.end(); ++_iter107)
+    std::vector<ServiceSummary> ::const_iterator _iter112;
+    for (_iter112 = this->services.begin(); _iter112 != this->services.end(); ++_iter112)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter112).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2605,10 +2629,10 @@
   xfer += oprot->writeFieldBegin("contacts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contacts.size()));
-    std::vector<MemberRecord> ::const_iterator _iter108;
-    for (_iter108 = this->contacts.begin(); _iter108 != this->contacts.end(); ++_iter108)
+    std::vector<MemberRecord> ::const_iterator _iter113;
+    for (_iter113 = this->contacts.begin(); _iter113 != this->contacts.end(); ++_iter113)
     {
-      xfer += (*_iter108).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2626,6 +2650,18 @@
   xfer += oprot->writeString(this->root);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
+    std::vector<int64_t> ::const_iterator _iter114;
+    for (_iter114 = this->buckets.begin(); _iter114 != this->buckets.end(); ++_iter114)
+    {
+      xfer += oprot->writeI64((*_iter114));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2641,53 +2677,58 @@
   swap(a.base, b.base);
   swap(a.isRequest, b.isRequest);
   swap(a.root, b.root);
+  swap(a.buckets, b.buckets);
   swap(a.__isset, b.__isset);
 }
 
-DomainSummary::DomainSummary(const DomainSummary& other109) {
-  region = other109.region;
-  domain = other109.domain;
-  stamp = other109.stamp;
-  services = other109.services;
-  contacts = other109.contacts;
-  base = other109.base;
-  isRequest = other109.isRequest;
-  root = other109.root;
-  __isset = other109.__isset;
-}
-DomainSummary::DomainSummary(DomainSummary&& other110) noexcept {
-  region = std::move(other110.region);
-  domain = std::move(other110.domain);
-  stamp = other110.stamp;
-  services = std::move(other110.services);
-  contacts = std::move(other110.contacts);
-  base = other110.base;
-  isRequest = other110.isRequest;
-  root = std::move(other110.root);
-  __isset = other110.__isset;
-}
-DomainSummary& DomainSummary::operator=(const DomainSummary& other111) {
-  region = other111.region;
-  domain = other111.domain;
-  stamp = other111.stamp;
-  services = other111.services;
-  contacts = other111.contacts;
-  base = other111.base;
-  isRequest = other111.isRequest;
-  root = other111.root;
-  __isset = other111.__isset;
+DomainSummary::DomainSummary(const DomainSummary& other115) {
+  region = other115.region;
+  domain = other115.domain;
+  stamp = other115.stamp;
+  services = other115.services;
+  contacts = other115.contacts;
+  base = other115.base;
+  isRequest = other115.isRequest;
+  root = other115.root;
+  buckets = other115.buckets;
+  __isset = other115.__isset;
+}
+DomainSummary::DomainSummary(DomainSummary&& other116) noexcept {
+  region = std::move(other116.region);
+  domain = std::move(other116.domain);
+  stamp = other116.stamp;
+  services = std::move(other116.services);
+  contacts = std::move(other116.contacts);
+  base = other116.base;
+  isRequest = other116.isRequest;
+  root = std::move(other116.root);
+  buckets = std::move(other116.buckets);
+  __isset = other116.__isset;
+}
+DomainSummary& DomainSummary::operator=(const DomainSummary& other117) {
+  region = other117.region;
+  domain = other117.domain;
+  stamp = other117.stamp;
+  services = other117.services;
+  contacts = other117.contacts;
+  base = other117.base;
+  isRequest = other117.isRequest;
+  root = other117.root;
+  buckets = other117.buckets;
+  __isset = other117.__isset;
   return *this;
 }
-DomainSummary& DomainSummary::operator=(DomainSummary&& other112) noexcept {
-  region = std::move(other112.region);
-  domain = std::move(other112.domain);
-  stamp = other112.stamp;
-  services = std::move(other112.services);
-  contacts = std::move(other112.contacts);
-  base = other112.base;
-  isRequest = other112.isRequest;
-  root = std::move(other112.root);
-  __isset = other112.__isset;
+DomainSummary& DomainSummary::operator=(DomainSummary&& other118) noexcept {
+  region = std::move(other118.region);
+  domain = std::move(other118.domain);
+  stamp = other118.stamp;
+  services = std::move(other118.services);
+  contacts = std::move(other118.contacts);
+  base = other118.base;
+  isRequest = other118.isRequest;
+  root = std::move(other118.root);
+  buckets = std::move(other118.buckets);
+  __isset = other118.__isset;
   return *this;
 }
 void DomainSummary::printTo(std::ostream& out) const {
@@ -2701,6 +2742,7 @@
   out << ", " << "base=" << to_string(base);
   out << ", " << "isRequest=" << to_string(isRequest);
   out << ", " << "root=" << to_string(root);
+  out << ", " << "buckets=" << to_string(buckets);
   out << ")";
 }
 
@@ -2814,30 +2856,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceLoad::ServiceLoad(const ServiceLoad& other113) {
-  serviceName = other113.serviceName;
-  freeSlots = other113.freeSlots;
-  slowdownPercent = other113.slowdownPercent;
-  __isset = other113.__isset;
+ServiceLoad::ServiceLoad(const ServiceLoad& other119) {
+  serviceName = other119.serviceName;
+  freeSlots = other119.freeSlots;
+  slowdownPercent = other119.slowdownPercent;
+  __isset = other119.__isset;
 }
-ServiceLoad::ServiceLoad(ServiceLoad&& other114) noexcept {
-  serviceName = std::move(other114.serviceName);
-  freeSlots = other114.freeSlots;
-  slowdownPercent = other114.slowdownPercent;
-  __isset = other114.__isset;
+ServiceLoad::ServiceLoad(ServiceLoad&& other120) noexcept {
+  serviceName = std::move(other120.serviceName);
+  freeSlots = other120.freeSlots;
+  slowdownPercent = other120.slowdownPercent;
+  __isset = other120.__isset;
 }
-ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other115) {
-  serviceName = other115.serviceName;
-  freeSlots = other115.freeSlots;
-  slowdownPercent = other115.slowdownPercent;
-  __isset = other115.__isset;
+ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other121) {
+  serviceName = other121.serviceName;
+  freeSlots = other121.freeSlots;
+  slowdownPercent = other121.slowdownPercent;
+  __isset = other121.__isset;
   return *this;
 }
-ServiceLoad& ServiceLoad::operator=(ServiceLoad&& other116) noexcept {
-  serviceName = std::move(other116.serviceName);
-  freeSlots = other116.freeSlots;
-  slowdownPercent = other116.slowdownPercent;
-  __isset = other116.__isset;
+ServiceLoad& ServiceLoad::operator=(ServiceLoad&& other122) noexcept {
+  serviceName = std::move(other122.serviceName);
+  freeSlots = other122.freeSlots;
+  slowdownPercent = other122.slowdownPercent;
+  __isset = other122.__isset;
   return *this;
 }
 void ServiceLoad::printTo(std::ostream& out) const {
@@ -2901,14 +2943,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->services.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->services.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->services[_i121].read(iprot);
+              xfer += this->services[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2941,10 +2983,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceLoad> ::const_iterator _iter122;
-    for (_iter122 = this->services.begin(); _iter122 != this->services.end(); ++_iter122)
+    std::vector<ServiceLoad> ::const_iterator _iter128;
+    for (_iter128 = this->services.begin(); _iter128 != this->services.end(); ++_iter128)
     {
-      xfer += (*_iter122).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2962,26 +3004,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other123) {
-  host = other123.host;
-  services = other123.services;
-  __isset = other123.__isset;
+LoadReport::LoadReport(const LoadReport& other129) {
+  host = other129.host;
+  services = other129.services;
+  __isset = other129.__isset;
 }
-LoadReport::LoadReport(LoadReport&& other124) noexcept {
-  host = std::move(other124.host);
-  services = std::move(other124.services);
-  __isset = other124.__isset;
+LoadReport::LoadReport(LoadReport&& other130) noexcept {
+  host = std::move(other130.host);
+  services = std::move(other130.services);
+  __isset = other130.__isset;
 }
-LoadReport& LoadReport::operator=(const LoadReport& other125) {
-  host = other125.host;
-  services = other125.services;
-  __isset = other125.__isset;
+LoadReport& LoadReport::operator=(const LoadReport& other131) {
+  host = other131.host;
+  services = other131.services;
+  __isset = other131.__isset;
   return *this;
 }
-LoadReport& LoadReport::operator=(LoadReport&& other126) noexcept {
-  host = std::move(other126.host);
-  services = std::move(other126.services);
-  __isset = other126.__isset;
+LoadReport& LoadReport::operator=(LoadReport&& other132) noexcept {
+  host = std::move(other132.host);
+  services = std::move(other132.services);
+  __isset = other132.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -3102,30 +3144,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryText::EntryText(const EntryText& other127) {
-  name = other127.name;
-  revision = other127.revision;
-  text = other127.text;
-  __isset = other127.__isset;
+EntryText::EntryText(const EntryText& other133) {
+  name = other133.name;
+  revision = other133.revision;
+  text = other133.text;
+  __isset = other133.__isset;
 }
-EntryText::EntryText(EntryText&& other128) noexcept {
-  name = std::move(other128.name);
-  revision = other128.revision;
-  text = std::move(other128.text);
-  __isset = other128.__isset;
+EntryText::EntryText(EntryText&& other134) noexcept {
+  name = std::move(other134.name);
+  revision = other134.revision;
+  text = std::move(other134.text);
+  __isset = other134.__isset;
 }
-EntryText& EntryText::operator=(const EntryText& other129) {
-  name = other129.name;
-  revision = other129.revision;
-  text = other129.text;
-  __isset = other129.__isset;
+EntryText& EntryText::operator=(const EntryText& other135) {
+  name = other135.name;
+  revision = other135.revision;
+  text = other135.text;
+  __isset = other135.__isset;
   return *this;
 }
-EntryText& EntryText::operator=(EntryText&& other130) noexcept {
-  name = std::move(other130.name);
-  revision = other130.revision;
-  text = std::move(other130.text);
-  __isset = other130.__isset;
+EntryText& EntryText::operator=(EntryText&& other136) noexcept {
+  name = std::move(other136.name);
+  revision = other136.revision;
+  text = std::move(other136.text);
+  __isset = other136.__isset;
   return *this;
 }
 void EntryText::printTo(std::ostream& out) const {
@@ -3245,14 +3287,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->changed.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->changed.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += this->changed[_i135].read(iprot);
+              xfer += this->changed[_i141].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3265,14 +3307,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->removed.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->removed.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += iprot->readString(this->removed[_i140]);
+              xfer += iprot->readString(this->removed[_i146]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3329,10 +3371,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<EntryText> ::const_iterator _iter141;
-    for (_iter141 = this->changed.begin(); _iter141 != this->changed.end(); ++_iter141)
+    std::vector<EntryText> ::const_iterator _iter147;
+    for (_iter147 = this->changed.begin(); _iter147 != this->changed.end(); ++_iter147)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3341,10 +3383,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter142;
-    for (_iter142 = this->removed.begin(); _iter142 != this->removed.end(); ++_iter142)
+    std::vector<std::string> ::const_iterator _iter148;
+    for (_iter148 = this->removed.begin(); _iter148 != this->removed.end(); ++_iter148)
     {
-      xfer += oprot->writeString((*_iter142));
+      xfer += oprot->writeString((*_iter148));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3372,50 +3414,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigBody::ConfigBody(const ConfigBody& other143) {
-  base = other143.base;
-  version = other143.version;
-  contentHash = other143.contentHash;
-  storeEpoch = other143.storeEpoch;
-  floorRevision = other143.floorRevision;
-  changed = other143.changed;
-  removed = other143.removed;
-  whole = other143.whole;
-  __isset = other143.__isset;
-}
-ConfigBody::ConfigBody(ConfigBody&& other144) noexcept {
-  base = other144.base;
-  version = other144.version;
-  contentHash = other144.contentHash;
-  storeEpoch = other144.storeEpoch;
-  floorRevision = other144.floorRevision;
-  changed = std::move(other144.changed);
-  removed = std::move(other144.removed);
-  whole = other144.whole;
-  __isset = other144.__isset;
-}
-ConfigBody& ConfigBody::operator=(const ConfigBody& other145) {
-  base = other145.base;
-  version = other145.version;
-  contentHash = other145.contentHash;
-  storeEpoch = other145.storeEpoch;
-  floorRevision = other145.floorRevision;
-  changed = other145.changed;
-  removed = other145.removed;
-  whole = other145.whole;
-  __isset = other145.__isset;
+ConfigBody::ConfigBody(const ConfigBody& other149) {
+  base = other149.base;
+  version = other149.version;
+  contentHash = other149.contentHash;
+  storeEpoch = other149.storeEpoch;
+  floorRevision = other149.floorRevision;
+  changed = other149.changed;
+  removed = other149.removed;
+  whole = other149.whole;
+  __isset = other149.__isset;
+}
+ConfigBody::ConfigBody(ConfigBody&& other150) noexcept {
+  base = other150.base;
+  version = other150.version;
+  contentHash = other150.contentHash;
+  storeEpoch = other150.storeEpoch;
+  floorRevision = other150.floorRevision;
+  changed = std::move(other150.changed);
+  removed = std::move(other150.removed);
+  whole = other150.whole;
+  __isset = other150.__isset;
+}
+ConfigBody& ConfigBody::operator=(const ConfigBody& other151) {
+  base = other151.base;
+  version = other151.version;
+  contentHash = other151.contentHash;
+  storeEpoch = other151.storeEpoch;
+  floorRevision = other151.floorRevision;
+  changed = other151.changed;
+  removed = other151.removed;
+  whole = other151.whole;
+  __isset = other151.__isset;
   return *this;
 }
-ConfigBody& ConfigBody::operator=(ConfigBody&& other146) noexcept {
-  base = other146.base;
-  version = other146.version;
-  contentHash = other146.contentHash;
-  storeEpoch = other146.storeEpoch;
-  floorRevision = other146.floorRevision;
-  changed = std::move(other146.changed);
-  removed = std::move(other146.removed);
-  whole = other146.whole;
-  __isset = other146.__isset;
+ConfigBody& ConfigBody::operator=(ConfigBody&& other152) noexcept {
+  base = other152.base;
+  version = other152.version;
+  contentHash = other152.contentHash;
+  storeEpoch = other152.storeEpoch;
+  floorRevision = other152.floorRevision;
+  changed = std::move(other152.changed);
+  removed = std::move(other152.removed);
+  whole = other152.whole;
+  __isset = other152.__isset;
   return *this;
 }
 void ConfigBody::printTo(std::ostream& out) const {
@@ -3525,26 +3567,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other147) {
-  root = other147.root;
-  body = other147.body;
-  __isset = other147.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other153) {
+  root = other153.root;
+  body = other153.body;
+  __isset = other153.__isset;
 }
-ConfigPush::ConfigPush(ConfigPush&& other148) noexcept {
-  root = std::move(other148.root);
-  body = std::move(other148.body);
-  __isset = other148.__isset;
+ConfigPush::ConfigPush(ConfigPush&& other154) noexcept {
+  root = std::move(other154.root);
+  body = std::move(other154.body);
+  __isset = other154.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other149) {
-  root = other149.root;
-  body = other149.body;
-  __isset = other149.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other155) {
+  root = other155.root;
+  body = other155.body;
+  __isset = other155.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other150) noexcept {
-  root = std::move(other150.root);
-  body = std::move(other150.body);
-  __isset = other150.__isset;
+ConfigPush& ConfigPush::operator=(ConfigPush&& other156) noexcept {
+  root = std::move(other156.root);
+  body = std::move(other156.body);
+  __isset = other156.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -3631,22 +3673,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFetch::ConfigFetch(const ConfigFetch& other151) noexcept {
-  held = other151.held;
-  __isset = other151.__isset;
+ConfigFetch::ConfigFetch(const ConfigFetch& other157) noexcept {
+  held = other157.held;
+  __isset = other157.__isset;
 }
-ConfigFetch::ConfigFetch(ConfigFetch&& other152) noexcept {
-  held = other152.held;
-  __isset = other152.__isset;
+ConfigFetch::ConfigFetch(ConfigFetch&& other158) noexcept {
+  held = other158.held;
+  __isset = other158.__isset;
 }
-ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other153) noexcept {
-  held = other153.held;
-  __isset = other153.__isset;
+ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other159) noexcept {
+  held = other159.held;
+  __isset = other159.__isset;
   return *this;
 }
-ConfigFetch& ConfigFetch::operator=(ConfigFetch&& other154) noexcept {
-  held = other154.held;
-  __isset = other154.__isset;
+ConfigFetch& ConfigFetch::operator=(ConfigFetch&& other160) noexcept {
+  held = other160.held;
+  __isset = other160.__isset;
   return *this;
 }
 void ConfigFetch::printTo(std::ostream& out) const {
@@ -3712,14 +3754,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bodies.clear();
-            uint32_t _size155;
-            ::apache::thrift::protocol::TType _etype158;
-            xfer += iprot->readListBegin(_etype158, _size155);
-            this->bodies.resize(_size155);
-            uint32_t _i159;
-            for (_i159 = 0; _i159 < _size155; ++_i159)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->bodies.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += this->bodies[_i159].read(iprot);
+              xfer += this->bodies[_i165].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3760,10 +3802,10 @@
   xfer += oprot->writeFieldBegin("bodies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->bodies.size()));
-    std::vector<ConfigBody> ::const_iterator _iter160;
-    for (_iter160 = this->bodies.begin(); _iter160 != this->bodies.end(); ++_iter160)
+    std::vector<ConfigBody> ::const_iterator _iter166;
+    for (_iter166 = this->bodies.begin(); _iter166 != this->bodies.end(); ++_iter166)
     {
-      xfer += (*_iter160).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3786,30 +3828,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigAnswer::ConfigAnswer(const ConfigAnswer& other161) {
-  held = other161.held;
-  bodies = other161.bodies;
-  retryAfterMillis = other161.retryAfterMillis;
-  __isset = other161.__isset;
+ConfigAnswer::ConfigAnswer(const ConfigAnswer& other167) {
+  held = other167.held;
+  bodies = other167.bodies;
+  retryAfterMillis = other167.retryAfterMillis;
+  __isset = other167.__isset;
 }
-ConfigAnswer::ConfigAnswer(ConfigAnswer&& other162) noexcept {
-  held = other162.held;
-  bodies = std::move(other162.bodies);
-  retryAfterMillis = other162.retryAfterMillis;
-  __isset = other162.__isset;
+ConfigAnswer::ConfigAnswer(ConfigAnswer&& other168) noexcept {
+  held = other168.held;
+  bodies = std::move(other168.bodies);
+  retryAfterMillis = other168.retryAfterMillis;
+  __isset = other168.__isset;
 }
-ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other163) {
-  held = other163.held;
-  bodies = other163.bodies;
-  retryAfterMillis = other163.retryAfterMillis;
-  __isset = other163.__isset;
+ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other169) {
+  held = other169.held;
+  bodies = other169.bodies;
+  retryAfterMillis = other169.retryAfterMillis;
+  __isset = other169.__isset;
   return *this;
 }
-ConfigAnswer& ConfigAnswer::operator=(ConfigAnswer&& other164) noexcept {
-  held = other164.held;
-  bodies = std::move(other164.bodies);
-  retryAfterMillis = other164.retryAfterMillis;
-  __isset = other164.__isset;
+ConfigAnswer& ConfigAnswer::operator=(ConfigAnswer&& other170) noexcept {
+  held = other170.held;
+  bodies = std::move(other170.bodies);
+  retryAfterMillis = other170.retryAfterMillis;
+  __isset = other170.__isset;
   return *this;
 }
 void ConfigAnswer::printTo(std::ostream& out) const {
@@ -3961,17 +4003,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _ktype166;
-            ::apache::thrift::protocol::TType _vtype167;
-            xfer += iprot->readMapBegin(_ktype166, _vtype167, _size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _ktype172;
+            ::apache::thrift::protocol::TType _vtype173;
+            xfer += iprot->readMapBegin(_ktype172, _vtype173, _size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              std::string _key170;
-              xfer += iprot->readString(_key170);
-              std::string& _val171 = this->headers[_key170];
-              xfer += iprot->readString(_val171);
+              std::string _key176;
+              xfer += iprot->readString(_key176);
+              std::string& _val177 = this->headers[_key176];
+              xfer += iprot->readString(_val177);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4080,11 +4122,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter172;
-    for (_iter172 = this->headers.begin(); _iter172 != this->headers.end(); ++_iter172)
+    std::map<std::string, std::string> ::const_iterator _iter178;
+    for (_iter178 = this->headers.begin(); _iter178 != this->headers.end(); ++_iter178)
     {
-      xfer += oprot->writeString(_iter172->first);
-      xfer += oprot->writeString(_iter172->second);
+      xfer += oprot->writeString(_iter178->first);
+      xfer += oprot->writeString(_iter178->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4142,74 +4184,74 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other173) {
-  callId = other173.callId;
-  entry = other173.entry;
-  serviceName = other173.serviceName;
-  port = other173.port;
-  method = other173.method;
-  target = other173.target;
-  headers = other173.headers;
-  body = other173.body;
-  remainingMillis = other173.remainingMillis;
-  idempotent = other173.idempotent;
-  depth = other173.depth;
-  callerHost = other173.callerHost;
-  version = other173.version;
-  digest = other173.digest;
-  __isset = other173.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other174) noexcept {
-  callId = std::move(other174.callId);
-  entry = std::move(other174.entry);
-  serviceName = std::move(other174.serviceName);
-  port = other174.port;
-  method = std::move(other174.method);
-  target = std::move(other174.target);
-  headers = std::move(other174.headers);
-  body = std::move(other174.body);
-  remainingMillis = other174.remainingMillis;
-  idempotent = other174.idempotent;
-  depth = other174.depth;
-  callerHost = std::move(other174.callerHost);
-  version = other174.version;
-  digest = other174.digest;
-  __isset = other174.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other175) {
-  callId = other175.callId;
-  entry = other175.entry;
-  serviceName = other175.serviceName;
-  port = other175.port;
-  method = other175.method;
-  target = other175.target;
-  headers = other175.headers;
-  body = other175.body;
-  remainingMillis = other175.remainingMillis;
-  idempotent = other175.idempotent;
-  depth = other175.depth;
-  callerHost = other175.callerHost;
-  version = other175.version;
-  digest = other175.digest;
-  __isset = other175.__isset;
+CallRequest::CallRequest(const CallRequest& other179) {
+  callId = other179.callId;
+  entry = other179.entry;
+  serviceName = other179.serviceName;
+  port = other179.port;
+  method = other179.method;
+  target = other179.target;
+  headers = other179.headers;
+  body = other179.body;
+  remainingMillis = other179.remainingMillis;
+  idempotent = other179.idempotent;
+  depth = other179.depth;
+  callerHost = other179.callerHost;
+  version = other179.version;
+  digest = other179.digest;
+  __isset = other179.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other180) noexcept {
+  callId = std::move(other180.callId);
+  entry = std::move(other180.entry);
+  serviceName = std::move(other180.serviceName);
+  port = other180.port;
+  method = std::move(other180.method);
+  target = std::move(other180.target);
+  headers = std::move(other180.headers);
+  body = std::move(other180.body);
+  remainingMillis = other180.remainingMillis;
+  idempotent = other180.idempotent;
+  depth = other180.depth;
+  callerHost = std::move(other180.callerHost);
+  version = other180.version;
+  digest = other180.digest;
+  __isset = other180.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other181) {
+  callId = other181.callId;
+  entry = other181.entry;
+  serviceName = other181.serviceName;
+  port = other181.port;
+  method = other181.method;
+  target = other181.target;
+  headers = other181.headers;
+  body = other181.body;
+  remainingMillis = other181.remainingMillis;
+  idempotent = other181.idempotent;
+  depth = other181.depth;
+  callerHost = other181.callerHost;
+  version = other181.version;
+  digest = other181.digest;
+  __isset = other181.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other176) noexcept {
-  callId = std::move(other176.callId);
-  entry = std::move(other176.entry);
-  serviceName = std::move(other176.serviceName);
-  port = other176.port;
-  method = std::move(other176.method);
-  target = std::move(other176.target);
-  headers = std::move(other176.headers);
-  body = std::move(other176.body);
-  remainingMillis = other176.remainingMillis;
-  idempotent = other176.idempotent;
-  depth = other176.depth;
-  callerHost = std::move(other176.callerHost);
-  version = other176.version;
-  digest = other176.digest;
-  __isset = other176.__isset;
+CallRequest& CallRequest::operator=(CallRequest&& other182) noexcept {
+  callId = std::move(other182.callId);
+  entry = std::move(other182.entry);
+  serviceName = std::move(other182.serviceName);
+  port = other182.port;
+  method = std::move(other182.method);
+  target = std::move(other182.target);
+  headers = std::move(other182.headers);
+  body = std::move(other182.body);
+  remainingMillis = other182.remainingMillis;
+  idempotent = other182.idempotent;
+  depth = other182.depth;
+  callerHost = std::move(other182.callerHost);
+  version = other182.version;
+  digest = other182.digest;
+  __isset = other182.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -4342,9 +4384,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast177;
-          xfer += iprot->readI32(ecast177);
-          this->outcome = static_cast<CallOutcome::type>(ecast177);
+          int32_t ecast183;
+          xfer += iprot->readI32(ecast183);
+          this->outcome = static_cast<CallOutcome::type>(ecast183);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4362,17 +4404,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _ktype179;
-            ::apache::thrift::protocol::TType _vtype180;
-            xfer += iprot->readMapBegin(_ktype179, _vtype180, _size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _ktype185;
+            ::apache::thrift::protocol::TType _vtype186;
+            xfer += iprot->readMapBegin(_ktype185, _vtype186, _size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              std::string _key183;
-              xfer += iprot->readString(_key183);
-              std::string& _val184 = this->headers[_key183];
-              xfer += iprot->readString(_val184);
+              std::string _key189;
+              xfer += iprot->readString(_key189);
+              std::string& _val190 = this->headers[_key189];
+              xfer += iprot->readString(_val190);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4517,11 +4559,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter185;
-    for (_iter185 = this->headers.begin(); _iter185 != this->headers.end(); ++_iter185)
+    std::map<std::string, std::string> ::const_iterator _iter191;
+    for (_iter191 = this->headers.begin(); _iter191 != this->headers.end(); ++_iter191)
     {
-      xfer += oprot->writeString(_iter185->first);
-      xfer += oprot->writeString(_iter185->second);
+      xfer += oprot->writeString(_iter191->first);
+      xfer += oprot->writeString(_iter191->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4606,86 +4648,86 @@
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other186) {
-  callId = other186.callId;
-  outcome = other186.outcome;
-  status = other186.status;
-  headers = other186.headers;
-  body = other186.body;
-  bodyHash = other186.bodyHash;
-  reason = other186.reason;
-  owner = other186.owner;
-  limit = other186.limit;
-  retryAfterMillis = other186.retryAfterMillis;
-  running = other186.running;
-  waiting = other186.waiting;
-  slots = other186.slots;
-  serverLost = other186.serverLost;
-  serviceMicros = other186.serviceMicros;
-  bound = other186.bound;
-  seen = other186.seen;
-  __isset = other186.__isset;
-}
-CallAnswer::CallAnswer(CallAnswer&& other187) noexcept {
-  callId = std::move(other187.callId);
-  outcome = other187.outcome;
-  status = other187.status;
-  headers = std::move(other187.headers);
-  body = std::move(other187.body);
-  bodyHash = other187.bodyHash;
-  reason = std::move(other187.reason);
-  owner = std::move(other187.owner);
-  limit = std::move(other187.limit);
-  retryAfterMillis = other187.retryAfterMillis;
-  running = other187.running;
-  waiting = other187.waiting;
-  slots = other187.slots;
-  serverLost = other187.serverLost;
-  serviceMicros = other187.serviceMicros;
-  bound = other187.bound;
-  seen = other187.seen;
-  __isset = other187.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other188) {
-  callId = other188.callId;
-  outcome = other188.outcome;
-  status = other188.status;
-  headers = other188.headers;
-  body = other188.body;
-  bodyHash = other188.bodyHash;
-  reason = other188.reason;
-  owner = other188.owner;
-  limit = other188.limit;
-  retryAfterMillis = other188.retryAfterMillis;
-  running = other188.running;
-  waiting = other188.waiting;
-  slots = other188.slots;
-  serverLost = other188.serverLost;
-  serviceMicros = other188.serviceMicros;
-  bound = other188.bound;
-  seen = other188.seen;
-  __isset = other188.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other192) {
+  callId = other192.callId;
+  outcome = other192.outcome;
+  status = other192.status;
+  headers = other192.headers;
+  body = other192.body;
+  bodyHash = other192.bodyHash;
+  reason = other192.reason;
+  owner = other192.owner;
+  limit = other192.limit;
+  retryAfterMillis = other192.retryAfterMillis;
+  running = other192.running;
+  waiting = other192.waiting;
+  slots = other192.slots;
+  serverLost = other192.serverLost;
+  serviceMicros = other192.serviceMicros;
+  bound = other192.bound;
+  seen = other192.seen;
+  __isset = other192.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other193) noexcept {
+  callId = std::move(other193.callId);
+  outcome = other193.outcome;
+  status = other193.status;
+  headers = std::move(other193.headers);
+  body = std::move(other193.body);
+  bodyHash = other193.bodyHash;
+  reason = std::move(other193.reason);
+  owner = std::move(other193.owner);
+  limit = std::move(other193.limit);
+  retryAfterMillis = other193.retryAfterMillis;
+  running = other193.running;
+  waiting = other193.waiting;
+  slots = other193.slots;
+  serverLost = other193.serverLost;
+  serviceMicros = other193.serviceMicros;
+  bound = other193.bound;
+  seen = other193.seen;
+  __isset = other193.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other194) {
+  callId = other194.callId;
+  outcome = other194.outcome;
+  status = other194.status;
+  headers = other194.headers;
+  body = other194.body;
+  bodyHash = other194.bodyHash;
+  reason = other194.reason;
+  owner = other194.owner;
+  limit = other194.limit;
+  retryAfterMillis = other194.retryAfterMillis;
+  running = other194.running;
+  waiting = other194.waiting;
+  slots = other194.slots;
+  serverLost = other194.serverLost;
+  serviceMicros = other194.serviceMicros;
+  bound = other194.bound;
+  seen = other194.seen;
+  __isset = other194.__isset;
   return *this;
 }
-CallAnswer& CallAnswer::operator=(CallAnswer&& other189) noexcept {
-  callId = std::move(other189.callId);
-  outcome = other189.outcome;
-  status = other189.status;
-  headers = std::move(other189.headers);
-  body = std::move(other189.body);
-  bodyHash = other189.bodyHash;
-  reason = std::move(other189.reason);
-  owner = std::move(other189.owner);
-  limit = std::move(other189.limit);
-  retryAfterMillis = other189.retryAfterMillis;
-  running = other189.running;
-  waiting = other189.waiting;
-  slots = other189.slots;
-  serverLost = other189.serverLost;
-  serviceMicros = other189.serviceMicros;
-  bound = other189.bound;
-  seen = other189.seen;
-  __isset = other189.__isset;
+CallAnswer& CallAnswer::operator=(CallAnswer&& other195) noexcept {
+  callId = std::move(other195.callId);
+  outcome = other195.outcome;
+  status = other195.status;
+  headers = std::move(other195.headers);
+  body = std::move(other195.body);
+  bodyHash = other195.bodyHash;
+  reason = std::move(other195.reason);
+  owner = std::move(other195.owner);
+  limit = std::move(other195.limit);
+  retryAfterMillis = other195.retryAfterMillis;
+  running = other195.running;
+  waiting = other195.waiting;
+  slots = other195.slots;
+  serverLost = other195.serverLost;
+  serviceMicros = other195.serviceMicros;
+  bound = other195.bound;
+  seen = other195.seen;
+  __isset = other195.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -4787,22 +4829,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other190) {
-  callId = other190.callId;
-  __isset = other190.__isset;
+CallCancel::CallCancel(const CallCancel& other196) {
+  callId = other196.callId;
+  __isset = other196.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other191) noexcept {
-  callId = std::move(other191.callId);
-  __isset = other191.__isset;
+CallCancel::CallCancel(CallCancel&& other197) noexcept {
+  callId = std::move(other197.callId);
+  __isset = other197.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other192) {
-  callId = other192.callId;
-  __isset = other192.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other198) {
+  callId = other198.callId;
+  __isset = other198.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other193) noexcept {
-  callId = std::move(other193.callId);
-  __isset = other193.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other199) noexcept {
+  callId = std::move(other199.callId);
+  __isset = other199.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -4905,26 +4947,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallQuery::CallQuery(const CallQuery& other194) {
-  callId = other194.callId;
-  incarnation = other194.incarnation;
-  __isset = other194.__isset;
+CallQuery::CallQuery(const CallQuery& other200) {
+  callId = other200.callId;
+  incarnation = other200.incarnation;
+  __isset = other200.__isset;
 }
-CallQuery::CallQuery(CallQuery&& other195) noexcept {
-  callId = std::move(other195.callId);
-  incarnation = other195.incarnation;
-  __isset = other195.__isset;
+CallQuery::CallQuery(CallQuery&& other201) noexcept {
+  callId = std::move(other201.callId);
+  incarnation = other201.incarnation;
+  __isset = other201.__isset;
 }
-CallQuery& CallQuery::operator=(const CallQuery& other196) {
-  callId = other196.callId;
-  incarnation = other196.incarnation;
-  __isset = other196.__isset;
+CallQuery& CallQuery::operator=(const CallQuery& other202) {
+  callId = other202.callId;
+  incarnation = other202.incarnation;
+  __isset = other202.__isset;
   return *this;
 }
-CallQuery& CallQuery::operator=(CallQuery&& other197) noexcept {
-  callId = std::move(other197.callId);
-  incarnation = other197.incarnation;
-  __isset = other197.__isset;
+CallQuery& CallQuery::operator=(CallQuery&& other203) noexcept {
+  callId = std::move(other203.callId);
+  incarnation = other203.incarnation;
+  __isset = other203.__isset;
   return *this;
 }
 void CallQuery::printTo(std::ostream& out) const {
@@ -4997,9 +5039,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast198;
-          xfer += iprot->readI32(ecast198);
-          this->wanted = static_cast<ClaimState::type>(ecast198);
+          int32_t ecast204;
+          xfer += iprot->readI32(ecast204);
+          this->wanted = static_cast<ClaimState::type>(ecast204);
           this->__isset.wanted = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5047,30 +5089,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other199) {
-  keyHash = other199.keyHash;
-  holder = other199.holder;
-  wanted = other199.wanted;
-  __isset = other199.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other205) {
+  keyHash = other205.keyHash;
+  holder = other205.holder;
+  wanted = other205.wanted;
+  __isset = other205.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other200) noexcept {
-  keyHash = other200.keyHash;
-  holder = std::move(other200.holder);
-  wanted = other200.wanted;
-  __isset = other200.__isset;
+ClaimRequest::ClaimRequest(ClaimRequest&& other206) noexcept {
+  keyHash = other206.keyHash;
+  holder = std::move(other206.holder);
+  wanted = other206.wanted;
+  __isset = other206.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other201) {
-  keyHash = other201.keyHash;
-  holder = other201.holder;
-  wanted = other201.wanted;
-  __isset = other201.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other207) {
+  keyHash = other207.keyHash;
+  holder = other207.holder;
+  wanted = other207.wanted;
+  __isset = other207.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other202) noexcept {
-  keyHash = other202.keyHash;
-  holder = std::move(other202.holder);
-  wanted = other202.wanted;
-  __isset = other202.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other208) noexcept {
+  keyHash = other208.keyHash;
+  holder = std::move(other208.holder);
+  wanted = other208.wanted;
+  __isset = other208.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -5148,9 +5190,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast203;
-          xfer += iprot->readI32(ecast203);
-          this->result = static_cast<ClaimResult::type>(ecast203);
+          int32_t ecast209;
+          xfer += iprot->readI32(ecast209);
+          this->result = static_cast<ClaimResult::type>(ecast209);
           this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5158,9 +5200,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast204;
-          xfer += iprot->readI32(ecast204);
-          this->wanted = static_cast<ClaimState::type>(ecast204);
+          int32_t ecast210;
+          xfer += iprot->readI32(ecast210);
+          this->wanted = static_cast<ClaimState::type>(ecast210);
           this->__isset.wanted = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5213,34 +5255,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other205) {
-  keyHash = other205.keyHash;
-  holder = other205.holder;
-  result = other205.result;
-  wanted = other205.wanted;
-  __isset = other205.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other211) {
+  keyHash = other211.keyHash;
+  holder = other211.holder;
+  result = other211.result;
+  wanted = other211.wanted;
+  __isset = other211.__isset;
 }
-ClaimAnswer::ClaimAnswer(ClaimAnswer&& other206) noexcept {
-  keyHash = other206.keyHash;
-  holder = std::move(other206.holder);
-  result = other206.result;
-  wanted = other206.wanted;
-  __isset = other206.__isset;
+ClaimAnswer::ClaimAnswer(ClaimAnswer&& other212) noexcept {
+  keyHash = other212.keyHash;
+  holder = std::move(other212.holder);
+  result = other212.result;
+  wanted = other212.wanted;
+  __isset = other212.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other207) {
-  keyHash = other207.keyHash;
-  holder = other207.holder;
-  result = other207.result;
-  wanted = other207.wanted;
-  __isset = other207.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other213) {
+  keyHash = other213.keyHash;
+  holder = other213.holder;
+  result = other213.result;
+  wanted = other213.wanted;
+  __isset = other213.__isset;
   return *this;
 }
-ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other208) noexcept {
-  keyHash = other208.keyHash;
-  holder = std::move(other208.holder);
-  result = other208.result;
-  wanted = other208.wanted;
-  __isset = other208.__isset;
+ClaimAnswer& ClaimAnswer::operator=(ClaimAnswer&& other214) noexcept {
+  keyHash = other214.keyHash;
+  holder = std::move(other214.holder);
+  result = other214.result;
+  wanted = other214.wanted;
+  __isset = other214.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
@@ -5320,9 +5362,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast209;
-          xfer += iprot->readI32(ecast209);
-          this->state = static_cast<ClaimState::type>(ecast209);
+          int32_t ecast215;
+          xfer += iprot->readI32(ecast215);
+          this->state = static_cast<ClaimState::type>(ecast215);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5384,34 +5426,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Claim::Claim(const Claim& other210) {
-  keyHash = other210.keyHash;
-  holder = other210.holder;
-  state = other210.state;
-  wallMillis = other210.wallMillis;
-  __isset = other210.__isset;
-}
-Claim::Claim(Claim&& other211) noexcept {
-  keyHash = other211.keyHash;
-  holder = std::move(other211.holder);
-  state = other211.state;
-  wallMillis = other211.wallMillis;
-  __isset = other211.__isset;
-}
-Claim& Claim::operator=(const Claim& other212) {
-  keyHash = other212.keyHash;
-  holder = other212.holder;
-  state = other212.state;
-  wallMillis = other212.wallMillis;
-  __isset = other212.__isset;
+Claim::Claim(const Claim& other216) {
+  keyHash = other216.keyHash;
+  holder = other216.holder;
+  state = other216.state;
+  wallMillis = other216.wallMillis;
+  __isset = other216.__isset;
+}
+Claim::Claim(Claim&& other217) noexcept {
+  keyHash = other217.keyHash;
+  holder = std::move(other217.holder);
+  state = other217.state;
+  wallMillis = other217.wallMillis;
+  __isset = other217.__isset;
+}
+Claim& Claim::operator=(const Claim& other218) {
+  keyHash = other218.keyHash;
+  holder = other218.holder;
+  state = other218.state;
+  wallMillis = other218.wallMillis;
+  __isset = other218.__isset;
   return *this;
 }
-Claim& Claim::operator=(Claim&& other213) noexcept {
-  keyHash = other213.keyHash;
-  holder = std::move(other213.holder);
-  state = other213.state;
-  wallMillis = other213.wallMillis;
-  __isset = other213.__isset;
+Claim& Claim::operator=(Claim&& other219) noexcept {
+  keyHash = other219.keyHash;
+  holder = std::move(other219.holder);
+  state = other219.state;
+  wallMillis = other219.wallMillis;
+  __isset = other219.__isset;
   return *this;
 }
 void Claim::printTo(std::ostream& out) const {
@@ -5464,14 +5506,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size214;
-            ::apache::thrift::protocol::TType _etype217;
-            xfer += iprot->readListBegin(_etype217, _size214);
-            this->claims.resize(_size214);
-            uint32_t _i218;
-            for (_i218 = 0; _i218 < _size214; ++_i218)
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->claims.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
             {
-              xfer += this->claims[_i218].read(iprot);
+              xfer += this->claims[_i224].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5500,10 +5542,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<Claim> ::const_iterator _iter219;
-    for (_iter219 = this->claims.begin(); _iter219 != this->claims.end(); ++_iter219)
+    std::vector<Claim> ::const_iterator _iter225;
+    for (_iter225 = this->claims.begin(); _iter225 != this->claims.end(); ++_iter225)
     {
-      xfer += (*_iter219).write(oprot);
+      xfer += (*_iter225).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5520,22 +5562,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimShardValue::ClaimShardValue(const ClaimShardValue& other220) {
-  claims = other220.claims;
-  __isset = other220.__isset;
+ClaimShardValue::ClaimShardValue(const ClaimShardValue& other226) {
+  claims = other226.claims;
+  __isset = other226.__isset;
 }
-ClaimShardValue::ClaimShardValue(ClaimShardValue&& other221) noexcept {
-  claims = std::move(other221.claims);
-  __isset = other221.__isset;
+ClaimShardValue::ClaimShardValue(ClaimShardValue&& other227) noexcept {
+  claims = std::move(other227.claims);
+  __isset = other227.__isset;
 }
-ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other222) {
-  claims = other222.claims;
-  __isset = other222.__isset;
+ClaimShardValue& ClaimShardValue::operator=(const ClaimShardValue& other228) {
+  claims = other228.claims;
+  __isset = other228.__isset;
   return *this;
 }
-ClaimShardValue& ClaimShardValue::operator=(ClaimShardValue&& other223) noexcept {
-  claims = std::move(other223.claims);
-  __isset = other223.__isset;
+ClaimShardValue& ClaimShardValue::operator=(ClaimShardValue&& other229) noexcept {
+  claims = std::move(other229.claims);
+  __isset = other229.__isset;
   return *this;
 }
 void ClaimShardValue::printTo(std::ostream& out) const {
@@ -5721,14 +5763,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callers.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->callers.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->callers.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
             {
-              xfer += iprot->readString(this->callers[_i228]);
+              xfer += iprot->readString(this->callers[_i234]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5809,10 +5851,10 @@
   xfer += oprot->writeFieldBegin("callers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->callers.size()));
-    std::vector<std::string> ::const_iterator _iter229;
-    for (_iter229 = this->callers.begin(); _iter229 != this->callers.end(); ++_iter229)
+    std::vector<std::string> ::const_iterator _iter235;
+    for (_iter235 = this->callers.begin(); _iter235 != this->callers.end(); ++_iter235)
     {
-      xfer += oprot->writeString((*_iter229));
+      xfer += oprot->writeString((*_iter235));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5845,70 +5887,70 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryReport::EntryReport(const EntryReport& other230) {
-  entry = other230.entry;
-  owner = other230.owner;
-  calls = other230.calls;
-  refused = other230.refused;
-  slow = other230.slow;
-  p50Micros = other230.p50Micros;
-  p99Micros = other230.p99Micros;
-  limit = other230.limit;
-  bound = other230.bound;
-  seen = other230.seen;
-  sinceWallMillis = other230.sinceWallMillis;
-  callers = other230.callers;
-  unknown = other230.unknown;
-  __isset = other230.__isset;
-}
-EntryReport::EntryReport(EntryReport&& other231) noexcept {
-  entry = std::move(other231.entry);
-  owner = std::move(other231.owner);
-  calls = other231.calls;
-  refused = other231.refused;
-  slow = other231.slow;
-  p50Micros = other231.p50Micros;
-  p99Micros = other231.p99Micros;
-  limit = std::move(other231.limit);
-  bound = other231.bound;
-  seen = other231.seen;
-  sinceWallMillis = other231.sinceWallMillis;
-  callers = std::move(other231.callers);
-  unknown = other231.unknown;
-  __isset = other231.__isset;
-}
-EntryReport& EntryReport::operator=(const EntryReport& other232) {
-  entry = other232.entry;
-  owner = other232.owner;
-  calls = other232.calls;
-  refused = other232.refused;
-  slow = other232.slow;
-  p50Micros = other232.p50Micros;
-  p99Micros = other232.p99Micros;
-  limit = other232.limit;
-  bound = other232.bound;
-  seen = other232.seen;
-  sinceWallMillis = other232.sinceWallMillis;
-  callers = other232.callers;
-  unknown = other232.unknown;
-  __isset = other232.__isset;
+EntryReport::EntryReport(const EntryReport& other236) {
+  entry = other236.entry;
+  owner = other236.owner;
+  calls = other236.calls;
+  refused = other236.refused;
+  slow = other236.slow;
+  p50Micros = other236.p50Micros;
+  p99Micros = other236.p99Micros;
+  limit = other236.limit;
+  bound = other236.bound;
+  seen = other236.seen;
+  sinceWallMillis = other236.sinceWallMillis;
+  callers = other236.callers;
+  unknown = other236.unknown;
+  __isset = other236.__isset;
+}
+EntryReport::EntryReport(EntryReport&& other237) noexcept {
+  entry = std::move(other237.entry);
+  owner = std::move(other237.owner);
+  calls = other237.calls;
+  refused = other237.refused;
+  slow = other237.slow;
+  p50Micros = other237.p50Micros;
+  p99Micros = other237.p99Micros;
+  limit = std::move(other237.limit);
+  bound = other237.bound;
+  seen = other237.seen;
+  sinceWallMillis = other237.sinceWallMillis;
+  callers = std::move(other237.callers);
+  unknown = other237.unknown;
+  __isset = other237.__isset;
+}
+EntryReport& EntryReport::operator=(const EntryReport& other238) {
+  entry = other238.entry;
+  owner = other238.owner;
+  calls = other238.calls;
+  refused = other238.refused;
+  slow = other238.slow;
+  p50Micros = other238.p50Micros;
+  p99Micros = other238.p99Micros;
+  limit = other238.limit;
+  bound = other238.bound;
+  seen = other238.seen;
+  sinceWallMillis = other238.sinceWallMillis;
+  callers = other238.callers;
+  unknown = other238.unknown;
+  __isset = other238.__isset;
   return *this;
 }
-EntryReport& EntryReport::operator=(EntryReport&& other233) noexcept {
-  entry = std::move(other233.entry);
-  owner = std::move(other233.owner);
-  calls = other233.calls;
-  refused = other233.refused;
-  slow = other233.slow;
-  p50Micros = other233.p50Micros;
-  p99Micros = other233.p99Micros;
-  limit = std::move(other233.limit);
-  bound = other233.bound;
-  seen = other233.seen;
-  sinceWallMillis = other233.sinceWallMillis;
-  callers = std::move(other233.callers);
-  unknown = other233.unknown;
-  __isset = other233.__isset;
+EntryReport& EntryReport::operator=(EntryReport&& other239) noexcept {
+  entry = std::move(other239.entry);
+  owner = std::move(other239.owner);
+  calls = other239.calls;
+  refused = other239.refused;
+  slow = other239.slow;
+  p50Micros = other239.p50Micros;
+  p99Micros = other239.p99Micros;
+  limit = std::move(other239.limit);
+  bound = other239.bound;
+  seen = other239.seen;
+  sinceWallMillis = other239.sinceWallMillis;
+  callers = std::move(other239.callers);
+  unknown = other239.unknown;
+  __isset = other239.__isset;
   return *this;
 }
 void EntryReport::printTo(std::ostream& out) const {
@@ -6006,14 +6048,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size234;
-            ::apache::thrift::protocol::TType _etype237;
-            xfer += iprot->readListBegin(_etype237, _size234);
-            this->entries.resize(_size234);
-            uint32_t _i238;
-            for (_i238 = 0; _i238 < _size234; ++_i238)
+            uint32_t _size240;
+            ::apache::thrift::protocol::TType _etype243;
+            xfer += iprot->readListBegin(_etype243, _size240);
+            this->entries.resize(_size240);
+            uint32_t _i244;
+            for (_i244 = 0; _i244 < _size240; ++_i244)
             {
-              xfer += this->entries[_i238].read(iprot);
+              xfer += this->entries[_i244].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6054,10 +6096,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<EntryReport> ::const_iterator _iter239;
-    for (_iter239 = this->entries.begin(); _iter239 != this->entries.end(); ++_iter239)
+    std::vector<EntryReport> ::const_iterator _iter245;
+    for (_iter245 = this->entries.begin(); _iter245 != this->entries.end(); ++_iter245)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter245).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6077,34 +6119,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReport::StatusReport(const StatusReport& other240) {
-  host = other240.host;
-  domain = other240.domain;
-  version = other240.version;
-  entries = other240.entries;
-  __isset = other240.__isset;
-}
-StatusReport::StatusReport(StatusReport&& other241) noexcept {
-  host = std::move(other241.host);
-  domain = std::move(other241.domain);
-  version = other241.version;
-  entries = std::move(other241.entries);
-  __isset = other241.__isset;
-}
-StatusReport& StatusReport::operator=(const StatusReport& other242) {
-  host = other242.host;
-  domain = other242.domain;
-  version = other242.version;
-  entries = other242.entries;
-  __isset = other242.__isset;
+StatusReport::StatusReport(const StatusReport& other246) {
+  host = other246.host;
+  domain = other246.domain;
+  version = other246.version;
+  entries = other246.entries;
+  __isset = other246.__isset;
+}
+StatusReport::StatusReport(StatusReport&& other247) noexcept {
+  host = std::move(other247.host);
+  domain = std::move(other247.domain);
+  version = other247.version;
+  entries = std::move(other247.entries);
+  __isset = other247.__isset;
+}
+StatusReport& StatusReport::operator=(const StatusReport& other248) {
+  host = other248.host;
+  domain = other248.domain;
+  version = other248.version;
+  entries = other248.entries;
+  __isset = other248.__isset;
   return *this;
 }
-StatusReport& StatusReport::operator=(StatusReport&& other243) noexcept {
-  host = std::move(other243.host);
-  domain = std::move(other243.domain);
-  version = other243.version;
-  entries = std::move(other243.entries);
-  __isset = other243.__isset;
+StatusReport& StatusReport::operator=(StatusReport&& other249) noexcept {
+  host = std::move(other249.host);
+  domain = std::move(other249.domain);
+  version = other249.version;
+  entries = std::move(other249.entries);
+  __isset = other249.__isset;
   return *this;
 }
 void StatusReport::printTo(std::ostream& out) const {
@@ -6193,22 +6235,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other244) noexcept {
-  sequence = other244.sequence;
-  __isset = other244.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other250) noexcept {
+  sequence = other250.sequence;
+  __isset = other250.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other245) noexcept {
-  sequence = other245.sequence;
-  __isset = other245.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other251) noexcept {
+  sequence = other251.sequence;
+  __isset = other251.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other246) noexcept {
-  sequence = other246.sequence;
-  __isset = other246.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other252) noexcept {
+  sequence = other252.sequence;
+  __isset = other252.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other247) noexcept {
-  sequence = other247.sequence;
-  __isset = other247.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other253) noexcept {
+  sequence = other253.sequence;
+  __isset = other253.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -6619,90 +6661,90 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other248) {
-  hello = other248.hello;
-  ping = other248.ping;
-  ack = other248.ack;
-  pingRequest = other248.pingRequest;
-  memberSync = other248.memberSync;
-  domainSummary = other248.domainSummary;
-  configPush = other248.configPush;
-  configFetch = other248.configFetch;
-  configAnswer = other248.configAnswer;
-  callRequest = other248.callRequest;
-  callAnswer = other248.callAnswer;
-  callCancel = other248.callCancel;
-  callQuery = other248.callQuery;
-  claimRequest = other248.claimRequest;
-  claimAnswer = other248.claimAnswer;
-  statusReport = other248.statusReport;
-  heartbeat = other248.heartbeat;
-  loadReport = other248.loadReport;
-  __isset = other248.__isset;
-}
-Envelope::Envelope(Envelope&& other249) noexcept {
-  hello = std::move(other249.hello);
-  ping = std::move(other249.ping);
-  ack = std::move(other249.ack);
-  pingRequest = std::move(other249.pingRequest);
-  memberSync = std::move(other249.memberSync);
-  domainSummary = std::move(other249.domainSummary);
-  configPush = std::move(other249.configPush);
-  configFetch = std::move(other249.configFetch);
-  configAnswer = std::move(other249.configAnswer);
-  callRequest = std::move(other249.callRequest);
-  callAnswer = std::move(other249.callAnswer);
-  callCancel = std::move(other249.callCancel);
-  callQuery = std::move(other249.callQuery);
-  claimRequest = std::move(other249.claimRequest);
-  claimAnswer = std::move(other249.claimAnswer);
-  statusReport = std::move(other249.statusReport);
-  heartbeat = std::move(other249.heartbeat);
-  loadReport = std::move(other249.loadReport);
-  __isset = other249.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other250) {
-  hello = other250.hello;
-  ping = other250.ping;
-  ack = other250.ack;
-  pingRequest = other250.pingRequest;
-  memberSync = other250.memberSync;
-  domainSummary = other250.domainSummary;
-  configPush = other250.configPush;
-  configFetch = other250.configFetch;
-  configAnswer = other250.configAnswer;
-  callRequest = other250.callRequest;
-  callAnswer = other250.callAnswer;
-  callCancel = other250.callCancel;
-  callQuery = other250.callQuery;
-  claimRequest = other250.claimRequest;
-  claimAnswer = other250.claimAnswer;
-  statusReport = other250.statusReport;
-  heartbeat = other250.heartbeat;
-  loadReport = other250.loadReport;
-  __isset = other250.__isset;
+Envelope::Envelope(const Envelope& other254) {
+  hello = other254.hello;
+  ping = other254.ping;
+  ack = other254.ack;
+  pingRequest = other254.pingRequest;
+  memberSync = other254.memberSync;
+  domainSummary = other254.domainSummary;
+  configPush = other254.configPush;
+  configFetch = other254.configFetch;
+  configAnswer = other254.configAnswer;
+  callRequest = other254.callRequest;
+  callAnswer = other254.callAnswer;
+  callCancel = other254.callCancel;
+  callQuery = other254.callQuery;
+  claimRequest = other254.claimRequest;
+  claimAnswer = other254.claimAnswer;
+  statusReport = other254.statusReport;
+  heartbeat = other254.heartbeat;
+  loadReport = other254.loadReport;
+  __isset = other254.__isset;
+}
+Envelope::Envelope(Envelope&& other255) noexcept {
+  hello = std::move(other255.hello);
+  ping = std::move(other255.ping);
+  ack = std::move(other255.ack);
+  pingRequest = std::move(other255.pingRequest);
+  memberSync = std::move(other255.memberSync);
+  domainSummary = std::move(other255.domainSummary);
+  configPush = std::move(other255.configPush);
+  configFetch = std::move(other255.configFetch);
+  configAnswer = std::move(other255.configAnswer);
+  callRequest = std::move(other255.callRequest);
+  callAnswer = std::move(other255.callAnswer);
+  callCancel = std::move(other255.callCancel);
+  callQuery = std::move(other255.callQuery);
+  claimRequest = std::move(other255.claimRequest);
+  claimAnswer = std::move(other255.claimAnswer);
+  statusReport = std::move(other255.statusReport);
+  heartbeat = std::move(other255.heartbeat);
+  loadReport = std::move(other255.loadReport);
+  __isset = other255.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other256) {
+  hello = other256.hello;
+  ping = other256.ping;
+  ack = other256.ack;
+  pingRequest = other256.pingRequest;
+  memberSync = other256.memberSync;
+  domainSummary = other256.domainSummary;
+  configPush = other256.configPush;
+  configFetch = other256.configFetch;
+  configAnswer = other256.configAnswer;
+  callRequest = other256.callRequest;
+  callAnswer = other256.callAnswer;
+  callCancel = other256.callCancel;
+  callQuery = other256.callQuery;
+  claimRequest = other256.claimRequest;
+  claimAnswer = other256.claimAnswer;
+  statusReport = other256.statusReport;
+  heartbeat = other256.heartbeat;
+  loadReport = other256.loadReport;
+  __isset = other256.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other251) noexcept {
-  hello = std::move(other251.hello);
-  ping = std::move(other251.ping);
-  ack = std::move(other251.ack);
-  pingRequest = std::move(other251.pingRequest);
-  memberSync = std::move(other251.memberSync);
-  domainSummary = std::move(other251.domainSummary);
-  configPush = std::move(other251.configPush);
-  configFetch = std::move(other251.configFetch);
-  configAnswer = std::move(other251.configAnswer);
-  callRequest = std::move(other251.callRequest);
-  callAnswer = std::move(other251.callAnswer);
-  callCancel = std::move(other251.callCancel);
-  callQuery = std::move(other251.callQuery);
-  claimRequest = std::move(other251.claimRequest);
-  claimAnswer = std::move(other251.claimAnswer);
-  statusReport = std::move(other251.statusReport);
-  heartbeat = std::move(other251.heartbeat);
-  loadReport = std::move(other251.loadReport);
-  __isset = other251.__isset;
+Envelope& Envelope::operator=(Envelope&& other257) noexcept {
+  hello = std::move(other257.hello);
+  ping = std::move(other257.ping);
+  ack = std::move(other257.ack);
+  pingRequest = std::move(other257.pingRequest);
+  memberSync = std::move(other257.memberSync);
+  domainSummary = std::move(other257.domainSummary);
+  configPush = std::move(other257.configPush);
+  configFetch = std::move(other257.configFetch);
+  configAnswer = std::move(other257.configAnswer);
+  callRequest = std::move(other257.callRequest);
+  callAnswer = std::move(other257.callAnswer);
+  callCancel = std::move(other257.callCancel);
+  callQuery = std::move(other257.callQuery);
+  claimRequest = std::move(other257.claimRequest);
+  claimAnswer = std::move(other257.claimAnswer);
+  statusReport = std::move(other257.statusReport);
+  heartbeat = std::move(other257.heartbeat);
+  loadReport = std::move(other257.loadReport);
+  __isset = other257.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
