--- a/src/membership/membertable_test.cpp
+++ b/src/membership/membertable_test.cpp
@@ -1,6 +1,6 @@
 #include "membership/endpointregistry.h"
 #include "membership/membertable.h"
-#include "membership/pushtree.h"
+#include "membership/recordpush.h"
 #include "membership/updatequeue.h"
 #include "membership/wiresize.h"
 
