End stand-ins when their test ends early

Cause: an assertion that failed left lww-platform running, which held the test's output open for ten minutes. Conclusion: httpobjectstore_test still passes 9 of 9; a failing test was not tried again here.

--- a/standins/testkit/process.cpp
+++ b/standins/testkit/process.cpp
@@ -73,9 +73,14 @@
                            const std::vector<std::string>& aArguments,
                            const std::string& aOutputPath)
 {
-  std::string path = PathOf(aProgram);
-  std::vector<std::string> words = aArguments;
-  std::vector<char*> arguments{ path.data() };
+  // A failed assertion ends the test without its destructors, so the kernel
+  // ends the program when the thread that started it is gone.
+  std::string path = "/usr/bin/setpriv";
+  std::vector<std::string> words{
+    path, "--pdeathsig", "KILL", PathOf(aProgram)
+  };
+  words.insert(words.end(), aArguments.begin(), aArguments.end());
+  std::vector<char*> arguments;
   for (std::string& word : words) {
     arguments.push_back(word.data());
   }
--- a/standins/testkit/process.h
+++ b/standins/testkit/process.h
@@ -11,14 +11,17 @@
 
 namespace lacewingwharf {
 
-/** A program started by a test. It is killed when this object goes away. */
+/**
+ * A program started by a test. It is killed when this object goes away or the
+ * thread that made it ends.
+ */
 class ChildProcess
 {
 public:
   /**
    * Starts a program of the build directory, or any program when aProgram
-   * contains a slash. Standard output goes to aOutputPath unless it is empty;
-   * IsRunning() is false when the start failed.
+   * contains a slash. Standard output goes to aOutputPath unless it is empty.
+   * A program that cannot be started shows as one that has ended.
    */
   ChildProcess(const std::string& aProgram,
                const std::vector<std::string>& aArguments,
