Add the backend server stand-in

Cause: tests need backend servers that announce themselves, drain and misbehave. Change: lww-backend with slots, cold start, counts of runs by call id and by idempotency key, and misbehaviour switched by POST /test/behaviour.

--- /dev/null
+++ b/standins/backend/announcer.cpp
@@ -0,0 +1,79 @@
+#include "announcer.h"
+
+#include "platform/httptransfer.h"
+
+#include <chrono>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr std::chrono::seconds kInterval(1);
+constexpr Millis kBound = 900;
+constexpr std::size_t kMaxAnswerBytes = 65536;
+
+} // namespace
+
+Announcer::Announcer(std::string aUrl, std::function<std::string()> aBody)
+  : url(std::move(aUrl))
+  , body(std::move(aBody))
+{
+}
+
+Announcer::~Announcer()
+{
+  this->Stop();
+}
+
+void Announcer::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void Announcer::Stop()
+{
+  {
+    const std::lock_guard lock(this->mutex);
+    this->isStopping = true;
+  }
+  this->changed.notify_all();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+void Announcer::Wake()
+{
+  {
+    const std::lock_guard lock(this->mutex);
+    this->isWoken = true;
+  }
+  this->changed.notify_all();
+}
+
+void Announcer::Run()
+{
+  HttpTransfer transfer;
+  std::unique_lock lock(this->mutex);
+  while (!this->isStopping) {
+    this->isWoken = false;
+    lock.unlock();
+    TransferRequest request;
+    request.kind = TransferRequest::Kind::Write;
+    request.url = this->url;
+    request.body = this->body();
+    request.headers = { "Content-Type: application/json" };
+    request.connectBound = kBound;
+    request.bound = kBound;
+    request.maxAnswerBytes = kMaxAnswerBytes;
+    if (!request.body.empty()) {
+      // A failed announcement is followed by the next one.
+      (void)transfer.Run(request);
+    }
+    lock.lock();
+    this->changed.wait_for(
+      lock, kInterval, [this] { return this->isStopping || this->isWoken; });
+  }
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/standins/backend/backendservice.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "behaviour.h"
+#include "httpserver/standinserver.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace lacewingwharf {
+
+struct BackendConfig
+{
+  std::uint16_t port = 0;
+  int slots = 4;
+  int connections = 100;
+  Millis serviceTime = 5;
+  Millis coldStart = 0;
+};
+
+/** Runs requests in slots and counts what it ran. */
+class BackendService
+{
+public:
+  using After = std::function<void(Millis, std::function<void()>)>;
+
+  /** aOnStateChange is called when the announced state has changed. */
+  BackendService(BackendConfig aConfig,
+                 After aAfter,
+                 std::function<void()> aOnStateChange);
+
+  void Handle(const std::shared_ptr<StandinExchange>& aExchange);
+  void SetReady();
+  void StartDraining();
+
+  std::string Announcement() const;
+  bool IsIdle() const;
+
+private:
+  using Exchange = std::shared_ptr<StandinExchange>;
+
+  bool HandleTest(const Exchange& aExchange);
+  void HandleBehaviour(const Exchange& aExchange);
+  void Run(const Exchange& aExchange);
+  void CountRun(const StandinRequest& aRequest);
+  void Finish(const Exchange& aExchange);
+  void EndRun(bool aIsCancelled);
+  StandinAnswer AnswerFor(const StandinRequest& aRequest);
+  std::string RunsAsJson() const;
+
+  BackendConfig config;
+  After after;
+  std::function<void()> onStateChange;
+  mutable std::mutex mutex;
+  Behaviour behaviour;
+  bool isReady = false;
+  bool isDraining = false;
+  int running = 0;
+  int maxRunning = 0;
+  std::uint64_t total = 0;
+  std::uint64_t shed = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t late = 0; // Refused because their deadline had passed.
+  std::map<std::string, std::uint64_t> runsByCall;
+  std::map<std::string, std::uint64_t> runsByKey;
+};
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/standins/backend/main.cpp
@@ -0,0 +1,152 @@
+#include "announcer.h"
+#include "backendservice.h"
+
+#include "common/log.h"
+
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace lacewingwharf;
+
+constexpr Log kLog("lww-backend");
+
+/** How long a backend server that drains goes on serving, at least. */
+constexpr std::chrono::milliseconds kDrainTime(3500);
+constexpr std::chrono::milliseconds kIdleCheck(20);
+constexpr int kMaxIdleChecks = 3000;
+
+struct Options
+{
+  StandinServerConfig server;
+  BackendConfig backend;
+  std::string service = "service";
+  std::string admin; // ADDRESS:PORT; empty: no announcements.
+};
+
+void PrintUsage()
+{
+  fmt::print("usage: lww-backend [--address A] --port P [--service NAME]\n"
+             "         [--slots N] [--connections N] [--admin ADDRESS:PORT]\n"
+             "         [--service-ms MS] [--cold-start-ms MS]\n");
+}
+
+bool ReadOptions(int aCount, char** aArguments, Options& aOptions)
+{
+  const option options[] = {
+    { "address", required_argument, nullptr, 'a' },
+    { "port", required_argument, nullptr, 'p' },
+    { "service", required_argument, nullptr, 's' },
+    { "slots", required_argument, nullptr, 'l' },
+    { "connections", required_argument, nullptr, 'c' },
+    { "admin", required_argument, nullptr, 'd' },
+    { "service-ms", required_argument, nullptr, 't' },
+    { "cold-start-ms", required_argument, nullptr, 'o' },
+    { nullptr, 0, nullptr, 0 },
+  };
+  int choice = 0;
+  while ((choice = getopt_long(aCount, aArguments, "", options, nullptr)) !=
+         -1) {
+    switch (choice) {
+      case 'a':
+        aOptions.server.address = optarg;
+        break;
+      case 'p':
+        aOptions.server.port = static_cast<std::uint16_t>(std::atoi(optarg));
+        break;
+      case 's':
+        aOptions.service = optarg;
+        break;
+      case 'l':
+        aOptions.backend.slots = std::atoi(optarg);
+        break;
+      case 'c':
+        aOptions.backend.connections = std::atoi(optarg);
+        break;
+      case 'd':
+        aOptions.admin = optarg;
+        break;
+      case 't':
+        aOptions.backend.serviceTime = std::atoi(optarg);
+        break;
+      case 'o':
+        aOptions.backend.coldStart = std::atoi(optarg);
+        break;
+      default:
+        return false;
+    }
+  }
+  aOptions.backend.port = aOptions.server.port;
+  return aOptions.server.port != 0;
+}
+
+sigset_t BlockEndSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+void Drain(BackendService& aService)
+{
+  kLog.Info("draining");
+  aService.StartDraining();
+  std::this_thread::sleep_for(kDrainTime);
+  for (int i = 0; i < kMaxIdleChecks && !aService.IsIdle(); ++i) {
+    std::this_thread::sleep_for(kIdleCheck);
+  }
+  // The last answers leave their connections.
+  std::this_thread::sleep_for(kIdleCheck);
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  Options options;
+  if (!ReadOptions(aCount, aArguments, options)) {
+    PrintUsage();
+    return EXIT_FAILURE;
+  }
+  const sigset_t signals = BlockEndSignals();
+  StandinServer* serverOfTimer = nullptr;
+  Announcer* announcerOfService = nullptr;
+  BackendService service(
+    options.backend,
+    [&serverOfTimer](Millis aDelay, std::function<void()> aTask) {
+      serverOfTimer->After(aDelay, std::move(aTask));
+    },
+    [&announcerOfService] { announcerOfService->Wake(); });
+  Announcer announcer(
+    fmt::format("http://{}/v1/endpoints/{}", options.admin, options.service),
+    [&service] { return service.Announcement(); });
+  StandinServer server(options.server, [&service](const auto& aExchange) {
+    service.Handle(aExchange);
+  });
+  serverOfTimer = &server;
+  announcerOfService = &announcer;
+  server.After(options.backend.coldStart, [&service] { service.SetReady(); });
+  if (!server.Start()) {
+    return EXIT_FAILURE;
+  }
+  if (!options.admin.empty()) {
+    announcer.Start();
+  }
+  kLog.Info("listening on {}:{}", options.server.address, options.server.port);
+  int signal = 0;
+  sigwait(&signals, &signal);
+  Drain(service);
+  server.Stop();
+  announcer.Stop();
+  return EXIT_SUCCESS;
+}
