--- a/standins/backend/announcer.cpp
+++ b/standins/backend/announcer.cpp
@@ -1,6 +1,6 @@
 #include "announcer.h"
 
-#include "platform/httptransfer.h"
+#include "platform/storetransfer.h"
 
 #include <chrono>
 
@@ -57,7 +57,7 @@
 void
 Announcer::Run()
 {
-  HttpTransfer transfer;
+  StoreTransfer transfer;
   std::unique_lock lock(this->mutex);
   while (!this->isStopping) {
     this->isWoken = false;
