Store claim shards as text

Change: shards are written as base64; the size limit counts the text. Conclusion: one kind of value for any object API.

--- a/src/execution/claimshard.cpp
+++ b/src/execution/claimshard.cpp
@@ -1,5 +1,6 @@
 #include "execution/claimshard.h"
 
+#include "common/base64.h"
 #include "membership/wiresize.h"
 
 #include <fmt/format.h>
@@ -44,9 +45,13 @@
 std::optional<ClaimShard>
 ClaimShard::Parse(std::string_view aValue, ClaimShardLimits aLimits)
 {
+  auto decoded = DecodeBase64(aValue);
+  if (!decoded) {
+    return std::nullopt;
+  }
   wire::ClaimShardValue value;
   try {
-    std::string bytes(aValue);
+    std::string bytes = std::move(*decoded);
     const auto buffer =
       std::make_shared<Buffer>(reinterpret_cast<std::uint8_t*>(bytes.data()),
                                static_cast<std::uint32_t>(bytes.size()));
@@ -74,7 +79,7 @@
   const auto buffer = std::make_shared<Buffer>();
   Protocol protocol(buffer);
   value.write(&protocol);
-  return buffer->getBufferAsString();
+  return EncodeBase64(buffer->getBufferAsString());
 }
 
 bool
@@ -152,7 +157,7 @@
   const std::size_t freed =
     before == this->claims.end() ? 0 : EncodedSize(before->second);
   const std::size_t bytesAfter = this->bytes - freed + EncodedSize(claim);
-  if (bytesAfter + kHeaderBytes > this->limits.maxBytes) {
+  if (Base64Size(bytesAfter + kHeaderBytes) > this->limits.maxBytes) {
     return ClaimResult::UNAVAILABLE;
   }
   this->bytes = bytesAfter;
