--- /dev/null
+++ b/src/platform/platformwatch_test.cpp
@@ -0,0 +1,143 @@
+#include "platform/platformwatch.h"
+
+#include "testkit/platformstandin.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace lacewingwharf;
+
+namespace {
+
+/** Keeps what a watch reports, as a user of the watch does. */
+class Follower
+{
+public:
+  PlatformWatch::Hook Hook()
+  {
+    return [this](PlatformResult<ObjectList> aResult, bool aIsFullList) {
+      const std::lock_guard lock(this->mutex);
+      if (!aResult) {
+        ++this->errors;
+        return;
+      }
+      if (aIsFullList) {
+        ++this->lists;
+        this->values.clear();
+      }
+      for (const StoredObject& object : aResult.value().objects) {
+        this->values[object.name] = object.isDeleted ? "" : object.value;
+      }
+    };
+  }
+
+  bool WaitFor(const std::string& aName, const std::string& aValue)
+  {
+    return WaitUntil([&] {
+      const std::lock_guard lock(this->mutex);
+      const auto found = this->values.find(aName);
+      return found != this->values.end() && found->second == aValue;
+    });
+  }
+
+  std::mutex mutex;
+  std::map<std::string, std::string> values;
+  int lists = 0;
+  int errors = 0;
+};
+
+PlatformWatchConfig WatchConfig()
+{
+  PlatformWatchConfig config;
+  config.prefix = "p/";
+  config.watchTime = 500;
+  config.backoff = { 20, 200 };
+  return config;
+}
+
+} // namespace
+
+// Guards against a follower that misses changes after an outage, a compaction
+// or a restore, and against full lists where a watch would do.
+Test(platformwatch, FollowsThroughOutageAndRestore)
+{
+  const PlatformStandin standin;
+  const auto store = MakeHttpObjectStore(standin.StoreConfig());
+  cr_assert(store.put("p/a", "1", kAnyRevision).has_value());
+  Follower follower;
+  PlatformWatch watch(
+    MakeHttpObjectStore(standin.StoreConfig()), WatchConfig(), follower.Hook());
+  watch.Start();
+  watch.SetActive(true);
+  cr_assert(follower.WaitFor("p/a", "1"));
+  cr_assert(store.put("p/a", "2", kAnyRevision).has_value());
+  cr_assert(follower.WaitFor("p/a", "2"));
+  cr_assert(standin.Switch(R"({"save":"backup"})"));
+  cr_assert(standin.Switch(R"({"down":true})"));
+  cr_assert(WaitUntil([&] {
+    const std::lock_guard lock(follower.mutex);
+    return follower.errors > 0;
+  }));
+  cr_assert(standin.Switch(R"({"down":false})"));
+  cr_assert(store.put("p/a", "3", kAnyRevision).has_value());
+  cr_assert(follower.WaitFor("p/a", "3"));
+  cr_assert_eq(follower.lists, 1);
+  cr_assert(standin.Switch(R"({"restore":"backup"})"));
+  cr_assert(follower.WaitFor("p/a", "2"));
+  cr_assert_eq(follower.lists, 2);
+  watch.Stop();
+  cr_assert_eq(watch.Counts().Calls(CallKind::List), 2U);
+}
+
+// Guards against a list of the whole prefix when a revision is known, and
+// against calls of a watch that is not active.
+Test(platformwatch, StartsFromAKnownRevisionAndOnlyWhenActive)
+{
+  const PlatformStandin standin;
+  const auto store = MakeHttpObjectStore(standin.StoreConfig());
+  const auto first = store.put("p/a", "1", kAnyRevision).value();
+  cr_assert(store.put("p/b", "2", kAnyRevision).has_value());
+  Follower follower;
+  PlatformWatch watch(
+    MakeHttpObjectStore(standin.StoreConfig()), WatchConfig(), follower.Hook());
+  watch.Start();
+  cr_assert_eq(standin.Calls("watch"), 0);
+  watch.SetActive(true, first);
+  cr_assert(follower.WaitFor("p/b", "2"));
+  cr_assert_eq(follower.lists, 0);
+  cr_assert_eq(follower.values.count("p/a"), 0U);
+  watch.SetActive(false);
+  cr_assert(WaitUntil([&] { return standin.Calls("waiting") == 0; }));
+  cr_assert(store.put("p/b", "3", kAnyRevision).has_value());
+  watch.SetActive(true);
+  cr_assert(follower.WaitFor("p/b", "3"));
+  cr_assert_eq(follower.lists, 1);
+  watch.Stop();
+  cr_assert_eq(standin.Calls("list"), 1);
+}
+
+// Guards against a watch that stays on a connection that went silent.
+Test(platformwatch, SilentWatchIsOpenedAgain)
+{
+  PlatformStandin standin;
+  const auto store = MakeHttpObjectStore(standin.StoreConfig());
+  cr_assert(store.put("p/a", "1", kAnyRevision).has_value());
+  HttpStoreConfig config = standin.StoreConfig();
+  config.watchGrace = 300;
+  Follower follower;
+  PlatformWatch watch(
+    MakeHttpObjectStore(config), WatchConfig(), follower.Hook());
+  watch.Start();
+  watch.SetActive(true);
+  cr_assert(follower.WaitFor("p/a", "1"));
+  standin.Process().Freeze();
+  cr_assert(WaitUntil([&] {
+    const std::lock_guard lock(follower.mutex);
+    return follower.errors > 0;
+  }));
+  standin.Process().Thaw();
+  cr_assert(store.put("p/a", "2", kAnyRevision).has_value());
+  cr_assert(follower.WaitFor("p/a", "2"));
+  watch.Stop();
+}
--- /dev/null
+++ b/src/platform/platformworker_test.cpp
@@ -0,0 +1,117 @@
+#include "platform/platformworker.h"
+
+#include "testkit/process.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingwharf;
+
+namespace {
+
+/** A store whose get() returns what a test says, and counts its calls. */
+struct FakeStore
+{
+  std::atomic<int> calls = 0;
+  std::atomic<bool> isReachable = true;
+
+  ObjectStore Hooks()
+  {
+    ObjectStore hooks;
+    hooks.get = [this](const std::string& aName) -> PlatformResult<StoredObject> {
+      ++this->calls;
+      if (this->isReachable) {
+        return StoredObject{ aName, 1, "value", false };
+      }
+      return failure(PlatformError{ PlatformErrorCode::Unreachable, "fake" });
+    };
+    return hooks;
+  }
+};
+
+} // namespace
+
+// Guards against daemons that send at full speed or in step when the platform
+// is back.
+Test(platformworker, BudgetBoundsCallsAndBacksOff)
+{
+  ManualClock clock;
+  CallBudgetConfig config;
+  config.callsPerSecond = 10;
+  config.burst = 2;
+  config.backoff = { 100, 1000 };
+  CallBudget budget(config, clock.View(), SeededRandom(7));
+  cr_assert_eq(budget.TakeOrWait(), 0);
+  cr_assert_eq(budget.TakeOrWait(), 0);
+  cr_assert_eq(budget.TakeOrWait(), 100);
+  clock.Advance(60000);
+  cr_assert_eq(budget.TakeOrWait(), 0);
+  cr_assert_eq(budget.TakeOrWait(), 0);
+  cr_assert_gt(budget.TakeOrWait(), 0);
+
+  int refusals = 0;
+  for (int i = 0; i < 50; ++i) {
+    budget.Report(PlatformErrorCode::TimedOut);
+    refusals += budget.Refusal() ? 1 : 0;
+    cr_assert(budget.Refusal()->code == PlatformErrorCode::Unreachable);
+    clock.Advance(1001);
+    cr_assert_not(budget.Refusal().has_value());
+  }
+  cr_assert_eq(refusals, 50);
+  budget.Report(PlatformErrorCode::Throttled);
+  cr_assert(budget.Refusal()->code == PlatformErrorCode::Throttled);
+  budget.Report(std::nullopt);
+  cr_assert_not(budget.Refusal().has_value());
+}
+
+// Guards against backoffs that are equal on all daemons.
+Test(platformworker, BackoffIsJitteredAndBounded)
+{
+  Backoff first({ 100, 800 }, SeededRandom(1));
+  Backoff second({ 100, 800 }, SeededRandom(2));
+  int different = 0;
+  for (int i = 0; i < 20; ++i) {
+    const Millis wait = first.Next();
+    cr_assert(wait >= 1 && wait <= 800);
+    different += wait != second.Next() ? 1 : 0;
+  }
+  cr_assert_gt(different, 10);
+}
+
+// Guards against jobs that pile up, or that all reach the platform, while it
+// is unreachable.
+Test(platformworker, JobsFailFastWhileThePlatformIsUnreachable)
+{
+  constexpr int kJobs = 100;
+  FakeStore fake;
+  fake.isReachable = false;
+  std::atomic<int> unreachable = 0;
+  std::atomic<bool> hasRead = false;
+  CallBudgetConfig config;
+  config.callsPerSecond = 1000;
+  config.backoff = { 300000, 300000 };
+  PlatformWorker worker(
+    fake.Hooks(),
+    kJobs,
+    [](const Completion& aCompletion) { aCompletion(); },
+    config,
+    [] { return 299999; });
+  const PlatformJob job = [&](const ObjectStore& aStore) -> Completion {
+    const auto result = aStore.get("a");
+    return [&, isGood = result.has_value()] {
+      unreachable += isGood ? 0 : 1;
+      hasRead = hasRead || isGood;
+    };
+  };
+  for (int i = 0; i < kJobs; ++i) {
+    cr_assert(worker.Submit(job));
+  }
+  cr_assert_not(worker.Submit(job));
+  cr_assert_eq(worker.Overflows(), 1U);
+  worker.Start();
+  cr_assert(WaitUntil([&] { return unreachable == kJobs; }));
+  cr_assert_eq(fake.calls.load(), 1);
+  cr_assert_eq(worker.Counts().Calls(CallKind::Get), 1U);
+  cr_assert_eq(worker.Counts().Failures(CallKind::Get), 1U);
+  worker.Stop();
+  cr_assert_not(worker.Submit(job));
+}
