--- a/src/platform/platformworker_test.cpp
+++ b/src/platform/platformworker_test.cpp
@@ -17,7 +17,8 @@
   ObjectStore Hooks()
   {
     ObjectStore hooks;
-    hooks.get = [this](const std::string& aName) -> PlatformResult<StoredObject> {
+    hooks.get =
+      [this](const std::string& aName) -> PlatformResult<StoredObject> {
       ++this->calls;
       if (this->isReachable) {
         return StoredObject{ aName, 1, "value", false };
--- a/standins/caller/loadrun.cpp
+++ b/standins/caller/loadrun.cpp
@@ -31,7 +31,8 @@
 {
   auto& text = *static_cast<std::string*>(aText);
   for (std::size_t i = 0; i < aSize * aCount; ++i) {
-    text += static_cast<char>(std::tolower(static_cast<unsigned char>(aData[i])));
+    text +=
+      static_cast<char>(std::tolower(static_cast<unsigned char>(aData[i])));
   }
   return aSize * aCount;
 }
@@ -43,8 +44,7 @@
   if (start == std::string::npos) {
     return {};
   }
-  const auto begin =
-    aHeaders.find_first_not_of(' ', start + aName.size() + 2);
+  const auto begin = aHeaders.find_first_not_of(' ', start + aName.size() + 2);
   const auto end = aHeaders.find('\r', start + 1);
   return begin < end ? aHeaders.substr(begin, end - begin) : std::string();
 }
@@ -113,18 +113,16 @@
   curl_easy_setopt(call.handle, CURLOPT_PROXY, "");
   curl_easy_setopt(call.handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(call.handle, CURLOPT_PRIVATE, &call);
-  curl_easy_setopt(call.handle,
-                   CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(this->config.callBound));
+  curl_easy_setopt(
+    call.handle, CURLOPT_TIMEOUT_MS, static_cast<long>(this->config.callBound));
   curl_easy_setopt(call.handle, CURLOPT_WRITEFUNCTION, Append);
   curl_easy_setopt(call.handle, CURLOPT_WRITEDATA, &call.answer);
   curl_easy_setopt(call.handle, CURLOPT_HEADERFUNCTION, AppendLower);
   curl_easy_setopt(call.handle, CURLOPT_HEADERDATA, &call.answerHeaders);
   if (this->config.method != "GET") {
     call.body = PatternBody(call.pattern, this->config.bodyBytes);
-    curl_easy_setopt(call.handle,
-                     CURLOPT_POSTFIELDSIZE,
-                     static_cast<long>(call.body.size()));
+    curl_easy_setopt(
+      call.handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body.size()));
     curl_easy_setopt(call.handle, CURLOPT_POSTFIELDS, call.body.c_str());
     // libcurl repeats a request by itself on a reused connection that closes;
     // the tool must send each call once.
@@ -178,9 +176,7 @@
     const double micros =
       (this->clock.PreciseNow() - aCall.scheduledAt) * kMicrosPerMilli;
     this->result.AddAnswer(
-      status,
-      HeaderOf(aCall.answerHeaders, "lacewingwharf-outcome"),
-      micros);
+      status, HeaderOf(aCall.answerHeaders, "lacewingwharf-outcome"), micros);
     this->Check(aCall, status);
   } else {
     this->result.AddError(curl_easy_strerror(aCode));
