--- a/src/platform/httptransfer.cpp
+++ b/src/platform/httptransfer.cpp
@@ -7,7 +7,6 @@
 #include <array>
 #include <cctype>
 #include <charconv>
-#include <cstring>
 #include <mutex>
 
 namespace lacewingwharf {
@@ -70,7 +69,7 @@
   const std::string& body = state.request->body;
   const std::size_t bytes =
     std::min(aSize * aCount, body.size() - state.sentBytes);
-  std::memcpy(aBuffer, body.data() + state.sentBytes, bytes);
+  std::copy_n(body.data() + state.sentBytes, bytes, aBuffer);
   state.sentBytes += bytes;
   return bytes;
 }
--- a/standins/httpserver/standinserver.cpp
+++ b/standins/httpserver/standinserver.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <cstring>
 
 namespace lacewingwharf {
 
@@ -73,7 +72,7 @@
   if (isInPieces) {
     bytes = std::min(bytes, answer.pieceBytes);
   }
-  std::memcpy(aBuffer, answer.body.data() + aPosition, bytes);
+  std::copy_n(answer.body.data() + aPosition, bytes, aBuffer);
   return static_cast<ssize_t>(bytes);
 }
 
@@ -307,6 +306,7 @@
     });
   }
   std::vector<pollfd> sockets;
+  sockets.reserve(waiting.size());
   for (const auto& exchange : waiting) {
     sockets.push_back({ exchange->socketFd, POLLRDHUP, 0 });
   }
--- a/standins/link/relay.cpp
+++ b/standins/link/relay.cpp
@@ -32,6 +32,13 @@
          aLeft.sin_addr.s_addr == aRight.sin_addr.s_addr;
 }
 
+/** False when the connection failed at once. */
+bool BeginConnect(int aSocket, const sockaddr_in& aTarget)
+{
+  return connect(aSocket, Generic(aTarget), sizeof(aTarget)) == 0 ||
+         errno == EINPROGRESS;
+}
+
 bool MustWait()
 {
   return errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOTCONN;
@@ -114,7 +121,7 @@
     flow.silencings = this->state.Silencings();
     flow.nearSocket = accepted;
     flow.farSocket = OpenSocket(SOCK_STREAM);
-    connect(flow.farSocket, Generic(this->target), sizeof(this->target));
+    flow.isBroken = !BeginConnect(flow.farSocket, this->target);
     flow.forward = { LinkDirection::Forward, accepted, flow.farSocket };
     flow.backward = { LinkDirection::Backward, flow.farSocket, accepted };
   }
@@ -162,7 +169,7 @@
   flow.silencings = ~0ULL;
   flow.caller = aCaller;
   flow.farSocket = OpenSocket(SOCK_DGRAM);
-  connect(flow.farSocket, Generic(this->target), sizeof(this->target));
+  flow.isBroken = !BeginConnect(flow.farSocket, this->target);
   flow.forward = { LinkDirection::Forward, -1, flow.farSocket };
   flow.backward = { LinkDirection::Backward, flow.farSocket, -1 };
   return &flow;
--- a/standins/testkit/process.cpp
+++ b/standins/testkit/process.cpp
@@ -139,6 +139,14 @@
 void ChildProcess::Freeze()
 {
   this->Signal(SIGSTOP);
+  if (this->IsRunning()) {
+    // The signal takes effect some time after it was sent.
+    siginfo_t info{};
+    waitid(P_PID,
+           static_cast<id_t>(this->pid),
+           &info,
+           WSTOPPED | WEXITED | WNOWAIT);
+  }
 }
 
 void ChildProcess::Thaw()
--- a/standins/testkit/process.h
+++ b/standins/testkit/process.h
@@ -38,6 +38,8 @@
 
   /** Ends the program at once and waits for it. */
   void Kill();
+
+  /** Stops the program (SIGSTOP); returns when it has stopped. */
   void Freeze();
   void Thaw();
 
