--- a/standins/backend/main.cpp
+++ b/standins/backend/main.cpp
@@ -135,7 +135,11 @@
   });
   serverOfTimer = &server;
   announcerOfService = &announcer;
-  server.After(options.backend.coldStart, [&service] { service.SetReady(); });
+  if (options.backend.coldStart == 0) {
+    service.SetReady();
+  } else {
+    server.After(options.backend.coldStart, [&service] { service.SetReady(); });
+  }
   if (!server.Start()) {
     return EXIT_FAILURE;
   }
--- a/standins/testkit/process.cpp
+++ b/standins/testkit/process.cpp
@@ -142,10 +142,8 @@
   if (this->IsRunning()) {
     // The signal takes effect some time after it was sent.
     siginfo_t info{};
-    waitid(P_PID,
-           static_cast<id_t>(this->pid),
-           &info,
-           WSTOPPED | WEXITED | WNOWAIT);
+    waitid(
+      P_PID, static_cast<id_t>(this->pid), &info, WSTOPPED | WEXITED | WNOWAIT);
   }
 }
 
