Do not copy views while shares are computed

Cause: each change of the view copied the endpoints of every service of every owner with limits, also for owners without calls on this host. Change: shares read the view in place and leave out owners whose services have no slots here. The header says that a queue time of 0 has no bound but the deadline.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -21,7 +21,7 @@
   std::string service;
   int port = 0;
   Millis deadlineAt = 0; // On the admission clock.
-  Millis queueWait = 0;
+  Millis queueWait = 0;  // 0 means no bound but the deadline.
 };
 
 /** Load of one backend server on this host. */
--- a/src/admission/limitbook.cpp
+++ b/src/admission/limitbook.cpp
@@ -69,10 +69,12 @@
   return refusal;
 }
 
-ServiceView ViewOf(const EndpointView& aView, const std::string& aService)
+const ServiceView& ViewOf(const EndpointView& aView,
+                          const std::string& aService)
 {
+  static const ServiceView sEmpty;
   const auto found = aView.services.find(aService);
-  return found == aView.services.end() ? ServiceView{} : found->second;
+  return found == aView.services.end() ? sEmpty : found->second;
 }
 
 } // namespace
@@ -124,6 +126,14 @@
     return aUse.second.inFlight == 0 && !services.contains(aUse.first);
   });
   for (const auto& [owner, used] : services) {
+    // Most owners have no call that can run here.
+    const bool isServed =
+      std::ranges::any_of(used, [&aOwnSlots](const std::string& aService) {
+        return aOwnSlots(aService) > 0;
+      });
+    if (!isServed) {
+      continue;
+    }
     LimitShare share(this->host);
     for (const std::string& service : used) {
       share.Add(ViewOf(aView, service), aOwnSlots(service));
