--- a/src/admission/limitbook.cpp
+++ b/src/admission/limitbook.cpp
@@ -69,11 +69,12 @@
   return refusal;
 }
 
-ServiceView
+const ServiceView&
 ViewOf(const EndpointView& aView, const std::string& aService)
 {
+  static const ServiceView sEmpty;
   const auto found = aView.services.find(aService);
-  return found == aView.services.end() ? ServiceView{} : found->second;
+  return found == aView.services.end() ? sEmpty : found->second;
 }
 
 } // namespace
@@ -128,6 +129,14 @@
     return aUse.second.inFlight == 0 && !services.contains(aUse.first);
   });
   for (const auto& [owner, used] : services) {
+    // Most owners have no call that can run here.
+    const bool isServed =
+      std::ranges::any_of(used, [&aOwnSlots](const std::string& aService) {
+        return aOwnSlots(aService) > 0;
+      });
+    if (!isServed) {
+      continue;
+    }
     LimitShare share(this->host);
     for (const std::string& service : used) {
       share.Add(ViewOf(aView, service), aOwnSlots(service));
