--- a/standins/testkit/process.cpp
+++ b/standins/testkit/process.cpp
@@ -81,6 +81,7 @@
   };
   words.insert(words.end(), aArguments.begin(), aArguments.end());
   std::vector<char*> arguments;
+  arguments.reserve(words.size() + 1);
   for (std::string& word : words) {
     arguments.push_back(word.data());
   }
