Merge the stand-ins; wire status, metrics and explain into the daemon

Cause: refusals named their owner to the caller only; operators saw nothing. Change: the calls thread records every ending, the control thread sends reports to the failure domain's reporter, which writes status objects; explain shows them; GET /metrics serves counters, gauges and latency quantiles.

--- a/src/ctl/fleetinspector.cpp
+++ b/src/ctl/fleetinspector.cpp
@@ -1,6 +1,7 @@
 #include "ctl/fleetinspector.h"
 
 #include "ctl/catalogueeditor.h"
+#include "status/explanation.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -107,10 +108,9 @@
       "{}: {}\n", name, kPlatformErrorNames.NameOf(objects.error().code)));
     return ExitCode::PlatformFailed;
   }
-  std::ranges::for_each(
-    objects.value().objects, [this](const StoredObject& aObject) {
-      this->out(fmt::format("{}: {}\n", aObject.name, aObject.value));
-    });
+  const auto explanation = Explanation::From(name, objects.value().objects);
+  this->out(this->options.isJson ? explanation.ToJson() + "\n"
+                                 : explanation.Text(Clock::Wall().Now()));
   return ExitCode::Ok;
 }
 
--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -8,6 +8,9 @@
 #include <ace/SOCK_Stream.h>
 #include <ace/Time_Value.h>
 
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace lacewingwharf {
@@ -47,6 +50,19 @@
   return config;
 }
 
+wire::CallOutcome::type
+WireOutcome(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::Done:
+      return wire::CallOutcome::DONE;
+    case Outcome::NotRun:
+      return wire::CallOutcome::NOT_RUN;
+    default:
+      return wire::CallOutcome::UNKNOWN;
+  }
+}
+
 QuarantineConfig
 QuarantineOf(const Settings& aSettings)
 {
@@ -79,11 +95,14 @@
 
 CallsService::CallsService(const Settings& aSettings,
                            std::int64_t aIncarnation,
+                           MetricsRegistry& aMetrics,
                            CallsServiceHooks aHooks)
   : settings(aSettings)
   , hooks(std::move(aHooks))
   , clock(Clock::Steady())
+  , metrics(aMetrics)
   , quarantine(QuarantineOf(aSettings), this->clock)
+  , stats(Clock::Wall())
   , server(ServerConfig(aSettings),
            { [this](RequestId aRequest, HttpRequest aData) {
               this->BeginCall(aRequest, std::move(aData));
@@ -138,7 +157,9 @@
   entryHooks.hasLostServer = [this](std::uint64_t aDigest) {
     return this->Check(aDigest) != QuarantineVerdict::Free;
   };
-  entryHooks.ended = [](const EntryCall&, const Ending&) {};
+  entryHooks.ended = [this](const EntryCall& aCall, const Ending& aEnding) {
+    this->RecordEnd(aCall, aEnding);
+  };
   return entryHooks;
 }
 
@@ -341,6 +362,7 @@
 {
   this->entryCalls.Tick();
   this->destinationCalls.Tick();
+  this->Report();
   if (this->clock.Now() < this->marksDueAt) {
     return;
   }
@@ -351,4 +373,56 @@
   }
 }
 
+void
+CallsService::RecordEnd(const EntryCall& aCall, const Ending& aEnding)
+{
+  const std::string entry = aCall.entry != nullptr ? aCall.entry->name : "-";
+  const std::string outcome(kOutcomeNames.NameOf(aEnding.outcome));
+  this->metrics
+    .Counter("lacewingwharf_calls_total",
+             "Calls that entered at this daemon and ended",
+             { { "entry", entry },
+               { "outcome", outcome },
+               { "reason", aEnding.reason } })
+    ->Add();
+  if (aCall.entry == nullptr) {
+    return;
+  }
+  CallRecord record;
+  record.entry = entry;
+  record.owner = aCall.entry->owner;
+  record.caller = aCall.http.callerAddress;
+  record.outcome = WireOutcome(aEnding.outcome);
+  record.latencyMillis = this->clock.PreciseNow() - aCall.startedAt;
+  record.deadline = aCall.entry->limits.deadline;
+  if (aEnding.isRefusal) {
+    record.refusal = aEnding.refusal;
+  }
+  this->stats.Record(record);
+  this->latencies[entry].Add(record.latencyMillis, this->clock.PreciseNow());
+}
+
+void
+CallsService::Report()
+{
+  if (this->clock.Now() < this->reportDueAt) {
+    return;
+  }
+  this->reportDueAt = this->clock.Now() + this->settings.reportInterval;
+  std::ranges::for_each(this->latencies, [this](auto& aPair) {
+    std::ranges::for_each(kLatencyQuantileNames.Rows(), [&](const auto& aRow) {
+      this->metrics
+        .Gauge("lacewingwharf_call_latency_ms",
+               "Latency of calls that ended, by entry, in milliseconds",
+               { { "entry", aPair.first },
+                 { "quantile", std::string(aRow.second) } })
+        ->Set(aPair.second.Quantile(aRow.first, this->clock.PreciseNow()));
+    });
+  });
+  std::vector<wire::EntryReport> reports = this->stats.TakeReports();
+  if (!reports.empty()) {
+    this->hooks.report(std::move(reports));
+  }
+}
+
 } // namespace lacewingwharf
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -8,9 +8,12 @@
 #include "proxy/httpclient.h"
 #include "proxy/httpserver.h"
 #include "settings/settings.h"
+#include "status/entrystats.h"
+#include "status/metricsregistry.h"
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -27,6 +30,9 @@
   std::function<
     void(std::uint64_t aKeyHash, const std::string& aHolder, Outcome)>
     settleClaim;
+
+  /** Reports of entries with trouble, once in each report interval. */
+  std::function<void(std::vector<wire::EntryReport>)> report;
 };
 
 /**
@@ -38,6 +44,7 @@
 public:
   CallsService(const Settings& aSettings,
                std::int64_t aIncarnation,
+               MetricsRegistry& aMetrics,
                CallsServiceHooks aHooks);
   ~CallsService();
 
@@ -74,11 +81,17 @@
   void AnswerOrigin(SessionId aOrigin, wire::CallAnswer aAnswer);
   void BeginCall(RequestId aRequest, HttpRequest aRequestData);
   QuarantineVerdict Check(std::uint64_t aDigest);
+  void RecordEnd(const EntryCall& aCall, const Ending& aEnding);
+  void Report();
 
   Settings settings;
   CallsServiceHooks hooks;
   Clock clock;
+  MetricsRegistry& metrics;
   Quarantine quarantine;
+  EntryStats stats;
+  std::map<std::string, LatencyRecorder> latencies; // By entry.
+  Millis reportDueAt = 0;
   HttpServer server;
   HttpClient client;
   EntryCalls entryCalls;
--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -69,8 +69,10 @@
 
 ControlService::ControlService(const Settings& aSettings,
                                std::int64_t aIncarnation,
+                               MetricsRegistry& aMetrics,
                                ControlServiceHooks aHooks)
   : settings(aSettings)
+  , metrics(aMetrics)
   , hooks(std::move(aHooks))
   , clock(Clock::Steady())
   , store(MakeStore(aSettings, this->isStopping))
@@ -105,6 +107,10 @@
           [this](PlatformJob aJob) {
             return this->platform.Submit(std::move(aJob));
           })
+  , aggregator(
+      aSettings.domain,
+      Clock::Wall(),
+      [this](const StoredObject& aObject) { this->WriteStatus(aObject); })
   , acceptedWatch(this->store, WatchOf("accepted/"), this->WatchHook(false))
   , catalogueWatch(this->store, WatchOf("catalogue/"), this->WatchHook(true))
   , loop("control", kRingCapacity, kTickInterval, [this] { this->Tick(); })
@@ -294,6 +300,8 @@
     this->distributor.HandleAnswer(from, envelope.configAnswer);
   } else if (envelope.__isset.claimRequest || envelope.__isset.claimAnswer) {
     this->HandleClaimMessage(aEvent);
+  } else if (envelope.__isset.statusReport) {
+    this->aggregator.Merge(envelope.statusReport);
   } else {
     this->membership.HandleControl(aEvent.session, from, envelope);
   }
@@ -325,6 +333,39 @@
   });
 }
 
+void
+ControlService::Report(std::vector<wire::EntryReport> aReports)
+{
+  this->loop.Post([this, reports = std::move(aReports)] {
+    wire::StatusReport report;
+    report.host = this->settings.host;
+    report.domain = this->settings.domain;
+    report.version = this->distributor.Held()->Version();
+    report.entries = reports;
+    const auto feeders = this->membership.Feeders();
+    const auto address = feeders.empty()
+                           ? std::nullopt
+                           : this->membership.AddressOf(feeders.front());
+    if (!address || feeders.front() == this->settings.host) {
+      this->aggregator.Merge(report);
+      return;
+    }
+    wire::Envelope envelope;
+    envelope.__set_statusReport(std::move(report));
+    this->hooks.sendControl(*address, std::move(envelope));
+  });
+}
+
+void
+ControlService::WriteStatus(const StoredObject& aObject)
+{
+  this->platform.Submit([aObject](const ObjectStore& aStore) {
+    // A lost write is made good by the next report.
+    static_cast<void>(aStore.put(aObject.name, aObject.value, kAnyRevision));
+    return Completion([] {});
+  });
+}
+
 bool
 ControlService::Claim(std::uint64_t aKeyHash, const std::string& aHolder)
 {
@@ -360,6 +401,8 @@
   this->distributor.Tick();
   this->claimWriter.Tick();
   this->claimClient.Tick();
+  this->aggregator.Tick();
+  this->PublishMetrics();
   this->SetWatches();
   this->PublishSeeds();
   this->PublishEndpoints();
@@ -499,4 +542,47 @@
   return state;
 }
 
+void
+ControlService::PublishMetrics()
+{
+  if (this->clock.Now() < this->metricsDueAt) {
+    return;
+  }
+  constexpr Millis kInterval = 1000;
+  this->metricsDueAt = this->clock.Now() + kInterval;
+  const auto set = [this](const char* aName, const char* aHelp, double aValue) {
+    this->metrics.Gauge(aName, aHelp)->Set(aValue);
+  };
+  set("lacewingwharf_version",
+      "Accepted version that this daemon holds",
+      static_cast<double>(this->distributor.Held()->Version()));
+  set("lacewingwharf_members",
+      "Live members of the failure domain",
+      static_cast<double>(
+        this->membership.LiveHosts(this->settings.domain).size()));
+  set("lacewingwharf_claim_writes",
+      "Writes of claim shards by this daemon",
+      static_cast<double>(this->claimWriter.Writes()));
+  set("lacewingwharf_control_overflows",
+      "Items that the control thread's ring rejected",
+      static_cast<double>(this->loop.Overflows()));
+  if (this->platformSeenAt > 0) {
+    set("lacewingwharf_platform_age_ms",
+        "Time since the platform last answered a watch, in milliseconds",
+        static_cast<double>(this->clock.Now() - this->platformSeenAt));
+  }
+  const auto addCalls = [this](const CallCounts& aCounts, const char* aSource) {
+    std::ranges::for_each(kCallKindNames.Rows(), [&](const auto& aRow) {
+      this->metrics
+        .Gauge("lacewingwharf_platform_calls",
+               "Calls to the platform by kind and thread",
+               { { "kind", std::string(aRow.second) }, { "thread", aSource } })
+        ->Set(static_cast<double>(aCounts.Calls(aRow.first)));
+    });
+  };
+  addCalls(this->platform.Counts(), "platform");
+  addCalls(this->acceptedWatch.Counts(), "accepted-watch");
+  addCalls(this->catalogueWatch.Counts(), "catalogue-watch");
+}
+
 } // namespace lacewingwharf
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -11,6 +11,8 @@
 #include "platform/platformwatch.h"
 #include "platform/platformworker.h"
 #include "settings/settings.h"
+#include "status/metricsregistry.h"
+#include "status/statusaggregator.h"
 
 #include <nlohmann/json.hpp>
 
@@ -54,6 +56,7 @@
 
   ControlService(const Settings& aSettings,
                  std::int64_t aIncarnation,
+                 MetricsRegistry& aMetrics,
                  ControlServiceHooks aHooks);
   ~ControlService();
 
@@ -65,6 +68,8 @@
 
   void HandlePeerEvent(PeerEvent aEvent);
   void Announce(const Announcement& aAnnouncement);
+  /** Sends the reports to the status reporter of the failure domain. */
+  void Report(std::vector<wire::EntryReport> aReports);
   bool Claim(std::uint64_t aKeyHash, const std::string& aHolder);
   void Settle(std::uint64_t aKeyHash,
               const std::string& aHolder,
@@ -90,8 +95,11 @@
   void PublishSeeds();
   void PublishConfiguration();
   void PublishEndpoints();
+  void PublishMetrics();
+  void WriteStatus(const StoredObject& aObject);
 
   Settings settings;
+  MetricsRegistry& metrics;
   ControlServiceHooks hooks;
   Clock clock;
   std::atomic<bool> isStopping = false;
@@ -102,11 +110,13 @@
   ClaimWriter claimWriter;
   ClaimClient claimClient;
   SeedList seeds;
+  StatusAggregator aggregator;
   PlatformWatch acceptedWatch;
   PlatformWatch catalogueWatch;
   SnapshotPtr publishedSnapshot;
   EndpointViewPtr publishedView;
   std::map<std::pair<std::string, int>, wire::Endpoint> publishedEndpoints;
+  Millis metricsDueAt = 0;
   Millis platformSeenAt = 0;
   EventLoop loop; // Last, so that its thread ends before what it uses.
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -45,8 +45,8 @@
               [this](PeerEvent aEvent) {
                 this->calls.HandlePeerEvent(std::move(aEvent));
               } })
-  , calls(aSettings, this->incarnation, this->CallsHooks())
-  , control(aSettings, this->incarnation, this->ControlHooks())
+  , calls(aSettings, this->incarnation, this->metrics, this->CallsHooks())
+  , control(aSettings, this->incarnation, this->metrics, this->ControlHooks())
   , admin(aSettings, this->AdministrationHooks())
 {
 }
@@ -82,6 +82,9 @@
                              Outcome aOutcome) {
     this->control.Settle(aKeyHash, aHolder, aOutcome);
   };
+  hooks.report = [this](std::vector<wire::EntryReport> aReports) {
+    this->control.Report(std::move(aReports));
+  };
   return hooks;
 }
 
@@ -140,7 +143,7 @@
     }
     return entry.dump() + "\n";
   };
-  hooks.metrics = [] { return std::string(); };
+  hooks.metrics = [this] { return this->Metrics(); };
   return hooks;
 }
 
@@ -209,4 +212,44 @@
   return state.dump() + "\n";
 }
 
+std::string
+Daemon::Metrics()
+{
+  const PeerCounters counters = this->network.Counters();
+  const auto set = [this](const char* aName, const char* aHelp, double aValue) {
+    this->metrics.Gauge(aName, aHelp)->Set(aValue);
+  };
+  set("lacewingwharf_control_bytes_sent",
+      "Bytes sent on control sessions and in datagrams",
+      static_cast<double>(counters.controlBytesSent));
+  set("lacewingwharf_control_bytes_received",
+      "Bytes received on control sessions and in datagrams",
+      static_cast<double>(counters.controlBytesReceived));
+  set("lacewingwharf_call_bytes_sent",
+      "Bytes sent on call sessions",
+      static_cast<double>(counters.callBytesSent));
+  set("lacewingwharf_call_bytes_received",
+      "Bytes received on call sessions",
+      static_cast<double>(counters.callBytesReceived));
+  set("lacewingwharf_sessions_open",
+      "Open sessions with other daemons",
+      static_cast<double>(counters.sessionsOpen));
+  set("lacewingwharf_sessions_lost",
+      "Sessions with other daemons that were lost",
+      static_cast<double>(counters.sessionsLost));
+  set("lacewingwharf_frames_rejected",
+      "Malformed or oversized frames and datagrams from peers",
+      static_cast<double>(counters.framesRejected));
+  set("lacewingwharf_sends_rejected",
+      "Messages to peers that were not sent because a queue was full",
+      static_cast<double>(counters.sendsRejected));
+  set("lacewingwharf_calls_in_flight",
+      "Calls that entered or run here and have not ended",
+      static_cast<double>(this->calls.InFlight()));
+  set("lacewingwharf_calls_overflows",
+      "Items that the calls thread's ring rejected",
+      static_cast<double>(this->calls.Overflows()));
+  return this->metrics.Text();
+}
+
 } // namespace lacewingwharf
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 #include "daemon/controlservice.h"
 #include "peer/peernetwork.h"
 #include "settings/settings.h"
+#include "status/metricsregistry.h"
 
 #include <cstdint>
 #include <string>
@@ -32,10 +33,12 @@
   ControlServiceHooks ControlHooks();
   AdminHooks AdministrationHooks();
   std::string State();
+  std::string Metrics();
   void FinishCalls();
 
   Settings settings;
   std::int64_t incarnation;
+  MetricsRegistry metrics;
   PeerNetwork network;
   CallsService calls;
   ControlService control;
--- a/src/status/latencyrecorder.h
+++ b/src/status/latencyrecorder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/names.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -19,6 +20,12 @@
   P99
 };
 
+/** As label values of the metric. */
+inline constexpr auto kLatencyQuantileNames =
+  MakeNameTable<LatencyQuantile>({ { LatencyQuantile::Median, "0.5" },
+                                   { LatencyQuantile::P90, "0.9" },
+                                   { LatencyQuantile::P99, "0.99" } });
+
 /**
  * Quantiles of recent latencies in constant memory. Two halves of the window
  * are kept; the older one is dropped as a whole when the newer one is full.
