--- a/demo/run.sh
+++ b/demo/run.sh
@@ -122,7 +122,7 @@
 step "load from a caller on all daemons"
 start caller "$build/lww-caller" --daemon "${addresses[0]}:$call_port" \
   --daemon "${addresses[3]}:$call_port" --path /preview/1 --path /status/1 \
-  --rate 100 --seconds 3
+  --rate 100 --time-ms 3000
 wait "${pids[-1]}"
 unset 'pids[-1]'
 cat "$work/caller.log"
