--- a/src/peer/peernetwork_test.cpp
+++ b/src/peer/peernetwork_test.cpp
@@ -105,6 +105,9 @@
   cr_assert(socket.Send(aBytes));
   cr_assert(socket.IsClosedByPeer());
   cr_assert_geq(node.network->Counters().framesRejected, 1U);
+  // The loss is reported after the socket has been closed.
+  cr_assert(node.Has(PeerEventKind::SessionLost, aLosses));
+  node.network->Stop();
   cr_assert(node.Events(PeerEventKind::Message).empty());
   cr_assert_eq(node.Events(PeerEventKind::SessionLost).size(), aLosses);
 }
