Close single-use connections and keep libcurl handles

Cause: connections made for non-idempotent calls stayed idle in libcurl's cache (up to 256) and counted towards a backend server's connection limit; a new easy handle was set up for each exchange. Change: such a connection is closed after its answer; up to 64 reset handles are kept for the next exchanges.

--- a/src/proxy/httpclient.cpp
+++ b/src/proxy/httpclient.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace lacewingwharf {
 
@@ -22,6 +23,8 @@
 // Idle connections that are kept; backend servers count connections too.
 constexpr long kMaxKeptConnections = 256;
 
+constexpr std::size_t kMaxSpareHandles = 64;
+
 // libcurl asks to be called for its own timers; this bounds the rest.
 constexpr int kLongestWait = 1000;
 
@@ -56,6 +59,8 @@
   void Run();
   void RunCommands();
   void Begin(HttpExchange aExchange);
+  EasyHandle NewHandle();
+  void KeepHandle(HttpTransfer& aTransfer);
   void Cancel(const std::string& aId);
   void CollectFinished();
   void CancelAll();
@@ -67,6 +72,7 @@
   std::atomic<bool> isStopping{ false };
   std::thread thread;
   std::unordered_map<std::string, std::unique_ptr<HttpTransfer>> transfers;
+  std::vector<EasyHandle> spareHandles;
 };
 
 HttpClient::Impl::Impl(OnResult aOnResult, std::size_t aMaxAnswerBytes)
@@ -133,8 +139,8 @@
 void HttpClient::Impl::Begin(HttpExchange aExchange)
 {
   const std::string id = aExchange.id;
-  auto transfer =
-    std::make_unique<HttpTransfer>(std::move(aExchange), this->maxAnswerBytes);
+  auto transfer = std::make_unique<HttpTransfer>(
+    std::move(aExchange), this->maxAnswerBytes, this->NewHandle());
   if (this->transfers.contains(id) || !transfer->Prepare() ||
       curl_multi_add_handle(this->multi, transfer->Handle()) != CURLM_OK) {
     kLog.Warning("exchange {} was not begun", id);
@@ -144,6 +150,24 @@
   this->transfers.emplace(id, std::move(transfer));
 }
 
+/** Setting up a handle costs more than resetting one that was used. */
+EasyHandle HttpClient::Impl::NewHandle()
+{
+  if (this->spareHandles.empty()) {
+    return EasyHandle(curl_easy_init());
+  }
+  EasyHandle handle = std::move(this->spareHandles.back());
+  this->spareHandles.pop_back();
+  return handle;
+}
+
+void HttpClient::Impl::KeepHandle(HttpTransfer& aTransfer)
+{
+  if (this->spareHandles.size() < kMaxSpareHandles) {
+    this->spareHandles.push_back(aTransfer.TakeHandle());
+  }
+}
+
 /** Removing a handle before its end closes the connection. */
 void HttpClient::Impl::Cancel(const std::string& aId)
 {
@@ -170,6 +194,7 @@
     curl_multi_remove_handle(this->multi, handle);
     auto taken = this->transfers.extract(transfer->Id());
     this->onResult(taken.mapped()->Finish(code));
+    this->KeepHandle(*taken.mapped());
   }
 }
 
--- a/src/proxy/httptransfer.cpp
+++ b/src/proxy/httptransfer.cpp
@@ -31,10 +31,12 @@
 
 } // namespace
 
-HttpTransfer::HttpTransfer(HttpExchange aExchange, std::size_t aMaxAnswerBytes)
+HttpTransfer::HttpTransfer(HttpExchange aExchange,
+                           std::size_t aMaxAnswerBytes,
+                           EasyHandle aHandle)
   : exchange(std::move(aExchange))
   , maxAnswerBytes(aMaxAnswerBytes)
-  , handle(curl_easy_init())
+  , handle(std::move(aHandle))
   , startedAt(this->clock.PreciseNow())
 {
 }
@@ -69,8 +71,11 @@
   curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, limit);
   curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, limit);
   curl_easy_setopt(curl, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
-  curl_easy_setopt(
-    curl, CURLOPT_FRESH_CONNECT, this->exchange.needsNewConnection ? 1L : 0L);
+  // Idle connections count towards a backend server's limit, so one that was
+  // made for a single request does not stay.
+  const long isSingleUse = this->exchange.needsNewConnection ? 1L : 0L;
+  curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, isSingleUse);
+  curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, isSingleUse);
 }
 
 void HttpTransfer::SetMethod()
@@ -217,6 +222,13 @@
   return this->ResultOf(ExchangeEnd::Cancelled);
 }
 
+EasyHandle HttpTransfer::TakeHandle()
+{
+  // The options refer to this transfer.
+  curl_easy_reset(this->handle.get());
+  return std::move(this->handle);
+}
+
 ExchangeEnd HttpTransfer::EndOf(CURLcode aCode)
 {
   if (!this->wasStarted) {
--- a/src/proxy/httptransfer.h
+++ b/src/proxy/httptransfer.h
@@ -11,11 +11,19 @@
 
 namespace lacewingwharf {
 
+struct EasyCleanup
+{
+  void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
+};
+using EasyHandle = std::unique_ptr<CURL, EasyCleanup>;
+
 /** One exchange on a libcurl easy handle, and the judgement how it ended. */
 class HttpTransfer
 {
 public:
-  HttpTransfer(HttpExchange aExchange, std::size_t aMaxAnswerBytes);
+  HttpTransfer(HttpExchange aExchange,
+               std::size_t aMaxAnswerBytes,
+               EasyHandle aHandle);
   ~HttpTransfer();
 
   HttpTransfer(const HttpTransfer&) = delete;
@@ -27,14 +35,13 @@
   ExchangeResult Finish(CURLcode aCode);
   ExchangeResult Cancel();
 
+  /** For the next transfer, once this one has ended. */
+  EasyHandle TakeHandle();
+
   CURL* Handle() const;
   const std::string& Id() const;
 
 private:
-  struct EasyCleanup
-  {
-    void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
-  };
   struct ListFree
   {
     void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
@@ -63,7 +70,7 @@
   HttpExchange exchange;
   std::size_t maxAnswerBytes;
   std::size_t headerBytes = 0;
-  std::unique_ptr<CURL, EasyCleanup> handle;
+  EasyHandle handle;
   std::unique_ptr<curl_slist, ListFree> headerList;
   HttpAnswer answer;
   std::string detail;
