--- a/src/peer/peernetwork_test.cpp
+++ b/src/peer/peernetwork_test.cpp
@@ -110,6 +110,9 @@
   cr_assert(socket.Send(aBytes));
   cr_assert(socket.IsClosedByPeer());
   cr_assert_geq(node.network->Counters().framesRejected, 1U);
+  // The loss is reported after the socket has been closed.
+  cr_assert(node.Has(PeerEventKind::SessionLost, aLosses));
+  node.network->Stop();
   cr_assert(node.Events(PeerEventKind::Message).empty());
   // The loss is reported just after the socket is closed.
   cr_assert(node.Has(PeerEventKind::SessionLost, aLosses));
