--- /dev/null
+++ b/src/execution/claimshard_test.cpp
@@ -0,0 +1,25 @@
+#include "execution/claimshard.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingwharf;
+
+// Guards against values above the platform's limit and claims kept for ever.
+Test(claimshard, FullShardRefusesUntilClaimsArePruned)
+{
+  ClaimShard shard({ 1000, 100, 2000 });
+  wire::ClaimRequest request;
+  request.holder = "call";
+  int granted = 0;
+  for (request.keyHash = 0; request.keyHash < 200; ++request.keyHash) {
+    granted += shard.Apply(request, 10) == wire::ClaimResult::GRANTED ? 1 : 0;
+  }
+  cr_assert_gt(granted, 20);
+  cr_assert_lt(granted, 200);
+  cr_assert_leq(shard.Encode().size(), 2000U);
+  const auto copy = ClaimShard::Parse(shard.Encode(), {});
+  cr_assert_eq(copy->Size(), shard.Size());
+  shard.Prune(1011);
+  cr_assert_eq(shard.Size(), 0U);
+  cr_assert_eq(shard.Apply(request, 1011), wire::ClaimResult::GRANTED);
+}
--- a/src/execution/claimwriter.h
+++ b/src/execution/claimwriter.h
@@ -20,7 +20,7 @@
   ClaimShardLimits limits;
 
   /** Of all writers together; the platform takes several hundred. */
-  double writesPerSecond = 200;
+  double writesPerSecond = 300;
   double burst = 16;
 
   /** Requests older than this are refused; their clients gave up. */
--- a/src/membership/domainsummaries.cpp
+++ b/src/membership/domainsummaries.cpp
@@ -26,6 +26,13 @@
 // place for that long before it insists on what it sees itself.
 constexpr Millis kDisagreementLimit = 2000;
 
+// The first feeder sends a change within a second. When it is frozen, the next
+// one still has to make it known elsewhere within 3 s.
+constexpr Millis kSecondFeederWait = 1200;
+
+// Feeders change rarely; forgetting their stamps costs one repetition.
+constexpr std::size_t kMaxRoots = 16;
+
 using Services = std::map<std::string, wire::ServiceSummary>;
 
 struct Candidate
@@ -224,7 +231,8 @@
 SummaryChange DomainSummaries::Build(const MemberTable& aTable,
                                      const HostLoads& aLoads,
                                      std::vector<wire::MemberRecord> aContacts,
-                                     Millis aWallNow)
+                                     Millis aWallNow,
+                                     bool aIsFirstFeeder)
 {
   Services services = Summarise(aTable, aLoads);
   KeepVanished(this->own.services, services);
@@ -236,7 +244,7 @@
   }
   for (auto& [service, summary] : services) {
     const wire::ServiceSummary& held = this->own.services[service];
-    if (!this->IsNews(held, summary, aWallNow)) {
+    if (!this->IsNews(held, summary, aWallNow, aIsFirstFeeder)) {
       continue;
     }
     const bool onlyLoad = held.stamp > 0 && HasSameEndpoints(held, summary);
@@ -254,7 +262,8 @@
 
 bool DomainSummaries::IsNews(const wire::ServiceSummary& aHeld,
                              const wire::ServiceSummary& aBuilt,
-                             Millis aWallNow)
+                             Millis aWallNow,
+                             bool aIsFirstFeeder)
 {
   const std::string& service = aBuilt.serviceName;
   if (aHeld.stamp > 0 && HasSameContent(aHeld, aBuilt)) {
@@ -266,13 +275,19 @@
   const bool isUnchanged = before == this->built.end()
                              ? aBuilt.ready == 0
                              : HasSameContent(before->second, aBuilt);
-  if (aHeld.stamp == 0 || !isUnchanged) {
+  if (aIsFirstFeeder && (aHeld.stamp == 0 || !isUnchanged)) {
     this->disagreedSince.erase(service);
     return true;
   }
   const auto since =
     this->disagreedSince.try_emplace(service, aWallNow).first->second;
-  return aWallNow - since >= kDisagreementLimit;
+  const Millis limit = aIsFirstFeeder ? kDisagreementLimit : kSecondFeederWait;
+  return aWallNow - since >= limit;
+}
+
+void DomainSummaries::Touch(Millis aWallNow)
+{
+  this->own.stamp = this->NextStamp(aWallNow);
 }
 
 MergedSummary DomainSummaries::Merge(const wire::DomainSummary& aSummary,
@@ -283,8 +298,7 @@
   held.heardAt = aNow;
   held.domain = aSummary.domain;
   held.region = aSummary.region;
-  wire::DomainSummary news = aSummary;
-  news.services.clear();
+  MergedSummary merged;
   std::vector<wire::ServiceSummary> newer;
   for (const wire::ServiceSummary& service : aSummary.services) {
     const auto [position, isNew] =
@@ -292,20 +306,20 @@
     wire::ServiceSummary& known = position->second;
     if (isNew || Replaces(service, known)) {
       if (isNew || !HasSameContent(known, service)) {
-        news.services.push_back(service);
+        merged.hasNews = true;
       }
       known = service;
     } else if (Replaces(known, service)) {
       newer.push_back(known);
     }
   }
-  this->version += news.services.empty() ? 0U : 1U;
+  this->version += merged.hasNews ? 1U : 0U;
   this->MergeHeader(held, aSummary);
-  const bool isNewer = aSummary.stamp > held.seenStamp;
-  held.seenStamp = std::max(held.seenStamp, aSummary.stamp);
-  MergedSummary merged;
-  if (isNewer || !news.services.empty()) {
-    merged.news = std::move(news);
+  std::int64_t& seen = held.seen[aSummary.root];
+  merged.isNewOnTree = aSummary.stamp > seen;
+  seen = std::max(seen, aSummary.stamp);
+  if (held.seen.size() > kMaxRoots) {
+    held.seen.clear();
   }
   if (!newer.empty()) {
     merged.correction = this->Since(aSummary.domain, held.stamp);
@@ -324,7 +338,9 @@
     return;
   }
   aHeld.stamp = aSummary.stamp;
-  if (!isOwn && aHeld.contacts != aSummary.contacts) {
+  // Contacts are left out while they stay the same.
+  if (!isOwn && !aSummary.contacts.empty() &&
+      aHeld.contacts != aSummary.contacts) {
     aHeld.contacts = aSummary.contacts;
     ++this->version;
   }
@@ -364,7 +380,6 @@
   }
   summary.region = held->region;
   summary.stamp = held->stamp;
-  summary.contacts = held->contacts;
   for (const auto& [service, content] : held->services) {
     if (content.stamp > aSince) {
       summary.services.push_back(content);
@@ -391,6 +406,9 @@
 {
   const auto held = this->Digests(aDomain);
   wire::DomainSummary summary = this->Since(aDomain, 0);
+  if (const HeldSummary* const source = this->Find(aDomain)) {
+    summary.contacts = source->contacts;
+  }
   std::erase_if(summary.services, [&held, &aBuckets](const auto& aService) {
     const std::size_t bucket = BucketOf(aService.serviceName);
     return bucket < aBuckets.size() && aBuckets[bucket] == held[bucket];
--- a/src/membership/domainsummaries.h
+++ b/src/membership/domainsummaries.h
@@ -30,18 +30,21 @@
 {
   std::string region;
   std::string domain;
-  std::int64_t stamp = 0;     // Complete up to here.
-  std::int64_t seenStamp = 0; // Highest one received; travels on once.
+  std::int64_t stamp = 0; // Complete up to here.
   std::map<std::string, wire::ServiceSummary> services;
   std::vector<wire::MemberRecord> contacts;
   Millis heardAt = 0;
+
+  /** Highest stamp by root; along each tree a summary travels on once. */
+  std::map<std::string, std::int64_t> seen;
 };
 
 /** What follows from merging a summary. */
 struct MergedSummary
 {
-  /** What travels on: services that were news. Empty for known stamps. */
-  std::optional<wire::DomainSummary> news;
+  /** The stamp is new on the tree that the summary travels along. */
+  bool isNewOnTree = false;
+  bool hasNews = false;
 
   /** What the sender has to learn: services held with a higher stamp. */
   std::optional<wire::DomainSummary> correction;
@@ -56,11 +59,18 @@
 public:
   DomainSummaries(std::string aRegion, std::string aDomain);
 
-  /** Builds the own summary from the records and reported loads. */
+  /**
+   * Builds the own summary from the records and reported loads. Feeders after
+   * the first one leave changes to it for a while.
+   */
   SummaryChange Build(const MemberTable& aTable,
                       const HostLoads& aLoads,
                       std::vector<wire::MemberRecord> aContacts,
-                      Millis aWallNow);
+                      Millis aWallNow,
+                      bool aIsFirstFeeder);
+
+  /** A new stamp for unchanged services, so that a refresh travels on. */
+  void Touch(Millis aWallNow);
 
   MergedSummary Merge(const wire::DomainSummary& aSummary, Millis aNow);
 
@@ -70,7 +80,7 @@
   /** Contacts learned in passing, for a domain not heard of since aBefore. */
   void AddContacts(const wire::DomainSummary& aSummary, Millis aBefore);
 
-  /** Services of a domain that changed after aSince. */
+  /** Services of a domain that changed after aSince; without contacts. */
   wire::DomainSummary Since(const std::string& aDomain,
                             std::int64_t aSince) const;
 
@@ -99,7 +109,8 @@
   std::int64_t NextStamp(Millis aWallNow) const;
   bool IsNews(const wire::ServiceSummary& aHeld,
               const wire::ServiceSummary& aBuilt,
-              Millis aWallNow);
+              Millis aWallNow,
+              bool aIsFirstFeeder);
   void MergeHeader(HeldSummary& aHeld, const wire::DomainSummary& aSummary);
 
   HeldSummary own;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -15,6 +15,7 @@
 
 // A member that returns within this time is recognised; later it is new.
 constexpr Millis kDeadRetention = 600000;
+constexpr Millis kPruneInterval = 10000;
 
 // The first daemon of a fleet has nobody to sync with.
 constexpr Millis kAloneAfter = 10000;
@@ -130,7 +131,10 @@
     this->exchange.HoldBack(now);
   }
   this->exchange.Tick(now);
-  this->table.Prune(now - kDeadRetention);
+  if (now - this->prunedAt >= kPruneInterval) {
+    this->prunedAt = now;
+    this->table.Prune(now - kDeadRetention);
+  }
 }
 
 void Membership::PublishSelf(wire::MemberState::type aState)
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -103,6 +103,7 @@
   Gossip gossip;
   SummaryExchange exchange;
   Millis startedAt = 0;
+  Millis prunedAt = 0;
   bool isSelfDirty = true;
   bool hasLeft = false;
   std::uint64_t viewTableVersion = ~0ULL;
--- a/src/membership/memorynetwork.h
+++ b/src/membership/memorynetwork.h
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -46,6 +47,8 @@
     std::uint64_t otherDomainBytes = 0;
     std::uint64_t otherRegionBytes = 0;
     int restarts = 0;
+    bool isMeasured = false;
+    double busyMillis = 0; // CPU time of the measured nodes.
   };
 
   explicit MemoryNetwork(std::uint64_t aSeed)
@@ -283,10 +286,22 @@
                             to.waiting.push_back(run);
                             return;
                           }
-                          run();
+                          Measured(to, run);
                         });
   }
 
+  static void Measured(Node& aNode, const std::function<void()>& aRun)
+  {
+    if (!aNode.isMeasured) {
+      aRun();
+      return;
+    }
+    const std::clock_t start = std::clock();
+    aRun();
+    aNode.busyMillis +=
+      1000.0 * static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+  }
+
   void Deliver()
   {
     const Millis now = this->clock.View().Now();
@@ -305,7 +320,8 @@
          index < this->nodes.size();
          index += static_cast<std::size_t>(steps)) {
       if (this->IsUp(index)) {
-        this->TickNode(this->nodes[index]);
+        Measured(this->nodes[index],
+                 [this, index] { TickNode(this->nodes[index]); });
       }
     }
   }
--- a/src/membership/pushtree.cpp
+++ b/src/membership/pushtree.cpp
@@ -18,6 +18,51 @@
   return index % aHosts.size();
 }
 
+/** A member that leaves is no longer live where its record arrived. */
+std::vector<std::string> WithRoot(std::vector<std::string> aHosts,
+                                  const std::string& aRoot)
+{
+  aHosts.insert(std::ranges::lower_bound(aHosts, aRoot), aRoot);
+  return aHosts;
+}
+
+bool Has(const std::vector<std::string>& aHosts, const std::string& aHost)
+{
+  return std::ranges::binary_search(aHosts, aHost);
+}
+
+enum class Direction
+{
+  Up,
+  Down
+};
+
+void AddChildren(std::set<std::string>& aChildren,
+                 const std::vector<std::string>& aHosts,
+                 const std::string& aRoot,
+                 const std::string& aSelf,
+                 std::size_t aFanout,
+                 Direction aDirection)
+{
+  const std::size_t count = aHosts.size();
+  const std::size_t root = PositionOf(aHosts, aRoot);
+  const std::size_t self = PositionOf(aHosts, aSelf);
+  const bool isUp = aDirection == Direction::Up;
+  const std::size_t place =
+    (isUp ? self + count - root : root + count - self) % count;
+  for (std::size_t branch = 1; branch <= aFanout; ++branch) {
+    const std::size_t child = place * aFanout + branch;
+    if (child >= count) {
+      return;
+    }
+    const std::size_t index = isUp ? root + child : root + count - child;
+    const std::string& host = aHosts[index % count];
+    if (host != aSelf && host != aRoot) {
+      aChildren.insert(host);
+    }
+  }
+}
+
 } // namespace
 
 std::vector<std::string> TreeChildren(const std::vector<std::string>& aHosts,
@@ -25,30 +70,25 @@
                                       const std::string& aSelf,
                                       std::size_t aFanout)
 {
-  if (!std::ranges::binary_search(aHosts, aRoot)) {
-    // A member that leaves is no longer live where its record arrived.
-    std::vector<std::string> hosts = aHosts;
-    hosts.insert(std::ranges::lower_bound(hosts, aRoot), aRoot);
-    return TreeChildren(hosts, aRoot, aSelf, aFanout);
+  if (!Has(aHosts, aRoot)) {
+    return TreeChildren(WithRoot(aHosts, aRoot), aRoot, aSelf, aFanout);
   }
-  const std::size_t count = aHosts.size();
-  const std::size_t root = PositionOf(aHosts, aRoot);
-  const std::size_t self = PositionOf(aHosts, aSelf);
-  const std::size_t up = (self + count - root) % count;
-  const std::size_t down = (root + count - self) % count;
   std::set<std::string> children;
-  for (std::size_t branch = 1; branch <= aFanout; ++branch) {
-    const std::size_t upChild = up * aFanout + branch;
-    const std::size_t downChild = down * aFanout + branch;
-    if (upChild < count) {
-      children.insert(aHosts[(root + upChild) % count]);
-    }
-    if (downChild < count) {
-      children.insert(aHosts[(root + count - downChild) % count]);
-    }
+  AddChildren(children, aHosts, aRoot, aSelf, aFanout, Direction::Up);
+  return { children.begin(), children.end() };
+}
+
+std::vector<std::string> TwoTreeChildren(const std::vector<std::string>& aHosts,
+                                         const std::string& aRoot,
+                                         const std::string& aSelf,
+                                         std::size_t aFanout)
+{
+  if (!Has(aHosts, aRoot)) {
+    return TwoTreeChildren(WithRoot(aHosts, aRoot), aRoot, aSelf, aFanout);
   }
-  children.erase(aSelf);
-  children.erase(aRoot);
+  std::set<std::string> children;
+  AddChildren(children, aHosts, aRoot, aSelf, aFanout, Direction::Up);
+  AddChildren(children, aHosts, aRoot, aSelf, aFanout, Direction::Down);
   return { children.begin(), children.end() };
 }
 
@@ -65,7 +105,7 @@
   std::map<std::string, std::vector<wire::MemberRecord>> byChild;
   for (const auto& [host, record] : this->pending) {
     for (const std::string& child :
-         TreeChildren(aHosts, host, aSelf, aFanout)) {
+         TwoTreeChildren(aHosts, host, aSelf, aFanout)) {
       byChild[child].push_back(record);
     }
   }
--- a/src/membership/pushtree.h
+++ b/src/membership/pushtree.h
@@ -9,16 +9,21 @@
 
 namespace lacewingwharf {
 
-/**
- * Children of aSelf in two trees of degree aFanout rooted at aRoot, one over
- * the sorted hosts upwards and one downwards. A lost message or frozen member
- * in one tree rarely cuts off the same members in the other.
- */
+/** Children of aSelf in the tree over the sorted hosts that aRoot starts. */
 std::vector<std::string> TreeChildren(const std::vector<std::string>& aHosts,
                                       const std::string& aRoot,
                                       const std::string& aSelf,
                                       std::size_t aFanout);
 
+/**
+ * Children in two trees, over the hosts upwards and downwards. A lost datagram
+ * or frozen member in one rarely cuts off the same members in the other.
+ */
+std::vector<std::string> TwoTreeChildren(const std::vector<std::string>& aHosts,
+                                         const std::string& aRoot,
+                                         const std::string& aSelf,
+                                         std::size_t aFanout);
+
 /**
  * Records to be sent on at once along the trees rooted at their own hosts.
  * Gossip alone takes the logarithm of the member count in intervals, longer
--- a/src/membership/summaryexchange.cpp
+++ b/src/membership/summaryexchange.cpp
@@ -18,7 +18,15 @@
 constexpr Log kLog("membership");
 
 constexpr std::size_t kContacts = 8;
+
+// Members pass summaries on as they arrive, so a deep tree is fast enough, and
+// a low degree bounds what the busiest member sends.
+constexpr std::size_t kSummaryFanout = 2;
+
+// Feeders after the first one act only when it does not in this time.
+constexpr Millis kTurnDelay = 500;
 constexpr Millis kMinSendInterval = 1000;
+constexpr std::size_t kMaxDelayed = 64;
 constexpr Millis kRefreshInterval = 10000;
 constexpr Millis kRequestInterval = 1000;
 
@@ -56,6 +64,7 @@
 void SummaryExchange::Tick(Millis aNow)
 {
   this->SendLoad(aNow);
+  this->DistributeDelayed(aNow);
   if (!this->IsFeeder()) {
     this->loads.clear();
     this->sentAt.reset();
@@ -80,8 +89,11 @@
     const wire::MemberRecord* const record = this->table.Find(aItem.first);
     return record == nullptr || !IsLive(*record);
   });
-  const SummaryChange change = this->summaries.Build(
-    this->table, this->loads, this->OwnContacts(), this->wall.Now());
+  const SummaryChange change = this->summaries.Build(this->table,
+                                                     this->loads,
+                                                     this->OwnContacts(),
+                                                     this->wall.Now(),
+                                                     this->OwnRank() == 0);
   const bool isRefresh =
     !this->refreshedAt || aNow - *this->refreshedAt >= kRefreshInterval;
   if (isRefresh || change == SummaryChange::Endpoints) {
@@ -91,20 +103,27 @@
 
 void SummaryExchange::SendOwn(Millis aNow, bool aIsRefresh)
 {
+  if (aIsRefresh) {
+    this->summaries.Touch(this->wall.Now());
+  }
   wire::DomainSummary summary =
     this->summaries.Since(this->config.domain, this->sentStamp);
   this->sentStamp = summary.stamp;
   this->sentAt = aNow;
+  const auto contacts = this->OwnContacts();
+  if (aIsRefresh || contacts != this->sentContacts) {
+    summary.contacts = contacts;
+    this->sentContacts = contacts;
+  }
   if (aIsRefresh) {
     this->refreshedAt = aNow;
     summary.buckets = this->summaries.Digests(this->config.domain);
   }
-  const std::size_t rank = this->OwnRank();
   for (const auto& [domain, held] : this->summaries.Others()) {
     const std::size_t receivers =
       std::min(this->config.feeders, held.contacts.size());
-    if (receivers > 0) {
-      const wire::MemberRecord& contact = held.contacts[rank % receivers];
+    for (std::size_t index = 0; index < receivers; ++index) {
+      const wire::MemberRecord& contact = held.contacts[index];
       this->network.sendControl({ contact.address, contact.peerPort },
                                 Wrap(summary));
     }
@@ -141,13 +160,66 @@
     this->network.reply(aSession, Wrap(*merged.correction));
   }
   if (aSummary.domain == this->config.domain) {
+    this->CoveredBy(aSummary);
     return;
   }
   if (hasGap || this->Differs(aSummary)) {
     this->RequestMissing(aSession, aSummary, aNow);
   }
-  if (merged.news) {
-    this->PassOn(aFrom, *merged.news);
+  if (this->table.Find(aFrom) == nullptr) {
+    if (merged.hasNews || merged.isNewOnTree) {
+      this->Distribute(aSummary, aNow);
+    }
+  } else if (merged.isNewOnTree && !aSummary.root.empty()) {
+    this->PassOn(aSummary);
+  }
+}
+
+void SummaryExchange::CoveredBy(const wire::DomainSummary& aSummary)
+{
+  // What the other feeder sent need not be sent again, unless this feeder
+  // knows of more.
+  const bool isComplete = aSummary.base <= this->sentStamp;
+  const auto own = this->summaries.Since(this->config.domain, this->sentStamp);
+  const bool isAll = std::ranges::all_of(
+    own.services, [&aSummary](const wire::ServiceSummary& aService) {
+      return aService.stamp <= aSummary.stamp;
+    });
+  if (isComplete && isAll) {
+    this->sentStamp = std::max(this->sentStamp, aSummary.stamp);
+  }
+}
+
+void SummaryExchange::Distribute(const wire::DomainSummary& aSummary,
+                                 Millis aNow)
+{
+  wire::DomainSummary copy = aSummary;
+  copy.root = this->config.host;
+  if (this->OwnRank() == 0) {
+    this->PassOn(copy);
+    return;
+  }
+  const Millis turn = kTurnDelay * static_cast<Millis>(this->OwnRank());
+  this->delayed.push_back({ aNow + turn, copy });
+  if (this->delayed.size() > kMaxDelayed) {
+    this->delayed.pop_front();
+  }
+}
+
+void SummaryExchange::DistributeDelayed(Millis aNow)
+{
+  while (!this->delayed.empty() && aNow >= this->delayed.front().at) {
+    const wire::DomainSummary summary = this->delayed.front().summary;
+    this->delayed.pop_front();
+    const HeldSummary* const held = this->summaries.Find(summary.domain);
+    const bool isDone =
+      std::ranges::any_of(held->seen, [this, &summary](const auto& aSeen) {
+        return !aSeen.first.empty() && aSeen.first != this->config.host &&
+               aSeen.second >= summary.stamp;
+      });
+    if (!isDone) {
+      this->PassOn(summary);
+    }
   }
 }
 
@@ -209,22 +281,17 @@
   this->network.reply(aSession, Wrap(request));
 }
 
-void SummaryExchange::PassOn(const std::string& aFrom,
-                             wire::DomainSummary aNews)
+void SummaryExchange::PassOn(const wire::DomainSummary& aSummary)
 {
-  if (this->table.Find(aFrom) == nullptr) {
-    aNews.root = this->config.host;
-  }
-  if (aNews.root.empty()) {
-    return;
-  }
-  const auto children = TreeChildren(this->table.LiveHosts(),
-                                     aNews.root,
-                                     this->config.host,
-                                     this->config.fanout);
+  // Suspects would cut off the members below them.
+  const auto children =
+    TreeChildren(this->table.HostsIn(wire::MemberState::ALIVE),
+                 aSummary.root,
+                 this->config.host,
+                 kSummaryFanout);
   for (const std::string& child : children) {
     if (const auto address = this->AddressIn(child)) {
-      this->network.sendControl(*address, Wrap(aNews));
+      this->network.sendControl(*address, Wrap(aSummary));
     }
   }
 }
--- a/src/membership/summaryexchange.h
+++ b/src/membership/summaryexchange.h
@@ -5,6 +5,7 @@
 #include "membership/membershipconfig.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -61,6 +62,13 @@
   const DomainSummaries& Summaries() const;
 
 private:
+  /** A summary that the first feeder should have passed on by then. */
+  struct Delayed
+  {
+    Millis at = 0;
+    wire::DomainSummary summary;
+  };
+
   void UpdateOwn(Millis aNow);
   void SendOwn(Millis aNow, bool aIsRefresh);
   void AnswerRequest(SessionId aSession, const wire::DomainSummary& aRequest);
@@ -69,7 +77,10 @@
   void RequestMissing(SessionId aSession,
                       const wire::DomainSummary& aSummary,
                       Millis aNow);
-  void PassOn(const std::string& aFrom, wire::DomainSummary aNews);
+  void CoveredBy(const wire::DomainSummary& aSummary);
+  void Distribute(const wire::DomainSummary& aSummary, Millis aNow);
+  void DistributeDelayed(Millis aNow);
+  void PassOn(const wire::DomainSummary& aSummary);
   void SendLoad(Millis aNow);
   std::optional<PeerAddress> AddressIn(const std::string& aHost) const;
   std::size_t OwnRank() const;
@@ -86,6 +97,8 @@
   std::vector<std::string> loadSentTo;
   Millis loadSentAt = 0;
   Millis holdUntil = 0;
+  std::deque<Delayed> delayed;
+  std::vector<wire::MemberRecord> sentContacts;
   std::optional<Millis> sentAt;
   std::optional<Millis> refreshedAt;
   std::int64_t sentStamp = 0;
