--- a/src/catalogue/catalogue_test.cpp
+++ b/src/catalogue/catalogue_test.cpp
@@ -108,6 +108,7 @@
   AssertRefused(Route("/orders", R"(["FETCH"])"), "unknown method");
   AssertRefused(Route("/orders", "[]"), "at least one method");
   cr_assert_not(ParseEntry("a/b", kOrders).has_value());
+  cr_assert_not(ParseEntry(".store", kOrders).has_value());
 }
 
 // Guards against a request that is sent to the wrong service.
--- a/src/catalogue/entry.cpp
+++ b/src/catalogue/entry.cpp
@@ -33,8 +33,9 @@
 
 bool IsName(std::string_view aName)
 {
+  // Names that start with '.' are kept for status objects of the system.
   return !aName.empty() && aName.size() <= kMaxNameLength &&
-         std::ranges::all_of(aName, IsNameCharacter);
+         !aName.starts_with('.') && std::ranges::all_of(aName, IsNameCharacter);
 }
 
 bool IsPathCharacter(char aCharacter)
@@ -58,7 +59,9 @@
 {
   std::string name = aFields.Text(aKey, Presence::Required);
   if (!IsName(name)) {
-    aFields.Problem(aKey, "must be 1 to 128 letters, digits, '-', '_' or '.'");
+    aFields.Problem(aKey,
+                    "must be 1 to 128 letters, digits, '-', '_' or '.', "
+                    "not starting with '.'");
   }
   return name;
 }
@@ -238,7 +241,7 @@
     return MakeError(CatalogueErrorCode::BadField,
                      aName,
                      "the entry's name must be 1 to 128 letters, digits, '-', "
-                     "'_' or '.'");
+                     "'_' or '.', not starting with '.'");
   }
   const json object = json::parse(aJson, nullptr, false);
   if (object.is_discarded()) {
--- a/src/distribution/acceptancestatus.cpp
+++ b/src/distribution/acceptancestatus.cpp
@@ -27,6 +27,18 @@
   return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::string EncodeStoreStatus(const VersionStamp& aStamp)
+{
+  const nlohmann::json object{
+    { "storeEpoch", aStamp.storeEpoch },
+    { "floorRevision", aStamp.floorRevision },
+    { "reason",
+      "the store was restored to an older state; edits at or below the floor "
+      "revision are not accepted until they are made again" }
+  };
+  return object.dump();
+}
+
 std::string AcceptanceName(const std::string& aEntry)
 {
   return std::string(kStatusPrefix) + aEntry + std::string(kAcceptanceSuffix);
--- a/src/distribution/acceptancestatus.h
+++ b/src/distribution/acceptancestatus.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace lacewingwharf {
 
@@ -13,6 +14,15 @@
 /** The JSON text of status/NAME/acceptance. */
 std::string EncodeRejection(const Rejection& aRejection);
 
+/**
+ * The name under which the state of the store itself is reported; no entry can
+ * have it.
+ */
+inline constexpr std::string_view kStoreStatusName = ".store";
+
+/** Tells operators that edits at or below the floor must be made again. */
+std::string EncodeStoreStatus(const VersionStamp& aStamp);
+
 std::string AcceptanceName(const std::string& aEntry);
 
 /** Every status/NAME/acceptance in the store. Blocks. */
--- a/src/distribution/acceptorrole.cpp
+++ b/src/distribution/acceptorrole.cpp
@@ -230,6 +230,10 @@
   for (const Rejection& rejection : this->rejections) {
     wanted[rejection.entry] = EncodeRejection(rejection);
   }
+  const VersionStamp& stamp = this->hooks.held()->Stamp();
+  if (stamp.storeEpoch > 0) {
+    wanted[std::string(kStoreStatusName)] = EncodeStoreStatus(stamp);
+  }
   return wanted;
 }
 
--- a/src/distribution/acceptorrole_test.cpp
+++ b/src/distribution/acceptorrole_test.cpp
@@ -159,6 +159,18 @@
   pair.AssertSame();
 }
 
+// Guards against an acceptor that takes a store which is far ahead, so that
+// its own version is compacted away, for one that was restored.
+Test(acceptorrole, AnAcceptorFarBehindDoesNotStartAnEpoch)
+{
+  Pair pair;
+  pair.Publish(pair.a, 3);
+  pair.Publish(pair.b, 200);
+  pair.a.Round();
+  cr_assert_eq(pair.a.holder.Held()->Stamp().storeEpoch, 0);
+  pair.AssertSame();
+}
+
 // Guards against a version that is written twice because its answer was lost.
 Test(acceptorrole, ALostAnswerIsRecognisedByItsNonce)
 {
@@ -211,6 +223,9 @@
   cr_assert_eq(pair.a.holder.Held()->Stamp().storeEpoch, 1);
   cr_assert_eq(pair.a.holder.Held()->Find("s")->text, newest);
   cr_assert_not_null(pair.a.holder.Held()->Find("t"));
+  pair.clock.Advance(2000);
+  pair.a.Settle();
+  cr_assert(pair.store.All().contains("status/.store/acceptance"));
   pair.b.Round();
   pair.AssertSame();
   pair.Publish(pair.b, 2);
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -84,6 +84,9 @@
   /** True when the held version may be served. */
   bool IsReady() const;
 
+  /** True while the store's newest version is older than the held one. */
+  bool IsStoreOlder() const;
+
   /** Rejections of the last round; empty when not the acceptor. */
   const std::vector<Rejection>& Rejections() const;
 
@@ -145,6 +148,11 @@
   return this->isStartOver && this->Held()->Version() > 0;
 }
 
+inline bool Distributor::IsStoreOlder() const
+{
+  return this->isStoreOlder;
+}
+
 inline const std::vector<Rejection>& Distributor::Rejections() const
 {
   return this->acceptor.Rejections();
--- a/src/distribution/distributor_test.cpp
+++ b/src/distribution/distributor_test.cpp
@@ -234,15 +234,22 @@
 {
   ManualClock clock{ 1000 };
   std::vector<std::int64_t> fetches; // The version each fetch starts from.
+  std::vector<std::int64_t> pushes;  // The versions passed on.
   Distributor distributor{
     MakeConfig(),
     clock.View(),
     SeededRandom(1),
     { [this](const std::string&, const wire::Envelope& aEnvelope) {
-       this->fetches.push_back(aEnvelope.configFetch.held);
+       if (aEnvelope.__isset.configPush) {
+         this->pushes.push_back(aEnvelope.configPush.body.version);
+       } else {
+         this->fetches.push_back(aEnvelope.configFetch.held);
+       }
      },
       [](SessionId, const wire::Envelope&) {},
-      [] { return std::vector<std::string>{ "a" }; },
+      [] {
+        return std::vector<std::string>{ "a", "b", "c" };
+      },
       [] { return std::vector<std::string>{ "b" }; },
       [](const PlatformJob&) { return false; },
       [](const SnapshotPtr&) {} }
@@ -253,6 +260,7 @@
     DistributorConfig config;
     config.host = "a";
     config.startWait = 0;
+    config.fanout = 1;
     return config;
   }
 };
@@ -294,3 +302,25 @@
   distributor.HandleAnswer("b", answer);
   cr_assert_eq(distributor.Held()->ContentHash(), second->ContentHash());
 }
+
+// Guards control bytes: a push that arrives again, or one that is older than
+// the held version, is not passed on; another root's tree is another way.
+Test(distributor, APushIsPassedOnOncePerRoot)
+{
+  Single single;
+  single.distributor.Tick();
+  const SnapshotPtr first = OneService(1);
+  wire::ConfigPush push;
+  push.root = "c"; // The tree of degree 1 is then c, a, b.
+  push.body = ToWire(WholeOf(*OneService(2)));
+  single.distributor.HandlePush("c", push);
+  single.distributor.HandlePush("c", push);
+  cr_assert_eq(single.pushes, std::vector<std::int64_t>{ 2 });
+  push.body = ToWire(WholeOf(*first));
+  push.root = "a";
+  single.distributor.HandlePush("b", push);
+  cr_assert_eq(single.pushes, std::vector<std::int64_t>{ 2 });
+  push.body = ToWire(WholeOf(*OneService(2)));
+  single.distributor.HandlePush("b", push);
+  cr_assert_eq(single.pushes, (std::vector<std::int64_t>{ 2, 2 }));
+}
