Correct the readiness check of the random schedules

Change: the test demands readiness exactly when a version was accepted, which also checks that a daemon without one is not ready.

Conclusion: the failure was in the test's assertion, not in the daemon.

--- a/src/distribution/distribution_test.cpp
+++ b/src/distribution/distribution_test.cpp
@@ -139,7 +139,9 @@
                  name.c_str(),
                  static_cast<long>(node.Version()),
                  static_cast<long>(newest));
-    cr_assert(node.Get().IsReady());
+    // Without any accepted version, as when every entry was erased before an
+    // acceptor could reach the store, a daemon must not become ready.
+    cr_assert_eq(node.Get().IsReady(), newest > 0, "seed %d", aSeed);
     const auto list = aSim.store.Hooks().list("catalogue/").assume_value();
     cr_assert_not(DecideNext(*node.Get().Held(), list).delta.has_value(),
                   "seed %d: an edit was not accepted",
