--- a/src/membership/recordpush.h
+++ b/src/membership/recordpush.h
@@ -31,7 +31,7 @@
  * Gossip alone takes the logarithm of the member count in intervals, longer
  * than a draining endpoint may stay in use.
  */
-class PushTree
+class RecordPush
 {
 public:
   void Add(const wire::MemberRecord& aRecord);
--- a/src/membership/summaryexchange.cpp
+++ b/src/membership/summaryexchange.cpp
@@ -4,7 +4,7 @@
 #include "common/log.h"
 #include "membership/membersyncer.h"
 #include "membership/membertable.h"
-#include "membership/pushtree.h"
+#include "membership/recordpush.h"
 #include "membership/wiresize.h"
 
 #include <algorithm>
