Test lapsed endpoints, both directions of a sync and full job rings

Cause: these guards could be taken out without a failing test. Change: four tests; the first-sync test moves to schedules_test.

--- a/src/execution/claimshard_test.cpp
+++ b/src/execution/claimshard_test.cpp
@@ -1,7 +1,10 @@
 #include "execution/claimshard.h"
+#include "execution/claimwriter.h"
 
 #include <criterion/criterion.h>
 
+#include <optional>
+
 using namespace lacewingwharf;
 
 // Guards against values above the platform's limit and claims kept for ever.
@@ -23,3 +26,20 @@
   cr_assert_eq(shard.Size(), 0U);
   cr_assert_eq(shard.Apply(request, 1011), wire::ClaimResult::GRANTED);
 }
+
+// Guards against a request that waits without bound for the platform thread.
+Test(claimshard, WriterRefusesWhatItCannotSubmit)
+{
+  ManualClock clock(1000);
+  ClaimWriterHooks hooks;
+  hooks.submit = [](const PlatformJob&) { return false; };
+  ClaimWriter writer({}, clock.View(), clock.View(), hooks);
+  std::optional<wire::ClaimResult::type> result;
+  writer.Handle({},
+                [&result](const auto& aAnswer) { result = aAnswer.result; });
+  writer.Tick();
+  cr_assert_not(result.has_value());
+  clock.Advance(3001);
+  writer.Tick();
+  cr_assert_eq(*result, wire::ClaimResult::UNAVAILABLE);
+}
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -285,21 +285,6 @@
   cr_assert_leq(network.largestDatagram, kMaxDatagramBytes);
 }
 
-// Guards against a herd that sends its first syncs in the same moment.
-Test(membership, FirstSyncsAreSpread)
-{
-  MemoryNetwork network(13);
-  AddOneDomain(network, 100);
-  int requests = 0;
-  network.tap = [&requests](std::size_t, const wire::Envelope& aEnvelope) {
-    requests +=
-      aEnvelope.__isset.memberSync && !aEnvelope.memberSync.isReply ? 1 : 0;
-  };
-  network.Run(300);
-  cr_assert_gt(requests, 0);
-  cr_assert_lt(requests, 60);
-}
-
 // Guards against a false suspicion when only the path between two members is
 // broken.
 Test(membership, IndirectProbesPreventASuspicion)
@@ -318,6 +303,25 @@
   cr_assert_eq(network.At(2).Self().sequence, sequence, "it had to refute");
 }
 
+// Guards against a backend server that vanished and stays in the views, and
+// against withdrawing it only because the daemon was paused.
+Test(membership, EndpointLapsesEverywhere)
+{
+  MemoryNetwork network(16);
+  AddOneDomain(network, 20);
+  network.Run(30000);
+  network.Freeze(5);
+  network.Run(5000);
+  network.Wake(5, true);
+  cr_assert_eq(network.At(5).Self().endpoints.size(), 1U);
+  network.Run(5000);
+  network.nodes[7].announcements.clear();
+  network.Run(4500);
+  for (std::size_t node = 0; node < network.nodes.size(); ++node) {
+    cr_assert_eq(EndpointsSeen(network, node), 19U, "node %zu", node);
+  }
+}
+
 // Guards against a stopped daemon that keeps getting calls.
 Test(membership, LeavingIsKnownAtOnce)
 {
--- a/src/membership/membertable_test.cpp
+++ b/src/membership/membertable_test.cpp
@@ -158,3 +158,28 @@
   cr_assert_not(budget.HasSome(2000));
   cr_assert(budget.HasSome(2100));
 }
+
+// Guards against a sync that brings records in one direction only.
+Test(membertable, SyncGivesBothSidesWhatTheyLack)
+{
+  MemberTable left("bangor");
+  MemberTable right("bangor");
+  left.Merge(RecordOf("a", 1, 2, wire::MemberState::ALIVE), 0);
+  left.Merge(RecordOf("b", 1, 1, wire::MemberState::ALIVE), 0);
+  right.Merge(RecordOf("a", 1, 1, wire::MemberState::ALIVE), 0);
+  right.Merge(RecordOf("c", 1, 1, wire::MemberState::ALIVE), 0);
+  MemberSyncer syncer({ "a" }, SeededRandom(1));
+  wire::MemberSync request = syncer.Request(left);
+  request.buckets = left.Digests();
+  const auto answer = MemberSyncer::AnswerTo(request, right);
+  const auto rest = syncer.Complete(answer, left, 0);
+  cr_assert(rest.has_value());
+  for (const wire::MemberRecord& record : answer.records) {
+    left.Merge(record, 0);
+  }
+  for (const wire::MemberRecord& record : rest->records) {
+    right.Merge(record, 0);
+  }
+  cr_assert_eq(left.Size(), 3U);
+  cr_assert_eq(left.Digests(), right.Digests());
+}
--- a/src/membership/schedules_test.cpp
+++ b/src/membership/schedules_test.cpp
@@ -149,3 +149,20 @@
   }
   cr_assert_gt(naiveWrong, 0U, "the naive table has to be wrong sometimes");
 }
+
+// Guards against a herd that sends its first syncs in the same moment.
+Test(schedules, FirstSyncsAreSpread)
+{
+  MemoryNetwork network(13);
+  for (int member = 0; member < 100; ++member) {
+    network.Add("north", "bangor");
+  }
+  int requests = 0;
+  network.tap = [&requests](std::size_t, const wire::Envelope& aEnvelope) {
+    requests +=
+      aEnvelope.__isset.memberSync && !aEnvelope.memberSync.isReply ? 1 : 0;
+  };
+  network.Run(300);
+  cr_assert_gt(requests, 0);
+  cr_assert_lt(requests, 60);
+}
