Split the entry daemon's calls by responsibility

Change: OpenCalls holds the tables of calls and attempts, CallQueries asks for the fate of a call and cancels it, callanswer builds what the caller is told, and the checks that need no state moved to callrequest.

--- /dev/null
+++ b/src/execution/callanswer.cpp
@@ -0,0 +1,84 @@
+#include "execution/callanswer.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace lacewingwharf {
+
+bool
+IsFreeToRetry(RefusalReason aReason)
+{
+  return aReason == RefusalReason::Draining ||
+         aReason == RefusalReason::NotConnected ||
+         aReason == RefusalReason::Fenced ||
+         aReason == RefusalReason::ShuttingDown;
+}
+
+bool
+IsWorthRetry(RefusalReason aReason)
+{
+  return aReason != RefusalReason::DeadlinePassed &&
+         aReason != RefusalReason::Quarantined &&
+         aReason != RefusalReason::OwnerRate &&
+         aReason != RefusalReason::EntryRate;
+}
+
+Refusal
+RefusalOf(const wire::CallAnswer& aAnswer)
+{
+  Refusal refusal;
+  refusal.reason = kRefusalReasonNames.ValueOf(aAnswer.reason)
+                     .value_or(RefusalReason::Overload);
+  refusal.owner = aAnswer.owner;
+  refusal.bound = aAnswer.bound;
+  refusal.seen = aAnswer.seen;
+  refusal.retryAfter = aAnswer.retryAfterMillis;
+  return refusal;
+}
+
+Ending
+RefusalEnding(const EntryCall& aCall, const Refusal& aRefusal)
+{
+  Ending ending;
+  ending.outcome = aCall.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  ending.status = StatusOf(aRefusal.reason);
+  ending.reason = kRefusalReasonNames.NameOf(aRefusal.reason);
+  ending.isRefusal = true;
+  ending.refusal = aRefusal;
+  if (aCall.entry != nullptr) {
+    ending.refusal.entry = aCall.entry->name;
+    if (ending.refusal.owner.empty()) {
+      ending.refusal.owner = aCall.entry->owner;
+    }
+  }
+  return ending;
+}
+
+HttpAnswer
+DoneAnswer(wire::CallAnswer aAnswer)
+{
+  HttpAnswer answer;
+  answer.status = aAnswer.status;
+  const HttpHeaders headers(aAnswer.headers.begin(), aAnswer.headers.end());
+  answer.headers = EndToEndHeaders(headers);
+  answer.headers[kOutcomeHeader] = kOutcomeNames.NameOf(Outcome::Done);
+  answer.body = std::move(aAnswer.body);
+  return answer;
+}
+
+void
+AddCallHeaders(const EntryCall& aCall, HttpAnswer& aAnswer)
+{
+  if (aCall.entry != nullptr) {
+    aAnswer.headers[kEntryHeader] = aCall.entry->name;
+    aAnswer.headers[kOwnerHeader] = aCall.entry->owner;
+  }
+  if (aCall.snapshot) {
+    aAnswer.headers[kVersionHeader] =
+      fmt::format("{}", aCall.snapshot->Version());
+  }
+  aAnswer.headers[kCallIdHeader] = aCall.id;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/callanswer.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "execution/entrycall.h"
+#include "peer_types.h"
+
+namespace lacewingwharf {
+
+/** Refusals that cost the destination nothing take no retry budget. */
+bool
+IsFreeToRetry(RefusalReason aReason);
+
+/** Whether another destination may accept what this one refused. */
+bool
+IsWorthRetry(RefusalReason aReason);
+
+/** The refusal that a destination daemon reported. */
+Refusal
+RefusalOf(const wire::CallAnswer& aAnswer);
+
+/** `unknown` instead of `not-run` when an earlier attempt may have run. */
+Ending
+RefusalEnding(const EntryCall& aCall, const Refusal& aRefusal);
+
+/** The backend server's answer for the caller. */
+HttpAnswer
+DoneAnswer(wire::CallAnswer aAnswer);
+
+/** Names entry, owner, version and call in the answer. */
+void
+AddCallHeaders(const EntryCall& aCall, HttpAnswer& aAnswer);
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/callqueries.cpp
@@ -0,0 +1,70 @@
+#include "execution/callqueries.h"
+
+#include "common/log.h"
+
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("calls");
+constexpr Millis kQueryInterval = 250;
+
+} // namespace
+
+CallQueries::CallQueries(Clock aClock, Millis aWait, Send aSend)
+  : clock(std::move(aClock))
+  , wait(aWait)
+  , send(std::move(aSend))
+{
+}
+
+void
+CallQueries::Begin(EntryCall& aCall)
+{
+  kLog.Info("call {} lost its session to {}, asking for its fate",
+            aCall.id,
+            aCall.attempt.endpoint.host);
+  aCall.stage = CallStage::Querying;
+  aCall.queryUntil = this->clock.Now() + this->wait;
+  this->SendQuery(aCall);
+}
+
+void
+CallQueries::Repeat(EntryCall& aCall)
+{
+  if (this->clock.Now() >= aCall.nextQueryAt) {
+    this->SendQuery(aCall);
+  }
+}
+
+bool
+CallQueries::IsOver(const EntryCall& aCall) const
+{
+  return this->clock.Now() >= aCall.queryUntil;
+}
+
+void
+CallQueries::SendQuery(EntryCall& aCall)
+{
+  wire::CallQuery query;
+  query.callId = aCall.attempt.id;
+  query.incarnation = aCall.attempt.endpoint.incarnation;
+  wire::Envelope envelope;
+  envelope.__set_callQuery(query);
+  aCall.nextQueryAt = this->clock.Now() + kQueryInterval;
+  this->send(aCall.attempt.endpoint, std::move(envelope));
+}
+
+void
+CallQueries::Cancel(const EntryCall& aCall)
+{
+  wire::CallCancel cancel;
+  cancel.callId = aCall.attempt.id;
+  wire::Envelope envelope;
+  envelope.__set_callCancel(cancel);
+  this->send(aCall.attempt.endpoint, std::move(envelope));
+}
+
+} // namespace lacewingwharf
--- a/src/execution/callrequest.cpp
+++ b/src/execution/callrequest.cpp
@@ -46,6 +46,18 @@
   return Hash64(aHttp.body, Hash64(head, kRequestSeed));
 }
 
+Refusal
+RefusalFor(RefusalReason aReason,
+           std::int64_t aBound = 0,
+           std::int64_t aSeen = 0)
+{
+  Refusal refusal;
+  refusal.reason = aReason;
+  refusal.bound = aBound;
+  refusal.seen = aSeen;
+  return refusal;
+}
+
 } // namespace
 
 void
@@ -70,6 +82,33 @@
   }
 }
 
+std::optional<Refusal>
+CheckRequest(EntryCall& aCall, Millis aNow)
+{
+  if (!aCall.snapshot) {
+    return RefusalFor(RefusalReason::NoConfiguration);
+  }
+  const auto method = kHttpMethodNames.ValueOf(aCall.http.method);
+  aCall.entry =
+    method ? aCall.snapshot->MatchRoute(*method, aCall.http.path) : nullptr;
+  if (aCall.entry == nullptr) {
+    return RefusalFor(RefusalReason::NoRoute);
+  }
+  ReadRequest(aCall, aNow);
+  const auto bodyBytes = static_cast<std::int64_t>(aCall.http.body.size());
+  const std::int64_t bodyLimit = aCall.entry->limits.bodyBytes;
+  if (bodyLimit > 0 && bodyBytes > bodyLimit) {
+    return RefusalFor(RefusalReason::BodyBytes, bodyLimit, bodyBytes);
+  }
+  if (aCall.depth >= kMaxDepth) {
+    return RefusalFor(RefusalReason::DepthExceeded, kMaxDepth, aCall.depth);
+  }
+  if (aCall.deadlineAt <= aNow) {
+    return RefusalFor(RefusalReason::DeadlinePassed);
+  }
+  return std::nullopt;
+}
+
 wire::CallRequest
 RequestMessage(const EntryCall& aCall,
                const std::string& aHost,
--- a/src/execution/callrequest.h
+++ b/src/execution/callrequest.h
@@ -4,6 +4,7 @@
 #include "peer_types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lacewingwharf {
@@ -18,6 +19,13 @@
 void
 ReadRequest(EntryCall& aCall, Millis aNow);
 
+/**
+ * Finds the entry, fills in the call by ReadRequest() and checks what needs no
+ * state of the daemon. Empty when nothing refuses the call.
+ */
+std::optional<Refusal>
+CheckRequest(EntryCall& aCall, Millis aNow);
+
 /** The message for the current attempt. */
 wire::CallRequest
 RequestMessage(const EntryCall& aCall,
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -1,7 +1,7 @@
 #include "execution/entrycalls.h"
 
-#include "common/hash.h"
 #include "common/log.h"
+#include "execution/callanswer.h"
 #include "execution/callrequest.h"
 
 #include <fmt/format.h>
@@ -19,42 +19,16 @@
 // call ran, so the entry daemon waits a little longer for it.
 constexpr Millis kDeadlineGrace = 150;
 
-constexpr Millis kQueryInterval = 250;
-
 // A refusal that costs the destination nothing (draining, no connection) may
 // be tried elsewhere this often without taking from the retry budget.
 constexpr int kMaxAttempts = 5;
 
-PeerAddress
-AddressOfEndpoint(const EndpointInfo& aEndpoint)
-{
-  return { aEndpoint.address, aEndpoint.peerPort };
-}
-
 EndpointKey
 KeyOf(const EndpointInfo& aEndpoint)
 {
   return { aEndpoint.host, aEndpoint.port };
 }
 
-bool
-IsFreeToRetry(RefusalReason aReason)
-{
-  return aReason == RefusalReason::Draining ||
-         aReason == RefusalReason::NotConnected ||
-         aReason == RefusalReason::Fenced ||
-         aReason == RefusalReason::ShuttingDown;
-}
-
-bool
-IsWorthRetry(RefusalReason aReason)
-{
-  return aReason != RefusalReason::DeadlinePassed &&
-         aReason != RefusalReason::Quarantined &&
-         aReason != RefusalReason::OwnerRate &&
-         aReason != RefusalReason::EntryRate;
-}
-
 } // namespace
 
 EntryCalls::EntryCalls(EntryCallsConfig aConfig,
@@ -65,6 +39,11 @@
   , clock(aClock)
   , hooks(std::move(aHooks))
   , chooser(aClock, std::move(aRandom))
+  , queries(aClock,
+            this->config.queryWait,
+            [this](const EndpointInfo& aTo, wire::Envelope aEnvelope) {
+              return this->SendTo(aTo, std::move(aEnvelope));
+            })
   , retryBudget(std::move(aClock))
 {
 }
@@ -103,7 +82,7 @@
   call->stage = CallStage::Claiming;
   if (!this->hooks.claim(*call->keyHash, call->id)) {
     call->keyHash.reset();
-    this->RefuseReason(call, RefusalReason::ClaimUnavailable, 0, 0);
+    this->RefuseReason(call, RefusalReason::ClaimUnavailable);
   }
 }
 
@@ -120,8 +99,7 @@
   call->snapshot = this->snapshot;
   call->startedAt = this->clock.PreciseNow();
   call->deadlineAt = this->clock.Now();
-  this->calls.emplace(call->id, call);
-  this->requests.emplace(aRequest, call);
+  this->open.Add(call);
   return call;
 }
 
@@ -129,38 +107,16 @@
 EntryCalls::PassesChecks(const EntryCallPtr& aCall)
 {
   if (this->isStopping) {
-    this->RefuseReason(aCall, RefusalReason::ShuttingDown, 0, 0);
+    this->RefuseReason(aCall, RefusalReason::ShuttingDown);
     return false;
   }
-  if (!aCall->snapshot) {
-    this->RefuseReason(aCall, RefusalReason::NoConfiguration, 0, 0);
-    return false;
-  }
-  const auto method = kHttpMethodNames.ValueOf(aCall->http.method);
-  aCall->entry =
-    method ? aCall->snapshot->MatchRoute(*method, aCall->http.path) : nullptr;
-  if (aCall->entry == nullptr) {
-    this->RefuseReason(aCall, RefusalReason::NoRoute, 0, 0);
-    return false;
-  }
-  ReadRequest(*aCall, this->clock.Now());
-  const auto bodyBytes = static_cast<std::int64_t>(aCall->http.body.size());
-  const std::int64_t bodyLimit = aCall->entry->limits.bodyBytes;
-  if (bodyLimit > 0 && bodyBytes > bodyLimit) {
-    this->RefuseReason(aCall, RefusalReason::BodyBytes, bodyLimit, bodyBytes);
-    return false;
-  }
-  if (aCall->depth >= kMaxDepth) {
-    this->RefuseReason(
-      aCall, RefusalReason::DepthExceeded, kMaxDepth, aCall->depth);
-    return false;
-  }
-  if (this->Remaining(*aCall) <= 0) {
-    this->RefuseReason(aCall, RefusalReason::DeadlinePassed, 0, 0);
+  const auto refusal = CheckRequest(*aCall, this->clock.Now());
+  if (refusal) {
+    this->Refuse(aCall, *refusal);
     return false;
   }
   if (this->hooks.isQuarantined(aCall->digest)) {
-    this->RefuseReason(aCall, RefusalReason::Quarantined, 0, 0);
+    this->RefuseReason(aCall, RefusalReason::Quarantined);
     return false;
   }
   return true;
@@ -170,16 +126,14 @@
 EntryCalls::HandleClaim(const std::string& aHolder,
                         wire::ClaimResult::type aResult)
 {
-  const auto found = this->calls.find(aHolder);
-  if (found == this->calls.end() ||
-      found->second->stage != CallStage::Claiming) {
+  const EntryCallPtr call = this->open.Find(aHolder);
+  if (!call || call->stage != CallStage::Claiming) {
     return;
   }
-  const EntryCallPtr call = found->second;
   switch (aResult) {
     case wire::ClaimResult::GRANTED:
       if (call->hasCallerLeft) {
-        this->RefuseReason(call, RefusalReason::CallerLeft, 0, 0);
+        this->RefuseReason(call, RefusalReason::CallerLeft);
         return;
       }
       this->StartAttempt(call);
@@ -193,7 +147,7 @@
       return;
     }
     default:
-      this->RefuseReason(call, RefusalReason::ClaimUnavailable, 0, 0);
+      this->RefuseReason(call, RefusalReason::ClaimUnavailable);
   }
 }
 
@@ -202,7 +156,7 @@
 {
   const auto choice = this->chooser.Choose(aCall->entry->service, aCall->tried);
   if (!choice) {
-    this->RefuseReason(aCall, RefusalReason::NoEndpoint, 0, 0);
+    this->RefuseReason(aCall, RefusalReason::NoEndpoint);
     return;
   }
   ++aCall->attempts;
@@ -220,15 +174,15 @@
             choice->endpoint.domain,
             kChoiceReasonNames.NameOf(choice->reason),
             aCall->attempts);
-  this->attempts.emplace(aCall->attempt.id, aCall);
+  this->open.OpenAttempt(aCall);
   this->chooser.Started(KeyOf(choice->endpoint));
   if (this->Dispatch(*aCall)) {
     return;
   }
   // Nothing was sent: the ring to the peer thread is full.
-  this->attempts.erase(aCall->attempt.id);
+  this->open.CloseAttempt(*aCall);
   this->Observe(*aCall, CallEnd::Refused, {});
-  this->RefuseReason(aCall, RefusalReason::Overload, 0, 0);
+  this->RefuseReason(aCall, RefusalReason::Overload);
 }
 
 bool
@@ -237,11 +191,16 @@
   wire::Envelope envelope;
   envelope.__set_callRequest(
     RequestMessage(aCall, this->config.host, this->Remaining(aCall)));
-  const EndpointInfo& endpoint = aCall.attempt.endpoint;
-  if (endpoint.host == this->config.host) {
-    return this->hooks.sendLocal(std::move(envelope));
+  return this->SendTo(aCall.attempt.endpoint, std::move(envelope));
+}
+
+bool
+EntryCalls::SendTo(const EndpointInfo& aEndpoint, wire::Envelope aEnvelope)
+{
+  if (aEndpoint.host == this->config.host) {
+    return this->hooks.sendLocal(std::move(aEnvelope));
   }
-  return this->hooks.send(AddressOfEndpoint(endpoint), std::move(envelope));
+  return this->hooks.send(AddressOfEndpoint(aEndpoint), std::move(aEnvelope));
 }
 
 void
@@ -264,13 +223,11 @@
 void
 EntryCalls::HandleAnswer(wire::CallAnswer aAnswer)
 {
-  const auto found = this->attempts.find(aAnswer.callId);
-  if (found == this->attempts.end()) {
+  const EntryCallPtr call = this->open.TakeAttempt(aAnswer.callId);
+  if (!call) {
     kLog.Info("answer to {} came too late and was dropped", aAnswer.callId);
     return;
   }
-  const EntryCallPtr call = found->second;
-  this->attempts.erase(found);
   switch (aAnswer.outcome) {
     case wire::CallOutcome::DONE:
       this->HandleDone(call, std::move(aAnswer));
@@ -306,35 +263,22 @@
   if (!isFailure) {
     this->retryBudget.CountSuccess(aCall->entry->service);
   }
-  HttpAnswer answer;
-  answer.status = aAnswer.status;
-  const HttpHeaders headers(aAnswer.headers.begin(), aAnswer.headers.end());
-  answer.headers = EndToEndHeaders(headers);
-  answer.headers[kOutcomeHeader] = kOutcomeNames.NameOf(Outcome::Done);
-  answer.body = std::move(aAnswer.body);
   const Ending ending{ Outcome::Done, aAnswer.status, "answered", {}, false };
-  this->End(aCall, std::move(answer), ending);
+  this->End(aCall, DoneAnswer(std::move(aAnswer)), ending);
 }
 
 void
 EntryCalls::HandleNotRun(const EntryCallPtr& aCall,
                          const wire::CallAnswer& aAnswer)
 {
-  const auto reason = kRefusalReasonNames.ValueOf(aAnswer.reason)
-                        .value_or(RefusalReason::Overload);
+  const RefusalReason reason = RefusalOf(aAnswer).reason;
   const bool isLost = reason == RefusalReason::NotConnected;
   this->Observe(*aCall, isLost ? CallEnd::Lost : CallEnd::Refused, aAnswer);
   if (IsWorthRetry(reason) && this->MayRetry(*aCall, IsFreeToRetry(reason))) {
     this->StartAttempt(aCall);
     return;
   }
-  Refusal refusal;
-  refusal.reason = reason;
-  refusal.owner = aAnswer.owner;
-  refusal.bound = aAnswer.bound;
-  refusal.seen = aAnswer.seen;
-  refusal.retryAfter = aAnswer.retryAfterMillis;
-  this->Refuse(aCall, refusal);
+  this->Refuse(aCall, RefusalOf(aAnswer));
 }
 
 void
@@ -373,15 +317,7 @@
 void
 EntryCalls::HandleSessionLost(const PeerAddress& aRemote, bool aNeverOpened)
 {
-  std::vector<EntryCallPtr> lost;
-  std::ranges::for_each(this->calls, [&](const auto& aPair) {
-    const EntryCallPtr& call = aPair.second;
-    if (call->stage == CallStage::Attempting &&
-        AddressOfEndpoint(call->attempt.endpoint) == aRemote &&
-        this->attempts.contains(call->attempt.id)) {
-      lost.push_back(call);
-    }
-  });
+  const auto lost = this->open.AttemptsAt(aRemote);
   std::ranges::for_each(lost, [this, aNeverOpened](const EntryCallPtr& aCall) {
     this->LoseAttempt(aCall, aNeverOpened);
   });
@@ -399,72 +335,34 @@
     return;
   }
   if (aCall->isIdempotent) {
-    this->attempts.erase(aCall->attempt.id);
+    this->open.CloseAttempt(*aCall);
     this->Observe(*aCall, CallEnd::Lost, {});
     this->HandleUnknown(aCall, "session-lost");
     return;
   }
-  kLog.Info("call {} lost its session to {}, asking for its fate",
-            aCall->id,
-            aCall->attempt.endpoint.host);
-  aCall->stage = CallStage::Querying;
-  aCall->queryUntil = this->clock.Now() + this->config.queryWait;
-  this->SendQuery(*aCall);
-}
-
-void
-EntryCalls::SendQuery(EntryCall& aCall)
-{
-  wire::CallQuery query;
-  query.callId = aCall.attempt.id;
-  query.incarnation = aCall.attempt.endpoint.incarnation;
-  wire::Envelope envelope;
-  envelope.__set_callQuery(query);
-  aCall.nextQueryAt = this->clock.Now() + kQueryInterval;
-  this->hooks.send(AddressOfEndpoint(aCall.attempt.endpoint),
-                   std::move(envelope));
-}
-
-void
-EntryCalls::SendCancel(const EntryCall& aCall)
-{
-  wire::CallCancel cancel;
-  cancel.callId = aCall.attempt.id;
-  wire::Envelope envelope;
-  envelope.__set_callCancel(cancel);
-  if (aCall.attempt.endpoint.host == this->config.host) {
-    this->hooks.sendLocal(std::move(envelope));
-    return;
-  }
-  this->hooks.send(AddressOfEndpoint(aCall.attempt.endpoint),
-                   std::move(envelope));
+  this->queries.Begin(*aCall);
 }
 
 void
 EntryCalls::CallerLeft(RequestId aRequest)
 {
-  const auto found = this->requests.find(aRequest);
-  if (found == this->requests.end()) {
+  const EntryCallPtr call = this->open.FindRequest(aRequest);
+  if (!call) {
     return;
   }
-  const EntryCallPtr call = found->second;
   call->hasCallerLeft = true;
   kLog.Info("call {} was left by its caller", call->id);
-  if (this->attempts.contains(call->attempt.id)) {
-    this->SendCancel(*call);
+  if (this->open.HasOpenAttempt(*call)) {
+    this->queries.Cancel(*call);
   }
 }
 
 void
 EntryCalls::Tick()
 {
-  std::vector<EntryCallPtr> open;
-  open.reserve(this->calls.size());
-  std::ranges::transform(this->calls,
-                         std::back_inserter(open),
-                         [](const auto& aPair) { return aPair.second; });
-  std::ranges::for_each(
-    open, [this](const EntryCallPtr& aCall) { this->CheckTime(aCall); });
+  std::ranges::for_each(this->open.All(), [this](const EntryCallPtr& aCall) {
+    this->CheckTime(aCall);
+  });
 }
 
 void
@@ -476,55 +374,39 @@
                                        static_cast<Millis>(aCall->startedAt) +
                                          2 * this->config.claimWait);
     if (now >= claimLimit) {
-      this->RefuseReason(aCall, RefusalReason::ClaimUnavailable, 0, 0);
+      this->RefuseReason(aCall, RefusalReason::ClaimUnavailable);
     }
     return;
   }
   const bool isQuerying = aCall->stage == CallStage::Querying;
-  const Millis limit =
-    isQuerying ? aCall->queryUntil : aCall->deadlineAt + kDeadlineGrace;
-  if (now < limit) {
-    if (isQuerying && now >= aCall->nextQueryAt) {
-      this->SendQuery(*aCall);
+  const bool isOver = isQuerying ? this->queries.IsOver(*aCall)
+                                 : now >= aCall->deadlineAt + kDeadlineGrace;
+  if (!isOver) {
+    if (isQuerying) {
+      this->queries.Repeat(*aCall);
     }
     return;
   }
-  this->attempts.erase(aCall->attempt.id);
+  this->open.CloseAttempt(*aCall);
   this->Observe(*aCall, CallEnd::Lost, {});
   if (!isQuerying) {
-    this->SendCancel(*aCall);
+    this->queries.Cancel(*aCall);
   }
   this->HandleUnknown(aCall, isQuerying ? "session-lost" : "no-answer");
 }
 
 void
-EntryCalls::RefuseReason(const EntryCallPtr& aCall,
-                         RefusalReason aReason,
-                         std::int64_t aBound,
-                         std::int64_t aSeen)
+EntryCalls::RefuseReason(const EntryCallPtr& aCall, RefusalReason aReason)
 {
   Refusal refusal;
   refusal.reason = aReason;
-  refusal.bound = aBound;
-  refusal.seen = aSeen;
   this->Refuse(aCall, refusal);
 }
 
 void
 EntryCalls::Refuse(const EntryCallPtr& aCall, const Refusal& aRefusal)
 {
-  Ending ending;
-  ending.outcome = aCall->mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-  ending.status = StatusOf(aRefusal.reason);
-  ending.reason = kRefusalReasonNames.NameOf(aRefusal.reason);
-  ending.isRefusal = true;
-  ending.refusal = aRefusal;
-  if (aCall->entry != nullptr) {
-    ending.refusal.entry = aCall->entry->name;
-    if (ending.refusal.owner.empty()) {
-      ending.refusal.owner = aCall->entry->owner;
-    }
-  }
+  const Ending ending = RefusalEnding(*aCall, aRefusal);
   this->End(aCall, MakeAnswer(ending), ending);
 }
 
@@ -546,19 +428,10 @@
   if (aCall->keyHash) {
     this->hooks.settleClaim(*aCall->keyHash, aCall->id, aEnding.outcome);
   }
-  if (aCall->entry != nullptr) {
-    aAnswer.headers[kEntryHeader] = entry;
-    aAnswer.headers[kOwnerHeader] = owner;
-  }
-  if (aCall->snapshot) {
-    aAnswer.headers[kVersionHeader] =
-      fmt::format("{}", aCall->snapshot->Version());
-  }
-  aAnswer.headers[kCallIdHeader] = aCall->id;
+  AddCallHeaders(*aCall, aAnswer);
   this->hooks.ended(*aCall, aEnding);
   this->hooks.answer(aCall->request, std::move(aAnswer));
-  this->requests.erase(aCall->request);
-  this->calls.erase(aCall->id);
+  this->open.Remove(*aCall);
 }
 
 Millis
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -3,7 +3,9 @@
 #include "admission/retrybudget.h"
 #include "common/clock.h"
 #include "common/random.h"
+#include "execution/callqueries.h"
 #include "execution/entrycall.h"
+#include "execution/opencalls.h"
 #include "peer/peernetwork.h"
 #include "peer_types.h"
 
@@ -11,8 +13,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
-#include <vector>
 
 namespace lacewingwharf {
 
@@ -81,6 +81,7 @@
   bool PassesChecks(const EntryCallPtr& aCall);
   void StartAttempt(const EntryCallPtr& aCall);
   bool Dispatch(const EntryCall& aCall);
+  bool SendTo(const EndpointInfo& aEndpoint, wire::Envelope aEnvelope);
   void Observe(const EntryCall& aCall,
                CallEnd aEnd,
                const wire::CallAnswer& aAnswer);
@@ -89,14 +90,9 @@
   void HandleUnknown(const EntryCallPtr& aCall, const std::string& aReason);
   void LoseAttempt(const EntryCallPtr& aCall, bool aNeverOpened);
   bool MayRetry(EntryCall& aCall, bool aIsFree);
-  void SendQuery(EntryCall& aCall);
-  void SendCancel(const EntryCall& aCall);
   void CheckTime(const EntryCallPtr& aCall);
   void Refuse(const EntryCallPtr& aCall, const Refusal& aRefusal);
-  void RefuseReason(const EntryCallPtr& aCall,
-                    RefusalReason aReason,
-                    std::int64_t aBound,
-                    std::int64_t aSeen);
+  void RefuseReason(const EntryCallPtr& aCall, RefusalReason aReason);
   void End(const EntryCallPtr& aCall,
            HttpAnswer aAnswer,
            const Ending& aEnding);
@@ -109,16 +105,15 @@
   SnapshotPtr snapshot;
   std::uint64_t nextCall = 1;
   bool isStopping = false;
-  std::unordered_map<std::string, EntryCallPtr> calls;    // By call id.
-  std::unordered_map<std::string, EntryCallPtr> attempts; // By attempt id.
-  std::unordered_map<RequestId, EntryCallPtr> requests;
+  OpenCalls open;
+  CallQueries queries;
   RetryBudget retryBudget;
 };
 
 inline std::size_t
 EntryCalls::InFlight() const
 {
-  return this->calls.size();
+  return this->open.Size();
 }
 
 } // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/opencalls.cpp
@@ -0,0 +1,93 @@
+#include "execution/opencalls.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+namespace lacewingwharf {
+
+PeerAddress
+AddressOfEndpoint(const EndpointInfo& aEndpoint)
+{
+  return { aEndpoint.address, aEndpoint.peerPort };
+}
+
+void
+OpenCalls::Add(const EntryCallPtr& aCall)
+{
+  this->calls.emplace(aCall->id, aCall);
+  this->requests.emplace(aCall->request, aCall);
+}
+
+void
+OpenCalls::Remove(const EntryCall& aCall)
+{
+  // The table may hold the last reference to the call.
+  const std::string id = aCall.id;
+  this->requests.erase(aCall.request);
+  this->calls.erase(id);
+}
+
+EntryCallPtr
+OpenCalls::Find(const std::string& aCallId) const
+{
+  const auto found = this->calls.find(aCallId);
+  return found == this->calls.end() ? nullptr : found->second;
+}
+
+EntryCallPtr
+OpenCalls::FindRequest(RequestId aRequest) const
+{
+  const auto found = this->requests.find(aRequest);
+  return found == this->requests.end() ? nullptr : found->second;
+}
+
+void
+OpenCalls::OpenAttempt(const EntryCallPtr& aCall)
+{
+  this->attempts.emplace(aCall->attempt.id, aCall);
+}
+
+void
+OpenCalls::CloseAttempt(const EntryCall& aCall)
+{
+  this->attempts.erase(aCall.attempt.id);
+}
+
+bool
+OpenCalls::HasOpenAttempt(const EntryCall& aCall) const
+{
+  return this->attempts.contains(aCall.attempt.id);
+}
+
+EntryCallPtr
+OpenCalls::TakeAttempt(const std::string& aAttemptId)
+{
+  const auto taken = this->attempts.extract(aAttemptId);
+  return taken.empty() ? nullptr : taken.mapped();
+}
+
+std::vector<EntryCallPtr>
+OpenCalls::AttemptsAt(const PeerAddress& aRemote) const
+{
+  std::vector<EntryCallPtr> found;
+  std::ranges::copy_if(this->attempts | std::views::values,
+                       std::back_inserter(found),
+                       [&aRemote](const EntryCallPtr& aCall) {
+                         return aCall->stage == CallStage::Attempting &&
+                                AddressOfEndpoint(aCall->attempt.endpoint) ==
+                                  aRemote;
+                       });
+  return found;
+}
+
+std::vector<EntryCallPtr>
+OpenCalls::All() const
+{
+  std::vector<EntryCallPtr> all;
+  all.reserve(this->calls.size());
+  std::ranges::copy(this->calls | std::views::values, std::back_inserter(all));
+  return all;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/execution/opencalls.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "execution/entrycall.h"
+#include "peer/peernetwork.h"
+
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lacewingwharf {
+
+/** Address of the destination daemon of an endpoint. */
+PeerAddress
+AddressOfEndpoint(const EndpointInfo& aEndpoint);
+
+/** The calls that entered here and have not ended, and their open attempts. */
+class OpenCalls
+{
+public:
+  void Add(const EntryCallPtr& aCall);
+  void Remove(const EntryCall& aCall);
+
+  /** Null when there is none. */
+  EntryCallPtr Find(const std::string& aCallId) const;
+  EntryCallPtr FindRequest(RequestId aRequest) const;
+
+  /** An answer is accepted only for an attempt that is open. */
+  void OpenAttempt(const EntryCallPtr& aCall);
+  void CloseAttempt(const EntryCall& aCall);
+  bool HasOpenAttempt(const EntryCall& aCall) const;
+  EntryCallPtr TakeAttempt(const std::string& aAttemptId);
+
+  /** Calls with an open attempt there whose fate is not yet asked for. */
+  std::vector<EntryCallPtr> AttemptsAt(const PeerAddress& aRemote) const;
+  std::vector<EntryCallPtr> All() const;
+  std::size_t Size() const;
+
+private:
+  std::unordered_map<std::string, EntryCallPtr> calls;    // By call id.
+  std::unordered_map<std::string, EntryCallPtr> attempts; // By attempt id.
+  std::unordered_map<RequestId, EntryCallPtr> requests;
+};
+
+inline std::size_t
+OpenCalls::Size() const
+{
+  return this->calls.size();
+}
+
+} // namespace lacewingwharf
