Report the unsent messages with a failed dial

Cause: a SessionLost of a session that was never connected named only the remote address. Its reader took every request for that daemon for unsent. A request that was queued after the backoff had ended, while the event was still on its way to the calls thread, had been sent on the next session: it was answered not-run, or repeated elsewhere, although it ran. Change: the event carries the messages that were not sent. Hello is left out.

--- a/src/peer/peernetwork.h
+++ b/src/peer/peernetwork.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lacewingwharf {
 
@@ -45,6 +46,12 @@
    * that was to be sent on it can have arrived.
    */
   bool wasConnected = false;
+
+  /**
+   * Of a lost session that was never connected: the messages that were to be
+   * sent on it. Others for the same daemon may be on their way already.
+   */
+  std::vector<wire::Envelope> unsent{};
 };
 
 /** Settings of the peer thread. */
--- a/src/peer/peernetwork_test.cpp
+++ b/src/peer/peernetwork_test.cpp
@@ -189,6 +189,9 @@
   }
   for (const auto& event : node.Events(PeerEventKind::SessionLost)) {
     cr_assert(event.remote == nobody);
+    cr_assert_not(event.wasConnected);
+    cr_assert_eq(event.unsent.size(), 1U);
+    cr_assert_eq(event.unsent.front().callCancel.callId, "lost");
   }
 }
 
--- a/src/peer/peersession.cpp
+++ b/src/peer/peersession.cpp
@@ -448,8 +448,8 @@
   this->context.reactor.remove_handler(
     this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
   this->stream.close();
-  this->outgoing.clear();
   this->context.onClosed(*this);
+  this->outgoing.clear();
   this->self.reset();
 }
 
--- a/src/peer/peersession.h
+++ b/src/peer/peersession.h
@@ -74,6 +74,7 @@
   bool IsDialled() const;
   bool WasConnected() const;
   bool HasOutgoing() const;
+  const std::deque<std::string>& Outgoing() const;
   wire::SessionKind::type Kind() const;
   const PeerAddress& Remote() const;
   const wire::Hello& RemoteHello() const;
@@ -161,6 +162,12 @@
   return !this->outgoing.empty();
 }
 
+inline const std::deque<std::string>&
+PeerSession::Outgoing() const
+{
+  return this->outgoing;
+}
+
 inline wire::SessionKind::type
 PeerSession::Kind() const
 {
--- a/src/peer/peerthread.cpp
+++ b/src/peer/peerthread.cpp
@@ -1,6 +1,8 @@
 #include "peer/peerthread.h"
 
 #include "common/log.h"
+#include "peer/codec.h"
+#include "peer/framer.h"
 
 #include <ace/Dev_Poll_Reactor.h>
 
@@ -33,6 +35,15 @@
   return ACE_Time_Value(std::chrono::milliseconds(aMillis));
 }
 
+void
+AddUnsent(PeerEvent& aEvent, std::string_view aFrame)
+{
+  auto envelope = DecodeEnvelope(aFrame.substr(kFrameHeaderBytes));
+  if (envelope && !envelope.value().__isset.hello) {
+    aEvent.unsent.push_back(std::move(envelope).value());
+  }
+}
+
 } // namespace
 
 PeerThread::PeerThread(PeerNetworkConfig aConfig, PeerHandlers aHandlers)
@@ -240,6 +251,7 @@
   }
   PeerEvent event;
   event.remote = aCommand.to;
+  AddUnsent(event, aCommand.bytes);
   this->ReportLost(aCommand.sessionKind, std::move(event));
 }
 
@@ -354,6 +366,11 @@
     event.remote = aSession.Remote();
     event.hello = aSession.RemoteHello();
     event.wasConnected = aSession.WasConnected();
+    if (!event.wasConnected) {
+      std::ranges::for_each(
+        aSession.Outgoing(),
+        [&event](const std::string& aFrame) { AddUnsent(event, aFrame); });
+    }
     this->ReportLost(aSession.Kind(), std::move(event));
   }
 }
