Never answer not-run for a call that may have run

Cause: random schedules and focused tests showed four faults at the entry daemon. (1) A failed dial made every open attempt at that daemon not-run, also those sent on a later session. (2) An idempotent call that a server shed with 503 was answered not-run when no other server was left. (3) An entry daemon that was paused, or whose session broke late, asked for the fate of a call after the destination had forgotten it, and believed the not-run. (4) The loss of a backend server reached the entry daemon by gossip only, so that a caller that sent the request again at once lost a third server. Change: HandleSessionLost takes the unsent attempts and, without a connection, touches no others; a shed attempt counts as one that may have run; queries and not-run answers to them are limited to the time that destinations keep answers (kKeepAnswers); the entry daemon counts a loss when the answer reports it. Process test of a crashing request: the entry daemon did not refuse after exactly two lost servers before; it does now. A request sent at once through another daemon may still meet one more server until gossip has arrived there. When both daemons are paused for over 30 s the bounds hold by the clock of the entry daemon alone.

--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -39,6 +39,19 @@
   return !isRefused;
 }
 
+/** The call ids of the requests among messages. */
+std::vector<std::string>
+RequestsOf(const std::vector<wire::Envelope>& aMessages)
+{
+  std::vector<std::string> ids;
+  std::ranges::for_each(aMessages, [&ids](const wire::Envelope& aMessage) {
+    if (aMessage.__isset.callRequest) {
+      ids.push_back(aMessage.callRequest.callId);
+    }
+  });
+  return ids;
+}
+
 HttpServerConfig
 ServerConfig(const Settings& aSettings)
 {
@@ -157,6 +170,10 @@
   entryHooks.hasLostServer = [this](std::uint64_t aDigest) {
     return this->Check(aDigest) != QuarantineVerdict::Free;
   };
+  entryHooks.serverLost = [this](std::uint64_t aDigest,
+                                 const std::string& aHost) {
+    this->quarantine.CountLossAt(static_cast<std::int64_t>(aDigest), aHost);
+  };
   entryHooks.ended = [this](const EntryCall& aCall, const Ending& aEnding) {
     this->RecordEnd(aCall, aEnding);
   };
@@ -246,7 +263,8 @@
 {
   this->loop.Post([this, event = std::move(aEvent)]() mutable {
     if (event.kind == PeerEventKind::SessionLost) {
-      this->entryCalls.HandleSessionLost(event.remote, !event.wasConnected);
+      this->entryCalls.HandleSessionLost(
+        event.remote, event.wasConnected, RequestsOf(event.unsent));
       return;
     }
     this->HandleMessage(event.session, std::move(event.envelope));
--- a/src/execution/callanswer.cpp
+++ b/src/execution/callanswer.cpp
@@ -55,6 +55,22 @@
   return ending;
 }
 
+Ending
+UnknownEnding(const std::string& aReason, bool aIsLate)
+{
+  constexpr int kGatewayTimeout = 504;
+  constexpr int kBadGateway = 502;
+  const int status = aIsLate ? kGatewayTimeout : kBadGateway;
+  return { Outcome::Unknown, status, aReason, {}, false };
+}
+
+Ending
+DuplicateEnding()
+{
+  constexpr int kConflict = 409;
+  return { Outcome::Unknown, kConflict, "duplicate-key", {}, false };
+}
+
 HttpAnswer
 DoneAnswer(wire::CallAnswer aAnswer)
 {
--- a/src/execution/callanswer.h
+++ b/src/execution/callanswer.h
@@ -3,6 +3,8 @@
 #include "execution/entrycall.h"
 #include "peer_types.h"
 
+#include <string>
+
 namespace lacewingwharf {
 
 /** Refusals that cost the destination nothing take no retry budget. */
@@ -21,6 +23,14 @@
 Ending
 RefusalEnding(const EntryCall& aCall, const Refusal& aRefusal);
 
+/** The call may have run and no whole answer was seen. */
+Ending
+UnknownEnding(const std::string& aReason, bool aIsLate);
+
+/** Another call holds the key; it may have run, so this is not `not-run`. */
+Ending
+DuplicateEnding();
+
 /** The backend server's answer for the caller. */
 HttpAnswer
 DoneAnswer(wire::CallAnswer aAnswer);
--- a/src/execution/callqueries.cpp
+++ b/src/execution/callqueries.cpp
@@ -1,6 +1,7 @@
 #include "execution/callqueries.h"
 
 #include "common/log.h"
+#include "execution/callrequest.h"
 
 #include <utility>
 
@@ -20,6 +21,14 @@
 {
 }
 
+bool
+CallQueries::MayAsk(const EntryCall& aCall) const
+{
+  // The last answer that is accepted comes before the end of the bound.
+  const double end = this->clock.PreciseNow() + static_cast<double>(this->wait);
+  return end < aCall.attempt.startedAt + static_cast<double>(kKeepAnswers);
+}
+
 void
 CallQueries::Begin(EntryCall& aCall)
 {
--- a/src/execution/callqueries.h
+++ b/src/execution/callqueries.h
@@ -20,6 +20,9 @@
   /** aWait bounds how long the fate of one call is asked for. */
   CallQueries(Clock aClock, Millis aWait, Send aSend);
 
+  /** False when the destination may have forgotten the call. */
+  bool MayAsk(const EntryCall& aCall) const;
+
   /** The call's session broke: asks now and again until it is answered. */
   void Begin(EntryCall& aCall);
 
--- a/src/execution/callrequest.h
+++ b/src/execution/callrequest.h
@@ -12,6 +12,13 @@
 /** Longest chain of calls that cause one another. */
 inline constexpr int kMaxDepth = 20;
 
+/**
+ * How long a destination daemon keeps the fate of a non-idempotent call. It
+ * answers `not-run` for a call that it does not know, so entry daemons must not
+ * believe that after this time.
+ */
+inline constexpr Millis kKeepAnswers = 30000;
+
 /**
  * Fills in what the request itself says: depth, idempotency, deadline, digest
  * and key. The entry must be set.
--- a/src/execution/destinationcalls.h
+++ b/src/execution/destinationcalls.h
@@ -3,6 +3,7 @@
 #include "admission/admission.h"
 #include "catalogue/snapshot.h"
 #include "common/clock.h"
+#include "execution/callrequest.h"
 #include "peer/peernetwork.h"
 #include "peer_types.h"
 #include "proxy/httpclient.h"
@@ -27,7 +28,7 @@
    * How long the answer of a non-idempotent call is kept for an entry daemon
    * that lost its session; idempotent calls are simply tried again.
    */
-  Millis keepAnswers = 30000;
+  Millis keepAnswers = kKeepAnswers;
   std::size_t keepBytes = 16U << 20U;
 
   /** How long a fenced call id is remembered. */
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -62,12 +62,6 @@
   this->chooser.SetView(std::move(aView));
 }
 
-void
-EntryCalls::StopIntake()
-{
-  this->isStopping = true;
-}
-
 void
 EntryCalls::Begin(RequestId aRequest, HttpRequest aHttp)
 {
@@ -139,10 +133,9 @@
       this->StartAttempt(call);
       return;
     case wire::ClaimResult::DUPLICATE: {
-      // The first call may have run, so this is not `not-run`. The claim
-      // belongs to the other call and must not be settled from here.
+      // The claim belongs to the other call and is not settled from here.
       call->keyHash.reset();
-      Ending ending{ Outcome::Unknown, 409, "duplicate-key", {}, false };
+      const Ending ending = DuplicateEnding();
       this->End(call, MakeAnswer(ending), ending);
       return;
     }
@@ -236,6 +229,10 @@
       this->HandleNotRun(call, aAnswer);
       return;
     default:
+      if (aAnswer.serverLost) {
+        // Gossip is too slow for a caller that sends the request again at once.
+        this->hooks.serverLost(call->digest, call->attempt.endpoint.host);
+      }
       this->Observe(
         *call, aAnswer.serverLost ? CallEnd::Lost : CallEnd::Failed, aAnswer);
       this->HandleUnknown(call, aAnswer.reason);
@@ -257,6 +254,8 @@
     *aCall, isFailure ? CallEnd::Failed : CallEnd::Succeeded, aAnswer);
   if (aAnswer.status == kShedding && aCall->isIdempotent &&
       this->MayRetry(*aCall, false)) {
+    // The backend server was handed the request, whatever it did with it.
+    aCall->mayHaveRun = true;
     this->StartAttempt(aCall);
     return;
   }
@@ -271,6 +270,13 @@
 EntryCalls::HandleNotRun(const EntryCallPtr& aCall,
                          const wire::CallAnswer& aAnswer)
 {
+  if (aCall->stage == CallStage::Querying && this->queries.IsOver(*aCall)) {
+    // A daemon that was paused reads this late: the destination may have
+    // forgotten the call before it answered.
+    this->Observe(*aCall, CallEnd::Lost, {});
+    this->HandleUnknown(aCall, "session-lost");
+    return;
+  }
   const RefusalReason reason = RefusalOf(aAnswer).reason;
   const bool isLost = reason == RefusalReason::NotConnected;
   this->Observe(*aCall, isLost ? CallEnd::Lost : CallEnd::Refused, aAnswer);
@@ -291,12 +297,7 @@
     this->StartAttempt(aCall);
     return;
   }
-  constexpr int kGatewayTimeout = 504;
-  constexpr int kBadGateway = 502;
-  const bool isLate = this->Remaining(*aCall) <= 0;
-  const Ending ending{
-    Outcome::Unknown, isLate ? kGatewayTimeout : kBadGateway, aReason, {}, false
-  };
+  const Ending ending = UnknownEnding(aReason, this->Remaining(*aCall) <= 0);
   this->End(aCall, MakeAnswer(ending), ending);
 }
 
@@ -315,26 +316,34 @@
 }
 
 void
-EntryCalls::HandleSessionLost(const PeerAddress& aRemote, bool aNeverOpened)
+EntryCalls::HandleSessionLost(const PeerAddress& aRemote,
+                              bool aWasConnected,
+                              const std::vector<std::string>& aUnsent)
 {
-  const auto lost = this->open.AttemptsAt(aRemote);
-  std::ranges::for_each(lost, [this, aNeverOpened](const EntryCallPtr& aCall) {
-    this->LoseAttempt(aCall, aNeverOpened);
-  });
+  std::ranges::for_each(
+    aUnsent, [this](const std::string& aId) { this->HandleUnsent(aId); });
+  if (!aWasConnected) {
+    return;
+  }
+  std::ranges::for_each(
+    this->open.AttemptsAt(aRemote),
+    [this](const EntryCallPtr& aCall) { this->LoseAttempt(aCall); });
 }
 
 void
-EntryCalls::LoseAttempt(const EntryCallPtr& aCall, bool aNeverOpened)
+EntryCalls::HandleUnsent(const std::string& aAttemptId)
 {
-  if (aNeverOpened) {
-    wire::CallAnswer answer;
-    answer.callId = aCall->attempt.id;
-    answer.outcome = wire::CallOutcome::NOT_RUN;
-    answer.reason = kRefusalReasonNames.NameOf(RefusalReason::NotConnected);
-    this->HandleAnswer(std::move(answer));
-    return;
-  }
-  if (aCall->isIdempotent) {
+  wire::CallAnswer answer;
+  answer.callId = aAttemptId;
+  answer.outcome = wire::CallOutcome::NOT_RUN;
+  answer.reason = kRefusalReasonNames.NameOf(RefusalReason::NotConnected);
+  this->HandleAnswer(std::move(answer));
+}
+
+void
+EntryCalls::LoseAttempt(const EntryCallPtr& aCall)
+{
+  if (aCall->isIdempotent || !this->queries.MayAsk(*aCall)) {
     this->open.CloseAttempt(*aCall);
     this->Observe(*aCall, CallEnd::Lost, {});
     this->HandleUnknown(aCall, "session-lost");
@@ -434,10 +443,4 @@
   this->open.Remove(*aCall);
 }
 
-Millis
-EntryCalls::Remaining(const EntryCall& aCall) const
-{
-  return aCall.deadlineAt - this->clock.Now();
-}
-
 } // namespace lacewingwharf
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lacewingwharf {
 
@@ -43,6 +44,10 @@
   std::function<bool(std::uint64_t aDigest)> isQuarantined;
   std::function<bool(std::uint64_t aDigest)> hasLostServer;
 
+  /** A destination daemon reported that the call lost its backend server. */
+  std::function<void(std::uint64_t aDigest, const std::string& aHost)>
+    serverLost;
+
   /** Called once for each call, when its ending is known. */
   std::function<void(const EntryCall&, const Ending&)> ended;
 };
@@ -68,8 +73,14 @@
   void HandleClaim(const std::string& aHolder, wire::ClaimResult::type aResult);
   void HandleAnswer(wire::CallAnswer aAnswer);
 
-  /** aNeverOpened: no frame can have reached the other side. */
-  void HandleSessionLost(const PeerAddress& aRemote, bool aNeverOpened);
+  /**
+   * aUnsent are the attempts whose requests have certainly not left. A session
+   * that was never connected says nothing about other attempts at that daemon:
+   * their requests may have left on a later one.
+   */
+  void HandleSessionLost(const PeerAddress& aRemote,
+                         bool aWasConnected,
+                         const std::vector<std::string>& aUnsent);
   void Tick();
 
   /** No new calls from now on; those in flight go on. */
@@ -88,7 +99,8 @@
   void HandleDone(const EntryCallPtr& aCall, wire::CallAnswer aAnswer);
   void HandleNotRun(const EntryCallPtr& aCall, const wire::CallAnswer& aAnswer);
   void HandleUnknown(const EntryCallPtr& aCall, const std::string& aReason);
-  void LoseAttempt(const EntryCallPtr& aCall, bool aNeverOpened);
+  void HandleUnsent(const std::string& aAttemptId);
+  void LoseAttempt(const EntryCallPtr& aCall);
   bool MayRetry(EntryCall& aCall, bool aIsFree);
   void CheckTime(const EntryCallPtr& aCall);
   void Refuse(const EntryCallPtr& aCall, const Refusal& aRefusal);
@@ -110,10 +122,22 @@
   RetryBudget retryBudget;
 };
 
+inline void
+EntryCalls::StopIntake()
+{
+  this->isStopping = true;
+}
+
 inline std::size_t
 EntryCalls::InFlight() const
 {
   return this->open.Size();
 }
 
+inline Millis
+EntryCalls::Remaining(const EntryCall& aCall) const
+{
+  return aCall.deadlineAt - this->clock.Now();
+}
+
 } // namespace lacewingwharf
--- a/src/execution/quarantine.cpp
+++ b/src/execution/quarantine.cpp
@@ -67,6 +67,15 @@
                kQuarantineVerdictNames.NameOf(this->Check(aDigest)));
 }
 
+void
+Quarantine::CountLossAt(std::int64_t aDigest, const std::string& aHost)
+{
+  this->Expire();
+  const auto lossOrigin = static_cast<std::int64_t>(Hash64(aHost));
+  const Millis expiresAt = this->clock.Now() + this->config.duration;
+  this->MergeOne(aDigest, lossOrigin, { 1, expiresAt, 0 });
+}
+
 void
 Quarantine::Merge(const std::vector<wire::QuarantineMark>& aMarks)
 {
--- a/src/execution/quarantine.h
+++ b/src/execution/quarantine.h
@@ -48,6 +48,9 @@
   /** The backend server that ran the request was lost. */
   void CountLoss(std::int64_t aDigest);
 
+  /** Another daemon reported a loss; its own mark may come later. */
+  void CountLossAt(std::int64_t aDigest, const std::string& aHost);
+
   void Merge(const std::vector<wire::QuarantineMark>& aMarks);
 
   /** Marks for one message, least sent first. */
