Let a daemon reach peers through a port forwarder

Change: the setting [peer] forwards maps a peer's address to the forwarder's for connections and datagrams; peers keep their own address everywhere else. Conclusion: a failure domain can be cut off over TCP and UDP in process tests.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 #include <utility>
@@ -60,6 +61,12 @@
   config.self.incarnation = this->incarnation;
   config.self.region = this->settings.region;
   config.self.domain = this->settings.domain;
+  std::ranges::for_each(
+    this->settings.forwards, [&config](const PeerForward& aForward) {
+      config.forwards[{ aForward.peer.address, aForward.peer.port }] = {
+        aForward.through.address, aForward.through.port
+      };
+    });
   return config;
 }
 
--- a/src/peer/peernetwork.h
+++ b/src/peer/peernetwork.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -57,8 +58,21 @@
   Millis connectLimit = 1000;
   std::size_t maxFrameBytes = 8U << 20U;
   std::size_t maxQueuedBytes = 32U << 20U; // Per session.
+
+  /** Peers that are reached through a port forwarder, with its address. */
+  std::map<PeerAddress, PeerAddress> forwards;
+
+  /** Where connections and datagrams for aPeer are sent. */
+  PeerAddress RouteTo(const PeerAddress& aPeer) const;
 };
 
+inline PeerAddress
+PeerNetworkConfig::RouteTo(const PeerAddress& aPeer) const
+{
+  const auto forward = this->forwards.find(aPeer);
+  return forward == this->forwards.end() ? aPeer : forward->second;
+}
+
 /** Called on the peer thread; they only push to a ring. */
 struct PeerHandlers
 {
--- a/src/peer/peersession.cpp
+++ b/src/peer/peersession.cpp
@@ -69,7 +69,7 @@
                   const PeerAddress& aRemote,
                   wire::SessionKind::type aKind)
 {
-  const auto remote = SocketAddressOf(aRemote);
+  const auto remote = SocketAddressOf(aContext.config.RouteTo(aRemote));
   auto local = SocketAddressOf(aContext.config.listen);
   if (!remote || !local) {
     kLog.Warning("{} is not a numeric address", aRemote.address);
--- a/src/peer/peerthread.cpp
+++ b/src/peer/peerthread.cpp
@@ -218,7 +218,7 @@
       this->RunReply(aCommand);
       break;
     case PeerCommandKind::Datagram:
-      this->datagrams.Send(aCommand.to, aCommand.bytes);
+      this->datagrams.Send(this->config.RouteTo(aCommand.to), aCommand.bytes);
       break;
     case PeerCommandKind::Drop:
       if (const auto session = this->sessions.find(aCommand.session);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -15,6 +15,13 @@
   int port = 0;
 };
 
+/** A peer that is reached through a port forwarder. */
+struct PeerForward
+{
+  SocketAddress peer;
+  SocketAddress through;
+};
+
 /** All settings of the daemon with their defaults; times in milliseconds. */
 struct Settings
 {
@@ -28,6 +35,7 @@
 
   // [peer]
   int peerPort = 7100;
+  std::vector<PeerForward> forwards;
 
   // [http]
   int callPort = 8080;
--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -152,6 +152,28 @@
   return true;
 }
 
+bool
+AssignForwards(Settings& aSettings, std::string_view aText)
+{
+  std::vector<PeerForward> forwards;
+  for (const auto part : std::views::split(aText, ',')) {
+    const std::string_view pair =
+      Trim(std::string_view(part.begin(), part.end()));
+    const auto arrow = pair.find('>');
+    if (arrow == std::string_view::npos) {
+      return false;
+    }
+    const auto peer = ParseSocketAddress(Trim(pair.substr(0, arrow)));
+    const auto through = ParseSocketAddress(Trim(pair.substr(arrow + 1)));
+    if (!peer || !through) {
+      return false;
+    }
+    forwards.push_back({ *peer, *through });
+  }
+  aSettings.forwards = std::move(forwards);
+  return true;
+}
+
 std::vector<SettingsKey>
 MakeKeys()
 {
@@ -169,6 +191,11 @@
       } },
     NumberKey("daemon", "stoplimit", &Settings::stopLimit, 100, kHourMillis),
     NumberKey("peer", "port", &Settings::peerPort, 1, kMaxPort),
+    { "peer",
+      "forwards",
+      false,
+      "a comma-separated list of IPV4:PORT>IPV4:PORT",
+      AssignForwards },
     NumberKey("http", "callport", &Settings::callPort, 1, kMaxPort),
     NumberKey("http", "adminport", &Settings::adminPort, 1, kMaxPort),
     NumberKey("http", "maxbodybytes", &Settings::maxBodyBytes, 1024, 8 << 20),
--- a/src/settings/settingsreader_test.cpp
+++ b/src/settings/settingsreader_test.cpp
@@ -65,3 +65,19 @@
     return aError.code == SettingsErrorCode::Syntax && aError.line == 1;
   }));
 }
+
+// Guards against forwards that are read wrongly and send to another peer.
+Test(settingsreader, ReadsForwards)
+{
+  const auto settings =
+    ParseSettings(std::string(kComplete) +
+                  "[peer]\nforwards = 127.0.1.1:7100>127.0.9.1:9001, "
+                  "127.0.1.2:7100 > 127.0.9.1:9002\n");
+  cr_assert(settings.has_value());
+  cr_assert_eq(settings.value().forwards.size(), 2U);
+  cr_assert_eq(settings.value().forwards[1].peer.address, "127.0.1.2");
+  cr_assert_eq(settings.value().forwards[1].through.port, 9002);
+  const auto broken = ParseSettings(std::string(kComplete) +
+                                    "[peer]\nforwards = 127.0.1.1:7100\n");
+  cr_assert(broken.has_error());
+}
