--- a/standins/testkit/httprequest.cpp
+++ b/standins/testkit/httprequest.cpp
@@ -43,7 +43,9 @@
     curl_easy_setopt(handle, CURLOPT_COPYPOSTFIELDS, aBody.c_str());
   }
   curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, aMethod.c_str());
-  if (curl_easy_perform(handle) == CURLE_OK) {
+  const CURLcode code = curl_easy_perform(handle);
+  answer.wasConnected = code != CURLE_COULDNT_CONNECT;
+  if (code == CURLE_OK) {
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &answer.status);
   }
   curl_slist_free_all(headers);
--- a/standins/testkit/httprequest.h
+++ b/standins/testkit/httprequest.h
@@ -9,7 +9,8 @@
 
 struct TestAnswer
 {
-  long status = 0; // 0 when there was no whole answer.
+  long status = 0;          // 0 when there was no whole answer.
+  bool wasConnected = true; // False when no connection could be made.
   std::string headers;
   std::string body;
 };
--- a/standins/testkit/platformstandin.cpp
+++ b/standins/testkit/platformstandin.cpp
@@ -28,6 +28,15 @@
   WaitForPort(this->port);
 }
 
+void
+PlatformStandin::Restart(const std::vector<std::string>& aOptions)
+{
+  this->process.Kill();
+  this->process =
+    ChildProcess("lww-platform", ArgumentsFor(this->port, aOptions));
+  WaitForPort(this->port);
+}
+
 std::string
 PlatformStandin::Url() const
 {
--- a/standins/testkit/platformstandin.h
+++ b/standins/testkit/platformstandin.h
@@ -17,6 +17,9 @@
   HttpStoreConfig StoreConfig() const;
   ChildProcess& Process();
 
+  /** Starts the program again at the same port, with an empty store. */
+  void Restart(const std::vector<std::string>& aOptions = {});
+
   /** Posts to /v1/test/switch; false unless it was accepted. */
   bool Switch(const std::string& aJson) const;
 
