Let lists in the settings span several lines

Cause: inih cuts lines at 200 bytes, so a list of more than eight peers was split in the middle of an address and the daemon refused to start. Change: the keys peers and forwards may be repeated; each line adds to the list.

--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -139,23 +139,20 @@
 bool
 AssignPeers(Settings& aSettings, std::string_view aText)
 {
-  std::vector<SocketAddress> peers;
   for (const auto part : std::views::split(aText, ',')) {
     const auto address =
       ParseSocketAddress(Trim(std::string_view(part.begin(), part.end())));
     if (!address) {
       return false;
     }
-    peers.push_back(*address);
+    aSettings.peers.push_back(*address);
   }
-  aSettings.peers = std::move(peers);
   return true;
 }
 
 bool
 AssignForwards(Settings& aSettings, std::string_view aText)
 {
-  std::vector<PeerForward> forwards;
   for (const auto part : std::views::split(aText, ',')) {
     const std::string_view pair =
       Trim(std::string_view(part.begin(), part.end()));
@@ -168,9 +165,8 @@
     if (!peer || !through) {
       return false;
     }
-    forwards.push_back({ *peer, *through });
+    aSettings.forwards.push_back({ *peer, *through });
   }
-  aSettings.forwards = std::move(forwards);
   return true;
 }
 
@@ -195,7 +191,8 @@
       "forwards",
       false,
       "a comma-separated list of IPV4:PORT>IPV4:PORT",
-      AssignForwards },
+      AssignForwards,
+      true },
     NumberKey("http", "callport", &Settings::callPort, 1, kMaxPort),
     NumberKey("http", "adminport", &Settings::adminPort, 1, kMaxPort),
     NumberKey("http", "maxbodybytes", &Settings::maxBodyBytes, 1024, 8 << 20),
@@ -209,7 +206,8 @@
       "peers",
       false,
       "a comma-separated list of IPV4:PORT",
-      AssignPeers },
+      AssignPeers,
+      true },
     NumberKey(
       "membership", "gossipinterval", &Settings::gossipInterval, 50, 60000),
     NumberKey("membership", "suspicion", &Settings::suspicionTime, 200, 600000),
--- a/src/settings/settingskeys.h
+++ b/src/settings/settingskeys.h
@@ -20,8 +20,11 @@
   /** The range or format that the key accepts, for error messages. */
   std::string accepts;
 
-  /** False when the text is not acceptable; the settings are unchanged then. */
+  /** False when the text is not acceptable; the settings are not used then. */
   std::function<bool(Settings&, std::string_view aText)> assign;
+
+  /** Each line adds to a list. inih takes no line of 200 bytes or more. */
+  bool mayRepeat = false;
 };
 
 /** Every key of the settings file. */
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -109,7 +109,8 @@
     this->AddError(SettingsErrorCode::UnknownKey, this->line, label);
     return;
   }
-  if (!this->seen.insert(&*key).second) {
+  const bool isNew = this->seen.insert(&*key).second;
+  if (!isNew && !key->mayRepeat) {
     this->AddError(SettingsErrorCode::Duplicate, this->line, label);
     return;
   }
--- a/src/settings/settingsreader_test.cpp
+++ b/src/settings/settingsreader_test.cpp
@@ -66,13 +66,14 @@
   }));
 }
 
-// Guards against forwards that are read wrongly and send to another peer.
+// Guards against forwards that are read wrongly and send to another peer, and
+// against a list that cannot be longer than one line of inih (200 bytes).
 Test(settingsreader, ReadsForwards)
 {
   const auto settings =
     ParseSettings(std::string(kComplete) +
-                  "[peer]\nforwards = 127.0.1.1:7100>127.0.9.1:9001, "
-                  "127.0.1.2:7100 > 127.0.9.1:9002\n");
+                  "[peer]\nforwards = 127.0.1.1:7100>127.0.9.1:9001\n"
+                  "forwards = 127.0.1.2:7100 > 127.0.9.1:9002\n");
   cr_assert(settings.has_value());
   cr_assert_eq(settings.value().forwards.size(), 2U);
   cr_assert_eq(settings.value().forwards[1].peer.address, "127.0.1.2");
--- a/standins/testkit/fleet.cpp
+++ b/standins/testkit/fleet.cpp
@@ -181,8 +181,7 @@
   std::string forwards;
   for (std::size_t i = 0; i < this->hosts.size(); ++i) {
     if (this->IsLinked(i) != this->IsLinked(aHost)) {
-      forwards += fmt::format("{}{}:{}>{}:{}",
-                              forwards.empty() ? "forwards = " : ", ",
+      forwards += fmt::format("forwards = {}:{}>{}:{}\n",
                               this->Address(i),
                               kPeerPort,
                               this->linkAddress,
@@ -198,16 +197,15 @@
   const Host& host = this->hosts.at(aHost);
   std::string peers;
   for (const Host& peer : this->hosts) {
-    peers += fmt::format(
-      "{}{}:{}", peers.empty() ? "" : ", ", peer.address, kPeerPort);
+    peers += fmt::format("peers = {}:{}\n", peer.address, kPeerPort);
   }
   std::ofstream file(
     fmt::format("{}/{}.ini", this->directory, this->HostName(aHost)));
   file << fmt::format(
     "[daemon]\nhost = {}\naddress = {}\nregion = {}\n"
-    "domain = {}\n[peer]\nport = {}\n{}\n[http]\ncallport = {}\n"
+    "domain = {}\n[peer]\nport = {}\n{}[http]\ncallport = {}\n"
     "adminport = {}\n[platform]\naddress = {}\n"
-    "region = {}\n[membership]\npeers = {}\n"
+    "region = {}\n[membership]\n{}"
     "gossipinterval = {}\nsuspicion = {}\n{}",
     this->HostName(aHost),
     host.address,
