Split the control service and mend what it reports

The age of the platform's state counted from the last change, so it grew without bound while the platform was healthy and idle.

--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -96,6 +96,8 @@
   void PublishConfiguration();
   void PublishEndpoints();
   void PublishMetrics();
+  /** When a watch was last answered; 0: never. */
+  Millis PlatformSeenAt() const;
   void WriteStatus(const StoredObject& aObject);
 
   Settings settings;
@@ -117,7 +119,6 @@
   EndpointViewPtr publishedView;
   std::map<std::pair<std::string, int>, wire::Endpoint> publishedEndpoints;
   Millis metricsDueAt = 0;
-  Millis platformSeenAt = 0;
   EventLoop loop; // Last, so that its thread ends before what it uses.
 };
 
--- /dev/null
+++ b/src/daemon/controlservicehooks.cpp
@@ -0,0 +1,133 @@
+#include "daemon/controlservice.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace lacewingwharf {
+
+MembershipConfig
+ControlService::MemberConfig(std::int64_t aIncarnation) const
+{
+  MembershipConfig config;
+  config.host = this->settings.host;
+  config.address = this->settings.address;
+  config.peerPort = this->settings.peerPort;
+  config.region = this->settings.region;
+  config.domain = this->settings.domain;
+  std::ranges::transform(this->settings.peers,
+                         std::back_inserter(config.peers),
+                         [](const SocketAddress& aPeer) {
+                           return PeerAddress{ aPeer.address, aPeer.port };
+                         });
+  config.gossipInterval = this->settings.gossipInterval;
+  config.suspicionTime = this->settings.suspicionTime;
+  config.endpointTimeout = this->settings.endpointTimeout;
+  config.feeders = static_cast<std::size_t>(this->settings.feeders);
+  config.fanout = static_cast<std::size_t>(this->settings.fanout);
+  config.incarnation = aIncarnation;
+  return config;
+}
+
+MembershipHooks
+ControlService::MemberHooks()
+{
+  MembershipHooks member;
+  member.sendDatagram = this->hooks.sendDatagram;
+  member.sendControl = [this](const PeerAddress& aTo,
+                              wire::Envelope aEnvelope) {
+    this->hooks.sendControl(aTo, std::move(aEnvelope));
+  };
+  member.reply = this->hooks.reply;
+  member.onPeerVersion = [this](const std::string& aHost,
+                                std::int64_t aVersion) {
+    this->distributor.PeerVersion(aHost, aVersion);
+  };
+  member.ownVersion = [this] { return this->distributor.Held()->Version(); };
+  member.takeMarks = this->hooks.takeMarks;
+  member.mergeMarks = [this](const std::vector<wire::QuarantineMark>& aMarks) {
+    this->hooks.mergeMarks(aMarks);
+  };
+  member.seedPeers = [this] { return this->seeds.Peers(); };
+  return member;
+}
+
+DistributorConfig
+ControlService::DistributionConfig() const
+{
+  DistributorConfig config;
+  config.host = this->settings.host;
+  config.domain = this->settings.domain;
+  config.region = this->settings.region;
+  config.platformRegion = this->settings.platformRegion;
+  config.feeders = this->settings.feeders;
+  config.fanout = this->settings.fanout;
+  config.startWait = this->settings.startWait;
+  return config;
+}
+
+DistributorHooks
+ControlService::DistributionHooks()
+{
+  DistributorHooks distribution;
+  distribution.send = [this](const std::string& aHost,
+                             wire::Envelope aEnvelope) {
+    if (const auto address = this->membership.AddressOf(aHost)) {
+      this->hooks.sendControl(*address, std::move(aEnvelope));
+    }
+  };
+  distribution.reply = this->hooks.reply;
+  distribution.domainMembers = [this] {
+    return this->membership.LiveHosts(this->settings.domain);
+  };
+  distribution.acceptorCandidates = [this] {
+    auto hosts =
+      this->membership.LiveHostsOfRegion(this->settings.platformRegion);
+    return hosts.empty() ? this->membership.AllLiveHosts() : hosts;
+  };
+  distribution.submit = [this](PlatformJob aJob) {
+    return this->platform.Submit(std::move(aJob));
+  };
+  distribution.onHeld = [this](const SnapshotPtr&) {
+    this->PublishConfiguration();
+  };
+  return distribution;
+}
+
+ClaimClientHooks
+ControlService::ClaimHooks()
+{
+  ClaimClientHooks claim;
+  claim.writers = [this] {
+    return this->membership.LiveHostsOfRegion(this->settings.platformRegion);
+  };
+  claim.send = [this](const std::string& aHost,
+                      const wire::Envelope& aEnvelope) {
+    const auto address = this->membership.AddressOf(aHost);
+    return address && this->hooks.sendControl(*address, aEnvelope);
+  };
+  claim.writeDirectly = [this](const wire::ClaimRequest& aRequest) {
+    this->claimWriter.Handle(aRequest,
+                             [this](const wire::ClaimAnswer& aAnswer) {
+                               this->claimClient.HandleAnswer(aAnswer);
+                             });
+  };
+  return claim;
+}
+
+PlatformWatch::Hook
+ControlService::WatchHook(bool aIsCatalogue)
+{
+  return
+    [this, aIsCatalogue](PlatformResult<ObjectList> aResult, bool aIsFullList) {
+      this->loop.Post([this, aIsCatalogue, aIsFullList, result = aResult] {
+        if (aIsCatalogue) {
+          this->distributor.CatalogueChanged(result, aIsFullList);
+        } else {
+          this->distributor.AcceptedChanged(result, aIsFullList);
+        }
+      });
+    };
+}
+
+} // namespace lacewingwharf
--- a/src/platform/platformwatch.cpp
+++ b/src/platform/platformwatch.cpp
@@ -117,6 +117,7 @@
     return false;
   }
   if (aResult) {
+    this->answeredAt = Clock::Steady().Now();
     this->revision = aResult.value().revision;
     this->backoff.Reset();
     return true;
--- a/src/platform/platformwatch.h
+++ b/src/platform/platformwatch.h
@@ -3,6 +3,7 @@
 #include "platform/callbudget.h"
 #include "platform/callcounts.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -61,6 +62,9 @@
 
   const CallCounts& Counts() const;
 
+  /** When the platform last answered, with or without changes; 0: never. */
+  Millis AnsweredAt() const;
+
 private:
   /** What one step of the thread works on. */
   struct Position
@@ -88,6 +92,7 @@
   bool isActive = false;
   std::uint64_t activation = 0; // Results of an earlier activation are stale.
   std::optional<std::int64_t> revision; // Empty: a list is needed.
+  std::atomic<Millis> answeredAt = 0;
   std::thread thread;
 };
 
@@ -97,4 +102,10 @@
   return *this->counts;
 }
 
+inline Millis
+PlatformWatch::AnsweredAt() const
+{
+  return this->answeredAt;
+}
+
 } // namespace lacewingwharf
--- a/src/platform/platformwatch_test.cpp
+++ b/src/platform/platformwatch_test.cpp
@@ -142,3 +142,20 @@
   cr_assert(follower.WaitFor("p/a", "2"));
   watch.Stop();
 }
+
+// Guards against a platform that is taken for silent because nothing changes:
+// an answer without changes counts as an answer.
+Test(platformwatch, AnAnswerWithoutChangesShowsAWorkingPlatform)
+{
+  const PlatformStandin standin;
+  Follower follower;
+  PlatformWatch watch(
+    MakeHttpObjectStore(standin.StoreConfig()), WatchConfig(), follower.Hook());
+  cr_assert_eq(watch.AnsweredAt(), 0);
+  watch.Start();
+  watch.SetActive(true);
+  cr_assert(WaitUntil([&] { return watch.AnsweredAt() > 0; }));
+  const Millis first = watch.AnsweredAt();
+  cr_assert(WaitUntil([&] { return watch.AnsweredAt() > first; }));
+  watch.Stop();
+}
