Tell the operator who waits that the edit was rejected

Cause: lacewingwharfctl wait looked for a field that the acceptor does not write, so a rejected edit ended in a timeout (exit code 5). Change: the acceptance object itself, at the entry's revision, is the rejection. Conclusion: operatorsfleet_test saw exit code 5 after 15 s before and sees 4 with the reason at once now.

--- a/src/ctl/fleetinspector.cpp
+++ b/src/ctl/fleetinspector.cpp
@@ -90,9 +90,9 @@
     return std::nullopt;
   }
   const Json status = Json::parse(object.value().value, nullptr, false);
+  // The object exists only while the last edit of the entry is rejected.
   if (!status.is_object() ||
-      status.value("revision", std::int64_t{ 0 }) != aRevision ||
-      status.value("accepted", true)) {
+      status.value("revision", std::int64_t{ 0 }) != aRevision) {
     return std::nullopt;
   }
   return status.value("reason", "rejected");
