Release the claim of a call that was not run at once

Cause: releases were delayed by 0.2 s at the daemon and 1 s at the writer. A caller that was told not-run and offered the call to the next daemon was answered unknown (duplicate-key), although the call had never run. Conclusion: the caller's next offer finds the key free.

--- a/src/execution/claimclient.cpp
+++ b/src/execution/claimclient.cpp
@@ -127,6 +127,7 @@
 ClaimClient::Release(std::int64_t aKeyHash, const std::string& aHolder)
 {
   this->AddUpdate(aKeyHash, aHolder, State::RELEASED);
+  this->SendUpdates(this->clock.Now());
 }
 
 void
@@ -145,7 +146,10 @@
   update.request.keyHash = aKeyHash;
   update.request.holder = aHolder;
   update.request.wanted = aState;
-  update.nextAt = now + this->config.lazyInterval;
+  // A caller that was told not-run may offer the call to another daemon at
+  // once; until the release is written, that one takes it for a duplicate.
+  update.nextAt =
+    aState == State::RELEASED ? now : now + this->config.lazyInterval;
   update.endsAt = now + this->config.repeatLimit;
 }
 
