Keep the sessions of a leaving daemon until peers stop sending

Cause: a daemon closed its sessions 1 s after it announced that it leaves, but other failure domains learn that only with the next summary. A call sent in between lost its session and ended unknown. Change: late calls are refused as not run for 1.5 s and until none came for 0.5 s, at most 5 s.

--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -357,6 +357,18 @@
   return count + this->server.InFlight();
 }
 
+std::optional<Millis>
+CallsService::SinceRefusal()
+{
+  std::optional<Millis> since;
+  this->loop.Run([this, &since] {
+    if (const Millis at = this->destinationCalls.RefusedAt(); at > 0) {
+      since = this->clock.Now() - at;
+    }
+  });
+  return since;
+}
+
 void
 CallsService::Tick()
 {
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,9 @@
   /** Calls that entered here or run here and have not ended. */
   std::size_t InFlight();
 
+  /** Time since a peer's call was refused for the stop; empty: none was. */
+  std::optional<Millis> SinceRefusal();
+
   std::uint64_t Overflows() const;
 
 private:
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -17,9 +17,16 @@
 // what they send.
 constexpr Millis kLeaveNotice = 300;
 
-// Requests that were on their way when the intake stopped are still refused
-// as not run, rather than lost with their session.
-constexpr Millis kRefusalTime = 700;
+// Calls that peers go on sending are refused as not run, rather than lost with
+// their session. Other failure domains learn from the next summary, which is
+// sent at most once a second and then passed on along a tree.
+constexpr Millis kRefusalTime = 1500;
+
+// The sessions stay open until no call came for this long.
+constexpr Millis kQuietTime = 500;
+constexpr Millis kLongestRefusalTime = 5000;
+
+constexpr std::chrono::milliseconds kPoll(20);
 
 EndpointState
 StateOf(wire::EndpointState::type aState)
@@ -183,7 +190,7 @@
   this->control.Leave();
   std::this_thread::sleep_for(std::chrono::milliseconds(kLeaveNotice));
   this->calls.StopIntake();
-  std::this_thread::sleep_for(std::chrono::milliseconds(kRefusalTime));
+  this->RefuseLateCalls();
   this->FinishCalls();
   this->admin.Stop();
   this->calls.Stop();
@@ -192,10 +199,21 @@
   kLog.Info("stopped");
 }
 
+void
+Daemon::RefuseLateCalls()
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds(kRefusalTime));
+  const Clock clock = Clock::Steady();
+  const Millis limit = clock.Now() + kLongestRefusalTime - kRefusalTime;
+  while (this->calls.SinceRefusal().value_or(kQuietTime) < kQuietTime &&
+         clock.Now() < limit) {
+    std::this_thread::sleep_for(kPoll);
+  }
+}
+
 void
 Daemon::FinishCalls()
 {
-  constexpr std::chrono::milliseconds kPoll(20);
   const Clock clock = Clock::Steady();
   const Millis limit = clock.Now() + this->settings.stopLimit;
   std::size_t inFlight = this->calls.InFlight();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -34,6 +34,8 @@
   AdminHooks AdministrationHooks();
   std::string State();
   std::string Metrics();
+  /** Keeps the sessions until peers send no more calls. */
+  void RefuseLateCalls();
   void FinishCalls();
 
   Settings settings;
--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -82,6 +82,7 @@
     return;
   }
   if (this->isStopping) {
+    this->refusedAt = this->clock.Now();
     this->hooks.answer(aOrigin, NotRun(id, RefusalReason::ShuttingDown));
     return;
   }
--- a/src/execution/destinationcalls.h
+++ b/src/execution/destinationcalls.h
@@ -72,6 +72,9 @@
   /** Refuses new calls as not run; those known here go on. */
   void StopIntake();
 
+  /** When a call was last refused because the intake has stopped; 0: never. */
+  Millis RefusedAt() const;
+
   /** Calls that wait or run. */
   std::size_t InFlight() const;
 
@@ -117,9 +120,16 @@
   std::deque<std::string> keptAnswers; // Oldest first.
   std::size_t keptBytes = 0;
   bool isStopping = false;
+  Millis refusedAt = 0;
   std::size_t inFlight = 0;
 };
 
+inline Millis
+DestinationCalls::RefusedAt() const
+{
+  return this->refusedAt;
+}
+
 inline void
 DestinationCalls::StopIntake()
 {
