Repeat a throttled call within its job

Cause: a platform that admits one call in a row throttled the second call of every acceptor round; the round started again with its first call, so no edit was ever accepted while the platform was throttled. Change: a throttled call had no effect and is sent again after its backoff, at most four times and only while the backoff is at most 1 s.

--- a/src/platform/callbudget.cpp
+++ b/src/platform/callbudget.cpp
@@ -47,6 +47,12 @@
                         "not sent: waiting after a failed call" };
 }
 
+Millis
+CallBudget::RefusedFor() const
+{
+  return std::max<Millis>(0, this->refusedUntil - this->clock.Now());
+}
+
 Millis
 CallBudget::TakeOrWait()
 {
--- a/src/platform/callbudget.h
+++ b/src/platform/callbudget.h
@@ -50,6 +50,9 @@
   /** Set while the backoff runs: the error to return without sending. */
   std::optional<PlatformError> Refusal() const;
 
+  /** What is left of the backoff, or 0. */
+  Millis RefusedFor() const;
+
   /** Takes a token and returns 0, or the time until there is one. */
   Millis TakeOrWait();
 
--- a/src/platform/platformworker.cpp
+++ b/src/platform/platformworker.cpp
@@ -9,6 +9,12 @@
 constexpr Log kLog("platform");
 constexpr Millis kIdleWait = 1000;
 
+// A throttled call had no effect and is sent again after the backoff. A job of
+// several calls would otherwise never end at a platform that admits fewer in a
+// row, because it starts again with its first call.
+constexpr int kThrottledTries = 4;
+constexpr Millis kLongestThrottledWait = 1000;
+
 } // namespace
 
 PlatformWorker::PlatformWorker(ObjectStore aStore,
@@ -79,10 +85,26 @@
   if (auto refusal = this->budget.Refusal()) {
     return refusal;
   }
-  if (!this->WaitForToken()) {
-    return PlatformError{ PlatformErrorCode::Unreachable,
-                          "not sent: shutting down" };
+  std::optional<PlatformError> error;
+  for (int tries = 0; tries < kThrottledTries; ++tries) {
+    if (!this->WaitForToken()) {
+      return PlatformError{ PlatformErrorCode::Unreachable,
+                            "not sent: shutting down" };
+    }
+    error = this->CallOnce(aCall);
+    const bool isThrottled =
+      error && error->code == PlatformErrorCode::Throttled;
+    if (!isThrottled || !this->WaitForBackoff()) {
+      return error;
+    }
   }
+  return error;
+}
+
+std::optional<PlatformError>
+PlatformWorker::CallOnce(
+  const std::function<std::optional<PlatformError>()>& aCall)
+{
   auto error = aCall();
   if (!error || !IsPlatformFailure(error->code)) {
     this->budget.Report(std::nullopt);
@@ -95,6 +117,19 @@
   return error;
 }
 
+bool
+PlatformWorker::WaitForBackoff()
+{
+  const Millis wait = this->budget.RefusedFor();
+  if (wait > kLongestThrottledWait) {
+    return false;
+  }
+  std::unique_lock lock(this->mutex);
+  this->stopped.wait_for(
+    lock, std::chrono::milliseconds(wait), [this] { return this->isStopping; });
+  return true;
+}
+
 bool
 PlatformWorker::WaitForToken()
 {
--- a/src/platform/platformworker.h
+++ b/src/platform/platformworker.h
@@ -47,8 +47,13 @@
   void Run();
   std::optional<PlatformError> Admit(
     const std::function<std::optional<PlatformError>()>& aCall);
+  std::optional<PlatformError> CallOnce(
+    const std::function<std::optional<PlatformError>()>& aCall);
   bool WaitForToken();
 
+  /** False when the backoff is too long for the jobs that wait. */
+  bool WaitForBackoff();
+
   std::shared_ptr<CallCounts> counts;
   ObjectStore store;
   Post post;
--- a/src/platform/platformworker_test.cpp
+++ b/src/platform/platformworker_test.cpp
@@ -116,3 +116,35 @@
   worker.Stop();
   cr_assert_not(worker.Submit(job));
 }
+
+// Guards against a job of several calls that never ends because the platform
+// admits only one call in a row, and the job starts again with its first.
+Test(platformworker, AThrottledCallIsRepeatedWithinItsJob)
+{
+  int calls = 0;
+  ObjectStore store;
+  store.get = [&calls](const std::string& aName) {
+    const bool isThrottled = calls++ % 2 == 1;
+    return isThrottled ? PlatformResult<StoredObject>(failure(
+                           PlatformError{ PlatformErrorCode::Throttled, "" }))
+                       : StoredObject{ aName, 1, "value", false };
+  };
+  CallBudgetConfig config;
+  config.callsPerSecond = 1000;
+  config.backoff = { 10, 100 };
+  std::atomic<int> ended = 0;
+  std::atomic<int> succeeded = 0;
+  PlatformWorker worker(
+    store, 1, [](const Completion& aCompletion) { aCompletion(); }, config);
+  cr_assert(worker.Submit([&](const ObjectStore& aStore) -> Completion {
+    const bool isGood = aStore.get("a") && aStore.get("b") && aStore.get("c");
+    return [&, isGood] {
+      succeeded += isGood ? 1 : 0;
+      ++ended;
+    };
+  }));
+  worker.Start();
+  cr_assert(WaitUntil([&] { return ended == 1; }));
+  cr_expect_eq(succeeded.load(), 1);
+  worker.Stop();
+}
