--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -139,16 +139,34 @@
 bool
 AssignPeers(Settings& aSettings, std::string_view aText)
 {
-  std::vector<SocketAddress> peers;
   for (const auto part : std::views::split(aText, ',')) {
     const auto address =
       ParseSocketAddress(Trim(std::string_view(part.begin(), part.end())));
     if (!address) {
       return false;
     }
-    peers.push_back(*address);
+    aSettings.peers.push_back(*address);
+  }
+  return true;
+}
+
+bool
+AssignForwards(Settings& aSettings, std::string_view aText)
+{
+  for (const auto part : std::views::split(aText, ',')) {
+    const std::string_view pair =
+      Trim(std::string_view(part.begin(), part.end()));
+    const auto arrow = pair.find('>');
+    if (arrow == std::string_view::npos) {
+      return false;
+    }
+    const auto peer = ParseSocketAddress(Trim(pair.substr(0, arrow)));
+    const auto through = ParseSocketAddress(Trim(pair.substr(arrow + 1)));
+    if (!peer || !through) {
+      return false;
+    }
+    aSettings.forwards.push_back({ *peer, *through });
   }
-  aSettings.peers = std::move(peers);
   return true;
 }
 
@@ -169,6 +187,12 @@
       } },
     NumberKey("daemon", "stoplimit", &Settings::stopLimit, 100, kHourMillis),
     NumberKey("peer", "port", &Settings::peerPort, 1, kMaxPort),
+    { "peer",
+      "forwards",
+      false,
+      "a comma-separated list of IPV4:PORT>IPV4:PORT",
+      AssignForwards,
+      true },
     NumberKey("http", "callport", &Settings::callPort, 1, kMaxPort),
     NumberKey("http", "adminport", &Settings::adminPort, 1, kMaxPort),
     NumberKey("http", "maxbodybytes", &Settings::maxBodyBytes, 1024, 8 << 20),
@@ -182,7 +206,8 @@
       "peers",
       false,
       "a comma-separated list of IPV4:PORT",
-      AssignPeers },
+      AssignPeers,
+      true },
     NumberKey(
       "membership", "gossipinterval", &Settings::gossipInterval, 50, 60000),
     NumberKey("membership", "suspicion", &Settings::suspicionTime, 200, 600000),
