Store large versions compressed and refuse what the platform cannot keep

One larger than the platform's limit of 1 MB was refused and retried for ever, and no status told the operator. Each start of a process also read these texts in plain.

Change: texts from 16 KiB on are stored as a zstd frame in base64. Edits with which the catalogue would still not fit in one object are rejected, the largest first, with the reason in the status of their entries; small edits made alongside are accepted.

Conclusion: the limit no longer stops the acceptor.

--- a/src/catalogue/entry.h
+++ b/src/catalogue/entry.h
@@ -66,6 +66,7 @@
   DanglingReference,
   DuplicateMatch,
   IncompleteChange,
+  TooLarge,
   WrongBase,
   HashMismatch
 };
@@ -76,6 +77,7 @@
     { CatalogueErrorCode::DanglingReference, "dangling-reference" },
     { CatalogueErrorCode::DuplicateMatch, "duplicate-match" },
     { CatalogueErrorCode::IncompleteChange, "incomplete-change" },
+    { CatalogueErrorCode::TooLarge, "too-large" },
     { CatalogueErrorCode::WrongBase, "wrong-base" },
     { CatalogueErrorCode::HashMismatch, "hash-mismatch" } });
 
--- a/src/distribution/acceptedchain.cpp
+++ b/src/distribution/acceptedchain.cpp
@@ -1,6 +1,7 @@
 #include "distribution/acceptedchain.h"
 
 #include "common/log.h"
+#include "distribution/storedtext.h"
 
 #include <fmt/format.h>
 
@@ -73,7 +74,7 @@
   if (newest == aSnapshots.objects.end()) {
     return;
   }
-  auto decoded = DecodeAccepted(newest->value);
+  auto decoded = DecodeStored(newest->value);
   if (decoded) {
     aDeltas.push_back(std::move(decoded).assume_value().delta);
   } else {
@@ -159,7 +160,7 @@
     if (object.isDeleted || !object.name.starts_with(kAcceptedPrefix)) {
       continue;
     }
-    auto decoded = DecodeAccepted(object.value);
+    auto decoded = DecodeStored(object.value);
     if (!decoded) {
       kLog.Error(
         "{} is malformed: {}", object.name, decoded.assume_error().detail);
@@ -206,7 +207,7 @@
               const std::string& aWriter)
 {
   const std::string text =
-    EncodeAccepted({ WholeOf(aSnapshot), aWriter, aWriter });
+    EncodeStored({ WholeOf(aSnapshot), aWriter, aWriter });
   const auto written =
     aStore.put(SnapshotName(aSnapshot.Version()), text, kCreateOnly);
   if (!written && written.assume_error().code != PlatformErrorCode::Conflict) {
--- a/src/distribution/acceptor.cpp
+++ b/src/distribution/acceptor.cpp
@@ -2,6 +2,9 @@
 
 #include "catalogue/validation.h"
 #include "distribution/edits.h"
+#include "distribution/storedtext.h"
+
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
@@ -39,6 +42,16 @@
   return edit.revision >= otherEdit.revision ? group : other;
 }
 
+std::size_t
+TextBytes(const Snapshot& aSnapshot)
+{
+  std::size_t bytes = 0;
+  for (const auto& [name, accepted] : aSnapshot.Entries()) {
+    bytes += name.size() + accepted->text.size();
+  }
+  return bytes;
+}
+
 /** True when a group was rejected; then the result must be checked again. */
 bool
 RejectOneConflict(Edits& aEdits, const AcceptedEntries& aEntries)
@@ -53,26 +66,61 @@
   return false;
 }
 
+AcceptedEntries
+ApplyWithoutConflicts(Edits& aEdits)
+{
+  AcceptedEntries entries = aEdits.Apply();
+  // Each step rejects one group, so this ends.
+  while (RejectOneConflict(aEdits, entries)) {
+    entries = aEdits.Apply();
+  }
+  return entries;
+}
+
+/** The version with all edits that still stand; null when there are none. */
+SnapshotPtr
+BuildNext(const Snapshot& aHeld, Edits& aEdits)
+{
+  AcceptedEntries entries = ApplyWithoutConflicts(aEdits);
+  if (!aEdits.HasStandingEdits()) {
+    return nullptr;
+  }
+  VersionStamp stamp = aHeld.Stamp();
+  ++stamp.version;
+  auto next = Snapshot::Build(stamp, std::move(entries));
+  return next ? std::move(next).assume_value() : nullptr;
+}
+
+/**
+ * The store could not keep a larger catalogue as one snapshot, so the largest
+ * edits are given up; small ones made alongside are not held up by them. Edits
+ * that make a catalogue smaller always stand.
+ */
+SnapshotPtr
+BuildNextThatFits(const Snapshot& aHeld, Edits& aEdits)
+{
+  SnapshotPtr next = BuildNext(aHeld, aEdits);
+  while (next && !FitsInStore(*next) && TextBytes(*next) > TextBytes(aHeld)) {
+    aEdits.Reject(*aEdits.LargestStandingGroup(),
+                  CatalogueErrorCode::TooLarge,
+                  fmt::format("the catalogue would not fit in one object of "
+                              "{} bytes of the platform",
+                              kMaxStoredBytes));
+    next = BuildNext(aHeld, aEdits);
+  }
+  return next;
+}
+
 } // namespace
 
 Decision
 DecideNext(const Snapshot& aHeld, const ObjectList& aCatalogue)
 {
   Edits edits(aHeld, aCatalogue);
-  AcceptedEntries entries = edits.Apply();
-  // Each step rejects one group, so this ends.
-  while (RejectOneConflict(edits, entries)) {
-    entries = edits.Apply();
-  }
   Decision decision;
-  if (edits.HasStandingEdits()) {
-    VersionStamp stamp = aHeld.Stamp();
-    ++stamp.version;
-    auto next = Snapshot::Build(stamp, std::move(entries));
-    if (next) {
-      decision.next = std::move(next).assume_value();
-      decision.delta = DeltaBetween(aHeld, *decision.next);
-    }
+  decision.next = BuildNextThatFits(aHeld, edits);
+  if (decision.next) {
+    decision.delta = DeltaBetween(aHeld, *decision.next);
   }
   decision.rejections = edits.TakeRejections();
   return decision;
--- a/src/distribution/acceptorrole.cpp
+++ b/src/distribution/acceptorrole.cpp
@@ -222,14 +222,20 @@
     [this, held, writer = this->host](const ObjectStore& aStore) -> Completion {
       return [this, held, result = WriteSnapshot(aStore, *held, writer)] {
         this->isBusy = false;
-        if (result) {
+        const bool isTooLarge =
+          !result && result.assume_error().code == PlatformErrorCode::TooLarge;
+        if (result || isTooLarge) {
+          // A snapshot that is too large now still is in a second.
           this->snapshotVersion = held->Version();
+        }
+        if (result) {
           kLog.Info("snapshot {} written; {} accepted versions removed",
                     held->Version(),
                     result.assume_value().accepted);
         } else {
-          kLog.Warning("snapshot {} failed: {}",
+          kLog.Warning("snapshot {} failed: {} {}",
                        held->Version(),
+                       kPlatformErrorNames.NameOf(result.assume_error().code),
                        result.assume_error().detail);
         }
       };
--- a/src/distribution/acceptorround.cpp
+++ b/src/distribution/acceptorround.cpp
@@ -1,9 +1,12 @@
 #include "distribution/acceptorround.h"
 
 #include "distribution/acceptedchain.h"
+#include "distribution/storedtext.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -67,7 +70,7 @@
     }
     return PositionInList(aStore, aHeld.Version());
   }
-  const auto decoded = DecodeAccepted(object.assume_value().value);
+  const auto decoded = DecodeStored(object.assume_value().value);
   const bool isSame =
     decoded && decoded.assume_value().delta.contentHash == aHeld.ContentHash();
   return isSame ? Position::Present : Position::Diverged;
@@ -143,7 +146,7 @@
     return FailedBy(object.assume_error());
   }
   const StoredObject& found = object.assume_value();
-  const auto decoded = DecodeAccepted(found.value);
+  const auto decoded = DecodeStored(found.value);
   if (decoded && decoded.assume_value().nonce == aInput.nonce) {
     return CheckWritten(
       aStore, aDelta, found.revision, "recognised by its nonce");
@@ -157,7 +160,7 @@
         const Delta& aDelta)
 {
   const std::string text =
-    EncodeAccepted({ aDelta, aInput.writer, aInput.nonce });
+    EncodeStored({ aDelta, aInput.writer, aInput.nonce });
   const auto written =
     aStore.put(AcceptedName(aDelta.stamp.version), text, kCreateOnly);
   if (written) {
@@ -168,7 +171,32 @@
       error.code == PlatformErrorCode::TimedOut) {
     return ReadBack(aStore, aInput, aDelta);
   }
-  return FailedBy(error);
+  RoundOutcome outcome = FailedBy(error);
+  outcome.isTooLarge = error.code == PlatformErrorCode::TooLarge;
+  return outcome;
+}
+
+/** Every edit of a version that the platform refuses to store. */
+std::vector<Rejection>
+TooLargeEdits(const Snapshot& aHeld, const Delta& aDelta)
+{
+  const std::string reason = fmt::format(
+    "the platform refuses to store version {} with {} changed entries: too "
+    "large",
+    aDelta.stamp.version,
+    aDelta.changed.size());
+  std::vector<Rejection> rejections;
+  for (const ChangedEntry& changed : aDelta.changed) {
+    rejections.push_back(
+      { changed.name, changed.revision, CatalogueErrorCode::TooLarge, reason });
+  }
+  for (const std::string& name : aDelta.removed) {
+    rejections.push_back({ name,
+                           aHeld.Find(name)->revision,
+                           CatalogueErrorCode::TooLarge,
+                           reason });
+  }
+  return rejections;
 }
 
 RoundOutcome
@@ -183,6 +211,12 @@
     outcome.result = RoundResult::Nothing;
   }
   outcome.rejections = std::move(aDecision.rejections);
+  if (outcome.isTooLarge) {
+    outcome.result = RoundResult::Nothing;
+    std::ranges::move(TooLargeEdits(*aInput.held, *aDecision.delta),
+                      std::back_inserter(outcome.rejections));
+    std::ranges::sort(outcome.rejections, {}, &Rejection::entry);
+  }
   outcome.isDecided = outcome.result == RoundResult::Nothing ||
                       outcome.result == RoundResult::Published;
   return outcome;
--- a/src/distribution/acceptorround.h
+++ b/src/distribution/acceptorround.h
@@ -44,6 +44,9 @@
   bool isDecided = false;    // Whether rejections is meaningful.
   std::int64_t revision = 0; // Of the store, when it was found restored.
   std::string detail;
+
+  /** The platform refuses the version for its size; retrying does not help. */
+  bool isTooLarge = false;
 };
 
 /**
--- a/src/distribution/edits.cpp
+++ b/src/distribution/edits.cpp
@@ -160,6 +160,26 @@
   return &*std::ranges::find(group->edits, aName, &Edit::name);
 }
 
+EditGroup*
+Edits::LargestStandingGroup()
+{
+  using Rank = std::pair<std::size_t, std::int64_t>;
+  EditGroup* largest = nullptr;
+  Rank highest;
+  for (EditGroup& group : this->groups) {
+    Rank rank{ 0, 0 };
+    for (const Edit& edit : group.edits) {
+      rank.first += edit.value ? edit.value->text.size() : 0;
+      rank.second = std::max(rank.second, edit.revision);
+    }
+    if (!group.isRejected && (largest == nullptr || rank > highest)) {
+      largest = &group;
+      highest = rank;
+    }
+  }
+  return largest;
+}
+
 void
 Edits::Reject(EditGroup& aGroup,
               CatalogueErrorCode aCode,
--- a/src/distribution/edits.h
+++ b/src/distribution/edits.h
@@ -36,6 +36,9 @@
   EditGroup* StandingGroupOf(const std::string& aName);
   const Edit* StandingEdit(const std::string& aName);
 
+  /** The one with most text, of equal ones the newest; null without any. */
+  EditGroup* LargestStandingGroup();
+
   /** Rejects a whole group and notes the reason for each of its edits. */
   void Reject(EditGroup& aGroup,
               CatalogueErrorCode aCode,
--- a/src/distribution/fakestore.h
+++ b/src/distribution/fakestore.h
@@ -19,6 +19,8 @@
   using Objects = std::map<std::string, StoredObject>;
 
   bool isDown = false;
+  std::size_t maxValueBytes = 1U << 20U;
+  int refusedAsTooLarge = 0;
   int answersToLose = 0;           // Of the next writes under accepted/.
   std::function<void()> beforePut; // Runs once before the next such write.
   std::map<std::string, int> puts; // Successful writes by name.
@@ -88,6 +90,10 @@
     if (this->isDown) {
       return Error(PlatformErrorCode::Unreachable);
     }
+    if (aValue.size() > this->maxValueBytes) {
+      ++this->refusedAsTooLarge;
+      return Error(PlatformErrorCode::TooLarge);
+    }
     if (aExpected == kCreateOnly && this->objects.contains(aName)) {
       return Error(PlatformErrorCode::Conflict);
     }
--- a/src/distribution/fleetsim.h
+++ b/src/distribution/fleetsim.h
@@ -2,6 +2,7 @@
 
 #include "common/random.h"
 #include "distribution/distributor.h"
+#include "distribution/storedtext.h"
 #include "distribution/testcatalogue.h"
 
 #include <functional>
@@ -258,7 +259,7 @@
       if (this->truth.contains(version)) {
         continue;
       }
-      const auto decoded = DecodeAccepted(object->second.value);
+      const auto decoded = DecodeStored(object->second.value);
       const Delta& delta = decoded.assume_value().delta;
       Content content = delta.isWhole ? Content{} : this->truth[delta.base];
       for (const std::string& name : delta.removed) {
--- /dev/null
+++ b/src/distribution/storedtext.cpp
@@ -0,0 +1,130 @@
+#include "distribution/storedtext.h"
+
+#include "common/base64.h"
+
+#include <nlohmann/json.hpp>
+#include <zstd.h>
+
+#include <optional>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr const char* kFrameKey = "zstd";
+
+// Smaller ones are left readable for operators.
+constexpr std::size_t kPackThreshold = 16U << 10U;
+
+// A frame that claims more is refused before memory is set aside for it.
+constexpr std::uint64_t kMaxUnpackedBytes = 64U << 20U;
+
+constexpr int kCompressionLevel = 3;
+
+// Names of a writer and a nonce, at most.
+constexpr std::size_t kHeaderBytes = 1024;
+
+std::optional<std::string>
+Compress(const std::string& aPlain)
+{
+  std::string frame(ZSTD_compressBound(aPlain.size()), '\0');
+  const std::size_t size = ZSTD_compress(frame.data(),
+                                         frame.size(),
+                                         aPlain.data(),
+                                         aPlain.size(),
+                                         kCompressionLevel);
+  if (ZSTD_isError(size) != 0U) {
+    return std::nullopt;
+  }
+  frame.resize(size);
+  return frame;
+}
+
+std::optional<std::string>
+Decompress(const std::string& aFrame)
+{
+  const unsigned long long size =
+    ZSTD_getFrameContentSize(aFrame.data(), aFrame.size());
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
+      size > kMaxUnpackedBytes) {
+    return std::nullopt;
+  }
+  std::string plain(size, '\0');
+  const std::size_t written =
+    ZSTD_decompress(plain.data(), plain.size(), aFrame.data(), aFrame.size());
+  if (ZSTD_isError(written) != 0U || written != size) {
+    return std::nullopt;
+  }
+  return plain;
+}
+
+/** The frame in aText when it is of the packed form. */
+std::optional<std::string>
+FrameIn(std::string_view aText)
+{
+  const auto object = nlohmann::json::parse(aText, nullptr, false);
+  if (!object.is_object() || object.size() != 1) {
+    return std::nullopt;
+  }
+  const auto frame = object.find(kFrameKey);
+  if (frame == object.end() || !frame->is_string()) {
+    return std::nullopt;
+  }
+  return DecodeBase64(frame->get_ref<const std::string&>());
+}
+
+/** At least the size of the plain text; an escaped byte takes two. */
+std::size_t
+PlainBound(const Snapshot& aSnapshot)
+{
+  constexpr std::size_t kEntryBytes = 64;
+  std::size_t bound = kHeaderBytes;
+  for (const auto& [name, accepted] : aSnapshot.Entries()) {
+    bound += name.size() + 2 * accepted->text.size() + kEntryBytes;
+  }
+  return bound;
+}
+
+} // namespace
+
+std::string
+EncodeStored(const AcceptedObject& aObject)
+{
+  std::string plain = EncodeAccepted(aObject);
+  if (plain.size() < kPackThreshold) {
+    return plain;
+  }
+  const auto frame = Compress(plain);
+  if (!frame) {
+    return plain;
+  }
+  return nlohmann::json{ { kFrameKey, EncodeBase64(*frame) } }.dump();
+}
+
+CatalogueResult<AcceptedObject>
+DecodeStored(std::string_view aText)
+{
+  const auto frame = FrameIn(aText);
+  if (!frame) {
+    return DecodeAccepted(aText);
+  }
+  const auto plain = Decompress(*frame);
+  if (!plain) {
+    return CatalogueError{ CatalogueErrorCode::BadJson,
+                           "",
+                           "the accepted version cannot be unpacked" };
+  }
+  return DecodeAccepted(*plain);
+}
+
+bool
+FitsInStore(const Snapshot& aSnapshot)
+{
+  if (PlainBound(aSnapshot) <= kMaxStoredBytes) {
+    return true;
+  }
+  const AcceptedObject object{ WholeOf(aSnapshot), "", "" };
+  return EncodeStored(object).size() + kHeaderBytes <= kMaxStoredBytes;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/distribution/storelimit_test.cpp
@@ -0,0 +1,158 @@
+#include "common/log.h"
+#include "distribution/acceptedchain.h"
+#include "distribution/acceptorrole.h"
+#include "distribution/storedtext.h"
+#include "distribution/testcatalogue.h"
+#include "distribution/versionholder.h"
+
+#include <criterion/criterion.h>
+
+#include <deque>
+
+using namespace lacewingwharf;
+
+namespace {
+
+/** An acceptor on a store with a limit on the size of values. */
+struct Acceptor
+{
+  Acceptor()
+    : role("a",
+           this->clock.View(),
+           SeededRandom(1),
+           { [this](PlatformJob aJob) {
+              this->jobs.push_back(std::move(aJob));
+              return true;
+            },
+             [this] { return this->holder.Held(); },
+             [this](const Delta& aDelta) { this->holder.Offer(aDelta); } })
+  {
+    Log::SetLevel(LogLevel::Error);
+    this->role.SetActive(true);
+  }
+
+  /** Runs what comes due in aTime. */
+  void Run(Millis aTime)
+  {
+    constexpr Millis kStep = 100;
+    for (Millis waited = 0; waited < aTime; waited += kStep) {
+      this->role.Tick();
+      while (!this->jobs.empty()) {
+        PlatformJob job = std::move(this->jobs.front());
+        this->jobs.pop_front();
+        job(this->store.Hooks())();
+      }
+      this->clock.Advance(kStep);
+    }
+  }
+
+  void Round()
+  {
+    this->role.RequestRound();
+    this->Run(3000);
+  }
+
+  bool Has(const std::string& aEntry) const
+  {
+    return this->holder.Held()->Find(aEntry) != nullptr;
+  }
+
+  std::string StatusOf(const std::string& aEntry) const
+  {
+    const auto found =
+      this->store.All().find("status/" + aEntry + "/acceptance");
+    return found == this->store.All().end() ? "" : found->second.value;
+  }
+
+  ManualClock clock{ 1000 };
+  FakeStore store;
+  std::deque<PlatformJob> jobs;
+  VersionHolder holder;
+  AcceptorRole role;
+};
+
+/** A service entry with aBytes of white space that does or doesn't compress. */
+std::string
+PaddedService(std::size_t aBytes, std::uint64_t aSeed)
+{
+  constexpr std::string_view kSpaces = " \t\n\r";
+  const Random random = SeededRandom(aSeed);
+  std::string text = ServiceText("o");
+  for (std::size_t index = 0; index < aBytes; ++index) {
+    text += aSeed == 0 ? ' ' : kSpaces[random() % kSpaces.size()];
+  }
+  return text;
+}
+
+} // namespace
+
+// Guards against a first version or a snapshot that is retried forever because
+// its plain text exceeds the platform's limit.
+Test(storelimit, ALargeCatalogueIsStoredCompressedAndReadBack)
+{
+  Acceptor acceptor;
+  for (const char* const name : { "a", "b", "c" }) {
+    acceptor.store.Edit(fmt::format("catalogue/{}", name),
+                        PaddedService(700000, 0));
+  }
+  acceptor.Round();
+  cr_assert_eq(acceptor.holder.Held()->Entries().size(), 3U);
+  cr_assert(
+    WriteSnapshot(acceptor.store.Hooks(), *acceptor.holder.Held(), "a"));
+  cr_assert_eq(acceptor.store.refusedAsTooLarge, 0);
+  const auto whole = ReadNewestWhole(acceptor.store.Hooks()).assume_value();
+  const auto read = Apply(*Snapshot::Empty(), whole.deltas.front());
+  cr_assert_eq(read.assume_value()->ContentHash(),
+               acceptor.holder.Held()->ContentHash());
+}
+
+// Guards against edits that are too large for the store and hold up all others:
+// the status of their entries says why, and nothing is written in vain.
+Test(storelimit, TheLargestEditsThatDoNotFitAreRejectedWithTheReason)
+{
+  Acceptor acceptor;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    acceptor.store.Edit(fmt::format("catalogue/large-{}", seed),
+                        PaddedService(900000, seed));
+  }
+  acceptor.store.Edit("catalogue/small", ServiceText("o"));
+  acceptor.Round();
+  cr_assert(acceptor.Has("large-1"));
+  cr_assert(acceptor.Has("small"));
+  cr_assert_not(acceptor.Has("large-5"));
+  cr_assert_neq(acceptor.StatusOf("large-5").find("too-large"),
+                std::string::npos);
+  cr_assert_eq(acceptor.store.refusedAsTooLarge, 0);
+  acceptor.store.Edit("catalogue/large-5", ServiceText("o"));
+  acceptor.Round();
+  cr_assert(acceptor.Has("large-5"));
+  cr_assert_eq(acceptor.StatusOf("large-5"), "");
+}
+
+// Guards against a platform with a lower limit, where the refused write was
+// repeated every two seconds and no status told the operator.
+Test(storelimit, AVersionThatThePlatformRefusesIsReportedForItsEntries)
+{
+  Acceptor acceptor;
+  acceptor.store.maxValueBytes = 20000;
+  acceptor.store.Edit("catalogue/large", PaddedService(200000, 1));
+  acceptor.Round();
+  acceptor.Run(60000);
+  cr_assert_eq(acceptor.holder.Held()->Version(), 0);
+  cr_assert_neq(acceptor.StatusOf("large").find("refuses to store"),
+                std::string::npos);
+  cr_assert_leq(acceptor.store.refusedAsTooLarge, 10);
+  acceptor.store.Edit("catalogue/large", ServiceText("o"));
+  acceptor.Round();
+  cr_assert(acceptor.Has("large"));
+  cr_assert_eq(acceptor.StatusOf("large"), "");
+}
+
+// Guards against memory set aside for a damaged object, and against taking
+// one for an empty version.
+Test(storelimit, ADamagedCompressedObjectIsRefused)
+{
+  cr_assert_not(DecodeStored(R"({"zstd":"AAAA"})").has_value());
+  cr_assert_not(DecodeStored(R"({"zstd":"*"})").has_value());
+  cr_assert_not(DecodeStored(R"({"zstd":7})").has_value());
+}
