Compare content hashes in gossip

Cause: two daemons with different content under the same version number saw nothing wrong, since gossip told the number only; the acceptor alone compared contents, and only its own with the store's.

Change: Ping and Ack carry the low half of the content hash. Fields are additions to peer.thrift; a daemon without them sends none and is not compared.

Tests: divergence_test; both tests were seen to fail, one without the hash in the datagrams, the other without the check of the version.

Conclusion: divergence is reported by any two daemons that gossip.

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -160,6 +160,14 @@
     this->distributor.PeerVersion(aHost, aVersion);
   };
   member.ownVersion = [this] { return this->distributor.Held()->Version(); };
+  member.onPeerContent = [this](const std::string& aHost,
+                                std::int64_t aVersion,
+                                std::int32_t aShortHash) {
+    this->distributor.PeerContent(aHost, aVersion, aShortHash);
+  };
+  member.ownContentHash = [this] {
+    return ShortHashOf(*this->distributor.Held());
+  };
   member.takeMarks = this->hooks.takeMarks;
   member.mergeMarks = [this](const std::vector<wire::QuarantineMark>& aMarks) {
     this->hooks.mergeMarks(aMarks);
@@ -556,6 +564,9 @@
   set("lacewingwharf_version",
       "Accepted version that this daemon holds",
       static_cast<double>(this->distributor.Held()->Version()));
+  set("lacewingwharf_divergent_peers",
+      "Peers with other content under the version that this daemon holds",
+      static_cast<double>(this->distributor.DivergentPeers()));
   set("lacewingwharf_members",
       "Live members of the failure domain",
       static_cast<double>(
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -2,6 +2,7 @@
 
 #include "distribution/acceptedchain.h"
 #include "distribution/acceptorrole.h"
+#include "distribution/divergence.h"
 #include "distribution/feederpush.h"
 #include "distribution/fetchplan.h"
 #include "distribution/fetchserver.h"
@@ -71,6 +72,14 @@
   /** To be called for each gossip datagram. */
   void PeerVersion(const std::string& aHost, std::int64_t aVersion);
 
+  /** To be called for each gossip datagram that tells a content hash. */
+  void PeerContent(const std::string& aHost,
+                   std::int64_t aVersion,
+                   std::int32_t aShortHash);
+
+  /** Peers with other content under the held version's number. */
+  std::size_t DivergentPeers() const;
+
   /** Results of a watch or a list of accepted/ and of catalogue/. */
   void AcceptedChanged(const PlatformResult<ObjectList>& aResult,
                        bool aIsFullList);
@@ -126,6 +135,7 @@
   std::optional<int> feederRank;
   bool isAcceptor = false;
   bool isStoreOlder = false;
+  Divergence divergence;
 };
 
 inline bool
@@ -164,4 +174,18 @@
   return this->acceptor.Rejections();
 }
 
+inline void
+Distributor::PeerContent(const std::string& aHost,
+                         std::int64_t aVersion,
+                         std::int32_t aShortHash)
+{
+  this->divergence.Compare(*this->Held(), aHost, aVersion, aShortHash);
+}
+
+inline std::size_t
+Distributor::DivergentPeers() const
+{
+  return this->divergence.Peers(*this->Held());
+}
+
 } // namespace lacewingwharf
--- /dev/null
+++ b/src/distribution/divergence_test.cpp
@@ -0,0 +1,105 @@
+#include "common/log.h"
+#include "distribution/distributor.h"
+#include "distribution/testcatalogue.h"
+#include "distribution/wireconversion.h"
+#include "membership/memorynetwork.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <memory>
+
+using namespace lacewingwharf;
+
+namespace {
+
+/** Version 1 with one service of aOwner. */
+wire::ConfigPush
+FirstVersion(const std::string& aOwner)
+{
+  FakeStore store;
+  store.Edit("catalogue/s", ServiceText(aOwner));
+  const auto list = store.Hooks().list("catalogue/").assume_value();
+  wire::ConfigPush push;
+  push.root = "other";
+  push.body = ToWire(*DecideNext(*Snapshot::Empty(), list).delta);
+  return push;
+}
+
+/** Members that gossip about what their distributors hold. */
+struct Domain
+{
+  explicit Domain(std::size_t aMembers)
+    : network(1)
+  {
+    Log::SetLevel(LogLevel::Error);
+    this->network.extendHooks = [this](std::size_t aNode,
+                                       MembershipHooks& aHooks) {
+      Distributor& distributor = this->Get(aNode);
+      aHooks.ownVersion = [&distributor] {
+        return distributor.Held()->Version();
+      };
+      aHooks.ownContentHash = [&distributor] {
+        return ShortHashOf(*distributor.Held());
+      };
+      aHooks.onPeerContent = [&distributor](const std::string& aHost,
+                                            std::int64_t aVersion,
+                                            std::int32_t aHash) {
+        distributor.PeerContent(aHost, aVersion, aHash);
+      };
+    };
+    for (std::size_t node = 0; node < aMembers; ++node) {
+      this->network.Add("north", "bangor");
+    }
+  }
+
+  Distributor& Get(std::size_t aNode)
+  {
+    auto& distributor = this->distributors[aNode];
+    if (!distributor) {
+      DistributorHooks hooks;
+      hooks.send = [](const std::string&, const wire::Envelope&) {};
+      hooks.onHeld = [](const SnapshotPtr&) {};
+      distributor = std::make_unique<Distributor>(DistributorConfig{},
+                                                  this->network.clock.View(),
+                                                  SeededRandom(1),
+                                                  hooks);
+    }
+    return *distributor;
+  }
+
+  std::map<std::size_t, std::unique_ptr<Distributor>> distributors;
+  MemoryNetwork network;
+};
+
+} // namespace
+
+// Guards against two daemons that enforce different catalogues under the same
+// version number and see nothing wrong, because gossip told the number only.
+Test(divergence, APeerWithOtherContentUnderTheHeldVersionIsReported)
+{
+  Domain domain(3);
+  domain.Get(0).HandlePush("other", FirstVersion("o1"));
+  domain.Get(1).HandlePush("other", FirstVersion("o1"));
+  domain.Get(2).HandlePush("other", FirstVersion("o2"));
+  domain.network.Run(10000);
+  cr_assert_eq(domain.Get(0).DivergentPeers(), 1U);
+  cr_assert_eq(domain.Get(1).DivergentPeers(), 1U);
+  cr_assert_eq(domain.Get(2).DivergentPeers(), 2U);
+}
+
+// Guards against a false report: peers with the same content, or with another
+// version while a push is on its way.
+Test(divergence, SameContentAndOtherVersionsAreNotReported)
+{
+  Domain domain(3);
+  domain.Get(0).HandlePush("other", FirstVersion("o1"));
+  domain.Get(1).HandlePush("other", FirstVersion("o1"));
+  domain.network.Run(10000);
+  for (std::size_t node = 0; node < 3; ++node) {
+    cr_assert_eq(domain.Get(node).DivergentPeers(), 0U);
+  }
+  domain.Get(0).PeerContent("x", 1, 77);
+  domain.Get(0).PeerContent("y", 2, 78);
+  cr_assert_eq(domain.Get(0).DivergentPeers(), 1U);
+}
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -106,6 +106,9 @@
 {
   aMessage.host = this->config.host;
   aMessage.version = this->network.ownVersion ? this->network.ownVersion() : 0;
+  if (this->network.ownContentHash) {
+    aMessage.contentHash = this->network.ownContentHash();
+  }
   if (this->network.takeMarks) {
     aMessage.marks = this->network.takeMarks();
     aMessage.marks.resize(std::min(aMessage.marks.size(), kMaxMarks));
@@ -191,6 +194,7 @@
 {
   this->Learn(
     aPing.host, aPing.version, aPing.updates, aPing.marks, Spread::Gossip);
+  this->CompareContent(aPing.host, aPing.version, aPing.contentHash);
   const wire::MemberRecord* const sender = this->table.Find(aPing.host);
   if (sender != nullptr && sender->state != wire::MemberState::ALIVE) {
     // The answer tells the sender, so that it can refute.
@@ -208,6 +212,7 @@
               aAck.updates,
               aAck.marks,
               isPush ? Spread::Tree : Spread::Gossip);
+  this->CompareContent(aAck.host, aAck.version, aAck.contentHash);
   if (!isPush) {
     this->detector.Acknowledged(aAck.host, aAck.sequence);
     this->ForwardAck(aAck);
@@ -240,6 +245,7 @@
   forwarded.sequence = relay->second.sequence;
   forwarded.host = aAck.host;
   forwarded.version = aAck.version;
+  forwarded.contentHash = aAck.contentHash;
   wire::Envelope envelope;
   envelope.__set_ack(forwarded);
   this->network.sendDatagram(relay->second.origin, envelope);
@@ -264,4 +270,14 @@
   }
 }
 
+void
+Gossip::CompareContent(const std::string& aHost,
+                       std::int64_t aVersion,
+                       std::int32_t aContentHash)
+{
+  if (this->network.onPeerContent && aVersion > 0 && aContentHash != 0) {
+    this->network.onPeerContent(aHost, aVersion, aContentHash);
+  }
+}
+
 } // namespace lacewingwharf
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -80,6 +80,9 @@
              const std::vector<wire::MemberRecord>& aUpdates,
              const std::vector<wire::QuarantineMark>& aMarks,
              Spread aSpread);
+  void CompareContent(const std::string& aHost,
+                      std::int64_t aVersion,
+                      std::int32_t aContentHash);
 
   template<typename Message>
   void Fill(Message& aMessage);
--- a/src/membership/membershipconfig.h
+++ b/src/membership/membershipconfig.h
@@ -46,6 +46,13 @@
     onPeerVersion;
   std::function<std::int64_t()> ownVersion;
 
+  /** Short hashes of the content of those versions; 0: not known. Optional. */
+  std::function<void(const std::string& aHost,
+                     std::int64_t aVersion,
+                     std::int32_t aContentHash)>
+    onPeerContent;
+  std::function<std::int32_t()> ownContentHash;
+
   /** Quarantine marks to send with the next datagram. Optional. */
   std::function<std::vector<wire::QuarantineMark>()> takeMarks;
   std::function<void(const std::vector<wire::QuarantineMark>&)> mergeMarks;
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -1098,6 +1098,10 @@
   this->onBehalfOf = val;
 __isset.onBehalfOf = true;
 }
+
+void Ping::__set_contentHash(const int32_t val) {
+  this->contentHash = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ping& obj)
 {
   obj.printTo(out);
@@ -1198,6 +1202,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1256,6 +1268,10 @@
     xfer += oprot->writeString(this->onBehalfOf);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1269,6 +1285,7 @@
   swap(a.updates, b.updates);
   swap(a.marks, b.marks);
   swap(a.onBehalfOf, b.onBehalfOf);
+  swap(a.contentHash, b.contentHash);
   swap(a.__isset, b.__isset);
 }
 
@@ -1279,6 +1296,7 @@
   updates = other37.updates;
   marks = other37.marks;
   onBehalfOf = other37.onBehalfOf;
+  contentHash = other37.contentHash;
   __isset = other37.__isset;
 }
 Ping::Ping(Ping&& other38) noexcept {
@@ -1288,6 +1306,7 @@
   updates = std::move(other38.updates);
   marks = std::move(other38.marks);
   onBehalfOf = std::move(other38.onBehalfOf);
+  contentHash = other38.contentHash;
   __isset = other38.__isset;
 }
 Ping& Ping::operator=(const Ping& other39) {
@@ -1297,6 +1316,7 @@
   updates = other39.updates;
   marks = other39.marks;
   onBehalfOf = other39.onBehalfOf;
+  contentHash = other39.contentHash;
   __isset = other39.__isset;
   return *this;
 }
@@ -1307,6 +1327,7 @@
   updates = std::move(other40.updates);
   marks = std::move(other40.marks);
   onBehalfOf = std::move(other40.onBehalfOf);
+  contentHash = other40.contentHash;
   __isset = other40.__isset;
   return *this;
 }
@@ -1319,6 +1340,7 @@
   out << ", " << "updates=" << to_string(updates);
   out << ", " << "marks=" << to_string(marks);
   out << ", " << "onBehalfOf="; (__isset.onBehalfOf ? (out << to_string(onBehalfOf)) : (out << "<null>"));
+  out << ", " << "contentHash=" << to_string(contentHash);
   out << ")";
 }
 
@@ -1346,6 +1368,10 @@
 void Ack::__set_marks(const std::vector<QuarantineMark> & val) {
   this->marks = val;
 }
+
+void Ack::__set_contentHash(const int32_t val) {
+  this->contentHash = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ack& obj)
 {
   obj.printTo(out);
@@ -1438,6 +1464,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1491,6 +1525,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1503,6 +1541,7 @@
   swap(a.version, b.version);
   swap(a.updates, b.updates);
   swap(a.marks, b.marks);
+  swap(a.contentHash, b.contentHash);
   swap(a.__isset, b.__isset);
 }
 
@@ -1512,6 +1551,7 @@
   version = other53.version;
   updates = other53.updates;
   marks = other53.marks;
+  contentHash = other53.contentHash;
   __isset = other53.__isset;
 }
 Ack::Ack(Ack&& other54) noexcept {
@@ -1520,6 +1560,7 @@
   version = other54.version;
   updates = std::move(other54.updates);
   marks = std::move(other54.marks);
+  contentHash = other54.contentHash;
   __isset = other54.__isset;
 }
 Ack& Ack::operator=(const Ack& other55) {
@@ -1528,6 +1569,7 @@
   version = other55.version;
   updates = other55.updates;
   marks = other55.marks;
+  contentHash = other55.contentHash;
   __isset = other55.__isset;
   return *this;
 }
@@ -1537,6 +1579,7 @@
   version = other56.version;
   updates = std::move(other56.updates);
   marks = std::move(other56.marks);
+  contentHash = other56.contentHash;
   __isset = other56.__isset;
   return *this;
 }
@@ -1548,6 +1591,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "updates=" << to_string(updates);
   out << ", " << "marks=" << to_string(marks);
+  out << ", " << "contentHash=" << to_string(contentHash);
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -503,13 +503,14 @@
 std::ostream& operator<<(std::ostream& out, const QuarantineMark& obj);
 
 typedef struct _Ping__isset {
-  _Ping__isset() : sequence(false), host(false), version(false), updates(false), marks(false), onBehalfOf(false) {}
+  _Ping__isset() : sequence(false), host(false), version(false), updates(false), marks(false), onBehalfOf(false), contentHash(false) {}
   bool sequence :1;
   bool host :1;
   bool version :1;
   bool updates :1;
   bool marks :1;
   bool onBehalfOf :1;
+  bool contentHash :1;
 } _Ping__isset;
 
 class Ping : public virtual ::apache::thrift::TBase {
@@ -523,7 +524,8 @@
        : sequence(0),
          host(),
          version(0),
-         onBehalfOf() {
+         onBehalfOf(),
+         contentHash(0) {
   }
 
   virtual ~Ping() noexcept;
@@ -536,6 +538,10 @@
    * Set when the ping is sent for another member; its Ack goes there.
    */
   std::string onBehalfOf;
+  /**
+   * Low half of the content hash of version; 0 when it is not told.
+   */
+  int32_t contentHash;
 
   _Ping__isset __isset;
 
@@ -551,6 +557,8 @@
 
   void __set_onBehalfOf(const std::string& val);
 
+  void __set_contentHash(const int32_t val);
+
   bool operator == (const Ping & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -567,6 +575,8 @@
       return false;
     else if (__isset.onBehalfOf && !(onBehalfOf == rhs.onBehalfOf))
       return false;
+    if (!(contentHash == rhs.contentHash))
+      return false;
     return true;
   }
   bool operator != (const Ping &rhs) const {
@@ -586,12 +596,13 @@
 std::ostream& operator<<(std::ostream& out, const Ping& obj);
 
 typedef struct _Ack__isset {
-  _Ack__isset() : sequence(false), host(false), version(false), updates(false), marks(false) {}
+  _Ack__isset() : sequence(false), host(false), version(false), updates(false), marks(false), contentHash(false) {}
   bool sequence :1;
   bool host :1;
   bool version :1;
   bool updates :1;
   bool marks :1;
+  bool contentHash :1;
 } _Ack__isset;
 
 class Ack : public virtual ::apache::thrift::TBase {
@@ -604,7 +615,8 @@
   Ack() noexcept
       : sequence(0),
         host(),
-        version(0) {
+        version(0),
+        contentHash(0) {
   }
 
   virtual ~Ack() noexcept;
@@ -613,6 +625,10 @@
   int64_t version;
   std::vector<MemberRecord>  updates;
   std::vector<QuarantineMark>  marks;
+  /**
+   * As in Ping.
+   */
+  int32_t contentHash;
 
   _Ack__isset __isset;
 
@@ -626,6 +642,8 @@
 
   void __set_marks(const std::vector<QuarantineMark> & val);
 
+  void __set_contentHash(const int32_t val);
+
   bool operator == (const Ack & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -638,6 +656,8 @@
       return false;
     if (!(marks == rhs.marks))
       return false;
+    if (!(contentHash == rhs.contentHash))
+      return false;
     return true;
   }
   bool operator != (const Ack &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -77,6 +77,8 @@
   5: list<QuarantineMark> marks
   /** Set when the ping is sent for another member; its Ack goes there. */
   6: optional string onBehalfOf
+  /** Low half of the content hash of version; 0 when it is not told. */
+  7: i32 contentHash
 }
 
 struct Ack {
@@ -85,6 +87,8 @@
   3: i64 version
   4: list<MemberRecord> updates
   5: list<QuarantineMark> marks
+  /** As in Ping. */
+  6: i32 contentHash
 }
 
 struct PingRequest {
