--- a/src/daemon/controlservicehooks.cpp
+++ b/src/daemon/controlservicehooks.cpp
@@ -44,6 +44,14 @@
     this->distributor.PeerVersion(aHost, aVersion);
   };
   member.ownVersion = [this] { return this->distributor.Held()->Version(); };
+  member.onPeerContent = [this](const std::string& aHost,
+                                std::int64_t aVersion,
+                                std::int32_t aShortHash) {
+    this->distributor.PeerContent(aHost, aVersion, aShortHash);
+  };
+  member.ownContentHash = [this] {
+    return ShortHashOf(*this->distributor.Held());
+  };
   member.takeMarks = this->hooks.takeMarks;
   member.mergeMarks = [this](const std::vector<wire::QuarantineMark>& aMarks) {
     this->hooks.mergeMarks(aMarks);
