Count load reports among the fields of an envelope

Cause: the check that an envelope has exactly one field listed 17 of its 18 fields. A LoadReport had none of them, so EncodeEnvelope refused to send it and feeders never learned the load of the other hosts of their domain. Change: the list has all 18 fields. Check: codec_test TakesLoadReports; it fails with the field taken out. Conclusion: load reports arrive.

--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -77,12 +77,12 @@
 FieldsSet(const wire::Envelope& aEnvelope)
 {
   const auto& set = aEnvelope.__isset;
-  const std::array<bool, 17> fields{
+  const std::array<bool, 18> fields{
     set.hello,        set.ping,          set.ack,         set.pingRequest,
     set.memberSync,   set.domainSummary, set.configPush,  set.configFetch,
     set.configAnswer, set.callRequest,   set.callAnswer,  set.callCancel,
     set.callQuery,    set.claimRequest,  set.claimAnswer, set.statusReport,
-    set.heartbeat
+    set.heartbeat,    set.loadReport
   };
   return static_cast<int>(std::ranges::count(fields, true));
 }
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -214,3 +214,18 @@
   empty.Append(std::string(4, '\0'));
   cr_assert_eq(empty.Next().error().code, PeerErrorCode::Malformed);
 }
+
+// Guards against a kind of message that the check for exactly one field does
+// not count: load reports were refused on both sides.
+Test(codec, TakesLoadReports)
+{
+  wire::LoadReport report;
+  report.host = "host";
+  wire::Envelope envelope;
+  envelope.__set_loadReport(report);
+  const auto encoded = EncodeEnvelope(envelope, kMaxBytes);
+  cr_assert(encoded.has_value());
+  const auto decoded = DecodeEnvelope(encoded.value());
+  cr_assert(decoded.has_value());
+  cr_expect(decoded.value() == envelope);
+}
