Refuse peer messages with unknown enum values

Cause: the generated code takes any number for an enum. A member record of state 99 outranked every known state in the merge, entered the member table and was passed on by gossip; unknown claim states reached the shard objects. Change: DecodeEnvelope checks the enums of records, summaries, call answers and claims and names the unknown value. A new value has to raise the protocol number, as peer.thrift says. The samples of codec_test had state 0, which no daemon sends; they have valid states now, and the test is as strict as before. Conclusion: such frames close the session with a logged reason.

--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -1,5 +1,6 @@
 #include "peer/codec.h"
 
+#include "peer/enumcheck.h"
 #include "peer/framer.h"
 
 #include <thrift/TConfiguration.h>
@@ -168,6 +169,9 @@
     if (FieldsSet(envelope) != 1) {
       return MalformedError("envelope must have exactly one field");
     }
+    if (auto unknown = UnknownEnumValue(envelope)) {
+      return MalformedError(std::move(*unknown));
+    }
     return envelope;
   } catch (const std::exception& error) {
     return MalformedError(error.what());
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -33,7 +33,10 @@
 {
   wire::MemberRecord record;
   record.host = "host";
-  record.endpoints.resize(3);
+  record.state = wire::MemberState::ALIVE;
+  wire::Endpoint endpoint;
+  endpoint.state = wire::EndpointState::READY;
+  record.endpoints.assign(3, endpoint);
   record.endpoints[1].serviceName = "orders";
   wire::MemberSync sync;
   sync.records.assign(20, record);
