Send a Hello to a peer of another protocol before closing

Cause: a daemon that dialled one of another protocol number only saw its session closed by the other side, so its log did not say why. Rejected datagrams were logged without the reason. Change: the accepting side answers with its Hello, in which the other finds the protocol number. The debug line of a rejected datagram has the reason. Conclusion: both logs name both numbers.

--- a/src/peer/datagramsocket.cpp
+++ b/src/peer/datagramsocket.cpp
@@ -81,7 +81,10 @@
   auto envelope = DecodeEnvelope({ buffer.data(), bytes });
   if (bytes > kMaxDatagramBytes || !envelope) {
     ++this->counting.framesRejected;
-    kLog.Debug("datagram from {} rejected", remote.address);
+    kLog.Debug("datagram from {} rejected: {}",
+               remote.address,
+               bytes > kMaxDatagramBytes ? "longer than 1200 bytes"
+                                         : envelope.error().detail);
     return true;
   }
   this->onDatagram(remote, std::move(envelope).value());
--- a/src/peer/peersession.cpp
+++ b/src/peer/peersession.cpp
@@ -289,6 +289,11 @@
 {
   if (aHello.protocol != wire::g_peer_constants.PROTOCOL_VERSION) {
     ++this->context.counting.framesRejected;
+    if (!this->isDialled) {
+      // The other side logs the protocol number that it finds in it.
+      this->SendHello();
+      this->Flush();
+    }
     this->Close(fmt::format("protocol {} instead of {}",
                             aHello.protocol,
                             wire::g_peer_constants.PROTOCOL_VERSION));
