--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -1,5 +1,6 @@
 #include "peer/codec.h"
 
+#include "peer/enumcheck.h"
 #include "peer/framer.h"
 
 #include <thrift/TConfiguration.h>
@@ -77,12 +78,12 @@
 FieldsSet(const wire::Envelope& aEnvelope)
 {
   const auto& set = aEnvelope.__isset;
-  const std::array<bool, 17> fields{
+  const std::array<bool, 18> fields{
     set.hello,        set.ping,          set.ack,         set.pingRequest,
     set.memberSync,   set.domainSummary, set.configPush,  set.configFetch,
     set.configAnswer, set.callRequest,   set.callAnswer,  set.callCancel,
     set.callQuery,    set.claimRequest,  set.claimAnswer, set.statusReport,
-    set.heartbeat
+    set.heartbeat,    set.loadReport
   };
   return static_cast<int>(std::ranges::count(fields, true));
 }
@@ -168,6 +169,9 @@
     if (FieldsSet(envelope) != 1) {
       return MalformedError("envelope must have exactly one field");
     }
+    if (auto unknown = UnknownEnumValue(envelope)) {
+      return MalformedError(std::move(*unknown));
+    }
     return envelope;
   } catch (const std::exception& error) {
     return MalformedError(error.what());
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -33,7 +33,10 @@
 {
   wire::MemberRecord record;
   record.host = "host";
-  record.endpoints.resize(3);
+  record.state = wire::MemberState::ALIVE;
+  wire::Endpoint endpoint;
+  endpoint.state = wire::EndpointState::READY;
+  record.endpoints.assign(3, endpoint);
   record.endpoints[1].serviceName = "orders";
   wire::MemberSync sync;
   sync.records.assign(20, record);
@@ -214,3 +217,18 @@
   empty.Append(std::string(4, '\0'));
   cr_assert_eq(empty.Next().error().code, PeerErrorCode::Malformed);
 }
+
+// Guards against a kind of message that the check for exactly one field does
+// not count: load reports were refused on both sides.
+Test(codec, TakesLoadReports)
+{
+  wire::LoadReport report;
+  report.host = "host";
+  wire::Envelope envelope;
+  envelope.__set_loadReport(report);
+  const auto encoded = EncodeEnvelope(envelope, kMaxBytes);
+  cr_assert(encoded.has_value());
+  const auto decoded = DecodeEnvelope(encoded.value());
+  cr_assert(decoded.has_value());
+  cr_expect(decoded.value() == envelope);
+}
