--- a/bench/calls.cpp
+++ b/bench/calls.cpp
@@ -38,6 +38,7 @@
   double seconds = 0.25; // Of one step.
   double lightPerSecond = 600;
   double loadShare = 0.7;
+  std::string daemonProgram = "lacewingwharfd"; // In the build directory.
   std::string only; // Part of a row's name; empty: all rows.
   bool isCsv = false;
 };
@@ -53,6 +54,7 @@
                            { "light", required_argument, nullptr, 'l' },
                            { "share", required_argument, nullptr, 'h' },
                            { "only", required_argument, nullptr, 'o' },
+                           { "daemon", required_argument, nullptr, 'p' },
                            { "csv", no_argument, nullptr, 'c' },
                            { nullptr, 0, nullptr, 0 } };
   int choice = 0;
@@ -79,6 +81,9 @@
       case 'o':
         options.only = optarg;
         break;
+      case 'p':
+        options.daemonProgram = optarg;
+        break;
       case 'c':
         options.isCsv = true;
         break;
@@ -248,10 +253,11 @@
     fmt::print(stderr,
                "usage: bench-calls [--slots N] [--service-ms MS] [--rounds N]\n"
                "         [--seconds S] [--light CALLS/S] [--share SLOTS]\n"
-               "         [--only PART] [--csv]\n");
+               "         [--only PART] [--daemon PROGRAM] [--csv]\n");
     return EXIT_FAILURE;
   }
-  CallWorld world(options->slots, options->serviceMillis);
+  CallWorld world(
+    options->slots, options->serviceMillis, options->daemonProgram);
   if (!world.IsServing()) {
     fmt::print(stderr, "the daemons do not answer\n");
     return EXIT_FAILURE;
--- a/bench/callworld.h
+++ b/bench/callworld.h
@@ -65,7 +65,7 @@
 class CallWorld
 {
 public:
-  CallWorld(int aSlots, int aServiceMillis);
+  CallWorld(int aSlots, int aServiceMillis, std::string aDaemonProgram);
   ~CallWorld();
 
   CallWorld(const CallWorld&) = delete;
@@ -84,6 +84,7 @@
 
   int slots;
   int serviceMillis;
+  std::string daemonProgram;
   std::string folder;
   int platformPort;
   int callPort;
@@ -94,9 +95,12 @@
   std::vector<ChildProcess> daemons;
 };
 
-inline CallWorld::CallWorld(int aSlots, int aServiceMillis)
+inline CallWorld::CallWorld(int aSlots,
+                            int aServiceMillis,
+                            std::string aDaemonProgram)
   : slots(aSlots)
   , serviceMillis(aServiceMillis)
+  , daemonProgram(std::move(aDaemonProgram))
   , platformPort(FreePort())
   , callPort(FreePort())
   , adminPort(FreePort())
@@ -146,7 +150,7 @@
     kFarAddress,
     this->peerPort);
   this->daemons.push_back(
-    StartLogged("lacewingwharfd",
+    StartLogged(this->daemonProgram,
                 fmt::format("{}/{}.log", this->folder, aName),
                 { "--config", path }));
 }
