Serve the number of divergent peers after the split of the control service

Cause: the metric was added to a file that was split meanwhile. Change: it is set with the other metrics.

--- a/src/daemon/controlservicestate.cpp
+++ b/src/daemon/controlservicestate.cpp
@@ -116,6 +116,9 @@
   set("lacewingwharf_version",
       "Accepted version that this daemon holds",
       static_cast<double>(this->distributor.Held()->Version()));
+  set("lacewingwharf_divergent_peers",
+      "Peers with other content under the version that this daemon holds",
+      static_cast<double>(this->distributor.DivergentPeers()));
   set("lacewingwharf_members",
       "Live members of the failure domain",
       static_cast<double>(
