Use a fleet-wide limit wherever its calls enter

Cause: limits are split over failure domains by slots while calls prefer the nearest domain, so calls that enter in one domain got only its part. Ruled out: missing summaries (they are there some seconds after the start) and an error in the split (160 calls/s offered in four domains got 41/s of a limit of 40/s). Change: LimitMemory remembers where an entry's limit was met; the call goes on to the next domain, and when all are at their limit it is refused without asking. Refusals by a limit are tried elsewhere whatever the retry budget.

--- a/src/execution/callanswer.cpp
+++ b/src/execution/callanswer.cpp
@@ -1,5 +1,7 @@
 #include "execution/callanswer.h"
 
+#include "execution/limitmemory.h"
+
 #include <fmt/format.h>
 
 #include <utility>
@@ -9,7 +11,7 @@
 bool
 IsFreeToRetry(RefusalReason aReason)
 {
-  return aReason == RefusalReason::Draining ||
+  return IsLimit(aReason) || aReason == RefusalReason::Draining ||
          aReason == RefusalReason::NotConnected ||
          aReason == RefusalReason::Fenced ||
          aReason == RefusalReason::ShuttingDown;
@@ -19,9 +21,7 @@
 IsWorthRetry(RefusalReason aReason)
 {
   return aReason != RefusalReason::DeadlinePassed &&
-         aReason != RefusalReason::Quarantined &&
-         aReason != RefusalReason::OwnerRate &&
-         aReason != RefusalReason::EntryRate;
+         aReason != RefusalReason::Quarantined;
 }
 
 Refusal
--- a/src/execution/entrycall.h
+++ b/src/execution/entrycall.h
@@ -53,6 +53,9 @@
   Millis nextQueryAt = 0;
   Millis queryUntil = 0;
 
+  /** Why the latest attempt was not run, if it was refused. */
+  std::optional<Refusal> lastRefusal;
+
   /** An earlier attempt may have run, so `not-run` would be untrue. */
   bool mayHaveRun = false;
   bool hasCallerLeft = false;
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "execution/callanswer.h"
 #include "execution/callrequest.h"
+#include "execution/limitmemory.h"
 
 #include <fmt/format.h>
 
@@ -44,6 +45,7 @@
             [this](const EndpointInfo& aTo, wire::Envelope aEnvelope) {
               return this->SendTo(aTo, std::move(aEnvelope));
             })
+  , limitMemory(aClock)
   , retryBudget(std::move(aClock))
 {
 }
@@ -59,6 +61,7 @@
 void
 EntryCalls::SetView(EndpointViewPtr aView)
 {
+  this->view = aView;
   this->chooser.SetView(std::move(aView));
 }
 
@@ -147,9 +150,10 @@
 void
 EntryCalls::StartAttempt(const EntryCallPtr& aCall)
 {
-  const auto choice = this->chooser.Choose(aCall->entry->service, aCall->tried);
+  const auto choice = this->chooser.Choose(
+    aCall->entry->service, this->limitMemory.LeftOut(*this->view, *aCall));
   if (!choice) {
-    this->RefuseReason(aCall, RefusalReason::NoEndpoint);
+    this->Refuse(aCall, this->limitMemory.RefusalFor(*aCall));
     return;
   }
   ++aCall->attempts;
@@ -277,14 +281,17 @@
     this->HandleUnknown(aCall, "session-lost");
     return;
   }
-  const RefusalReason reason = RefusalOf(aAnswer).reason;
-  const bool isLost = reason == RefusalReason::NotConnected;
+  const Refusal refusal = RefusalOf(aAnswer);
+  const bool isLost = refusal.reason == RefusalReason::NotConnected;
   this->Observe(*aCall, isLost ? CallEnd::Lost : CallEnd::Refused, aAnswer);
-  if (IsWorthRetry(reason) && this->MayRetry(*aCall, IsFreeToRetry(reason))) {
+  this->limitMemory.Note(*aCall, refusal);
+  if (IsWorthRetry(refusal.reason) &&
+      this->MayRetry(*aCall, IsFreeToRetry(refusal.reason))) {
+    aCall->lastRefusal = refusal;
     this->StartAttempt(aCall);
     return;
   }
-  this->Refuse(aCall, RefusalOf(aAnswer));
+  this->Refuse(aCall, refusal);
 }
 
 void
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -5,6 +5,7 @@
 #include "common/random.h"
 #include "execution/callqueries.h"
 #include "execution/entrycall.h"
+#include "execution/limitmemory.h"
 #include "execution/opencalls.h"
 #include "peer/peernetwork.h"
 #include "peer_types.h"
@@ -115,10 +116,12 @@
   EntryCallsHooks hooks;
   ServerChooser chooser;
   SnapshotPtr snapshot;
+  EndpointViewPtr view = std::make_shared<EndpointView>();
   std::uint64_t nextCall = 1;
   bool isStopping = false;
   OpenCalls open;
   CallQueries queries;
+  LimitMemory limitMemory;
   RetryBudget retryBudget;
 };
 
