Make the stop test see calls from another failure domain

Cause: with servers everywhere a daemon prefers its own failure domain, so the test passed although late calls of other daemons were not refused. Change: one failure domain depends on the servers of the other, calls without keys come faster, and a summary is sent just before the daemon leaves.

--- a/src/daemon/controlservicehooks.cpp
+++ b/src/daemon/controlservicehooks.cpp
@@ -120,13 +120,14 @@
 {
   return
     [this, aIsCatalogue](PlatformResult<ObjectList> aResult, bool aIsFullList) {
-      this->loop.Post([this, aIsCatalogue, aIsFullList, result = aResult] {
-        if (aIsCatalogue) {
-          this->distributor.CatalogueChanged(result, aIsFullList);
-        } else {
-          this->distributor.AcceptedChanged(result, aIsFullList);
-        }
-      });
+      this->loop.Post(
+        [this, aIsCatalogue, aIsFullList, result = std::move(aResult)] {
+          if (aIsCatalogue) {
+            this->distributor.CatalogueChanged(result, aIsFullList);
+          } else {
+            this->distributor.AcceptedChanged(result, aIsFullList);
+          }
+        });
     };
 }
 
--- a/src/daemon/drainfleet_test.cpp
+++ b/src/daemon/drainfleet_test.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <map>
 #include <string>
+#include <vector>
 
 using namespace lacewingwharf;
 
@@ -48,10 +49,10 @@
 
 /** Starts everything and waits until each daemon serves the route. */
 void
-StartServing(Fleet& aFleet)
+StartServing(Fleet& aFleet, const std::vector<std::size_t>& aServers)
 {
   aFleet.StartAll();
-  for (const std::size_t host : aFleet.AllHosts()) {
+  for (const std::size_t host : aServers) {
     StartServer(aFleet, host);
   }
   cr_assert(aFleet.Put("work", kService));
@@ -74,12 +75,17 @@
   config.method = aMethod;
   config.threads = 6;
   config.gap = 5;
-  if (aMethod == "POST") {
-    // Each key costs writes of claims, which the platform's budget bounds.
-    config.threads = 3;
-    config.gap = 200;
-    config.hasKeys = true;
-  }
+  return config;
+}
+
+/** Each key costs writes of claims, which the platform's budget bounds. */
+FleetCallerConfig
+KeyedLoad(const Fleet& aFleet)
+{
+  FleetCallerConfig config = Load(aFleet, "POST");
+  config.threads = 3;
+  config.gap = 200;
+  config.hasKeys = true;
   return config;
 }
 
@@ -117,7 +123,8 @@
   constexpr Millis kBound = 3000;
   constexpr std::size_t kMoreCalls = 300;
   Fleet fleet(TwoDomains(2, 2));
-  StartServing(fleet);
+  // The other failure domain depends on the servers of this one.
+  StartServing(fleet, { 0, 1 });
   FleetCaller gets(Load(fleet, "GET"));
   FleetCaller posts(Load(fleet, "POST"));
   cr_assert(WaitUntil([&] { return posts.Ended() > 15; }));
@@ -143,10 +150,18 @@
 Test(drainfleet, a_daemon_that_stops_under_load_cuts_no_call)
 {
   Fleet fleet(TwoDomains(2, 2));
-  StartServing(fleet);
+  // The other failure domain depends on the servers of this one.
+  StartServing(fleet, { 0, 1 });
   FleetCaller gets(Load(fleet, "GET"));
   FleetCaller posts(Load(fleet, "POST"));
   cr_assert(WaitUntil([&] { return posts.Ended() > 15; }));
+  // A summary has just been sent, so the next one, which tells the other
+  // failure domain that the daemon leaves, comes as late as it can.
+  fleet.StartBackend(1, "work", kBackendPort + 1);
+  cr_assert(WaitUntil([&] {
+    return fleet.Members(0).dump().find(std::to_string(kBackendPort + 1)) !=
+           std::string::npos;
+  }));
   fleet.Daemon(0).Terminate();
   cr_expect_eq(fleet.Daemon(0).Wait(30000).value_or(-1), 0);
   const std::size_t ended = gets.Ended() + posts.Ended();
@@ -166,9 +181,9 @@
 {
   Fleet fleet(TwoDomains(2, 1));
   std::map<std::string, int> runs;
-  StartServing(fleet);
+  StartServing(fleet, fleet.AllHosts());
   FleetCaller gets(Load(fleet, "GET"));
-  FleetCaller posts(Load(fleet, "POST"));
+  FleetCaller posts(KeyedLoad(fleet));
   cr_assert(WaitUntil([&] { return posts.Ended() > 15; }));
   for (const std::size_t host : fleet.AllHosts()) {
     fleet.Backend(host, kBackendPort).Terminate();
