--- a/src/execution/claimwriter.cpp
+++ b/src/execution/claimwriter.cpp
@@ -86,7 +86,7 @@
 {
   return std::ranges::any_of(
     aShard.waiting, [this, aNow](const Waiting& aWaiting) {
-      return aWaiting.request.wanted != wire::ClaimState::DONE ||
+      return aWaiting.request.wanted == wire::ClaimState::HELD ||
              aNow - aWaiting.since >= this->config.lazyDelay;
     });
 }
