Take no duties before the start is over

Cause: a new process knows no members yet, so it was first in every order, took itself for feeder and acceptor, opened both watches and listed the whole catalogue from the platform.

Change: Distributor::IsFeeder() and IsAcceptor() are false until the start is over. bench-convergence gives every daemon first peers of all domains by default, since domains do not meet when only members that are not feeders know each other.

Test: distributor_test, seen to fail without the change.

--- a/bench/convergencefleet.h
+++ b/bench/convergencefleet.h
@@ -188,8 +188,9 @@
   }
 
   /**
-   * Two members of the own domain; the first two of each domain, or all with
-   * --seeds all, also list those of the others.
+   * Two members of each domain. With --seeds domain only the first two of each
+   * domain list those of the others; domains then meet only when these are
+   * feeders.
    */
   std::string SeedsOf(std::size_t aDaemon) const
   {
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -253,7 +253,7 @@
 void
 Distributor::TickAcceptor()
 {
-  this->acceptor.SetActive(this->isAcceptor);
+  this->acceptor.SetActive(this->IsAcceptor());
   // An acceptor that knows of a newer version would publish from an old base.
   if (this->isStartOver && this->startRule.MayPublish() && !this->IsBehind()) {
     this->acceptor.Tick();
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -86,6 +86,10 @@
   void CatalogueChanged(const PlatformResult<ObjectList>& aResult,
                         bool aIsFullList);
 
+  /**
+   * False until the start is over: a process that knows no members yet would
+   * take both duties and read the whole catalogue from the platform.
+   */
   bool IsFeeder() const;
   bool IsAcceptor() const;
   const SnapshotPtr& Held() const;
@@ -141,13 +145,13 @@
 inline bool
 Distributor::IsFeeder() const
 {
-  return this->feederRank.has_value();
+  return this->isStartOver && this->feederRank.has_value();
 }
 
 inline bool
 Distributor::IsAcceptor() const
 {
-  return this->isAcceptor;
+  return this->isStartOver && this->isAcceptor;
 }
 
 inline const SnapshotPtr&
--- a/src/distribution/distributor_test.cpp
+++ b/src/distribution/distributor_test.cpp
@@ -122,6 +122,32 @@
   cr_assert_geq(fleet.Get(host).Held()->Version(), 4);
 }
 
+// Guards against a catalogue read over the region link at each start: a new
+// process knows no members yet and took itself for feeder and acceptor.
+Test(distributor, ANewProcessHasNoDutiesUntilItsStartIsOver)
+{
+  Log::SetLevel(LogLevel::Error);
+  ManualClock clock(1000);
+  DistributorConfig config;
+  config.host = "h0";
+  DistributorHooks hooks;
+  hooks.send = [](const std::string&, const wire::Envelope&) {};
+  hooks.domainMembers = [] { return std::vector<std::string>{ "h0" }; };
+  hooks.acceptorCandidates = hooks.domainMembers;
+  hooks.submit = [](const PlatformJob&) { return false; };
+  hooks.onHeld = [](const SnapshotPtr&) {};
+  Distributor distributor(config, clock.View(), SeededRandom(1), hooks);
+  distributor.Tick();
+  clock.Advance(1000);
+  distributor.Tick();
+  cr_assert_not(distributor.IsFeeder());
+  cr_assert_not(distributor.IsAcceptor());
+  clock.Advance(1500);
+  distributor.Tick();
+  cr_assert(distributor.IsFeeder());
+  cr_assert(distributor.IsAcceptor());
+}
+
 // Guards against a start that is over before three peers and the platform
 // have answered, or while a newer version is known but not yet fetched.
 Test(distributor, AStartHearsThreePeersAndThePlatform)
