Refuse service names that no entry can have; show states by name

Cause: an announcement took any text as the service's name, also one too long for a datagram. GET /v1/members printed states as numbers ("state":"2"). GET /v1/entries/NAME gave a revision only, which says nothing about the text after a restore of the store or when a text is written again. Change: names are checked as in catalogue entries; states are printed as READY, ALIVE and so on; the entry's textHash is added.

--- a/src/daemon/adminservice.cpp
+++ b/src/daemon/adminservice.cpp
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace lacewingwharf {
@@ -65,6 +67,18 @@
   return static_cast<int>(value);
 }
 
+// As for catalogue entries; a longer name would not fit in a datagram.
+bool
+IsServiceName(const std::string& aName)
+{
+  constexpr std::size_t kMaxLength = 128;
+  return aName.size() <= kMaxLength &&
+         std::ranges::all_of(aName, [](unsigned char aCharacter) {
+           return std::isalnum(aCharacter) != 0 || aCharacter == '-' ||
+                  aCharacter == '_' || aCharacter == '.';
+         });
+}
+
 Result<Announcement, AnnouncementError>
 ParseAnnouncement(const std::string& aService, const std::string& aBody)
 {
@@ -72,6 +86,10 @@
   if (!body.is_object() || aService.empty()) {
     return failure(AnnouncementError{ "expected a service and a JSON object" });
   }
+  if (!IsServiceName(aService)) {
+    return failure(AnnouncementError{
+      "the service's name must be 1 to 128 letters, digits, '-', '_' or '.'" });
+  }
   const auto port = NumberField(body, "port", 1, kMaxPort);
   const auto slots = NumberField(body, "slots", 1, kMaxSlots);
   const auto connections = NumberField(body, "connections", 1, kMaxSlots);
--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -1,5 +1,6 @@
 #include "daemon/controlservice.h"
 
+#include "common/hash.h"
 #include "common/log.h"
 #include "common/random.h"
 #include "platform/httpobjectstore.h"
@@ -513,13 +514,13 @@
             return Json{ { "service", aEndpoint.serviceName },
                          { "port", aEndpoint.port },
                          { "slots", aEndpoint.slots },
-                         { "state", fmt::format("{}", aEndpoint.state) } };
+                         { "state", wire::to_string(aEndpoint.state) } };
           });
         rows.push_back({ { "host", aRecord.host },
                          { "domain", aRecord.domain },
                          { "incarnation", aRecord.incarnation },
                          { "sequence", aRecord.sequence },
-                         { "state", fmt::format("{}", aRecord.state) },
+                         { "state", wire::to_string(aRecord.state) },
                          { "endpoints", std::move(endpoints) } });
       });
   });
@@ -536,6 +537,7 @@
     if (accepted != nullptr && this->distributor.IsReady()) {
       state = { { "name", aName },
                 { "revision", accepted->revision },
+                { "textHash", Hash64(accepted->text) },
                 { "version", held->Version() } };
     }
   });
