Log the reason when an edit is rejected

Cause: the acceptor logged only how many edits of a version were rejected. Change: each new text under status/NAME/acceptance is logged once it is written.

--- a/src/distribution/acceptancestatus.cpp
+++ b/src/distribution/acceptancestatus.cpp
@@ -1,5 +1,7 @@
 #include "distribution/acceptancestatus.h"
 
+#include "common/log.h"
+
 #include <nlohmann/json.hpp>
 
 #include <string_view>
@@ -9,6 +11,7 @@
 
 namespace {
 
+constexpr Log kLog("acceptor");
 constexpr std::string_view kStatusPrefix = "status/";
 constexpr std::string_view kAcceptanceSuffix = "/acceptance";
 
@@ -77,6 +80,7 @@
     const bool isSame = old != aOld.end() && old->second == text;
     if (!isSame && writes++ < kMaxWritesPerJob &&
         aStore.put(AcceptanceName(entry), text, kAnyRevision)) {
+      kLog.Warning("status of {}: {}", entry, text);
       present[entry] = text;
     }
   }
