--- a/src/ctl/catalogueeditor.cpp
+++ b/src/ctl/catalogueeditor.cpp
@@ -1,6 +1,7 @@
 #include "ctl/catalogueeditor.h"
 
 #include "catalogue/entry.h"
+#include "ctl/jsonvalue.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -63,6 +64,26 @@
   return lines;
 }
 
+std::string_view
+AdviceFor(PlatformErrorCode aCode)
+{
+  switch (aCode) {
+    case PlatformErrorCode::Unreachable:
+      return "nothing was written; check --platform and try again";
+    case PlatformErrorCode::TimedOut:
+      return "a write may have taken effect later; get the entry before trying "
+             "again";
+    case PlatformErrorCode::Throttled:
+      return "nothing was written; try again in a few seconds";
+    case PlatformErrorCode::NotFound:
+      return "there is no such entry; list shows those that exist";
+    case PlatformErrorCode::TooLarge:
+      return "nothing was written; a value may have at most 1 MB";
+    default:
+      return "nothing was written";
+  }
+}
+
 } // namespace
 
 std::string
@@ -91,7 +112,9 @@
     const std::string& name = arguments[i];
     const auto text = ReadText(arguments[i + 1]);
     if (!text) {
-      this->error(fmt::format("{}: cannot be read\n", arguments[i + 1]));
+      this->error(fmt::format("{}: cannot be read; check the file's path and "
+                              "permissions\n",
+                              arguments[i + 1]));
       worst = ExitCode::Usage;
       continue;
     }
@@ -133,62 +156,136 @@
   if (const ExitCode read = this->ReadEdits(edits); read != ExitCode::Ok) {
     return read;
   }
-  for (const Edit& edit : edits) {
-    if (const ExitCode put = this->PutOne(edit); put != ExitCode::Ok) {
+  for (std::size_t i = 0; i < edits.size(); ++i) {
+    if (const ExitCode put = this->PutOne(edits[i]); put != ExitCode::Ok) {
+      this->ReportPartialPut(edits, i);
       return put;
     }
   }
   return ExitCode::Ok;
 }
 
+std::int64_t
+CatalogueEditor::ExpectedOf(const std::string& aName) const
+{
+  if (this->options.isForced) {
+    return kAnyRevision;
+  }
+  const auto named = this->options.expectedByName.find(aName);
+  return named != this->options.expectedByName.end()
+           ? named->second
+           : this->options.expectedRevision.value_or(kCreateOnly);
+}
+
 ExitCode
 CatalogueEditor::PutOne(const Edit& aEdit)
 {
-  const std::int64_t expected =
-    this->options.isForced
-      ? kAnyRevision
-      : this->options.expectedRevision.value_or(kCreateOnly);
-  const std::string object = CatalogueObject(aEdit.name);
-  const auto put = this->store.put(object, aEdit.text, expected);
+  const auto put = this->store.put(
+    CatalogueObject(aEdit.name), aEdit.text, this->ExpectedOf(aEdit.name));
   if (put) {
-    this->out(
-      this->options.isJson
-        ? Json({ { "name", aEdit.name }, { "revision", put.value() } }).dump() +
-            "\n"
-        : fmt::format("{}: written at revision {}\n", aEdit.name, put.value()));
+    this->PrintWritten(aEdit.name, put.value());
     return ExitCode::Ok;
   }
-  const PlatformErrorCode code = put.error().code;
-  if (code == PlatformErrorCode::Conflict) {
-    return this->ExplainConflict(aEdit);
+  switch (put.error().code) {
+    case PlatformErrorCode::Conflict:
+      return this->ExplainConflict(aEdit);
+    case PlatformErrorCode::TimedOut:
+      return this->SettleLostPut(aEdit, put.error());
+    default:
+      return this->Report(put.error(), aEdit.name);
   }
-  if (code == PlatformErrorCode::TimedOut) {
-    // The write may have taken effect; reading it back tells.
-    const auto present = this->store.get(object);
-    if (present && present.value().value == aEdit.text) {
-      this->out(fmt::format(
-        "{}: written at revision {}\n", aEdit.name, present.value().revision));
-      return ExitCode::Ok;
-    }
+}
+
+/** The write may have taken effect; reading it back tells. */
+ExitCode
+CatalogueEditor::SettleLostPut(const Edit& aEdit, const PlatformError& aError)
+{
+  const auto present = this->store.get(CatalogueObject(aEdit.name));
+  if (present && present.value().value == aEdit.text) {
+    this->PrintWritten(aEdit.name, present.value().revision);
+    return ExitCode::Ok;
+  }
+  return this->Report(aError, aEdit.name);
+}
+
+void
+CatalogueEditor::ReportPartialPut(const std::vector<Edit>& aEdits,
+                                  std::size_t aWritten)
+{
+  if (aEdits.size() < 2) {
+    return;
   }
-  return this->Report(put.error(), aEdit.name);
+  this->error(fmt::format(
+    "put stopped: {} of {} entries are written\n", aWritten, aEdits.size()));
+  if (!this->options.changeId.empty() && aWritten > 0) {
+    this->error(
+      fmt::format("change set '{}' is not accepted before all its entries are "
+                  "written; put the rest or put back the old texts\n",
+                  this->options.changeId));
+  }
+}
+
+void
+CatalogueEditor::PrintWritten(const std::string& aName, std::int64_t aRevision)
+{
+  this->out(this->options.isJson
+              ? Json({ { "name", aName }, { "revision", aRevision } }).dump() +
+                  "\n"
+              : fmt::format("{}: written at revision {}\n", aName, aRevision));
 }
 
 ExitCode
 CatalogueEditor::ExplainConflict(const Edit& aEdit)
 {
   const auto present = this->store.get(CatalogueObject(aEdit.name));
+  if (!present && present.error().code == PlatformErrorCode::NotFound) {
+    this->error(fmt::format("{}: not written, the entry was removed meanwhile; "
+                            "put it without --expect to create it\n",
+                            aEdit.name));
+    return ExitCode::Conflict;
+  }
   if (!present) {
-    this->error(fmt::format(
-      "{}: not written, the entry was removed meanwhile\n", aEdit.name));
+    this->error(
+      fmt::format("{}: not written, the entry has another revision, which "
+                  "cannot be read now ({}); get it and try again\n",
+                  aEdit.name,
+                  kPlatformErrorNames.NameOf(present.error().code)));
     return ExitCode::Conflict;
   }
+  const std::int64_t revision = present.value().revision;
+  const std::string lines = Differences(aEdit.text, present.value().value);
   this->error(
-    fmt::format("{}: not written, the entry is at revision {} now. From your "
-                "text to the present one:\n{}",
-                aEdit.name,
-                present.value().revision,
-                Differences(aEdit.text, present.value().value)));
+    lines.empty()
+      ? fmt::format("{}: not written, the entry has this content already, at "
+                    "revision {}\n",
+                    aEdit.name,
+                    revision)
+      : fmt::format("{}: not written, the entry is at revision {} now. From "
+                    "your text to the present one:\n{}To replace it, merge "
+                    "these and put with --expect {}\n",
+                    aEdit.name,
+                    revision,
+                    lines,
+                    revision));
+  return ExitCode::Conflict;
+}
+
+ExitCode
+CatalogueEditor::ExplainDeleteConflict(const std::string& aName)
+{
+  const auto present = this->store.get(CatalogueObject(aName));
+  this->error(
+    present
+      ? fmt::format("{}: not removed, the entry is at revision {} now: {}\nTo "
+                    "remove it all the same, give --expect {}\n",
+                    aName,
+                    present.value().revision,
+                    present.value().value,
+                    present.value().revision)
+      : fmt::format("{}: not removed by this command, and cannot be read now "
+                    "({})\n",
+                    aName,
+                    kPlatformErrorNames.NameOf(present.error().code)));
   return ExitCode::Conflict;
 }
 
@@ -226,7 +323,8 @@
   for (const StoredObject& object : objects.value().objects) {
     const Json entry = Json::parse(object.value, nullptr, false);
     const auto field = [&entry](const char* aName) {
-      return entry.is_object() ? entry.value(aName, "-") : std::string("?");
+      return entry.is_object() ? ValueOr<std::string>(entry, aName, "-")
+                               : std::string("?");
     };
     rows.push_back({ { "name", object.name.substr(kCataloguePrefix.size()) },
                      { "kind", field("kind") },
@@ -259,14 +357,25 @@
 CatalogueEditor::Delete()
 {
   const std::string& name = this->options.arguments.front();
-  if (!this->options.isForced && !this->options.expectedRevision) {
-    this->error("delete: expected --expect or --force\n");
+  if (!this->options.isForced && !this->options.expectedRevision &&
+      !this->options.expectedByName.contains(name)) {
+    this->error("delete: expected --expect REVISION (get shows it) or "
+                "--force\n");
     return ExitCode::Usage;
   }
-  const std::int64_t expected =
-    this->options.isForced ? kAnyRevision : *this->options.expectedRevision;
-  const auto removed = this->store.remove(CatalogueObject(name), expected);
-  if (!removed) {
+  const auto removed =
+    this->store.remove(CatalogueObject(name), this->ExpectedOf(name));
+  const bool isLost =
+    !removed && removed.error().code == PlatformErrorCode::TimedOut;
+  if (isLost) {
+    // The delete may have taken effect; reading it back tells.
+    const auto present = this->store.get(CatalogueObject(name));
+    if (present || present.error().code != PlatformErrorCode::NotFound) {
+      return this->Report(removed.error(), name);
+    }
+  } else if (!removed && removed.error().code == PlatformErrorCode::Conflict) {
+    return this->ExplainDeleteConflict(name);
+  } else if (!removed) {
     return this->Report(removed.error(), name);
   }
   this->out(fmt::format("{}: removed\n", name));
@@ -276,11 +385,12 @@
 ExitCode
 CatalogueEditor::Report(const PlatformError& aError, const std::string& aName)
 {
-  this->error(fmt::format("{}: {}{}{}\n",
+  this->error(fmt::format("{}: {}{}{}; {}\n",
                           aName,
                           kPlatformErrorNames.NameOf(aError.code),
                           aError.detail.empty() ? "" : ": ",
-                          aError.detail));
+                          aError.detail,
+                          AdviceFor(aError.code)));
   switch (aError.code) {
     case PlatformErrorCode::NotFound:
       return ExitCode::NotFound;
--- a/src/ctl/catalogueeditor.h
+++ b/src/ctl/catalogueeditor.h
@@ -46,7 +46,12 @@
 
   ExitCode ReadEdits(std::vector<Edit>& aEdits);
   ExitCode PutOne(const Edit& aEdit);
+  std::int64_t ExpectedOf(const std::string& aName) const;
+  ExitCode SettleLostPut(const Edit& aEdit, const PlatformError& aError);
   ExitCode ExplainConflict(const Edit& aEdit);
+  ExitCode ExplainDeleteConflict(const std::string& aName);
+  void ReportPartialPut(const std::vector<Edit>& aEdits, std::size_t aWritten);
+  void PrintWritten(const std::string& aName, std::int64_t aRevision);
   ExitCode Report(const PlatformError& aError, const std::string& aName);
 
   ObjectStore store;
--- a/src/ctl/daemonclient.cpp
+++ b/src/ctl/daemonclient.cpp
@@ -1,5 +1,6 @@
 #include "ctl/daemonclient.h"
 
+#include "ctl/jsonvalue.h"
 #include "platform/storetransfer.h"
 
 #include <fmt/format.h>
@@ -16,10 +17,10 @@
 constexpr long kOk = 200;
 constexpr long kNotFound = 404;
 
-} // namespace
+using Json = DaemonClient::Json;
 
-Result<DaemonClient::Json, DaemonError>
-DaemonClient::Read(const std::string& aUrl)
+Result<Json, DaemonError>
+ReadOverHttp(const std::string& aUrl)
 {
   TransferRequest request;
   request.url = aUrl;
@@ -42,22 +43,38 @@
   return success(std::move(body));
 }
 
+} // namespace
+
+DaemonClient::DaemonClient()
+  : DaemonClient(ReadOverHttp)
+{
+}
+
+DaemonClient::DaemonClient(Reader aReader)
+  : read(std::move(aReader))
+{
+}
+
 Result<DaemonClient::Json, DaemonError>
 DaemonClient::State(const std::string& aDaemon)
 {
-  return this->Read(fmt::format("http://{}/v1/state", aDaemon));
+  return this->read(fmt::format("http://{}/v1/state", aDaemon));
 }
 
-Result<std::int64_t, DaemonError>
-DaemonClient::EntryRevision(const std::string& aDaemon,
-                            const std::string& aName)
+Result<HeldEntry, DaemonError>
+DaemonClient::Entry(const std::string& aDaemon, const std::string& aName)
 {
-  auto entry = this->Read(
+  auto entry = this->read(
     fmt::format("http://{}/v1/entries/{}", aDaemon, EscapeObjectName(aName)));
   if (!entry) {
     return failure(std::move(entry.error()));
   }
-  return success(entry.value().value("revision", std::int64_t{ 0 }));
+  HeldEntry held;
+  held.revision = ValueOr(entry.value(), "revision", std::int64_t{ 0 });
+  if (entry.value().contains("textHash")) {
+    held.textHash = ValueOr(entry.value(), "textHash", std::uint64_t{ 0 });
+  }
+  return success(held);
 }
 
 } // namespace lacewingwharf
--- a/src/ctl/daemonclient.h
+++ b/src/ctl/daemonclient.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -16,21 +17,37 @@
   std::string detail;
 };
 
+/** An entry as a daemon holds it. */
+struct HeldEntry
+{
+  /** At which its text was accepted; 0 when the daemon lacks the entry. */
+  std::int64_t revision = 0;
+  std::optional<std::uint64_t> textHash;
+};
+
 /** Reads the state of daemons over their admin ports. */
 class DaemonClient
 {
 public:
   using Json = nlohmann::json;
 
+  /** Reads the JSON object at a URL; empty when there is none (404). */
+  using Reader =
+    std::function<Result<Json, DaemonError>(const std::string& aUrl)>;
+
+  /** Reads over HTTP. */
+  DaemonClient();
+  explicit DaemonClient(Reader aReader);
+
   /** GET /v1/state */
   Result<Json, DaemonError> State(const std::string& aDaemon);
 
-  /** Revision at which the daemon's held version has the entry; 0 if not. */
-  Result<std::int64_t, DaemonError> EntryRevision(const std::string& aDaemon,
-                                                  const std::string& aName);
+  /** The entry in the daemon's held version. */
+  Result<HeldEntry, DaemonError> Entry(const std::string& aDaemon,
+                                       const std::string& aName);
 
 private:
-  Result<Json, DaemonError> Read(const std::string& aUrl);
+  Reader read;
 };
 
 } // namespace lacewingwharf
--- a/src/ctl/fleetinspector.h
+++ b/src/ctl/fleetinspector.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lacewingwharf {
 
@@ -22,16 +23,33 @@
                  CtlOptions aOptions,
                  Clock aClock,
                  Print aOut,
-                 Print aError);
+                 Print aError,
+                 DaemonClient aDaemons = DaemonClient());
 
   ExitCode Status();
   ExitCode Explain();
   ExitCode Wait();
 
 private:
-  bool HasReached(const std::string& aDaemon, std::int64_t aRevision);
+  /** A daemon that wait has not seen with the version yet. */
+  struct WaitingDaemon
+  {
+    std::string address;
+    std::string seen;
+  };
+
+  bool HasReached(WaitingDaemon& aDaemon, const StoredObject& aObject);
+  bool HasEntry(WaitingDaemon& aDaemon, const StoredObject& aObject);
+  bool HasVersion(WaitingDaemon& aDaemon);
   std::optional<std::string> RejectionOf(const std::string& aName,
                                          std::int64_t aRevision);
+  std::optional<ExitCode> CheckEntry(const StoredObject& aObject,
+                                     bool aIsLastTime);
+  std::optional<ExitCode> CheckUnchanged(const StoredObject& aObject);
+  ExitCode TimeOut(const std::vector<WaitingDaemon>& aWaiting,
+                   const StoredObject& aObject);
+  ExitCode WaitFor(const StoredObject& aObject);
+  ExitCode ReportMissing(const PlatformError& aError);
 
   ObjectStore store;
   CtlOptions options;
@@ -39,6 +57,7 @@
   Print out;
   Print error;
   DaemonClient daemons;
+  std::optional<Millis> rejectedAt;
 };
 
 } // namespace lacewingwharf
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -3,8 +3,11 @@
 #include <fmt/format.h>
 #include <getopt.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace lacewingwharf {
@@ -34,6 +37,8 @@
   --platform IP:PORT   object API (default: $LACEWINGWHARF_PLATFORM)
   --daemon IP:PORT     admin address of a daemon; may be repeated
   --expect REVISION    write only if the entry still has this revision
+  --expect NAME=REVISION
+                       the same for one of several entries; may be repeated
   --force              write whatever revision the entry has
   --change ID          accept the entries of this put together or not at all
   --version N          version that wait waits for
@@ -47,27 +52,27 @@
 
 enum LongOption
 {
-  kPlatform = 256,
-  kDaemon,
-  kExpect,
-  kForce,
-  kChange,
-  kVersion,
-  kTimeout,
-  kJson,
-  kHelpOption
+  PlatformOption = 256,
+  DaemonOption,
+  ExpectOption,
+  ForceOption,
+  ChangeOption,
+  VersionOption,
+  TimeoutOption,
+  JsonOption,
+  HelpOption
 };
 
 const option kLongOptions[] = {
-  { "platform", required_argument, nullptr, kPlatform },
-  { "daemon", required_argument, nullptr, kDaemon },
-  { "expect", required_argument, nullptr, kExpect },
-  { "force", no_argument, nullptr, kForce },
-  { "change", required_argument, nullptr, kChange },
-  { "version", required_argument, nullptr, kVersion },
-  { "timeout", required_argument, nullptr, kTimeout },
-  { "json", no_argument, nullptr, kJson },
-  { "help", no_argument, nullptr, kHelpOption },
+  { "platform", required_argument, nullptr, PlatformOption },
+  { "daemon", required_argument, nullptr, DaemonOption },
+  { "expect", required_argument, nullptr, ExpectOption },
+  { "force", no_argument, nullptr, ForceOption },
+  { "change", required_argument, nullptr, ChangeOption },
+  { "version", required_argument, nullptr, VersionOption },
+  { "timeout", required_argument, nullptr, TimeoutOption },
+  { "json", no_argument, nullptr, JsonOption },
+  { "help", no_argument, nullptr, HelpOption },
   { nullptr, 0, nullptr, 0 }
 };
 
@@ -83,6 +88,35 @@
   return value;
 }
 
+bool
+IsAddress(const std::string& aText)
+{
+  constexpr std::int64_t kMaxPort = 65535;
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos || colon == 0) {
+    return false;
+  }
+  const auto port = ParseNumber(aText.substr(colon + 1));
+  return port && *port >= 1 && *port <= kMaxPort;
+}
+
+/** REVISION or NAME=REVISION */
+bool
+ApplyExpect(CtlOptions& aOptions, const std::string& aValue)
+{
+  const auto equals = aValue.find('=');
+  if (equals == std::string::npos) {
+    aOptions.expectedRevision = ParseNumber(aValue);
+    return aOptions.expectedRevision.has_value();
+  }
+  const auto revision = ParseNumber(aValue.substr(equals + 1));
+  if (equals == 0 || !revision) {
+    return false;
+  }
+  aOptions.expectedByName[aValue.substr(0, equals)] = *revision;
+  return true;
+}
+
 /** Returns false for a value that the option does not accept. */
 bool
 ApplyOption(CtlOptions& aOptions, int aOption, const char* aValue)
@@ -90,31 +124,30 @@
   const std::string value = aValue != nullptr ? aValue : "";
   const auto number = ParseNumber(value);
   switch (aOption) {
-    case kPlatform:
+    case PlatformOption:
       aOptions.platform = value;
-      return !value.empty();
-    case kDaemon:
+      return IsAddress(value);
+    case DaemonOption:
       aOptions.daemons.push_back(value);
-      return !value.empty();
-    case kExpect:
-      aOptions.expectedRevision = number;
-      return number.has_value();
-    case kForce:
+      return IsAddress(value);
+    case ExpectOption:
+      return ApplyExpect(aOptions, value);
+    case ForceOption:
       aOptions.isForced = true;
       return true;
-    case kChange:
+    case ChangeOption:
       aOptions.changeId = value;
       return !value.empty();
-    case kVersion:
+    case VersionOption:
       aOptions.version = number.value_or(0);
       return number.has_value();
-    case kTimeout:
+    case TimeoutOption:
       aOptions.timeout = number.value_or(0);
       return number.has_value();
-    case kJson:
+    case JsonOption:
       aOptions.isJson = true;
       return true;
-    case kHelpOption:
+    case HelpOption:
       aOptions.wantsHelp = true;
       return true;
     default:
@@ -122,6 +155,77 @@
   }
 }
 
+/** What the value of an option has to be, for error messages. */
+std::string_view
+AcceptedBy(int aOption)
+{
+  switch (aOption) {
+    case PlatformOption:
+    case DaemonOption:
+      return "IP:PORT";
+    case ExpectOption:
+      return "REVISION or NAME=REVISION, a whole number that get or list shows";
+    case TimeoutOption:
+      return "a whole number of milliseconds";
+    case VersionOption:
+      return "a whole number";
+    default:
+      return "a text that is not empty";
+  }
+}
+
+std::string
+DescribeBadOption(int aOption, const char* aValue)
+{
+  const auto* const found =
+    std::ranges::find(kLongOptions, aOption, &option::val);
+  if (found == std::end(kLongOptions) || found->name == nullptr) {
+    return "unknown option or missing value";
+  }
+  return fmt::format("--{} '{}': expected {}",
+                     found->name,
+                     aValue != nullptr ? aValue : "",
+                     AcceptedBy(aOption));
+}
+
+/** The names of NAME FILE pairs, or the one NAME. */
+std::vector<std::string>
+NamesOf(const CtlOptions& aOptions)
+{
+  const bool hasPairs = aOptions.command == CtlCommand::Put ||
+                        aOptions.command == CtlCommand::Check;
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < aOptions.arguments.size();
+       i += hasPairs ? 2 : 1) {
+    names.push_back(aOptions.arguments[i]);
+  }
+  return names;
+}
+
+/** Faults in the conditions of a write. */
+std::string
+CheckConditions(const CtlOptions& aOptions)
+{
+  std::vector<std::string> names = NamesOf(aOptions);
+  const bool hasExpect =
+    aOptions.expectedRevision || !aOptions.expectedByName.empty();
+  if (aOptions.isForced && hasExpect) {
+    return "--expect and --force exclude each other";
+  }
+  if (aOptions.expectedRevision && names.size() > 1) {
+    return "with several entries give --expect NAME=REVISION for each that "
+           "exists";
+  }
+  for (const auto& [name, revision] : aOptions.expectedByName) {
+    if (std::ranges::find(names, name) == names.end()) {
+      return fmt::format("--expect names '{}', which is not written", name);
+    }
+  }
+  std::ranges::sort(names);
+  const auto twice = std::ranges::adjacent_find(names);
+  return twice == names.end() ? "" : fmt::format("'{}' is given twice", *twice);
+}
+
 std::string
 CheckArguments(const CtlOptions& aOptions)
 {
@@ -129,9 +233,11 @@
   switch (aOptions.command) {
     case CtlCommand::Put:
     case CtlCommand::Check:
-      return count > 0 && count % 2 == 0 ? "" : "expected NAME FILE pairs";
-    case CtlCommand::Get:
+      return count > 0 && count % 2 == 0 ? CheckConditions(aOptions)
+                                         : "expected NAME FILE pairs";
     case CtlCommand::Delete:
+      return count == 1 ? CheckConditions(aOptions) : "expected one NAME";
+    case CtlCommand::Get:
     case CtlCommand::Explain:
       return count == 1 ? "" : "expected one NAME";
     case CtlCommand::Wait:
@@ -171,7 +277,7 @@
   while ((found = getopt_long(aCount, aArguments, "", kLongOptions, nullptr)) !=
          -1) {
     if (!ApplyOption(options, found, optarg)) {
-      return failure(UsageError{ "bad option or value" });
+      return failure(UsageError{ DescribeBadOption(found, optarg) });
     }
   }
   if (options.wantsHelp) {
@@ -189,7 +295,7 @@
   options.arguments.assign(aArguments + optind + 1, aArguments + aCount);
   std::string fault = CheckArguments(options);
   if (fault.empty() && NeedsPlatform(options) && options.platform.empty()) {
-    fault = "expected --platform";
+    fault = "expected --platform IP:PORT or LACEWINGWHARF_PLATFORM";
   }
   if (!fault.empty()) {
     return failure(UsageError{
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -5,6 +5,7 @@
 #include "common/result.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -53,6 +54,7 @@
   std::string platform;             // IPV4:PORT
   std::vector<std::string> daemons; // Admin IPV4:PORT of each.
   std::optional<std::int64_t> expectedRevision;
+  std::map<std::string, std::int64_t> expectedByName; // --expect NAME=REVISION
   std::string changeId;
   std::int64_t version = 0;
   Millis timeout = 15000;
