Log requests that the HTTP server refuses

Cause: 400, 413 and 431 of the server itself left no line in the log, nor did requests that libmicrohttpd could not parse (debug level only). Change: one info line with caller and status for each; messages of libmicrohttpd are written at info level without their line end. Conclusion: refused input can be seen by operators.

--- a/src/proxy/httprequestreader.cpp
+++ b/src/proxy/httprequestreader.cpp
@@ -1,5 +1,6 @@
 #include "proxy/httprequestreader.h"
 
+#include "common/log.h"
 #include "proxy/httpheaders.h"
 
 #include <arpa/inet.h>
@@ -15,6 +16,8 @@
 
 namespace {
 
+constexpr Log kLog("http");
+
 std::string
 AddressOf(MHD_Connection* aConnection)
 {
@@ -185,6 +188,8 @@
 MHD_Result
 QueueRefusal(MHD_Connection* aConnection, int aStatus)
 {
+  kLog.Info(
+    "request from {} refused with status {}", AddressOf(aConnection), aStatus);
   const char* reason =
     MHD_get_reason_phrase_for(static_cast<unsigned int>(aStatus));
   MHD_Response* response =
--- a/src/proxy/httpserver.cpp
+++ b/src/proxy/httpserver.cpp
@@ -36,12 +36,18 @@
 void
 LogLibraryMessage(void* /*aUnused*/, const char* aFormat, va_list aList)
 {
-  if (!Log::IsEnabled(LogLevel::Debug)) {
+  // The library answers requests that it cannot parse itself; this is all that
+  // operators learn of them.
+  if (!Log::IsEnabled(LogLevel::Info)) {
     return;
   }
   std::array<char, 512> text{};
   std::vsnprintf(text.data(), text.size(), aFormat, aList);
-  kLog.Debug("libmicrohttpd: {}", text.data());
+  std::string_view line(text.data());
+  while (line.ends_with('\n')) {
+    line.remove_suffix(1);
+  }
+  kLog.Info("libmicrohttpd: {}", line);
 }
 
 } // namespace
