Test bad input against the real daemon

Cause: nothing tested the whole daemon with malformed HTTP requests, long heads and bodies, bad announcements, malformed and oversized frames and datagrams, another protocol number, unknown enum values and entries that are not JSON.

--- /dev/null
+++ b/src/ctl/daemonharness.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "common/testsocket.h"
+#include "peer/codec.h"
+#include "testkit/httprequest.h"
+#include "testkit/platformstandin.h"
+#include "testkit/process.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <unistd.h>
+
+namespace lacewingwharf {
+
+/** One lacewingwharfd with a platform stand-in, alone in its fleet. */
+class DaemonHarness
+{
+public:
+  DaemonHarness()
+    : callPort(FreePort())
+    , adminPort(FreePort())
+    , peerPort(FreePort())
+    , directory(std::filesystem::temp_directory_path() /
+                fmt::format("lww-daemon-{}", getpid()))
+  {
+    std::filesystem::create_directories(this->directory);
+    std::ofstream(this->directory / "daemon.ini") << this->Settings();
+    // The log goes to standard error, which ChildProcess does not redirect.
+    this->process = std::make_unique<ChildProcess>(
+      "/bin/sh",
+      std::vector<std::string>{
+        "-c",
+        fmt::format("exec '{0}/lacewingwharfd' --config '{1}/daemon.ini' "
+                    "2>'{1}/log'",
+                    LWW_BINARY_DIR,
+                    this->directory.string()) });
+    this->isUp =
+      WaitUntil([this] { return this->State().contains("version"); });
+  }
+
+  ~DaemonHarness()
+  {
+    this->process.reset();
+    std::filesystem::remove_all(this->directory);
+  }
+  DaemonHarness(const DaemonHarness&) = delete;
+  DaemonHarness& operator=(const DaemonHarness&) = delete;
+
+  static constexpr const char* kAddress = "127.85.9.1";
+
+  PlatformStandin platform;
+  std::uint16_t callPort;
+  std::uint16_t adminPort;
+  std::uint16_t peerPort;
+  bool isUp = false;
+
+  std::string AdminUrl(const std::string& aPath) const
+  {
+    return fmt::format("http://{}:{}{}", kAddress, this->adminPort, aPath);
+  }
+
+  nlohmann::json Read(const std::string& aPath) const
+  {
+    const auto answer = SendTestRequest("GET", this->AdminUrl(aPath));
+    return nlohmann::json::parse(answer.body, nullptr, false);
+  }
+
+  nlohmann::json State() const
+  {
+    auto state = this->Read("/v1/state");
+    return state.is_object() ? state : nlohmann::json::object();
+  }
+
+  double Metric(const std::string& aName) const
+  {
+    const auto answer = SendTestRequest("GET", this->AdminUrl("/metrics"));
+    const auto line = answer.body.find("\n" + aName + " ");
+    return line == std::string::npos
+             ? -1
+             : std::stod(answer.body.substr(line + aName.size() + 2));
+  }
+
+  std::string Log() const
+  {
+    std::ifstream stream(this->directory / "log");
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+  }
+
+  /** Whether the log shows the text within a generous bound. */
+  bool Logs(const std::string& aText) const
+  {
+    return WaitUntil(
+      [&] { return this->Log().find(aText) != std::string::npos; });
+  }
+
+  /** Runs, answers, and its membership and version are as at the start. */
+  bool IsUnharmed() const
+  {
+    const auto state = this->State();
+    const auto members = this->Read("/v1/members");
+    return this->process->IsRunning() && state.value("version", -1) == 0 &&
+           state.value("members", 0) == 1 && members.is_array() &&
+           members.size() == 1 &&
+           members[0].value("endpoints", members).empty();
+  }
+
+  std::string SendToCallers(const std::string& aBytes) const
+  {
+    loopback::Socket socket;
+    socket.Connect(kAddress, this->callPort);
+    socket.Send(aBytes);
+    return socket.ReceiveAll();
+  }
+
+  loopback::Socket DialPeer() const
+  {
+    loopback::Socket socket;
+    socket.Connect(kAddress, this->peerPort);
+    return socket;
+  }
+
+  static std::string Frame(const wire::Envelope& aEnvelope)
+  {
+    constexpr std::size_t kMaxBytes = 1U << 20U;
+    return EncodeFrame(aEnvelope, kMaxBytes).value();
+  }
+
+  static std::string Hello(int aProtocol)
+  {
+    wire::Hello hello;
+    hello.protocol = aProtocol;
+    hello.host = "stranger";
+    hello.incarnation = 1;
+    hello.region = "region";
+    hello.domain = "domain";
+    hello.kind = wire::SessionKind::CONTROL;
+    wire::Envelope envelope;
+    envelope.__set_hello(hello);
+    return Frame(envelope);
+  }
+
+private:
+  std::string Settings() const
+  {
+    return fmt::format("[daemon]\nhost = host-1\naddress = {}\n"
+                       "region = region\ndomain = domain\n"
+                       "[peer]\nport = {}\n"
+                       "[http]\ncallport = {}\nadminport = {}\n"
+                       "maxbodybytes = 65536\n"
+                       "[platform]\naddress = {}\nregion = region\n"
+                       "[distribution]\nstartwait = 100\n",
+                       kAddress,
+                       this->peerPort,
+                       this->callPort,
+                       this->adminPort,
+                       this->platform.Url().substr(7));
+  }
+
+  std::filesystem::path directory;
+  std::unique_ptr<ChildProcess> process;
+};
+
+} // namespace lacewingwharf
