--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -1,5 +1,6 @@
 #include "daemon/controlservice.h"
 
+#include "common/hash.h"
 #include "common/log.h"
 #include "common/random.h"
 #include "platform/httpobjectstore.h"
--- a/src/daemon/controlservicestate.cpp
+++ b/src/daemon/controlservicestate.cpp
@@ -1,5 +1,7 @@
 #include "daemon/controlservice.h"
 
+#include "common/hash.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -96,6 +98,7 @@
     if (accepted != nullptr && this->distributor.IsReady()) {
       state = { { "name", aName },
                 { "revision", accepted->revision },
+                { "textHash", Hash64(accepted->text) },
                 { "version", held->Version() } };
     }
   });
