Give claims a platform budget of their own; fix the linter's findings

Cause: claims shared 20 platform calls a second with acceptor, status and start, so a small fleet refused 366 of 479 keyed calls at 100/s; the claim writers' own bound of 300 writes a second over the fleet was never reached. Change: a second platform worker for claims with [claims] callspersecond (300). Conclusion: neither kind of work waits behind the other.

--- a/src/ctl/packaging_test.cpp
+++ b/src/ctl/packaging_test.cpp
@@ -72,6 +72,7 @@
   cr_expect_eq(left.startWait, right.startWait);
   cr_expect_eq(left.claimRetention, right.claimRetention);
   cr_expect_eq(left.claimWait, right.claimWait);
+  cr_expect_eq(left.claimCallsPerSecond, right.claimCallsPerSecond);
   cr_expect_eq(left.reportInterval, right.reportInterval);
 }
 
--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -301,7 +301,9 @@
 CallsService::AnswerOrigin(SessionId aOrigin, wire::CallAnswer aAnswer)
 {
   wire::Envelope envelope;
-  envelope.__set_callAnswer(std::move(aAnswer));
+  // The generated setter would copy the body.
+  envelope.callAnswer = std::move(aAnswer);
+  envelope.__isset.callAnswer = true;
   if (aOrigin != 0) {
     this->hooks.reply(aOrigin, std::move(envelope));
     return;
--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -32,10 +32,10 @@
 }
 
 CallBudgetConfig
-BudgetOf(const Settings& aSettings)
+BudgetOf(int aCallsPerSecond)
 {
   CallBudgetConfig budget;
-  budget.callsPerSecond = aSettings.platformCallsPerSecond;
+  budget.callsPerSecond = aCallsPerSecond;
   return budget;
 }
 
@@ -80,7 +80,12 @@
       this->store,
       kJobCapacity,
       [this](Completion aDone) { this->loop.Post(std::move(aDone)); },
-      BudgetOf(aSettings))
+      BudgetOf(aSettings.platformCallsPerSecond))
+  , claimPlatform(
+      this->store,
+      kJobCapacity,
+      [this](Completion aDone) { this->loop.Post(std::move(aDone)); },
+      BudgetOf(aSettings.claimCallsPerSecond))
   , membership(this->MemberConfig(aIncarnation),
                this->clock,
                Clock::Wall(),
@@ -94,7 +99,7 @@
                 this->clock,
                 Clock::Wall(),
                 { [this](PlatformJob aJob) {
-                   return this->platform.Submit(std::move(aJob));
+                   return this->claimPlatform.Submit(std::move(aJob));
                  },
                   [this] {
                     const auto writers = this->membership.LiveHostsOfRegion(
@@ -127,6 +132,7 @@
 {
   this->loop.Start();
   this->platform.Start();
+  this->claimPlatform.Start();
   this->acceptedWatch.Start();
   this->catalogueWatch.Start();
 }
@@ -144,6 +150,7 @@
   this->acceptedWatch.Stop();
   this->catalogueWatch.Stop();
   this->platform.Stop();
+  this->claimPlatform.Stop();
   this->loop.Stop();
 }
 
@@ -224,7 +231,7 @@
       return;
     }
     wire::Envelope envelope;
-    envelope.__set_statusReport(std::move(report));
+    envelope.__set_statusReport(report);
     this->hooks.sendControl(*address, std::move(envelope));
   });
 }
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -107,6 +107,10 @@
   std::atomic<bool> isStopping = false;
   ObjectStore store;
   PlatformWorker platform;
+
+  // Keyed calls would otherwise wait behind the acceptor's work, and it behind
+  // them.
+  PlatformWorker claimPlatform;
   Membership membership;
   Distributor distributor;
   ClaimWriter claimWriter;
--- a/src/daemon/controlservicestate.cpp
+++ b/src/daemon/controlservicestate.cpp
@@ -147,6 +147,7 @@
     });
   };
   addCalls(this->platform.Counts(), "platform");
+  addCalls(this->claimPlatform.Counts(), "claims");
   addCalls(this->acceptedWatch.Counts(), "accepted-watch");
   addCalls(this->catalogueWatch.Counts(), "catalogue-watch");
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -42,14 +42,14 @@
 {
   enum
   {
-    kConfig = 256,
-    kCheck,
-    kHelpOption
+    ConfigOption = 256,
+    CheckOption,
+    HelpOption
   };
   const option longOptions[] = {
-    { "config", required_argument, nullptr, kConfig },
-    { "check", no_argument, nullptr, kCheck },
-    { "help", no_argument, nullptr, kHelpOption },
+    { "config", required_argument, nullptr, ConfigOption },
+    { "check", no_argument, nullptr, CheckOption },
+    { "help", no_argument, nullptr, HelpOption },
     { nullptr, 0, nullptr, 0 }
   };
   Options options;
@@ -57,13 +57,13 @@
   while ((found = getopt_long(aCount, aArguments, "", longOptions, nullptr)) !=
          -1) {
     switch (found) {
-      case kConfig:
+      case ConfigOption:
         options.config = optarg;
         break;
-      case kCheck:
+      case CheckOption:
         options.isCheck = true;
         break;
-      case kHelpOption:
+      case HelpOption:
         options.wantsHelp = true;
         break;
       default:
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -63,6 +63,7 @@
   // [claims]
   Millis claimRetention = 86400000;
   Millis claimWait = 1000;
+  int claimCallsPerSecond = 300;
 
   // [status]
   Millis reportInterval = 5000;
--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -1,13 +1,13 @@
 #include "settings/settingskeys.h"
 
 #include <arpa/inet.h>
+#include <boost/algorithm/string.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <limits>
-#include <ranges>
 #include <utility>
 
 namespace lacewingwharf {
@@ -16,6 +16,7 @@
 
 constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kHourMillis = 3600000;
+constexpr std::int64_t kMonthMillis = 30 * 24 * kHourMillis;
 
 std::string_view
 Trim(std::string_view aText)
@@ -62,6 +63,15 @@
   return SocketAddress{ address, static_cast<int>(*port) };
 }
 
+std::vector<std::string>
+SplitList(std::string_view aText)
+{
+  std::vector<std::string> parts;
+  boost::algorithm::split(parts, aText, boost::is_any_of(","));
+  std::ranges::for_each(parts, [](std::string& aPart) { boost::trim(aPart); });
+  return parts;
+}
+
 bool
 IsName(std::string_view aText)
 {
@@ -139,9 +149,8 @@
 bool
 AssignPeers(Settings& aSettings, std::string_view aText)
 {
-  for (const auto part : std::views::split(aText, ',')) {
-    const auto address =
-      ParseSocketAddress(Trim(std::string_view(part.begin(), part.end())));
+  for (const std::string& part : SplitList(aText)) {
+    const auto address = ParseSocketAddress(part);
     if (!address) {
       return false;
     }
@@ -153,9 +162,8 @@
 bool
 AssignForwards(Settings& aSettings, std::string_view aText)
 {
-  for (const auto part : std::views::split(aText, ',')) {
-    const std::string_view pair =
-      Trim(std::string_view(part.begin(), part.end()));
+  for (const std::string& part : SplitList(aText)) {
+    const std::string_view pair = part;
     const auto arrow = pair.find('>');
     if (arrow == std::string_view::npos) {
       return false;
@@ -216,12 +224,11 @@
     NumberKey("distribution", "feeders", &Settings::feeders, 1, 16),
     NumberKey("distribution", "fanout", &Settings::fanout, 2, 64),
     NumberKey("distribution", "startwait", &Settings::startWait, 100, 60000),
-    NumberKey("claims",
-              "retention",
-              &Settings::claimRetention,
-              60000,
-              30 * 24 * kHourMillis),
+    NumberKey(
+      "claims", "retention", &Settings::claimRetention, 60000, kMonthMillis),
     NumberKey("claims", "wait", &Settings::claimWait, 50, 60000),
+    NumberKey(
+      "claims", "callspersecond", &Settings::claimCallsPerSecond, 1, 2000),
     NumberKey(
       "status", "reportinterval", &Settings::reportInterval, 200, 600000),
   };
