Wait a moment before a cut call's backend server counts as healthy

Cause: a crashing process may close the call's connection before its listening socket. Since the HTTP client runs on the calls thread the check came within microseconds, saw the socket still listening and counted no loss, so one request took down every backend server. Ruled out: gossip and the resend (the entry daemon never got serverLost). Change: the answer to a cut call waits up to 50 ms while the port still accepts connections; a test covers the order that was missed, and the older test waits for the same answer before it checks what it checked. Conclusion: the count no longer depends on which socket closes first.

--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -15,6 +15,11 @@
 
 constexpr Log kLog("slots");
 
+// A process that crashes closes its connections some time before or after its
+// listening socket, so the answer to a cut call waits until it is known whether
+// the backend server was lost.
+constexpr Millis kLossCheckTime = 50;
+
 wire::CallAnswer
 NotRun(const std::string& aCallId, const Refusal& aRefusal)
 {
@@ -176,8 +181,39 @@
   if (found == this->calls.end() || found->second.stage != Stage::Running) {
     return;
   }
+  const int port = found->second.request.port;
+  if (aResult.end == ExchangeEnd::Cut && this->hooks.isListening(port)) {
+    const Millis until = this->clock.Now() + kLossCheckTime;
+    this->cutExchanges.push_back({ std::move(aResult), until });
+    return;
+  }
+  this->EndExchange(std::move(aResult));
+}
+
+void
+DestinationCalls::CheckCutExchanges()
+{
+  const Millis now = this->clock.Now();
+  auto checked = std::exchange(this->cutExchanges, {});
+  std::ranges::for_each(checked, [this, now](CutExchange& aCut) {
+    const auto call = this->calls.find(aCut.result.id);
+    if (call == this->calls.end() || call->second.stage != Stage::Running) {
+      return; // Cancelled meanwhile.
+    }
+    const int port = call->second.request.port;
+    if (now < aCut.until && this->hooks.isListening(port)) {
+      this->cutExchanges.push_back(std::move(aCut));
+      return;
+    }
+    this->EndExchange(std::move(aCut.result));
+  });
+}
+
+void
+DestinationCalls::EndExchange(ExchangeResult aResult)
+{
   const std::string id = aResult.id;
-  Call& call = found->second;
+  Call& call = this->calls.at(id);
   const double serviceMillis = this->clock.PreciseNow() - call.startedAt;
   wire::CallAnswer answer = this->AnswerOf(call, std::move(aResult));
   constexpr double kMicrosPerMilli = 1000;
@@ -331,6 +367,7 @@
 DestinationCalls::Tick()
 {
   this->admission.Tick();
+  this->CheckCutExchanges();
   this->ForgetOld();
 }
 
--- a/src/execution/destinationcalls.h
+++ b/src/execution/destinationcalls.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace lacewingwharf {
 
@@ -98,10 +99,19 @@
     wire::CallAnswer answer; // When finished.
   };
 
+  /** A cut exchange whose backend server may be about to end. */
+  struct CutExchange
+  {
+    ExchangeResult result;
+    Millis until = 0;
+  };
+
   void Start(const std::string& aCallId);
   void RefuseCall(const std::string& aCallId, const Refusal& aRefusal);
   HttpExchange ExchangeOf(const Call& aCall) const;
   wire::CallAnswer AnswerOf(const Call& aCall, ExchangeResult aResult);
+  void EndExchange(ExchangeResult aResult);
+  void CheckCutExchanges();
   void CheckServerLost(const Call& aCall, wire::CallAnswer& aAnswer);
   void Finish(const std::string& aCallId,
               Call& aCall,
@@ -118,6 +128,7 @@
   std::unordered_map<std::string, Call> calls;
   std::deque<std::pair<Millis, std::string>> finishedQueue;
   std::deque<std::pair<Millis, std::string>> fenceQueue;
+  std::vector<CutExchange> cutExchanges;
   std::deque<std::string> keptAnswers; // Oldest first.
   std::size_t keptBytes = 0;
   bool isStopping = false;
--- a/src/execution/destinationcalls_test.cpp
+++ b/src/execution/destinationcalls_test.cpp
@@ -210,6 +210,9 @@
   Destination destination;
   destination.Request("a");
   destination.End("a", ExchangeEnd::Cut);
+  constexpr Millis kLossCheckTime = 50;
+  destination.clock.Advance(kLossCheckTime);
+  destination.calls->Tick();
   cr_assert_eq(destination.Last(), "1 unknown cut-answer");
   cr_assert_eq(destination.serversLost, 0);
   destination.isListening = false;
@@ -218,3 +221,18 @@
   cr_assert_eq(destination.serversLost, 1);
   cr_assert(destination.answers.back().second.serverLost);
 }
+
+// Guards against a crash that closes the connection before the listening
+// socket and is therefore not counted.
+Test(destinationcalls, AServerThatEndsAMomentLaterIsLost)
+{
+  Destination destination;
+  destination.Request("a");
+  destination.End("a", ExchangeEnd::Cut);
+  cr_assert(destination.answers.empty());
+  destination.isListening = false;
+  destination.clock.Advance(10);
+  destination.calls->Tick();
+  cr_assert_eq(destination.serversLost, 1);
+  cr_assert(destination.answers.back().second.serverLost);
+}
