--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kHourMillis = 3600000;
-constexpr std::int64_t kMonthMillis = 30 * 24 * kHourMillis;
+constexpr std::int64_t kMonthMillis = 720 * kHourMillis;
 
 std::string_view
 Trim(std::string_view aText)
