--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -3,14 +3,6 @@
 #include "common/log.h"
 #include "common/random.h"
 
-#include <ace/INET_Addr.h>
-#include <ace/SOCK_Connector.h>
-#include <ace/SOCK_Stream.h>
-#include <ace/Time_Value.h>
-
-#include <fmt/format.h>
-
-#include <algorithm>
 #include <utility>
 
 namespace lacewingwharf {
@@ -24,34 +16,6 @@
 constexpr std::size_t kMarksPerMessage = 8;
 constexpr std::size_t kMaxAnswerBytes = 7U << 20U; // Fits a peer frame.
 
-/** Whether something accepts connections on a port of this host. */
-bool
-IsListening(const std::string& aAddress, int aPort)
-{
-  constexpr suseconds_t kBoundMicros = 20000;
-  ACE_SOCK_Stream stream;
-  ACE_SOCK_Connector connector;
-  const ACE_Time_Value bound(0, kBoundMicros);
-  const ACE_INET_Addr remote(static_cast<u_short>(aPort), aAddress.c_str());
-  const bool isConnected = connector.connect(stream, remote, &bound) == 0;
-  const bool isRefused = !isConnected && errno == ECONNREFUSED;
-  stream.close();
-  return !isRefused;
-}
-
-/** The call ids of the requests among messages. */
-std::vector<std::string>
-RequestsOf(const std::vector<wire::Envelope>& aMessages)
-{
-  std::vector<std::string> ids;
-  std::ranges::for_each(aMessages, [&ids](const wire::Envelope& aMessage) {
-    if (aMessage.__isset.callRequest) {
-      ids.push_back(aMessage.callRequest.callId);
-    }
-  });
-  return ids;
-}
-
 HttpServerConfig
 ServerConfig(const Settings& aSettings)
 {
@@ -63,19 +27,6 @@
   return config;
 }
 
-wire::CallOutcome::type
-WireOutcome(Outcome aOutcome)
-{
-  switch (aOutcome) {
-    case Outcome::Done:
-      return wire::CallOutcome::DONE;
-    case Outcome::NotRun:
-      return wire::CallOutcome::NOT_RUN;
-    default:
-      return wire::CallOutcome::UNKNOWN;
-  }
-}
-
 QuarantineConfig
 QuarantineOf(const Settings& aSettings)
 {
@@ -153,66 +104,6 @@
   this->Stop();
 }
 
-EntryCallsHooks
-CallsService::EntryHooks()
-{
-  EntryCallsHooks entryHooks;
-  entryHooks.answer = [this](RequestId aRequest, HttpAnswer aAnswer) {
-    this->server.Answer(aRequest, std::move(aAnswer));
-  };
-  entryHooks.send = this->hooks.send;
-  // Posted rather than called, so that a refusal by this same daemon does not
-  // re-enter the call that is being sent.
-  entryHooks.sendLocal = [this](wire::Envelope aEnvelope) {
-    return this->loop.Post([this, envelope = std::move(aEnvelope)]() mutable {
-      this->HandleMessage(0, std::move(envelope));
-    });
-  };
-  entryHooks.claim = this->hooks.claim;
-  entryHooks.settleClaim = this->hooks.settleClaim;
-  entryHooks.isQuarantined = [this](std::uint64_t aDigest) {
-    return this->Check(aDigest) == QuarantineVerdict::Refused;
-  };
-  entryHooks.hasLostServer = [this](std::uint64_t aDigest) {
-    return this->Check(aDigest) != QuarantineVerdict::Free;
-  };
-  entryHooks.serverLost = [this](std::uint64_t aDigest,
-                                 const std::string& aHost) {
-    this->quarantine.CountLossAt(static_cast<std::int64_t>(aDigest), aHost);
-  };
-  entryHooks.ended = [this](const EntryCall& aCall, const Ending& aEnding) {
-    this->RecordEnd(aCall, aEnding);
-  };
-  return entryHooks;
-}
-
-DestinationCallsHooks
-CallsService::DestinationHooks()
-{
-  DestinationCallsHooks destinationHooks;
-  destinationHooks.answer = [this](SessionId aOrigin,
-                                   wire::CallAnswer aAnswer) {
-    this->AnswerOrigin(aOrigin, std::move(aAnswer));
-  };
-  destinationHooks.submit = [this](HttpExchange aExchange) {
-    return this->client.Submit(std::move(aExchange));
-  };
-  destinationHooks.cancel = [this](const std::string& aCallId) {
-    this->client.Cancel(aCallId);
-  };
-  destinationHooks.isQuarantined = [this](std::uint64_t aDigest) {
-    return this->Check(aDigest) == QuarantineVerdict::Refused;
-  };
-  destinationHooks.serverLost = [this](std::uint64_t aDigest) {
-    this->quarantine.CountLoss(static_cast<std::int64_t>(aDigest));
-    this->marksDueAt = 0;
-  };
-  destinationHooks.isListening = [this](int aPort) {
-    return IsListening(this->settings.address, aPort);
-  };
-  return destinationHooks;
-}
-
 bool
 CallsService::Start()
 {
@@ -414,56 +305,4 @@
   }
 }
 
-void
-CallsService::RecordEnd(const EntryCall& aCall, const Ending& aEnding)
-{
-  const std::string entry = aCall.entry != nullptr ? aCall.entry->name : "-";
-  const std::string outcome(kOutcomeNames.NameOf(aEnding.outcome));
-  this->metrics
-    .Counter("lacewingwharf_calls_total",
-             "Calls that entered at this daemon and ended",
-             { { "entry", entry },
-               { "outcome", outcome },
-               { "reason", aEnding.reason } })
-    ->Add();
-  if (aCall.entry == nullptr) {
-    return;
-  }
-  CallRecord record;
-  record.entry = entry;
-  record.owner = aCall.entry->owner;
-  record.caller = aCall.http.callerAddress;
-  record.outcome = WireOutcome(aEnding.outcome);
-  record.latencyMillis = this->clock.PreciseNow() - aCall.startedAt;
-  record.deadline = aCall.entry->limits.deadline;
-  if (aEnding.isRefusal) {
-    record.refusal = aEnding.refusal;
-  }
-  this->stats.Record(record);
-  this->latencies[entry].Add(record.latencyMillis, this->clock.PreciseNow());
-}
-
-void
-CallsService::Report()
-{
-  if (this->clock.Now() < this->reportDueAt) {
-    return;
-  }
-  this->reportDueAt = this->clock.Now() + this->settings.reportInterval;
-  std::ranges::for_each(this->latencies, [this](auto& aPair) {
-    std::ranges::for_each(kLatencyQuantileNames.Rows(), [&](const auto& aRow) {
-      this->metrics
-        .Gauge("lacewingwharf_call_latency_ms",
-               "Latency of calls that ended, by entry, in milliseconds",
-               { { "entry", aPair.first },
-                 { "quantile", std::string(aRow.second) } })
-        ->Set(aPair.second.Quantile(aRow.first, this->clock.PreciseNow()));
-    });
-  });
-  std::vector<wire::EntryReport> reports = this->stats.TakeReports();
-  if (!reports.empty()) {
-    this->hooks.report(std::move(reports));
-  }
-}
-
 } // namespace lacewingwharf
--- /dev/null
+++ b/src/daemon/callsservicehooks.cpp
@@ -0,0 +1,104 @@
+#include "daemon/callsservice.h"
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+#include <ace/Time_Value.h>
+
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+/** Whether something accepts connections on a port of this host. */
+bool
+IsListening(const std::string& aAddress, int aPort)
+{
+  constexpr suseconds_t kBoundMicros = 20000;
+  ACE_SOCK_Stream stream;
+  ACE_SOCK_Connector connector;
+  const ACE_Time_Value bound(0, kBoundMicros);
+  const ACE_INET_Addr remote(static_cast<u_short>(aPort), aAddress.c_str());
+  const bool isConnected = connector.connect(stream, remote, &bound) == 0;
+  const bool isRefused = !isConnected && errno == ECONNREFUSED;
+  stream.close();
+  return !isRefused;
+}
+
+/** The call ids of the requests among messages. */
+std::vector<std::string>
+RequestsOf(const std::vector<wire::Envelope>& aMessages)
+{
+  std::vector<std::string> ids;
+  std::ranges::for_each(aMessages, [&ids](const wire::Envelope& aMessage) {
+    if (aMessage.__isset.callRequest) {
+      ids.push_back(aMessage.callRequest.callId);
+    }
+  });
+  return ids;
+}
+
+} // namespace
+
+EntryCallsHooks
+CallsService::EntryHooks()
+{
+  EntryCallsHooks entryHooks;
+  entryHooks.answer = [this](RequestId aRequest, HttpAnswer aAnswer) {
+    this->server.Answer(aRequest, std::move(aAnswer));
+  };
+  entryHooks.send = this->hooks.send;
+  // Posted rather than called, so that a refusal by this same daemon does not
+  // re-enter the call that is being sent.
+  entryHooks.sendLocal = [this](wire::Envelope aEnvelope) {
+    return this->loop.Post([this, envelope = std::move(aEnvelope)]() mutable {
+      this->HandleMessage(0, std::move(envelope));
+    });
+  };
+  entryHooks.claim = this->hooks.claim;
+  entryHooks.settleClaim = this->hooks.settleClaim;
+  entryHooks.isQuarantined = [this](std::uint64_t aDigest) {
+    return this->Check(aDigest) == QuarantineVerdict::Refused;
+  };
+  entryHooks.hasLostServer = [this](std::uint64_t aDigest) {
+    return this->Check(aDigest) != QuarantineVerdict::Free;
+  };
+  entryHooks.serverLost = [this](std::uint64_t aDigest,
+                                 const std::string& aHost) {
+    this->quarantine.CountLossAt(static_cast<std::int64_t>(aDigest), aHost);
+  };
+  entryHooks.ended = [this](const EntryCall& aCall, const Ending& aEnding) {
+    this->RecordEnd(aCall, aEnding);
+  };
+  return entryHooks;
+}
+
+DestinationCallsHooks
+CallsService::DestinationHooks()
+{
+  DestinationCallsHooks destinationHooks;
+  destinationHooks.answer = [this](SessionId aOrigin,
+                                   wire::CallAnswer aAnswer) {
+    this->AnswerOrigin(aOrigin, std::move(aAnswer));
+  };
+  destinationHooks.submit = [this](HttpExchange aExchange) {
+    return this->client.Submit(std::move(aExchange));
+  };
+  destinationHooks.cancel = [this](const std::string& aCallId) {
+    this->client.Cancel(aCallId);
+  };
+  destinationHooks.isQuarantined = [this](std::uint64_t aDigest) {
+    return this->Check(aDigest) == QuarantineVerdict::Refused;
+  };
+  destinationHooks.serverLost = [this](std::uint64_t aDigest) {
+    this->quarantine.CountLoss(static_cast<std::int64_t>(aDigest));
+    this->marksDueAt = 0;
+  };
+  destinationHooks.isListening = [this](int aPort) {
+    return IsListening(this->settings.address, aPort);
+  };
+  return destinationHooks;
+}
+
+} // namespace lacewingwharf
--- a/src/execution/callanswer.cpp
+++ b/src/execution/callanswer.cpp
@@ -97,4 +97,21 @@
   aAnswer.headers[kCallIdHeader] = aCall.id;
 }
 
+Observation
+ObservationOf(const EntryCall& aCall,
+              CallEnd aEnd,
+              const wire::CallAnswer& aAnswer,
+              double aNow)
+{
+  Observation observation;
+  observation.end = aEnd;
+  observation.latencyMillis = aNow - aCall.attempt.startedAt;
+  if (aAnswer.slots > 0) {
+    observation.running = aAnswer.running;
+    observation.waiting = aAnswer.waiting;
+    observation.slots = aAnswer.slots;
+  }
+  return observation;
+}
+
 } // namespace lacewingwharf
--- a/src/execution/callanswer.h
+++ b/src/execution/callanswer.h
@@ -35,6 +35,13 @@
 HttpAnswer
 DoneAnswer(wire::CallAnswer aAnswer);
 
+/** What the chooser learns from the latest attempt. */
+Observation
+ObservationOf(const EntryCall& aCall,
+              CallEnd aEnd,
+              const wire::CallAnswer& aAnswer,
+              double aNow);
+
 /** Names entry, owner, version and call in the answer. */
 void
 AddCallHeaders(const EntryCall& aCall, HttpAnswer& aAnswer);
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -205,15 +205,8 @@
                     CallEnd aEnd,
                     const wire::CallAnswer& aAnswer)
 {
-  Observation observation;
-  observation.end = aEnd;
-  observation.latencyMillis =
-    this->clock.PreciseNow() - aCall.attempt.startedAt;
-  if (aAnswer.slots > 0) {
-    observation.running = aAnswer.running;
-    observation.waiting = aAnswer.waiting;
-    observation.slots = aAnswer.slots;
-  }
+  const Observation observation =
+    ObservationOf(aCall, aEnd, aAnswer, this->clock.PreciseNow());
   this->chooser.Finished(KeyOf(aCall.attempt.endpoint), observation);
 }
 
