--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "common/random.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingwharf {
@@ -16,6 +17,19 @@
 constexpr std::size_t kMarksPerMessage = 8;
 constexpr std::size_t kMaxAnswerBytes = 7U << 20U; // Fits a peer frame.
 
+/** The call ids of the requests among messages. */
+std::vector<std::string>
+RequestsOf(const std::vector<wire::Envelope>& aMessages)
+{
+  std::vector<std::string> ids;
+  std::ranges::for_each(aMessages, [&ids](const wire::Envelope& aMessage) {
+    if (aMessage.__isset.callRequest) {
+      ids.push_back(aMessage.callRequest.callId);
+    }
+  });
+  return ids;
+}
+
 HttpServerConfig
 ServerConfig(const Settings& aSettings)
 {
--- a/src/daemon/callsservicehooks.cpp
+++ b/src/daemon/callsservicehooks.cpp
@@ -26,19 +26,6 @@
   return !isRefused;
 }
 
-/** The call ids of the requests among messages. */
-std::vector<std::string>
-RequestsOf(const std::vector<wire::Envelope>& aMessages)
-{
-  std::vector<std::string> ids;
-  std::ranges::for_each(aMessages, [&ids](const wire::Envelope& aMessage) {
-    if (aMessage.__isset.callRequest) {
-      ids.push_back(aMessage.callRequest.callId);
-    }
-  });
-  return ids;
-}
-
 } // namespace
 
 EntryCallsHooks
