--- a/src/proxy/httpserver.cpp
+++ b/src/proxy/httpserver.cpp
@@ -1,25 +1,17 @@
 #include "proxy/httpserver.h"
 
 #include "common/log.h"
-#include "proxy/hangupwatcher.h"
-#include "proxy/serverexchange.h"
-
-#include <microhttpd.h>
+#include "proxy/httpserverimpl.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
-#include <atomic>
 #include <cstdarg>
 #include <cstdio>
 #include <cstring>
-#include <mutex>
-#include <optional>
-#include <unordered_map>
 #include <utility>
-#include <vector>
 
 namespace lacewingwharf {
 
@@ -52,60 +44,6 @@
 
 } // namespace
 
-class HttpServer::Impl
-{
-public:
-  Impl(HttpServerConfig aConfig, Handlers aHandlers);
-  ~Impl();
-
-  bool Start();
-  void StopIntake();
-  void Stop();
-  void Answer(RequestId aRequest, HttpAnswer aAnswer);
-  void Abort(RequestId aRequest);
-  std::size_t InFlight() const;
-
-private:
-  static void* OnTarget(void* aServer, const char* aTarget, MHD_Connection*);
-  static MHD_Result OnAccess(void* aServer,
-                             MHD_Connection* aConnection,
-                             const char* aUrl,
-                             const char* aMethod,
-                             const char* aVersion,
-                             const char* aBytes,
-                             std::size_t* aSize,
-                             void** aExchange);
-  static void OnCompleted(void* aServer,
-                          MHD_Connection* aConnection,
-                          void** aExchange,
-                          MHD_RequestTerminationCode aCode);
-
-  std::vector<MHD_OptionItem> Options(sockaddr_in& aAddress);
-  MHD_Result Read(ServerExchange& aExchange,
-                  MHD_Connection* aConnection,
-                  const char* aMethod,
-                  std::string_view aBytes,
-                  std::size_t& aUnread);
-  MHD_Result ReadBody(ServerExchange& aExchange, std::string_view aBytes);
-  void HandOver(ServerExchange& aExchange, MHD_Connection* aConnection);
-  MHD_Result Finish(ServerExchange& aExchange, MHD_Connection* aConnection);
-  bool Resume(RequestId aRequest,
-              ServerExchange::State aState,
-              std::optional<HttpAnswer> aAnswer);
-  void CallerLeft(RequestId aRequest);
-  void TakeWaitingConnections(int aListener);
-
-  HttpServerConfig config;
-  Handlers handlers;
-  MHD_Daemon* daemon = nullptr;
-  HangupWatcher watcher;
-  std::atomic<bool> isStopping{ false };
-  std::atomic<std::size_t> inFlight{ 0 };
-  std::mutex mutex; // Guards what follows, and the state of exchanges.
-  RequestId lastRequest = 0;
-  std::unordered_map<RequestId, ServerExchange*> suspended;
-};
-
 HttpServer::Impl::Impl(HttpServerConfig aConfig, Handlers aHandlers)
   : config(std::move(aConfig))
   , handlers(std::move(aHandlers))
