--- a/src/daemon/drainfleet_test.cpp
+++ b/src/daemon/drainfleet_test.cpp
@@ -186,10 +186,14 @@
   FleetCaller posts(KeyedLoad(fleet));
   cr_assert(WaitUntil([&] { return posts.Ended() > 15; }));
   for (const std::size_t host : fleet.AllHosts()) {
-    fleet.Backend(host, kBackendPort).Terminate();
+    // The backend server drains but stays until its counts have been read.
+    const auto url = fmt::format(
+      "http://{}:{}/test/behaviour", fleet.Address(host), kBackendPort);
+    cr_assert_eq(SendTestRequest("POST", url, R"({"drain":true})").status, 200);
     fleet.Daemon(host).Terminate();
     cr_expect_eq(fleet.Daemon(host).Wait(30000).value_or(-1), 0);
     AddRuns(runs, fleet.AllRuns(host, kBackendPort));
+    fleet.Backend(host, kBackendPort).Terminate();
     cr_expect_eq(fleet.Backend(host, kBackendPort).Wait(30000).value_or(-1), 0);
     fleet.Start(host);
     StartServer(fleet, host);
