Use one rule for hop-by-hop headers

Cause: EndToEndHeaders() listed connection headers again beside RemoveHopByHop(), and dropped Connection before the headers that it names could be told apart, so those went on to the backend server. Change: EndToEndHeaders() calls RemoveHopByHop() and drops Host. Conclusion: one list to keep right.

--- a/src/execution/outcome.cpp
+++ b/src/execution/outcome.cpp
@@ -1,39 +1,12 @@
 #include "execution/outcome.h"
 
+#include "proxy/httpheaders.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <array>
-#include <iterator>
-
 namespace lacewingwharf {
 
-namespace {
-
-constexpr std::array kConnectionHeaders = { "connection",
-                                            "keep-alive",
-                                            "transfer-encoding",
-                                            "te",
-                                            "trailer",
-                                            "upgrade",
-                                            "proxy-authorization",
-                                            "proxy-connection",
-                                            "host",
-                                            "content-length",
-                                            "expect" };
-
-bool
-IsConnectionHeader(const std::string& aName)
-{
-  const HeaderLess less;
-  return std::ranges::any_of(kConnectionHeaders, [&](const char* aOther) {
-    return !less(aName, aOther) && !less(aOther, aName);
-  });
-}
-
-} // namespace
-
 int
 StatusOf(RefusalReason aReason)
 {
@@ -95,11 +68,9 @@
 HttpHeaders
 EndToEndHeaders(const HttpHeaders& aHeaders)
 {
-  HttpHeaders kept;
-  std::ranges::copy_if(
-    aHeaders, std::inserter(kept, kept.end()), [](const auto& aHeader) {
-      return !IsConnectionHeader(aHeader.first);
-    });
+  HttpHeaders kept = aHeaders;
+  RemoveHopByHop(kept);
+  kept.erase("Host");
   return kept;
 }
 
