Make the list of seeds only when it may be written

Cause: a feeder built the addresses of its whole failure domain on each tick, 20 times a second, and every daemon copied the list of live hosts, although seeds are written at most every 30 s. Change: the list is read by reference and made when SeedList says it is due; an unchanged list is compared again after 1 s rather than at the next tick. Conclusion: a change of seeds may be written up to 1 s later than before.

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -300,9 +300,11 @@
 void
 ControlService::PublishSeeds()
 {
-  const auto hosts = this->membership.LiveHosts(this->settings.domain);
+  // Runs on every tick, so the list of addresses is only made when it is due.
+  const std::vector<std::string>& hosts = this->membership.Table().LiveHosts();
   this->seeds.ReadWhenAlone(hosts.size() <= 1);
-  if (!this->distributor.IsFeeder() || hosts.size() <= 1) {
+  if (!this->distributor.IsFeeder() || hosts.size() <= 1 ||
+      !this->seeds.IsPublishDue()) {
     return;
   }
   std::vector<PeerAddress> members;
--- a/src/membership/seedlist.cpp
+++ b/src/membership/seedlist.cpp
@@ -15,6 +15,9 @@
 
 constexpr Millis kReadInterval = 2000;
 constexpr Millis kWriteInterval = 30000;
+
+// Making the list costs a look-up per member.
+constexpr Millis kCompareInterval = 1000;
 constexpr std::size_t kMaxSeeds = 16;
 
 std::vector<PeerAddress>
@@ -77,18 +80,19 @@
 void
 SeedList::Publish(const std::vector<PeerAddress>& aMembers)
 {
-  const Millis now = this->clock.Now();
-  if (now < this->nextWrite) {
+  if (!this->IsPublishDue()) {
     return;
   }
   const std::size_t count = std::min(aMembers.size(), kMaxSeeds);
   const std::string text =
     EncodeSeeds({ aMembers.begin(),
                   aMembers.begin() + static_cast<std::ptrdiff_t>(count) });
-  if (text == this->published) {
+  const bool isUnchanged = text == this->published;
+  this->nextWrite =
+    this->clock.Now() + (isUnchanged ? kCompareInterval : kWriteInterval);
+  if (isUnchanged) {
     return;
   }
-  this->nextWrite = now + kWriteInterval;
   this->published = text;
   const std::string name = fmt::format("seeds/{}", this->domain);
   this->submit([name, text](const ObjectStore& aStore) {
--- a/src/membership/seedlist.h
+++ b/src/membership/seedlist.h
@@ -26,6 +26,9 @@
   /** Reads the object when the daemon knows no other member. */
   void ReadWhenAlone(bool aIsAlone);
 
+  /** False for some time after Publish(), which then does nothing. */
+  bool IsPublishDue() const;
+
   /** Writes a few live members when they changed; for feeders. */
   void Publish(const std::vector<PeerAddress>& aMembers);
 
@@ -51,4 +54,10 @@
   return this->state->peers;
 }
 
+inline bool
+SeedList::IsPublishDue() const
+{
+  return this->clock.Now() >= this->nextWrite;
+}
+
 } // namespace lacewingwharf
