--- a/src/common/hash.h
+++ b/src/common/hash.h
@@ -21,7 +21,7 @@
 
 /**
  * Members ordered by rendezvous (highest random weight) hashing for aKey. All
- * daemons that see the same members compute the same order, so a duty moves to
+ * daemons that see the same members compute the same order, so a role moves to
  * the next member without an election.
  */
 std::vector<std::string>
--- a/src/distribution/acceptorrole.h
+++ b/src/distribution/acceptorrole.h
@@ -24,7 +24,7 @@
 };
 
 /**
- * The duty to publish accepted versions, for the daemon that has it at present.
+ * The role to publish accepted versions, for the daemon that has it at present.
  * Two daemons that both believe to have it do no harm: the create-only write
  * lets one of them win each version.
  */
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -16,7 +16,7 @@
 
 // Comparing all members costs more than anything else in Tick(); they are
 // ordered by hash only when they changed.
-constexpr Millis kDutyInterval = 500;
+constexpr Millis kRoleInterval = 500;
 
 // Gossip usually reports a new version while its push is still on the way.
 constexpr Millis kFetchJitter = 250;
@@ -86,8 +86,8 @@
 void
 Distributor::Tick()
 {
-  if (this->clock.Now() >= this->dutiesDueAt) {
-    this->RefreshDuties();
+  if (this->clock.Now() >= this->rolesDueAt) {
+    this->RefreshRoles();
   }
   if (!this->isStartOver || !this->startRule.MayPublish()) {
     this->TickStart();
@@ -98,9 +98,9 @@
 }
 
 void
-Distributor::RefreshDuties()
+Distributor::RefreshRoles()
 {
-  this->dutiesDueAt = this->clock.Now() + kDutyInterval;
+  this->rolesDueAt = this->clock.Now() + kRoleInterval;
   std::vector<std::string> live = this->hooks.domainMembers();
   std::ranges::sort(live);
   if (live != this->members) {
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -50,7 +50,7 @@
 /**
  * Keeps this daemon at the newest accepted version and passes it on: pushes
  * along the tree, fetches and answers to fetches, the start rule and the
- * duties of feeder and acceptor. Runs on the control thread.
+ * roles of feeder and acceptor. Runs on the control thread.
  */
 class Distributor
 {
@@ -88,7 +88,7 @@
 
   /**
    * False until the start is over: a process that knows no members yet would
-   * take both duties and read the whole catalogue from the platform.
+   * take both roles and read the whole catalogue from the platform.
    */
   bool IsFeeder() const;
   bool IsAcceptor() const;
@@ -105,7 +105,7 @@
 
 private:
   OfferOutcome Offer(const Delta& aDelta, std::string_view aSource);
-  void RefreshDuties();
+  void RefreshRoles();
   void RefreshFeeders();
   void TickStart();
   void AskPeers(std::vector<std::string> aHosts);
@@ -133,7 +133,7 @@
   bool isPlatformAsked = false;
   bool isPlatformBusy = false;
   Millis platformDueAt = 0;
-  Millis dutiesDueAt = 0;
+  Millis rolesDueAt = 0;
   std::vector<std::string> members;    // Sorted; of the own failure domain.
   std::vector<std::string> candidates; // For the acceptor role.
   std::optional<int> feederRank;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -57,7 +57,7 @@
 
   /**
    * The contacts of every domain of the region, the own one included, so that
-   * daemons of different domains compute a duty's holder from the same hosts.
+   * daemons of different domains compute a role's holder from the same hosts.
    */
   std::vector<std::string> LiveHostsOfRegion(const std::string& aRegion) const;
 
