Tell peers which calls a stopping daemon did not run

Cause of the known red case: a daemon that stops closes its sessions while requests are still on their way to it. It never reads them, so they are not run, but the entry daemon only saw a lost session; its question for the fate reached the new process, which cannot know, and the keyed POST ended unknown. Ruled out: a call cut while running (the daemon waits for those) and a refusal that arrives late (RefuseLateCalls covers what is read).

The last frame on a calls session is now a Farewell, sent after reading has stopped and all answers are queued. The entry daemon takes what it sent on that session and has no answer to as not run. A session that breaks proves nothing, as before.

Also: the reactor is opened for no more handles than the descriptor limit, and a reactor that does not open is an error at the start. Seen on the platform's machines with 4,100 descriptors: the daemon crashed, code 139.

--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -3967,6 +3967,18 @@
 void CallRequest::__set_digest(const int64_t val) {
   this->digest = val;
 }
+
+void CallRequest::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+
+void CallRequest::__set_workClass(const int32_t val) {
+  this->workClass = val;
+}
+
+void CallRequest::__set_queueMillis(const int32_t val) {
+  this->queueMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -4122,6 +4134,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->workClass);
+          this->__isset.workClass = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queueMillis);
+          this->__isset.queueMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4204,6 +4240,18 @@
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 15);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workClass", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->workClass);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queueMillis", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->queueMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4225,6 +4273,9 @@
   swap(a.callerHost, b.callerHost);
   swap(a.version, b.version);
   swap(a.digest, b.digest);
+  swap(a.owner, b.owner);
+  swap(a.workClass, b.workClass);
+  swap(a.queueMillis, b.queueMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -4243,6 +4294,9 @@
   callerHost = other179.callerHost;
   version = other179.version;
   digest = other179.digest;
+  owner = other179.owner;
+  workClass = other179.workClass;
+  queueMillis = other179.queueMillis;
   __isset = other179.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other180) noexcept {
@@ -4260,6 +4314,9 @@
   callerHost = std::move(other180.callerHost);
   version = other180.version;
   digest = other180.digest;
+  owner = std::move(other180.owner);
+  workClass = other180.workClass;
+  queueMillis = other180.queueMillis;
   __isset = other180.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other181) {
@@ -4277,6 +4334,9 @@
   callerHost = other181.callerHost;
   version = other181.version;
   digest = other181.digest;
+  owner = other181.owner;
+  workClass = other181.workClass;
+  queueMillis = other181.queueMillis;
   __isset = other181.__isset;
   return *this;
 }
@@ -4295,6 +4355,9 @@
   callerHost = std::move(other182.callerHost);
   version = other182.version;
   digest = other182.digest;
+  owner = std::move(other182.owner);
+  workClass = other182.workClass;
+  queueMillis = other182.queueMillis;
   __isset = other182.__isset;
   return *this;
 }
@@ -4315,6 +4378,9 @@
   out << ", " << "callerHost=" << to_string(callerHost);
   out << ", " << "version=" << to_string(version);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "workClass=" << to_string(workClass);
+  out << ", " << "queueMillis=" << to_string(queueMillis);
   out << ")";
 }
 
@@ -6305,6 +6371,107 @@
 }
 
 
+Farewell::~Farewell() noexcept {
+}
+
+
+void Farewell::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const Farewell& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Farewell::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Farewell::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Farewell");
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Farewell &a, Farewell &b) {
+  using ::std::swap;
+  swap(a.reason, b.reason);
+  swap(a.__isset, b.__isset);
+}
+
+Farewell::Farewell(const Farewell& other254) {
+  reason = other254.reason;
+  __isset = other254.__isset;
+}
+Farewell::Farewell(Farewell&& other255) noexcept {
+  reason = std::move(other255.reason);
+  __isset = other255.__isset;
+}
+Farewell& Farewell::operator=(const Farewell& other256) {
+  reason = other256.reason;
+  __isset = other256.__isset;
+  return *this;
+}
+Farewell& Farewell::operator=(Farewell&& other257) noexcept {
+  reason = std::move(other257.reason);
+  __isset = other257.__isset;
+  return *this;
+}
+void Farewell::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Farewell(";
+  out << "reason=" << to_string(reason);
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -6398,6 +6565,11 @@
   this->loadReport = val;
 __isset.loadReport = true;
 }
+
+void Envelope::__set_farewell(const Farewell& val) {
+  this->farewell = val;
+__isset.farewell = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -6570,6 +6742,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->farewell.read(iprot);
+          this->__isset.farewell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6677,6 +6857,11 @@
     xfer += this->loadReport.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.farewell) {
+    xfer += oprot->writeFieldBegin("farewell", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->farewell.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6702,93 +6887,98 @@
   swap(a.statusReport, b.statusReport);
   swap(a.heartbeat, b.heartbeat);
   swap(a.loadReport, b.loadReport);
+  swap(a.farewell, b.farewell);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other254) {
-  hello = other254.hello;
-  ping = other254.ping;
-  ack = other254.ack;
-  pingRequest = other254.pingRequest;
-  memberSync = other254.memberSync;
-  domainSummary = other254.domainSummary;
-  configPush = other254.configPush;
-  configFetch = other254.configFetch;
-  configAnswer = other254.configAnswer;
-  callRequest = other254.callRequest;
-  callAnswer = other254.callAnswer;
-  callCancel = other254.callCancel;
-  callQuery = other254.callQuery;
-  claimRequest = other254.claimRequest;
-  claimAnswer = other254.claimAnswer;
-  statusReport = other254.statusReport;
-  heartbeat = other254.heartbeat;
-  loadReport = other254.loadReport;
-  __isset = other254.__isset;
-}
-Envelope::Envelope(Envelope&& other255) noexcept {
-  hello = std::move(other255.hello);
-  ping = std::move(other255.ping);
-  ack = std::move(other255.ack);
-  pingRequest = std::move(other255.pingRequest);
-  memberSync = std::move(other255.memberSync);
-  domainSummary = std::move(other255.domainSummary);
-  configPush = std::move(other255.configPush);
-  configFetch = std::move(other255.configFetch);
-  configAnswer = std::move(other255.configAnswer);
-  callRequest = std::move(other255.callRequest);
-  callAnswer = std::move(other255.callAnswer);
-  callCancel = std::move(other255.callCancel);
-  callQuery = std::move(other255.callQuery);
-  claimRequest = std::move(other255.claimRequest);
-  claimAnswer = std::move(other255.claimAnswer);
-  statusReport = std::move(other255.statusReport);
-  heartbeat = std::move(other255.heartbeat);
-  loadReport = std::move(other255.loadReport);
-  __isset = other255.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other256) {
-  hello = other256.hello;
-  ping = other256.ping;
-  ack = other256.ack;
-  pingRequest = other256.pingRequest;
-  memberSync = other256.memberSync;
-  domainSummary = other256.domainSummary;
-  configPush = other256.configPush;
-  configFetch = other256.configFetch;
-  configAnswer = other256.configAnswer;
-  callRequest = other256.callRequest;
-  callAnswer = other256.callAnswer;
-  callCancel = other256.callCancel;
-  callQuery = other256.callQuery;
-  claimRequest = other256.claimRequest;
-  claimAnswer = other256.claimAnswer;
-  statusReport = other256.statusReport;
-  heartbeat = other256.heartbeat;
-  loadReport = other256.loadReport;
-  __isset = other256.__isset;
+Envelope::Envelope(const Envelope& other258) {
+  hello = other258.hello;
+  ping = other258.ping;
+  ack = other258.ack;
+  pingRequest = other258.pingRequest;
+  memberSync = other258.memberSync;
+  domainSummary = other258.domainSummary;
+  configPush = other258.configPush;
+  configFetch = other258.configFetch;
+  configAnswer = other258.configAnswer;
+  callRequest = other258.callRequest;
+  callAnswer = other258.callAnswer;
+  callCancel = other258.callCancel;
+  callQuery = other258.callQuery;
+  claimRequest = other258.claimRequest;
+  claimAnswer = other258.claimAnswer;
+  statusReport = other258.statusReport;
+  heartbeat = other258.heartbeat;
+  loadReport = other258.loadReport;
+  farewell = other258.farewell;
+  __isset = other258.__isset;
+}
+Envelope::Envelope(Envelope&& other259) noexcept {
+  hello = std::move(other259.hello);
+  ping = std::move(other259.ping);
+  ack = std::move(other259.ack);
+  pingRequest = std::move(other259.pingRequest);
+  memberSync = std::move(other259.memberSync);
+  domainSummary = std::move(other259.domainSummary);
+  configPush = std::move(other259.configPush);
+  configFetch = std::move(other259.configFetch);
+  configAnswer = std::move(other259.configAnswer);
+  callRequest = std::move(other259.callRequest);
+  callAnswer = std::move(other259.callAnswer);
+  callCancel = std::move(other259.callCancel);
+  callQuery = std::move(other259.callQuery);
+  claimRequest = std::move(other259.claimRequest);
+  claimAnswer = std::move(other259.claimAnswer);
+  statusReport = std::move(other259.statusReport);
+  heartbeat = std::move(other259.heartbeat);
+  loadReport = std::move(other259.loadReport);
+  farewell = std::move(other259.farewell);
+  __isset = other259.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other260) {
+  hello = other260.hello;
+  ping = other260.ping;
+  ack = other260.ack;
+  pingRequest = other260.pingRequest;
+  memberSync = other260.memberSync;
+  domainSummary = other260.domainSummary;
+  configPush = other260.configPush;
+  configFetch = other260.configFetch;
+  configAnswer = other260.configAnswer;
+  callRequest = other260.callRequest;
+  callAnswer = other260.callAnswer;
+  callCancel = other260.callCancel;
+  callQuery = other260.callQuery;
+  claimRequest = other260.claimRequest;
+  claimAnswer = other260.claimAnswer;
+  statusReport = other260.statusReport;
+  heartbeat = other260.heartbeat;
+  loadReport = other260.loadReport;
+  farewell = other260.farewell;
+  __isset = other260.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other257) noexcept {
-  hello = std::move(other257.hello);
-  ping = std::move(other257.ping);
-  ack = std::move(other257.ack);
-  pingRequest = std::move(other257.pingRequest);
-  memberSync = std::move(other257.memberSync);
-  domainSummary = std::move(other257.domainSummary);
-  configPush = std::move(other257.configPush);
-  configFetch = std::move(other257.configFetch);
-  configAnswer = std::move(other257.configAnswer);
-  callRequest = std::move(other257.callRequest);
-  callAnswer = std::move(other257.callAnswer);
-  callCancel = std::move(other257.callCancel);
-  callQuery = std::move(other257.callQuery);
-  claimRequest = std::move(other257.claimRequest);
-  claimAnswer = std::move(other257.claimAnswer);
-  statusReport = std::move(other257.statusReport);
-  heartbeat = std::move(other257.heartbeat);
-  loadReport = std::move(other257.loadReport);
-  __isset = other257.__isset;
+Envelope& Envelope::operator=(Envelope&& other261) noexcept {
+  hello = std::move(other261.hello);
+  ping = std::move(other261.ping);
+  ack = std::move(other261.ack);
+  pingRequest = std::move(other261.pingRequest);
+  memberSync = std::move(other261.memberSync);
+  domainSummary = std::move(other261.domainSummary);
+  configPush = std::move(other261.configPush);
+  configFetch = std::move(other261.configFetch);
+  configAnswer = std::move(other261.configAnswer);
+  callRequest = std::move(other261.callRequest);
+  callAnswer = std::move(other261.callAnswer);
+  callCancel = std::move(other261.callCancel);
+  callQuery = std::move(other261.callQuery);
+  claimRequest = std::move(other261.claimRequest);
+  claimAnswer = std::move(other261.claimAnswer);
+  statusReport = std::move(other261.statusReport);
+  heartbeat = std::move(other261.heartbeat);
+  loadReport = std::move(other261.loadReport);
+  farewell = std::move(other261.farewell);
+  __isset = other261.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -6812,6 +7002,7 @@
   out << ", " << "statusReport="; (__isset.statusReport ? (out << to_string(statusReport)) : (out << "<null>"));
   out << ", " << "heartbeat="; (__isset.heartbeat ? (out << to_string(heartbeat)) : (out << "<null>"));
   out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
+  out << ", " << "farewell="; (__isset.farewell ? (out << to_string(farewell)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -166,6 +166,8 @@
 
 class Heartbeat;
 
+class Farewell;
+
 class Envelope;
 
 typedef struct _Hello__isset {
@@ -1536,7 +1538,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigAnswer& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), entry(false), serviceName(false), port(false), method(false), target(false), headers(false), body(false), remainingMillis(false), idempotent(false), depth(false), callerHost(false), version(false), digest(false) {}
+  _CallRequest__isset() : callId(false), entry(false), serviceName(false), port(false), method(false), target(false), headers(false), body(false), remainingMillis(false), idempotent(false), depth(false), callerHost(false), version(false), digest(false), owner(false), workClass(false), queueMillis(false) {}
   bool callId :1;
   bool entry :1;
   bool serviceName :1;
@@ -1551,6 +1553,9 @@
   bool callerHost :1;
   bool version :1;
   bool digest :1;
+  bool owner :1;
+  bool workClass :1;
+  bool queueMillis :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -1573,7 +1578,10 @@
                 depth(0),
                 callerHost(),
                 version(0),
-                digest(0) {
+                digest(0),
+                owner(),
+                workClass(0),
+                queueMillis(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -1594,6 +1602,15 @@
    * Digest of method, path and body or of the key; for the quarantine.
    */
   int64_t digest;
+  /**
+   * Of the entry, for a destination that does not hold it yet.
+   */
+  std::string owner;
+  /**
+   * Position in the list of classes of work, most important first.
+   */
+  int32_t workClass;
+  int32_t queueMillis;
 
   _CallRequest__isset __isset;
 
@@ -1625,6 +1642,12 @@
 
   void __set_digest(const int64_t val);
 
+  void __set_owner(const std::string& val);
+
+  void __set_workClass(const int32_t val);
+
+  void __set_queueMillis(const int32_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -1655,6 +1678,12 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(workClass == rhs.workClass))
+      return false;
+    if (!(queueMillis == rhs.queueMillis))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -2446,8 +2475,57 @@
 
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
+typedef struct _Farewell__isset {
+  _Farewell__isset() : reason(false) {}
+  bool reason :1;
+} _Farewell__isset;
+
+/**
+ * The last frame of a daemon that stops. Requests of the session that were not
+ * answered before it were not run and never will be.
+ */
+class Farewell : public virtual ::apache::thrift::TBase {
+ public:
+
+  Farewell(const Farewell&);
+  Farewell(Farewell&&) noexcept;
+  Farewell& operator=(const Farewell&);
+  Farewell& operator=(Farewell&&) noexcept;
+  Farewell() noexcept
+           : reason() {
+  }
+
+  virtual ~Farewell() noexcept;
+  std::string reason;
+
+  _Farewell__isset __isset;
+
+  void __set_reason(const std::string& val);
+
+  bool operator == (const Farewell & rhs) const
+  {
+    if (!(reason == rhs.reason))
+      return false;
+    return true;
+  }
+  bool operator != (const Farewell &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Farewell & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Farewell &a, Farewell &b);
+
+std::ostream& operator<<(std::ostream& out, const Farewell& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : hello(false), ping(false), ack(false), pingRequest(false), memberSync(false), domainSummary(false), configPush(false), configFetch(false), configAnswer(false), callRequest(false), callAnswer(false), callCancel(false), callQuery(false), claimRequest(false), claimAnswer(false), statusReport(false), heartbeat(false), loadReport(false) {}
+  _Envelope__isset() : hello(false), ping(false), ack(false), pingRequest(false), memberSync(false), domainSummary(false), configPush(false), configFetch(false), configAnswer(false), callRequest(false), callAnswer(false), callCancel(false), callQuery(false), claimRequest(false), claimAnswer(false), statusReport(false), heartbeat(false), loadReport(false), farewell(false) {}
   bool hello :1;
   bool ping :1;
   bool ack :1;
@@ -2466,6 +2544,7 @@
   bool statusReport :1;
   bool heartbeat :1;
   bool loadReport :1;
+  bool farewell :1;
 } _Envelope__isset;
 
 /**
@@ -2500,6 +2579,7 @@
   StatusReport statusReport;
   Heartbeat heartbeat;
   LoadReport loadReport;
+  Farewell farewell;
 
   _Envelope__isset __isset;
 
@@ -2539,6 +2619,8 @@
 
   void __set_loadReport(const LoadReport& val);
 
+  void __set_farewell(const Farewell& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -2613,6 +2695,10 @@
       return false;
     else if (__isset.loadReport && !(loadReport == rhs.loadReport))
       return false;
+    if (__isset.farewell != rhs.__isset.farewell)
+      return false;
+    else if (__isset.farewell && !(farewell == rhs.farewell))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -212,6 +212,11 @@
   13: i64 version
   /** Digest of method, path and body or of the key; for the quarantine. */
   14: i64 digest
+  /** Of the entry, for a destination that does not hold it yet. */
+  15: string owner
+  /** Position in the list of classes of work, most important first. */
+  16: i32 workClass
+  17: i32 queueMillis
 }
 
 struct CallAnswer {
@@ -315,6 +320,14 @@
   1: i64 sequence
 }
 
+/**
+ * The last frame of a daemon that stops. Requests of the session that were not
+ * answered before it were not run and never will be.
+ */
+struct Farewell {
+  1: string reason
+}
+
 /** Exactly one field is set. */
 struct Envelope {
   1: optional Hello hello
@@ -335,4 +348,5 @@
   16: optional StatusReport statusReport
   17: optional Heartbeat heartbeat
   18: optional LoadReport loadReport
+  19: optional Farewell farewell
 }
--- a/src/peer/peernetwork.cpp
+++ b/src/peer/peernetwork.cpp
@@ -38,8 +38,12 @@
                   wire::SessionKind::type aKind,
                   wire::Envelope aEnvelope)
 {
+  PeerCommand command{ PeerCommandKind::Send, aTo, 0, aKind, {}, {} };
+  if (aEnvelope.__isset.callRequest) {
+    command.callId = aEnvelope.callRequest.callId;
+  }
   return this->impl->PushEncoded(
-    { PeerCommandKind::Send, aTo, 0, aKind, {} },
+    std::move(command),
     EncodeFrame(aEnvelope, this->impl->Config().maxFrameBytes));
 }
 
@@ -47,21 +51,22 @@
 PeerNetwork::Reply(SessionId aSession, wire::Envelope aEnvelope)
 {
   return this->impl->PushEncoded(
-    { PeerCommandKind::Reply, {}, aSession, {}, {} },
+    { PeerCommandKind::Reply, {}, aSession, {}, {}, {} },
     EncodeFrame(aEnvelope, this->impl->Config().maxFrameBytes));
 }
 
 bool
 PeerNetwork::SendDatagram(const PeerAddress& aTo, wire::Envelope aEnvelope)
 {
-  return this->impl->PushEncoded({ PeerCommandKind::Datagram, aTo, 0, {}, {} },
-                                 EncodeEnvelope(aEnvelope, kMaxDatagramBytes));
+  return this->impl->PushEncoded(
+    { PeerCommandKind::Datagram, aTo, 0, {}, {}, {} },
+    EncodeEnvelope(aEnvelope, kMaxDatagramBytes));
 }
 
 void
 PeerNetwork::Drop(SessionId aSession)
 {
-  this->impl->Push({ PeerCommandKind::Drop, {}, aSession, {}, {} });
+  this->impl->Push({ PeerCommandKind::Drop, {}, aSession, {}, {}, {} });
 }
 
 // NOLINTEND(performance-unnecessary-value-param)
--- a/src/peer/peernetwork.h
+++ b/src/peer/peernetwork.h
@@ -53,6 +53,12 @@
    * sent on it. Others for the same daemon may be on their way already.
    */
   std::vector<wire::Envelope> unsent{};
+
+  /**
+   * Of a session that the other daemon ended in order: ids of the requests
+   * that it received or not, and certainly did not run.
+   */
+  std::vector<std::string> notTaken{};
 };
 
 /** Settings of the peer thread. */
--- a/src/peer/peernetwork_test.cpp
+++ b/src/peer/peernetwork_test.cpp
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <memory>
 #include <mutex>
@@ -337,3 +339,79 @@
 {
   ExpectRejected(GoodHello() + GoodHello(), 1);
 }
+
+namespace {
+
+wire::Envelope
+Request(const std::string& aCallId)
+{
+  wire::CallRequest request;
+  request.callId = aCallId;
+  wire::Envelope envelope;
+  envelope.__set_callRequest(request);
+  return envelope;
+}
+
+wire::Envelope
+AnswerTo(const std::string& aCallId)
+{
+  wire::CallAnswer answer;
+  answer.callId = aCallId;
+  answer.outcome = wire::CallOutcome::DONE;
+  wire::Envelope envelope;
+  envelope.__set_callAnswer(answer);
+  return envelope;
+}
+
+} // namespace
+
+// Guards against calls whose fate is unknown because the daemon they were sent
+// to was stopped in order: what it did not answer, it did not run.
+Test(peernetwork, an_orderly_end_tells_which_requests_were_not_run)
+{
+  Node entry("127.71.0.21");
+  Node destination("127.71.0.22");
+  const auto send = [&](const std::string& aId) {
+    entry.network->Send(
+      destination.address, wire::SessionKind::CALLS, Request(aId));
+  };
+  send("answered");
+  send("unanswered");
+  cr_assert(destination.Has(PeerEventKind::Message, 2));
+  const auto received = destination.Events(PeerEventKind::Message);
+  destination.network->Reply(received.front().session, AnswerTo("answered"));
+  destination.network->Stop();
+  cr_assert(entry.Has(PeerEventKind::SessionLost));
+  const auto lost = entry.Events(PeerEventKind::SessionLost).front();
+  cr_expect(lost.notTaken == std::vector<std::string>{ "unanswered" });
+  cr_expect_eq(entry.Events(PeerEventKind::Message).size(), 1U);
+}
+
+// Guards against taking a broken session for an orderly end.
+Test(peernetwork, a_broken_session_proves_nothing_about_its_requests)
+{
+  Node entry("127.71.0.23");
+  Node destination("127.71.0.24");
+  entry.network->Send(
+    destination.address, wire::SessionKind::CALLS, Request("open"));
+  cr_assert(destination.Has(PeerEventKind::Message));
+  const auto received = destination.Events(PeerEventKind::Message);
+  destination.network->Drop(received.front().session);
+  cr_assert(entry.Has(PeerEventKind::SessionLost));
+  const auto lost = entry.Events(PeerEventKind::SessionLost).front();
+  cr_expect(lost.wasConnected);
+  cr_expect(lost.notTaken.empty());
+}
+
+// Guards against a reactor that is opened for more descriptors than the process
+// may have; ACE refuses that, and the daemon crashed when it used the reactor.
+Test(peernetwork, starts_under_a_low_descriptor_limit)
+{
+  constexpr rlim_t kDescriptors = 512;
+  const rlimit limit{ kDescriptors, kDescriptors };
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+  Node node("127.71.0.25");
+  Node other("127.71.0.26");
+  node.network->Send(other.address, wire::SessionKind::CALLS, Cancel("any"));
+  cr_expect(other.Has(PeerEventKind::Message));
+}
--- a/src/peer/peersession.cpp
+++ b/src/peer/peersession.cpp
@@ -279,6 +279,14 @@
     this->Close("a second Hello");
     return;
   }
+  if (aEnvelope.__isset.farewell) {
+    this->hasFarewell = true;
+    this->Close("the other daemon stops");
+    return;
+  }
+  if (aEnvelope.__isset.callAnswer) {
+    this->unanswered.erase(aEnvelope.callAnswer.callId);
+  }
   if (!aEnvelope.__isset.heartbeat) {
     this->context.onMessage(*this, std::move(aEnvelope));
   }
@@ -339,6 +347,37 @@
   this->outgoing.push_back(std::move(aFrame));
 }
 
+void
+PeerSession::NoteRequest(const std::string& aCallId)
+{
+  if (this->state != State::Closed) {
+    this->unanswered.insert(aCallId);
+  }
+}
+
+void
+PeerSession::SayFarewell()
+{
+  if (this->state != State::Open) {
+    return;
+  }
+  wire::Envelope envelope;
+  envelope.__set_farewell({});
+  auto frame = EncodeFrame(envelope, this->context.config.maxFrameBytes);
+  if (frame) {
+    this->Enqueue(std::move(frame).value());
+  }
+}
+
+std::vector<std::string>
+PeerSession::NotTaken() const
+{
+  if (!this->hasFarewell) {
+    return {};
+  }
+  return { this->unanswered.begin(), this->unanswered.end() };
+}
+
 void
 PeerSession::Flush()
 {
--- a/src/peer/peersession.h
+++ b/src/peer/peersession.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,12 @@
 
   /** Queues a frame for the next Flush(); closes the session when full. */
   void Enqueue(std::string aFrame);
+
+  /** Notes a request that goes out here, until its answer arrives. */
+  void NoteRequest(const std::string& aCallId);
+
+  /** Queues the last frame of a daemon that stops. */
+  void SayFarewell();
   void Flush();
 
   /** Sends a heartbeat when due. */
@@ -75,6 +82,9 @@
   bool WasConnected() const;
   bool HasOutgoing() const;
   const std::deque<std::string>& Outgoing() const;
+
+  /** Unanswered requests that the other side declared as not run. */
+  std::vector<std::string> NotTaken() const;
   wire::SessionKind::type Kind() const;
   const PeerAddress& Remote() const;
   const wire::Hello& RemoteHello() const;
@@ -120,6 +130,8 @@
   std::size_t queuedBytes = 0;
   std::size_t sentOfFront = 0;
   std::int64_t heartbeats = 0;
+  std::set<std::string> unanswered; // Call ids.
+  bool hasFarewell = false;
   Millis startedAt;
   Millis lastSent;
   Millis lastReceived;
--- a/src/peer/peerthread.cpp
+++ b/src/peer/peerthread.cpp
@@ -6,6 +6,8 @@
 
 #include <ace/Dev_Poll_Reactor.h>
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <chrono>
 
@@ -17,8 +19,9 @@
 
 constexpr std::size_t kMaxCommands = 16384;
 
-// File descriptors of the whole process share the number space, so this also
-// covers those of callers and backend servers.
+// Enough for kMaxSessions and as many callers and backend servers, which share
+// the number space. A lower descriptor limit of the process goes first: ACE
+// cannot open a reactor beyond it.
 constexpr std::size_t kMaxHandles = 16384;
 
 constexpr std::size_t kMaxSessions = 8192;
@@ -29,6 +32,16 @@
 // Answers that are queued when the daemon stops get this long to leave.
 constexpr Millis kStopFlushLimit = 500;
 
+std::size_t
+HandleCount()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return kMaxHandles;
+  }
+  return std::min<std::size_t>(kMaxHandles, limit.rlim_cur);
+}
+
 ACE_Time_Value
 TimeValueOf(Millis aMillis)
 {
@@ -49,7 +62,7 @@
 PeerThread::PeerThread(PeerNetworkConfig aConfig, PeerHandlers aHandlers)
   : config(std::move(aConfig))
   , handlers(std::move(aHandlers))
-  , reactor(new ACE_Dev_Poll_Reactor(kMaxHandles, true), true)
+  , reactor(new ACE_Dev_Poll_Reactor(HandleCount(), true), true)
   , commands(kMaxCommands, [this] { this->Wake(); })
   , acceptor([this](ACE_SOCK_Stream& aStream, const PeerAddress& aRemote) {
     this->Accepted(aStream, aRemote);
@@ -93,6 +106,10 @@
 bool
 PeerThread::Start()
 {
+  if (!this->reactor.initialized()) {
+    kLog.Error("cannot open the reactor for {} descriptors", HandleCount());
+    return false;
+  }
   if (!this->Listen()) {
     kLog.Error("cannot listen at {}:{}",
                this->config.listen.address,
@@ -157,11 +174,19 @@
 PeerThread::FlushBeforeStop()
 {
   this->RunCommands();
+  // Nothing is read any more and all answers are queued, so that what is
+  // unanswered on a session was not run.
+  std::ranges::for_each(this->AllSessions(), [](const auto& aSession) {
+    if (aSession->Kind() == wire::SessionKind::CALLS) {
+      aSession->SayFarewell();
+    }
+  });
   const Millis limit = this->clock.Now() + kStopFlushLimit;
   const auto hasOutgoing = [](const PeerSession::Ptr& aSession) {
     return aSession->IsOpen() && aSession->HasOutgoing();
   };
   auto waiting = this->AllSessions();
+  std::ranges::for_each(waiting, &PeerSession::Flush);
   while (std::ranges::any_of(waiting, hasOutgoing) &&
          this->clock.Now() < limit) {
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -246,6 +271,9 @@
 {
   const PeerSession::Ptr session = this->SessionTo(aCommand);
   if (session) {
+    if (!aCommand.callId.empty()) {
+      session->NoteRequest(aCommand.callId);
+    }
     this->Queue(session, std::move(aCommand.bytes));
     return;
   }
@@ -366,6 +394,7 @@
     event.remote = aSession.Remote();
     event.hello = aSession.RemoteHello();
     event.wasConnected = aSession.WasConnected();
+    event.notTaken = aSession.NotTaken();
     if (!event.wasConnected) {
       std::ranges::for_each(
         aSession.Outgoing(),
--- a/src/peer/peerthread.h
+++ b/src/peer/peerthread.h
@@ -36,6 +36,7 @@
   SessionId session = 0;
   wire::SessionKind::type sessionKind = wire::SessionKind::CONTROL;
   std::string bytes;
+  std::string callId; // Of a request.
 };
 
 /** The state of the peer thread; also its timer and wake-up handler. */
