--- a/bench/convergencelogs.h
+++ b/bench/convergencelogs.h
@@ -156,9 +156,9 @@
 
   void TakeLine(std::size_t aDaemon, std::string_view aLine)
   {
-    constexpr std::string_view kStart = "control: version ";
+    constexpr std::string_view kStart = "part=control event=version-in-force version=";
     const std::size_t start = aLine.find(kStart);
-    if (start == std::string_view::npos || !aLine.ends_with(" is in force")) {
+    if (start == std::string_view::npos) {
       return;
     }
     const std::string_view number = aLine.substr(start + kStart.size());
--- a/bench/convergenceprocess.h
+++ b/bench/convergenceprocess.h
@@ -52,6 +52,7 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
     if (posix_spawn(&this->pid,
                     words.front().c_str(),
                     &actions,
--- a/src/admission/limitbook.cpp
+++ b/src/admission/limitbook.cpp
@@ -103,12 +103,21 @@
   });
   for (const auto& [name, accepted] : aSnapshot.Entries()) {
     const Entry& entry = accepted->entry;
-    const std::int64_t ownSlots = aOwnSlots(entry.service);
-    if (entry.kind != EntryKind::Route || ownSlots == 0) {
+    const bool isLimited =
+      entry.limits.concurrency > 0 || entry.limits.ratePerSecond > 0;
+    const bool isKnown = this->entries.contains(name);
+    if (entry.kind != EntryKind::Route || (!isLimited && !isKnown)) {
       continue;
     }
     LimitShare share(this->host);
-    share.Add(ViewOf(aView, entry.service), ownSlots);
+    std::int64_t ownSlots = 0;
+    for (const std::string& service : entry.Services()) {
+      ownSlots += aOwnSlots(service);
+      share.Add(ViewOf(aView, service), aOwnSlots(service));
+    }
+    if (ownSlots == 0) {
+      continue;
+    }
     SetShares(this->entries[name], entry.limits, share, name);
   }
 }
@@ -122,7 +131,8 @@
   for (const auto& [name, accepted] : aSnapshot.Entries()) {
     const Entry& entry = accepted->entry;
     if (entry.kind == EntryKind::Route && aSnapshot.OwnerLimits(entry.owner)) {
-      services[entry.owner].insert(entry.service);
+      const auto used = entry.Services();
+      services[entry.owner].insert(used.begin(), used.end());
     }
   }
   std::erase_if(this->owners, [&services](const auto& aUse) {
--- a/src/admission/refusal.h
+++ b/src/admission/refusal.h
@@ -32,7 +32,9 @@
   NotConnected,
   Fenced,
   CallerLeft,
-  ShuttingDown
+  ShuttingDown,
+  ServerRefused, // The backend server itself did not run the request.
+  OtherServer    // Another server has the address of the one expected.
 };
 
 inline constexpr auto kRefusalReasonNames = MakeNameTable<RefusalReason>(
@@ -57,7 +59,9 @@
     { RefusalReason::NotConnected, "not-connected" },
     { RefusalReason::Fenced, "fenced" },
     { RefusalReason::CallerLeft, "caller-left" },
-    { RefusalReason::ShuttingDown, "shutting-down" } });
+    { RefusalReason::ShuttingDown, "shutting-down" },
+    { RefusalReason::ServerRefused, "server-refused" },
+    { RefusalReason::OtherServer, "other-server" } });
 
 /** A refusal that names whose limit was met and by how much. */
 struct Refusal
--- a/src/admission/retrybudget.cpp
+++ b/src/admission/retrybudget.cpp
@@ -8,11 +8,7 @@
 
 namespace {
 
-constexpr double kRetriesPerSuccess = 0.1;
-constexpr double kRetriesPerMilli = 3.0 / 1000;
-
-// One second's worth, so that an idle service can still retry a short fault.
-constexpr double kTimeBurst = 3;
+constexpr double kMillisPerSecond = 1000;
 
 // Credit of earlier successes decays with this time constant; otherwise a long
 // healthy period would pay for a retry storm.
@@ -20,15 +16,23 @@
 
 } // namespace
 
-RetryBudget::RetryBudget(Clock aClock)
+RetryBudget::RetryBudget(Clock aClock, RetryBudgetConfig aConfig)
   : clock(std::move(aClock))
+  , config(aConfig)
+{
+}
+
+void
+RetryBudget::SetConfig(const RetryBudgetConfig& aConfig)
 {
+  this->config = aConfig;
 }
 
 void
 RetryBudget::CountSuccess(std::string_view aService)
 {
-  this->Updated(aService).fromSuccesses += kRetriesPerSuccess;
+  this->Updated(aService).fromSuccesses +=
+    this->config.perSuccess;
 }
 
 bool
@@ -57,13 +61,15 @@
   const double now = this->clock.PreciseNow();
   auto found = this->accounts.find(aService);
   if (found == this->accounts.end()) {
-    const Account fresh{ 0, kTimeBurst, now };
+    const Account fresh{ 0, this->config.burst, now };
     found = this->accounts.emplace(std::string(aService), fresh).first;
   }
   Account& account = found->second;
   const double elapsed = now - account.updatedAt;
   account.fromTime =
-    std::min(kTimeBurst, account.fromTime + elapsed * kRetriesPerMilli);
+    std::min(this->config.burst,
+             account.fromTime +
+               elapsed * this->config.perSecond / kMillisPerSecond);
   account.fromSuccesses *= std::exp(-elapsed / kRecentMillis);
   account.updatedAt = now;
   return account;
--- a/src/admission/retrybudget.h
+++ b/src/admission/retrybudget.h
@@ -9,15 +9,29 @@
 
 namespace lacewingwharf {
 
+/** How many retries an entry daemon may send to one service. */
+struct RetryBudgetConfig
+{
+  /** Retries per successful call; a failing service sees this much more load. */
+  double perSuccess = 0.1;
+
+  /** Retries per second, whatever succeeds. */
+  double perSecond = 3;
+
+  /** Most retries that perSecond saves up while none is needed. */
+  double burst = 3;
+};
+
 /**
- * Bounds the retries that an entry daemon sends to each service: 10% of recent
- * successes plus 3 a second, so that a failing service sees at most a tenth
- * more load from retries.
+ * Bounds the retries that an entry daemon sends to each service by its recent
+ * successes and by time.
  */
 class RetryBudget
 {
 public:
-  explicit RetryBudget(Clock aClock);
+  explicit RetryBudget(Clock aClock, RetryBudgetConfig aConfig = {});
+
+  void SetConfig(const RetryBudgetConfig& aConfig);
 
   void CountSuccess(std::string_view aService);
 
@@ -38,6 +52,7 @@
   Account& Updated(std::string_view aService);
 
   Clock clock;
+  RetryBudgetConfig config;
   std::map<std::string, Account, std::less<>> accounts;
 };
 
--- a/src/catalogue/delta.cpp
+++ b/src/catalogue/delta.cpp
@@ -93,6 +93,25 @@
   return delta;
 }
 
+CatalogueResult<Delta>
+DeltaTo(const Snapshot& aBase,
+        VersionStamp aStamp,
+        std::vector<ChangedEntry> aEntries)
+{
+  Delta whole;
+  whole.isWhole = true;
+  whole.changed = std::move(aEntries);
+  auto entries = EntriesAfter(aBase, whole);
+  if (!entries) {
+    return std::move(entries).assume_error();
+  }
+  auto next = Snapshot::Build(aStamp, std::move(entries).assume_value());
+  if (!next) {
+    return std::move(next).assume_error();
+  }
+  return DeltaBetween(aBase, *next.assume_value());
+}
+
 CatalogueResult<SnapshotPtr>
 Apply(const Snapshot& aBase, const Delta& aDelta)
 {
--- a/src/catalogue/delta.h
+++ b/src/catalogue/delta.h
@@ -37,6 +37,12 @@
 Delta
 WholeOf(const Snapshot& aSnapshot);
 
+/** What leads from aBase to a version that is given with all its entries. */
+CatalogueResult<Delta>
+DeltaTo(const Snapshot& aBase,
+        VersionStamp aStamp,
+        std::vector<ChangedEntry> aEntries);
+
 /** Checks base and content hash; the result is a valid whole snapshot. */
 CatalogueResult<SnapshotPtr>
 Apply(const Snapshot& aBase, const Delta& aDelta);
--- a/src/catalogue/entry.cpp
+++ b/src/catalogue/entry.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 
 namespace lacewingwharf {
 
@@ -19,6 +20,8 @@
 constexpr std::int64_t kMaxCount = 1000000000;
 constexpr Millis kMaxDeadline = 3600000;
 constexpr std::int64_t kMaxRetries = 10;
+constexpr std::int64_t kMaxWeight = 1000000;
+constexpr std::size_t kMaxHostLength = 253;
 constexpr std::int64_t kMaxChangeSetSize = 1000;
 
 // A call travels in one frame of at most 8 MB together with its headers.
@@ -59,6 +62,14 @@
          std::ranges::all_of(aPath, IsPathCharacter);
 }
 
+bool
+IsRoutePrefix(std::string_view aPrefix)
+{
+  return aPrefix.starts_with('/') && aPrefix.ends_with('/') &&
+         aPrefix.size() <= kMaxPathLength &&
+         std::ranges::all_of(aPrefix, IsPathCharacter);
+}
+
 std::string
 ReadName(JsonFields& aFields, std::string_view aKey)
 {
@@ -117,9 +128,20 @@
     return;
   }
   JsonFields fields(*object, "match");
-  fields.AllowOnly({ "path", "methods" });
-  aMatch.path = fields.Text("path", Presence::Required);
-  if (!IsRoutePath(aMatch.path)) {
+  fields.AllowOnly({ "host", "path", "prefix", "methods" });
+  aMatch.host = fields.Text("host", Presence::Optional);
+  if (aMatch.host.size() > kMaxHostLength) {
+    fields.Problem("host", "must be at most 253 characters");
+  }
+  aMatch.prefix = fields.Text("prefix", Presence::Optional);
+  if (aMatch.prefix.empty()) {
+    aMatch.path = fields.Text("path", Presence::Required);
+  } else if (fields.Field("path", Presence::Optional) != nullptr) {
+    fields.Problem("prefix", "cannot be given together with a path");
+  } else if (!IsRoutePrefix(aMatch.prefix)) {
+    fields.Problem("prefix", "must start and end with '/'");
+  }
+  if (aMatch.prefix.empty() && !IsRoutePath(aMatch.path)) {
     fields.Problem("path",
                    "must start with '/', must not end with '/' unless it is "
                    "\"/\", and has no empty segments, spaces, '?' or '#'");
@@ -143,6 +165,8 @@
 {
   aLimits.deadline =
     aFields.Number("deadline_ms", aLimits.deadline, { 1, kMaxDeadline });
+  aLimits.target =
+    aFields.Number("target_ms", aLimits.target, { 0, kMaxDeadline });
   aLimits.queueWait =
     aFields.Number("queue_ms", aLimits.queueWait, { 0, kMaxDeadline });
   aLimits.bodyBytes =
@@ -166,6 +190,7 @@
     fields.AllowOnly({ "concurrency",
                        "rate",
                        "deadline_ms",
+                       "target_ms",
                        "queue_ms",
                        "body_bytes",
                        "retries" });
@@ -193,6 +218,31 @@
   aFields.Merge(fields);
 }
 
+void
+ReadSplit(JsonFields& aFields, Entry& aEntry)
+{
+  const json* const list = aFields.Field("split", Presence::Required);
+  if (list == nullptr || !list->is_array() || list->empty()) {
+    aFields.Problem("split", "must be a list of services with weights");
+    return;
+  }
+  int sum = 0;
+  for (const json& item : *list) {
+    JsonFields fields(item, "split");
+    fields.AllowOnly({ "service", "weight" });
+    ServiceShare share;
+    share.service = ReadName(fields, "service");
+    share.weight = static_cast<int>(
+      fields.Number("weight", 0, { 0, kMaxWeight }, Presence::Required));
+    sum += share.weight;
+    aFields.Merge(fields);
+    aEntry.split.push_back(std::move(share));
+  }
+  if (sum == 0) {
+    aFields.Problem("split", "must have a weight above 0");
+  }
+}
+
 void
 ReadRoute(JsonFields& aFields, Entry& aEntry)
 {
@@ -200,12 +250,22 @@
                       "owner",
                       "class",
                       "service",
+                      "split",
                       "match",
                       "idempotent",
                       "limits",
                       "change" });
   ReadClass(aFields, aEntry);
-  aEntry.service = ReadName(aFields, "service");
+  const bool hasSplit = aFields.Field("split", Presence::Optional) != nullptr;
+  const bool hasService =
+    aFields.Field("service", Presence::Optional) != nullptr;
+  if (hasSplit && hasService) {
+    aFields.Problem("split", "cannot be given together with a service");
+  } else if (hasSplit) {
+    ReadSplit(aFields, aEntry);
+  } else {
+    aEntry.service = ReadName(aFields, "service");
+  }
   ReadMatch(aFields, aEntry.match);
   if (aFields.Field("idempotent", Presence::Optional) != nullptr) {
     aEntry.idempotent = aFields.Flag("idempotent", false);
@@ -248,6 +308,18 @@
   return this->idempotent.value_or(isSafe);
 }
 
+std::vector<std::string>
+Entry::Services() const
+{
+  if (this->split.empty()) {
+    return { this->service };
+  }
+  std::vector<std::string> services;
+  std::ranges::transform(
+    this->split, std::back_inserter(services), &ServiceShare::service);
+  return services;
+}
+
 CatalogueResult<Entry>
 ParseEntry(std::string_view aName, std::string_view aJson)
 {
--- a/src/catalogue/entry.h
+++ b/src/catalogue/entry.h
@@ -98,18 +98,36 @@
   int concurrency = 0;
   int ratePerSecond = 0;
   Millis deadline = 5000;
+
+  /** Time within which an answer is of full use; 0 means not stated. */
+  Millis target = 0;
   Millis queueWait = 500;
   std::int64_t bodyBytes = 1048576;
   int retries = 1;
 };
 
-/** Which requests a route entry takes. */
+/** Which requests a route entry takes: those of a path or of a prefix. */
 struct RouteMatch
 {
+  std::string host; // Of the request's Host header; empty means any.
+
+  /** Taken with all paths below it; empty when a prefix is given. */
   std::string path;
+
+  /** Begins and ends with a slash; taken when it begins a path. */
+  std::string prefix;
   std::vector<HttpMethod> methods; // Empty means all.
 };
 
+/** A service that takes a share of a route's requests. */
+struct ServiceShare
+{
+  std::string service;
+  int weight = 0;
+
+  bool operator==(const ServiceShare&) const = default;
+};
+
 /** Entries that are accepted together or not at all. */
 struct ChangeSet
 {
@@ -124,14 +142,20 @@
   EntryKind kind = EntryKind::Service;
   std::string owner;
   WorkClass workClass = WorkClass::Interactive;
-  std::string service; // Routes only.
-  RouteMatch match;    // Routes only.
+  std::string service; // Routes without a split only.
+
+  /** Requests of the route are divided among these by weight. */
+  std::vector<ServiceShare> split;
+  RouteMatch match; // Routes only.
   std::optional<bool> idempotent;
   Limits limits;
   std::optional<ChangeSet> changeSet;
 
   /** Unclear means non-idempotent. */
   bool IsIdempotent(HttpMethod aMethod) const;
+
+  /** Every service that the route's requests may go to. */
+  std::vector<std::string> Services() const;
 };
 
 /** Refuses unknown keys, so that a misspelt limit is not silently ignored. */
--- a/src/catalogue/snapshot.cpp
+++ b/src/catalogue/snapshot.cpp
@@ -78,7 +78,10 @@
 void
 Snapshot::IndexRoute(const Entry& aRoute)
 {
-  ByMethod& byMethod = this->routesByPath[aRoute.match.path];
+  RouteTable& table = this->routesByHost[aRoute.match.host];
+  ByMethod& byMethod = aRoute.match.prefix.empty()
+                         ? table.paths[aRoute.match.path]
+                         : table.prefixes[aRoute.match.prefix];
   if (aRoute.match.methods.empty()) {
     byMethod.fill(&aRoute);
   }
@@ -95,29 +98,59 @@
 }
 
 const Entry*
-Snapshot::MatchRoute(HttpMethod aMethod, std::string_view aPath) const
+Snapshot::MatchRoute(HttpMethod aMethod,
+                     std::string_view aPath,
+                     std::string_view aHost) const
 {
-  std::string_view prefix = aPath.substr(0, aPath.find('?'));
-  if (!prefix.starts_with('/')) {
+  const std::string_view path = aPath.substr(0, aPath.find('?'));
+  if (!path.starts_with('/')) {
     return nullptr;
   }
+  const auto ofHost = this->routesByHost.find(aHost);
+  if (!aHost.empty() && ofHost != this->routesByHost.end()) {
+    if (const Entry* const route = MatchIn(ofHost->second, aMethod, path)) {
+      return route;
+    }
+  }
+  const auto ofAny = this->routesByHost.find(std::string_view());
+  return ofAny == this->routesByHost.end()
+           ? nullptr
+           : MatchIn(ofAny->second, aMethod, path);
+}
+
+const Entry*
+Snapshot::MatchIn(const RouteTable& aTable,
+                  HttpMethod aMethod,
+                  std::string_view aPath)
+{
+  std::string_view rest = aPath;
   while (true) {
-    const auto found = this->routesByPath.find(prefix);
-    if (found != this->routesByPath.end()) {
-      const Entry* const route =
-        found->second[static_cast<std::size_t>(aMethod)];
-      if (route != nullptr) {
-        return route;
-      }
+    if (const Entry* const route = Lookup(aTable.paths, rest, aMethod)) {
+      return route;
     }
-    if (prefix.size() == 1) {
+    const std::size_t slash = rest.rfind('/');
+    const std::string_view prefix = rest.substr(0, slash + 1);
+    if (const Entry* const route = Lookup(aTable.prefixes, prefix, aMethod)) {
+      return route;
+    }
+    if (rest.size() == 1) {
       return nullptr;
     }
-    const std::size_t slash = prefix.rfind('/');
-    prefix = prefix.substr(0, std::max<std::size_t>(slash, 1));
+    rest = rest.substr(0, std::max<std::size_t>(slash, 1));
   }
 }
 
+const Entry*
+Snapshot::Lookup(const ByText<ByMethod>& aRoutes,
+                 std::string_view aText,
+                 HttpMethod aMethod)
+{
+  const auto found = aRoutes.find(aText);
+  return found == aRoutes.end()
+           ? nullptr
+           : found->second[static_cast<std::size_t>(aMethod)];
+}
+
 const Entry*
 Snapshot::OwnerLimits(std::string_view aOwner) const
 {
--- a/src/catalogue/snapshot.h
+++ b/src/catalogue/snapshot.h
@@ -61,8 +61,13 @@
   /** Null when there is no such entry. */
   const AcceptedEntry* Find(std::string_view aName) const;
 
-  /** The route entry with the longest path prefix, or null. */
-  const Entry* MatchRoute(HttpMethod aMethod, std::string_view aPath) const;
+  /**
+   * The route entry with the longest path or prefix, or null. Routes of the
+   * host go before those of any host.
+   */
+  const Entry* MatchRoute(HttpMethod aMethod,
+                          std::string_view aPath,
+                          std::string_view aHost = {}) const;
 
   /** The owner entry that limits aOwner, or null. */
   const Entry* OwnerLimits(std::string_view aOwner) const;
@@ -84,15 +89,28 @@
 
   using ByMethod = std::array<const Entry*, kHttpMethodNames.Rows().size()>;
 
+  /** The routes of one host, or those of any host. */
+  struct RouteTable
+  {
+    ByText<ByMethod> paths;
+    ByText<ByMethod> prefixes;
+  };
+
   Snapshot() = default;
 
   void Index();
   void IndexRoute(const Entry& aRoute);
+  static const Entry* Lookup(const ByText<ByMethod>& aRoutes,
+                             std::string_view aText,
+                             HttpMethod aMethod);
+  static const Entry* MatchIn(const RouteTable& aTable,
+                              HttpMethod aMethod,
+                              std::string_view aPath);
 
   VersionStamp stamp;
   std::uint64_t contentHash = 0;
   AcceptedEntries entries;
-  ByText<ByMethod> routesByPath;
+  ByText<RouteTable> routesByHost;
   ByText<const Entry*> ownerLimits;
 };
 
--- a/src/catalogue/validation.cpp
+++ b/src/catalogue/validation.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 using Methods = std::bitset<kHttpMethodNames.Rows().size()>;
-using Routes = std::unordered_multimap<std::string_view, const Entry*>;
+using Routes = std::unordered_multimap<std::string, const Entry*>;
 using Owners = std::unordered_map<std::string_view, const Entry*>;
 
 Methods
@@ -23,23 +23,33 @@
   return aMatch.methods.empty() ? methods.set() : methods;
 }
 
+/** Routes with the same key take requests of the same paths. */
+std::string
+KeyOf(const RouteMatch& aMatch)
+{
+  return aMatch.prefix.empty() ? aMatch.host + aMatch.path
+                               : aMatch.host + ' ' + aMatch.prefix;
+}
+
 void
 CheckReference(const AcceptedEntries& aEntries,
                const Entry& aRoute,
                std::vector<Conflict>& aConflicts)
 {
-  const auto found = aEntries.find(aRoute.service);
-  if (found != aEntries.end() &&
-      found->second->entry.kind == EntryKind::Service) {
-    return;
+  for (const std::string& service : aRoute.Services()) {
+    const auto found = aEntries.find(service);
+    if (found != aEntries.end() &&
+        found->second->entry.kind == EntryKind::Service) {
+      continue;
+    }
+    aConflicts.push_back(
+      { CatalogueErrorCode::DanglingReference,
+        aRoute.name,
+        service,
+        fmt::format("route '{}' names the service '{}', which does not exist",
+                    aRoute.name,
+                    service) });
   }
-  aConflicts.push_back(
-    { CatalogueErrorCode::DanglingReference,
-      aRoute.name,
-      aRoute.service,
-      fmt::format("route '{}' names the service '{}', which does not exist",
-                  aRoute.name,
-                  aRoute.service) });
 }
 
 void
@@ -48,7 +58,8 @@
            std::vector<Conflict>& aConflicts)
 {
   const Methods methods = MethodsOf(aRoute.match);
-  const auto [begin, end] = aRoutes.equal_range(aRoute.match.path);
+  const std::string key = KeyOf(aRoute.match);
+  const auto [begin, end] = aRoutes.equal_range(key);
   for (auto other = begin; other != end; ++other) {
     if ((MethodsOf(other->second->match) & methods).any()) {
       aConflicts.push_back(
@@ -58,10 +69,10 @@
           fmt::format("routes '{}' and '{}' match the same method on '{}'",
                       other->second->name,
                       aRoute.name,
-                      aRoute.match.path) });
+                      key) });
     }
   }
-  aRoutes.emplace(aRoute.match.path, &aRoute);
+  aRoutes.emplace(key, &aRoute);
 }
 
 void
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -1,11 +1,10 @@
 #include "common/log.h"
 
+#include "common/logwriter.h"
 #include "common/names.h"
 
-#include <fmt/chrono.h>
-
-#include <chrono>
-#include <cstdio>
+#include <algorithm>
+#include <string>
 
 namespace lacewingwharf {
 
@@ -19,6 +18,18 @@
 
 std::atomic<LogLevel> sLevel{ LogLevel::Info };
 
+/** Keeps what others sent from breaking a line or a quoted text. */
+std::string
+Escaped(std::string_view aText)
+{
+  std::string text(aText);
+  std::ranges::replace_if(
+    text,
+    [](unsigned char aCharacter) { return aCharacter < ' '; },
+    ' ');
+  return text;
+}
+
 } // namespace
 
 void
@@ -45,22 +56,54 @@
 }
 
 void
-Log::WriteLine(LogLevel aLevel, const std::string& aMessage) const
+Log::WriteText(LogLevel aLevel,
+               std::string_view aPart,
+               std::string_view aMessage)
 {
-  const auto now = std::chrono::system_clock::now();
-  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
-                        now.time_since_epoch())
-                        .count() %
-                      1000;
-  const std::string line =
-    fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}\n",
-                fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-                millis,
+  LogWriter::Process().Write(
+    aLevel,
+    fmt::format("level={} part={} msg=\"{}\"",
                 kLevelNames.NameOf(aLevel),
-                this->prefix,
-                aMessage);
-  // One fwrite per line keeps lines of different threads apart.
-  std::fwrite(line.data(), 1, line.size(), stderr);
+                aPart,
+                Escaped(aMessage)));
+}
+
+void
+Log::WriteFields(LogLevel aLevel,
+                 std::string_view aPart,
+                 std::string_view aEvent,
+                 std::string_view aFields)
+{
+  LogWriter::Process().Write(aLevel,
+                             fmt::format("level={} part={} event={} {}",
+                                         kLevelNames.NameOf(aLevel),
+                                         aPart,
+                                         aEvent,
+                                         Escaped(aFields)));
+}
+
+void
+Log::SetOutput(int aDescriptor)
+{
+  LogWriter::Process().SetDescriptor(aDescriptor);
+}
+
+void
+Log::SetBuffered(bool aIsBuffered)
+{
+  LogWriter::Process().SetBuffered(aIsBuffered);
+}
+
+void
+Log::Flush()
+{
+  LogWriter::Process().Flush();
+}
+
+std::uint64_t
+Log::LeftOut()
+{
+  return LogWriter::Process().LeftOut();
 }
 
 } // namespace lacewingwharf
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,8 +19,10 @@
 };
 
 /**
- * Writes log lines of one part of the system to standard error. Each line is
- * "TIME LEVEL PREFIX: message", written in one piece.
+ * Writes log lines of one part of the system to standard error, or where
+ * SetOutput() says. Each line is a list of key=value fields, beginning with time, level and part. Writing never
+ * waits: lines beyond a rate, or that the reader of the output has no room for,
+ * are left out and counted.
  */
 class Log
 {
@@ -53,6 +56,33 @@
     this->Write(LogLevel::Error, aFormat, std::forward<Args>(aArgs)...);
   }
 
+  /** A decision: a name of its kind, and its inputs and outcome as fields. */
+  template<typename... Args>
+  void Decision(std::string_view aEvent,
+                fmt::format_string<Args...> aFields,
+                Args&&... aArgs) const
+  {
+    if (IsEnabled(LogLevel::Info)) {
+      WriteFields(LogLevel::Info,
+                  this->prefix,
+                  aEvent,
+                  fmt::format(aFields, std::forward<Args>(aArgs)...));
+    }
+  }
+
+  /** The open descriptor to write to; the daemon uses standard output. */
+  static void SetOutput(int aDescriptor);
+
+  /**
+   * Lines are then collected and written by Flush(), which is to be called
+   * several times a second; warnings and errors are written at once.
+   */
+  static void SetBuffered(bool aIsBuffered);
+  static void Flush();
+
+  /** Lines that were left out since the start of the process. */
+  static std::uint64_t LeftOut();
+
   /** The lowest level that is written, for the whole process. */
   static void SetLevel(LogLevel aLevel);
   static bool ParseLevel(std::string_view aName, LogLevel& aLevel);
@@ -65,12 +95,19 @@
              Args&&... aArgs) const
   {
     if (IsEnabled(aLevel)) {
-      this->WriteLine(aLevel,
-                      fmt::format(aFormat, std::forward<Args>(aArgs)...));
+      WriteText(aLevel,
+                this->prefix,
+                fmt::format(aFormat, std::forward<Args>(aArgs)...));
     }
   }
 
-  void WriteLine(LogLevel aLevel, const std::string& aMessage) const;
+  static void WriteText(LogLevel aLevel,
+                        std::string_view aPart,
+                        std::string_view aMessage);
+  static void WriteFields(LogLevel aLevel,
+                          std::string_view aPart,
+                          std::string_view aEvent,
+                          std::string_view aFields);
 
   std::string_view prefix;
 };
--- /dev/null
+++ b/src/common/logwriter_test.cpp
@@ -0,0 +1,89 @@
+#include "common/logwriter.h"
+
+#include <criterion/criterion.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+using namespace lacewingwharf;
+
+namespace {
+
+/** A pipe that the test reads by hand. */
+struct Pipe
+{
+  Pipe()
+  {
+    cr_assert_eq(pipe(this->ends.data()), 0);
+    fcntl(this->ends[0], F_SETFL, O_NONBLOCK);
+  }
+
+  std::string Read() const
+  {
+    std::string text;
+    std::array<char, 4096> buffer{};
+    ssize_t count = 0;
+    while ((count = read(this->ends[0], buffer.data(), buffer.size())) > 0) {
+      text.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    return text;
+  }
+
+  std::array<int, 2> ends{};
+};
+
+} // namespace
+
+// Guards against a daemon that stands still because nobody reads its log.
+Test(logwriter, leaves_lines_out_when_the_reader_is_slow)
+{
+  constexpr int kLines = 2000; // More than a pipe holds.
+  const Pipe pipe;
+  ManualClock clock(1000);
+  LogWriter writer(pipe.ends[1], clock.View(), clock.View());
+  const std::string fields = "part=test text=" + std::string(100, 'x');
+  for (int line = 0; line < kLines; ++line) {
+    writer.Write(LogLevel::Info, fields);
+  }
+  cr_expect_gt(writer.LeftOut(), 0U);
+  pipe.Read();
+  writer.Flush();
+  cr_expect(pipe.Read().find("event=lines-left-out total=") !=
+            std::string::npos);
+}
+
+// Guards against a log without bound under load.
+Test(logwriter, bounds_the_lines_per_second)
+{
+  constexpr int kLines = 10000;
+  const int sink = open("/dev/null", O_WRONLY);
+  ManualClock clock(1000);
+  LogWriter writer(sink, clock.View(), clock.View());
+  for (int line = 0; line < kLines; ++line) {
+    writer.Write(LogLevel::Info, "part=test");
+  }
+  const auto leftOut = writer.LeftOut();
+  cr_expect_gt(leftOut, 0U);
+  clock.Advance(1000);
+  writer.Write(LogLevel::Info, "part=test");
+  cr_expect_eq(writer.LeftOut(), leftOut);
+  close(sink);
+}
+
+// Guards against lines that stay in the buffer, and against warnings that wait.
+Test(logwriter, flushes_what_was_collected)
+{
+  const Pipe pipe;
+  ManualClock clock(1000);
+  LogWriter writer(pipe.ends[1], clock.View(), clock.View());
+  writer.SetBuffered(true);
+  writer.Write(LogLevel::Info, "event=one");
+  cr_expect(pipe.Read().empty());
+  writer.Flush();
+  cr_expect_eq(pipe.Read(), "time=1970-01-01T00:00:01.000Z event=one\n");
+  writer.Write(LogLevel::Warning, "event=two");
+  cr_expect(pipe.Read().find("event=two") != std::string::npos);
+}
--- a/src/ctl/catalogueeditor.h
+++ b/src/ctl/catalogueeditor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ctl/options.h"
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/ctl/ctlharness.h
+++ b/src/ctl/ctlharness.h
@@ -3,7 +3,7 @@
 #include "ctl/catalogueeditor.h"
 #include "ctl/fleetinspector.h"
 #include "ctl/options.h"
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 #include "testkit/platformstandin.h"
 
 #include <criterion/criterion.h>
--- a/src/ctl/daemonclient.cpp
+++ b/src/ctl/daemonclient.cpp
@@ -1,7 +1,7 @@
 #include "ctl/daemonclient.h"
 
 #include "ctl/jsonvalue.h"
-#include "platform/storetransfer.h"
+#include "store/storetransfer.h"
 
 #include <fmt/format.h>
 
--- a/src/ctl/daemonharness.h
+++ b/src/ctl/daemonharness.h
@@ -37,7 +37,7 @@
       std::vector<std::string>{
         "-c",
         fmt::format("exec '{0}/lacewingwharfd' --config '{1}/daemon.ini' "
-                    "2>'{1}/log'",
+                    ">'{1}/log' 2>&1",
                     LWW_BINARY_DIR,
                     this->directory.string()) });
     this->isUp =
--- a/src/ctl/fleetinspector.h
+++ b/src/ctl/fleetinspector.h
@@ -3,7 +3,7 @@
 #include "common/clock.h"
 #include "ctl/daemonclient.h"
 #include "ctl/options.h"
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -2,7 +2,7 @@
 #include "ctl/catalogueeditor.h"
 #include "ctl/fleetinspector.h"
 #include "ctl/options.h"
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 
 #include <fmt/format.h>
 
--- a/src/ctl/packaging_test.cpp
+++ b/src/ctl/packaging_test.cpp
@@ -80,7 +80,7 @@
 // find with a range that the daemon refuses.
 Test(packaging, OperationsPageListsEveryKeyWithItsRange)
 {
-  const std::string page = SourceText("docs/operations.md");
+  const std::string page = SourceText("docs/OPERATIONS.md");
   for (const SettingsKey& key : SettingsKeys()) {
     const std::string row =
       fmt::format("\n| {} | `{}` |", key.section, key.name);
--- a/src/daemon/callfleet.h
+++ b/src/daemon/callfleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 #include "testkit/httprequest.h"
 #include "testkit/platformstandin.h"
 #include "testkit/process.h"
--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -17,12 +17,38 @@
 constexpr std::size_t kMarksPerMessage = 8;
 constexpr std::size_t kMaxAnswerBytes = 7U << 20U; // Fits a peer frame.
 
-/** The call ids of the requests among messages. */
+// Callers of a site reuse connections for up to four fifths of the idle limit
+// in the configuration, which is at most a minute.
+constexpr Millis kSiteIdleLimit = 90000;
+
+// Longest question for the fate of a call; its caller waits meanwhile.
+constexpr Millis kSiteQueryWait = 600;
+
+// The part of a site's retry budget that daemons use on their own. The rest is
+// for the calls that a repeated request makes again.
+constexpr double kOwnRetryShare = 0.5;
+
+RetryBudgetConfig
+SiteRetryBudget(const SiteBounds& aBounds, std::size_t aDaemons)
+{
+  constexpr double kMillisPerSecond = 1000;
+  const double daemons = std::max<double>(1, static_cast<double>(aDaemons));
+  const double window =
+    static_cast<double>(aBounds.retryWindow) / kMillisPerSecond;
+  RetryBudgetConfig config;
+  config.perSuccess = aBounds.retryRatio * kOwnRetryShare;
+  config.perSecond = aBounds.retryExtra * kOwnRetryShare / window / daemons;
+  // Half of a window's worth, so that a burst after a calm time still fits.
+  config.burst = std::max(1.0, config.perSecond * window / 2);
+  return config;
+}
+
+/** The requests of a lost session that were certainly not run. */
 std::vector<std::string>
-RequestsOf(const std::vector<wire::Envelope>& aMessages)
+NotRunOf(const PeerEvent& aEvent)
 {
-  std::vector<std::string> ids;
-  std::ranges::for_each(aMessages, [&ids](const wire::Envelope& aMessage) {
+  std::vector<std::string> ids = aEvent.notTaken;
+  std::ranges::for_each(aEvent.unsent, [&ids](const wire::Envelope& aMessage) {
     if (aMessage.__isset.callRequest) {
       ids.push_back(aMessage.callRequest.callId);
     }
@@ -38,6 +64,11 @@
   config.port = aSettings.callPort;
   config.maxBodyBytes = static_cast<std::size_t>(aSettings.maxBodyBytes);
   config.maxConnections = static_cast<unsigned int>(aSettings.maxConnections);
+  if (aSettings.site.protocol != ProtocolKind::Own) {
+    config.address = aSettings.site.calls.address;
+    config.port = aSettings.site.calls.port;
+    config.idleLimit = kSiteIdleLimit;
+  }
   return config;
 }
 
@@ -50,32 +81,51 @@
 }
 
 EntryCallsConfig
-EntryConfig(const Settings& aSettings, std::int64_t aIncarnation)
+EntryConfig(const Settings& aSettings,
+            const DaemonProtocol& aProtocol,
+            std::int64_t aIncarnation)
 {
   EntryCallsConfig config;
   config.host = aSettings.host;
   config.incarnation = aIncarnation;
   config.claimWait = aSettings.claimWait;
+  config.dialect = aProtocol.dialect;
+  config.service = aSettings.site.service;
+  if (aSettings.site.protocol != ProtocolKind::Own) {
+    config.queryWait = kSiteQueryWait;
+    config.retryBudget = SiteRetryBudget(aProtocol.bounds, 1);
+    config.retriesFailures = true;
+    config.triesElsewhere = true;
+  }
   return config;
 }
 
 DestinationCallsConfig
-DestinationConfig(const Settings& aSettings, std::int64_t aIncarnation)
+DestinationConfig(const Settings& aSettings,
+                  const DaemonProtocol& aProtocol,
+                  std::int64_t aIncarnation)
 {
   DestinationCallsConfig config;
   config.host = aSettings.host;
   config.address = aSettings.address;
   config.incarnation = aIncarnation;
+  config.dialect = aProtocol.dialect;
+  config.takesUnknownEntries = aProtocol.documents.has_value();
+  if (aSettings.site.protocol != ProtocolKind::Own) {
+    config.address = aSettings.site.server.address;
+  }
   return config;
 }
 
 } // namespace
 
 CallsService::CallsService(const Settings& aSettings,
+                           const DaemonProtocol& aProtocol,
                            std::int64_t aIncarnation,
                            MetricsRegistry& aMetrics,
                            CallsServiceHooks aHooks)
   : settings(aSettings)
+  , protocol(aProtocol)
   , hooks(std::move(aHooks))
   , clock(Clock::Steady())
   , metrics(aMetrics)
@@ -96,11 +146,11 @@
         });
       },
       kMaxAnswerBytes)
-  , entryCalls(EntryConfig(aSettings, aIncarnation),
+  , entryCalls(EntryConfig(aSettings, aProtocol, aIncarnation),
                this->clock,
                SystemRandom(),
                this->EntryHooks())
-  , destinationCalls(DestinationConfig(aSettings, aIncarnation),
+  , destinationCalls(DestinationConfig(aSettings, aProtocol, aIncarnation),
                      this->clock,
                      this->DestinationHooks())
   , loop("calls",
@@ -132,6 +182,18 @@
   return false;
 }
 
+void
+CallsService::AnnounceClose()
+{
+  this->server.AnnounceClose();
+}
+
+void
+CallsService::StopPeerIntake()
+{
+  this->loop.Post([this] { this->destinationCalls.StopIntake(); });
+}
+
 void
 CallsService::StopIntake()
 {
@@ -169,7 +231,7 @@
   ending.outcome = Outcome::NotRun;
   ending.status = StatusOf(RefusalReason::Overload);
   ending.reason = kRefusalReasonNames.NameOf(RefusalReason::Overload);
-  this->server.Answer(aRequest, MakeAnswer(ending));
+  this->server.Answer(aRequest, MakeAnswer(ending, this->protocol.dialect));
 }
 
 void
@@ -178,7 +240,7 @@
   this->loop.Post([this, event = std::move(aEvent)]() mutable {
     if (event.kind == PeerEventKind::SessionLost) {
       this->entryCalls.HandleSessionLost(
-        event.remote, event.wasConnected, RequestsOf(event.unsent));
+        event.remote, event.wasConnected, NotRunOf(event));
       return;
     }
     this->HandleMessage(event.session, std::move(event.envelope));
@@ -223,6 +285,7 @@
 {
   this->loop.Post(
     [this, snapshot = std::move(aSnapshot), view = std::move(aView)] {
+      this->SetRetryBudget(*view);
       this->entryCalls.SetSnapshot(snapshot);
       this->entryCalls.SetView(view);
       this->destinationCalls.SetConfiguration(snapshot, view);
@@ -250,6 +313,28 @@
   });
 }
 
+void
+CallsService::SetServerId(int aPort, const std::string& aId)
+{
+  this->loop.Post(
+    [=, this] { this->destinationCalls.SetServerId(aPort, aId); });
+}
+
+/** A site's budget is shared by its daemons, each beside one server. */
+void
+CallsService::SetRetryBudget(const EndpointView& aView)
+{
+  if (this->settings.site.protocol == ProtocolKind::Own) {
+    return;
+  }
+  std::size_t servers = 0;
+  for (const auto& [service, view] : aView.services) {
+    servers += view.endpoints.size();
+  }
+  this->entryCalls.SetRetryBudget(
+    SiteRetryBudget(this->protocol.bounds, servers));
+}
+
 void
 CallsService::HandleClaim(const std::string& aHolder,
                           wire::ClaimResult::type aResult)
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/eventloop.h"
+#include "daemon/daemonprotocol.h"
 #include "execution/destinationcalls.h"
 #include "execution/entrycalls.h"
 #include "execution/quarantine.h"
@@ -32,6 +33,9 @@
     void(std::uint64_t aKeyHash, const std::string& aHolder, Outcome)>
     settleClaim;
 
+  /** Nothing listens any more on the port of a server of this host. */
+  std::function<void(const std::string& aService, int aPort)> serverGone;
+
   /** Reports of entries with trouble, once in each report interval. */
   std::function<void(std::vector<wire::EntryReport>)> report;
 };
@@ -45,6 +49,7 @@
 {
 public:
   CallsService(const Settings& aSettings,
+               const DaemonProtocol& aProtocol,
                std::int64_t aIncarnation,
                MetricsRegistry& aMetrics,
                CallsServiceHooks aHooks);
@@ -52,6 +57,12 @@
 
   bool Start();
 
+  /** Tells callers to use other daemons from now on; serves them yet. */
+  void AnnounceClose();
+
+  /** Refuses calls that other daemons send; those in flight go on. */
+  void StopPeerIntake();
+
   /** Refuses new calls; those in flight go on. */
   void StopIntake();
   void Stop();
@@ -64,6 +75,7 @@
                    int aConnections,
                    EndpointState aState);
   void RemoveEndpoint(const std::string& aService, int aPort);
+  void SetServerId(int aPort, const std::string& aId);
   void HandleClaim(const std::string& aHolder, wire::ClaimResult::type aResult);
   void MergeMarks(std::vector<wire::QuarantineMark> aMarks);
 
@@ -82,6 +94,7 @@
   EntryCallsHooks EntryHooks();
   DestinationCallsHooks DestinationHooks();
   void Tick();
+  void SetRetryBudget(const EndpointView& aView);
   void HandleMessage(SessionId aSession, wire::Envelope aEnvelope);
   void AnswerOrigin(SessionId aOrigin, wire::CallAnswer aAnswer);
   void BeginCall(RequestId aRequest, HttpRequest aRequestData);
@@ -90,6 +103,7 @@
   void Report();
 
   Settings settings;
+  DaemonProtocol protocol;
   CallsServiceHooks hooks;
   Clock clock;
   MetricsRegistry& metrics;
--- a/src/daemon/callsservicehooks.cpp
+++ b/src/daemon/callsservicehooks.cpp
@@ -82,9 +82,14 @@
     this->quarantine.CountLoss(static_cast<std::int64_t>(aDigest));
     this->marksDueAt = 0;
   };
-  destinationHooks.isListening = [this](int aPort) {
-    return IsListening(this->settings.address, aPort);
+  const std::string address =
+    this->settings.site.protocol == ProtocolKind::Own
+      ? this->settings.address
+      : this->settings.site.server.address;
+  destinationHooks.isListening = [address](int aPort) {
+    return IsListening(address, aPort);
   };
+  destinationHooks.serverGone = this->hooks.serverGone;
   return destinationHooks;
 }
 
--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -3,7 +3,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "common/random.h"
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 
 #include <fmt/format.h>
 
@@ -19,16 +19,25 @@
 constexpr std::size_t kJobCapacity = 256;
 constexpr Millis kTickInterval = 50;
 
+// How late the answer to a watch may be where versions are due within seconds;
+// several times what a slow store takes.
+constexpr Millis kSiteWatchGrace = 600;
+
 ObjectStore
-MakeStore(const Settings& aSettings, const std::atomic<bool>& aIsStopping)
+MakeStore(const Settings& aSettings,
+          const DaemonProtocol& aProtocol,
+          const std::atomic<bool>& aIsStopping)
 {
   HttpStoreConfig config;
   config.baseUrl = fmt::format(
     "http://{}:{}", aSettings.platform.address, aSettings.platform.port);
   config.connectBound = std::min<Millis>(1000, aSettings.platformTimeout);
   config.requestBound = aSettings.platformTimeout;
+  if (aProtocol.documents) {
+    config.watchGrace = kSiteWatchGrace;
+  }
   config.shouldStop = [&aIsStopping] { return aIsStopping.load(); };
-  return MakeHttpObjectStore(std::move(config));
+  return aProtocol.makeStore(std::move(config));
 }
 
 CallBudgetConfig
@@ -47,6 +56,31 @@
   return config;
 }
 
+/** What the daemons of a site watch for new versions. */
+PlatformWatchConfig
+VersionWatchOf(const DaemonProtocol& aProtocol)
+{
+  // A store may cut a waiting watch without a word. That is noticed after this
+  // time and the grace, which leaves time to read and pass on the version.
+  constexpr Millis kSiteWatchTime = 900;
+  constexpr Millis kSiteLongestPause = 1000; // Between failed tries.
+  if (!aProtocol.documents) {
+    return WatchOf(std::string(kAcceptedPrefix));
+  }
+  PlatformWatchConfig config = WatchOf(aProtocol.documents->prefix);
+  config.watchTime = kSiteWatchTime;
+  config.backoff.longest = kSiteLongestPause;
+  return config;
+}
+
+DirectoryEntry
+SelfOf(const Settings& aSettings)
+{
+  return { aSettings.host,
+           { aSettings.address, aSettings.peerPort },
+           std::nullopt };
+}
+
 ClaimWriterConfig
 WriterConfig(const Settings& aSettings)
 {
@@ -68,14 +102,16 @@
 } // namespace
 
 ControlService::ControlService(const Settings& aSettings,
+                               const DaemonProtocol& aProtocol,
                                std::int64_t aIncarnation,
                                MetricsRegistry& aMetrics,
                                ControlServiceHooks aHooks)
   : settings(aSettings)
+  , protocol(aProtocol)
   , metrics(aMetrics)
   , hooks(std::move(aHooks))
   , clock(Clock::Steady())
-  , store(MakeStore(aSettings, this->isStopping))
+  , store(MakeStore(aSettings, aProtocol, this->isStopping))
   , platform(
       this->store,
       kJobCapacity,
@@ -112,11 +148,19 @@
           [this](PlatformJob aJob) {
             return this->platform.Submit(std::move(aJob));
           })
+  , directory(SelfOf(aSettings),
+              this->clock,
+              [this](PlatformJob aJob) {
+                return this->platform.Submit(std::move(aJob));
+              })
+  , localServer(aSettings.site.service, aSettings.site.server)
   , aggregator(
       aSettings.domain,
       Clock::Wall(),
       [this](const StoredObject& aObject) { this->WriteStatus(aObject); })
-  , acceptedWatch(this->store, WatchOf("accepted/"), this->WatchHook(false))
+  , acceptedWatch(this->store,
+                  VersionWatchOf(aProtocol),
+                  this->WatchHook(false))
   , catalogueWatch(this->store, WatchOf("catalogue/"), this->WatchHook(true))
   , loop("control", kRingCapacity, kTickInterval, [this] { this->Tick(); })
 {
@@ -130,11 +174,17 @@
 void
 ControlService::Start()
 {
+  this->directory.SetOnRecalled([this](const LeavingServer& aLeaving) {
+    this->localServer.Recall(aLeaving);
+    this->PublishServer();
+  });
   this->loop.Start();
   this->platform.Start();
-  this->claimPlatform.Start();
   this->acceptedWatch.Start();
-  this->catalogueWatch.Start();
+  if (!this->HasDocuments()) {
+    this->claimPlatform.Start();
+    this->catalogueWatch.Start();
+  }
 }
 
 void
@@ -216,6 +266,9 @@
 void
 ControlService::Report(std::vector<wire::EntryReport> aReports)
 {
+  if (this->HasDocuments()) {
+    return; // The metrics have the figures; a write of the store is dear.
+  }
   this->loop.Post([this, reports = std::move(aReports)] {
     wire::StatusReport report;
     report.host = this->settings.host;
@@ -283,8 +336,10 @@
   this->claimClient.Tick();
   this->aggregator.Tick();
   this->PublishMetrics();
+  Log::Flush();
   this->SetWatches();
-  this->PublishSeeds();
+  this->PublishMembers();
+  this->TickReports();
   this->PublishEndpoints();
   this->PublishConfiguration();
 }
@@ -297,6 +352,17 @@
   this->catalogueWatch.SetActive(this->distributor.IsAcceptor());
 }
 
+/** Where other daemons find this one, by objects of the store. */
+void
+ControlService::PublishMembers()
+{
+  if (!this->HasDocuments()) {
+    this->PublishSeeds();
+    return;
+  }
+  this->directory.Tick(this->membership.Table().LiveHosts().size() <= 1);
+}
+
 void
 ControlService::PublishSeeds()
 {
@@ -326,8 +392,9 @@
     return;
   }
   if (snapshot && snapshot != this->publishedSnapshot) {
-    kLog.Info("version {} is in force", snapshot->Version());
+    kLog.Decision("version-in-force", "version={}", snapshot->Version());
   }
+  this->isReady = snapshot != nullptr;
   this->publishedSnapshot = snapshot;
   this->publishedView = view;
   this->hooks.onConfiguration(std::move(snapshot), std::move(view));
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -1,18 +1,21 @@
 #pragma once
 
 #include "common/eventloop.h"
+#include "daemon/daemonprotocol.h"
 #include "distribution/distributor.h"
 #include "execution/claimclient.h"
 #include "execution/claimwriter.h"
 #include "execution/outcome.h"
+#include "membership/localserver.h"
+#include "membership/memberdirectory.h"
 #include "membership/membership.h"
 #include "membership/seedlist.h"
 #include "peer/peernetwork.h"
-#include "platform/platformwatch.h"
-#include "platform/platformworker.h"
 #include "settings/settings.h"
 #include "status/metricsregistry.h"
 #include "status/statusaggregator.h"
+#include "store/platformwatch.h"
+#include "store/platformworker.h"
 
 #include <nlohmann/json.hpp>
 
@@ -38,6 +41,9 @@
   std::function<void(SnapshotPtr, EndpointViewPtr)> onConfiguration;
   std::function<void(const wire::Endpoint&)> onEndpoint;
   std::function<void(const std::string& aService, int aPort)> onEndpointGone;
+
+  /** The server process that now has a port. */
+  std::function<void(int aPort, const std::string& aId)> onServerId;
   std::function<void(const std::string& aHolder, wire::ClaimResult::type)>
     onClaim;
   std::function<std::vector<wire::QuarantineMark>()> takeMarks;
@@ -55,6 +61,7 @@
   using Json = nlohmann::json;
 
   ControlService(const Settings& aSettings,
+                 const DaemonProtocol& aProtocol,
                  std::int64_t aIncarnation,
                  MetricsRegistry& aMetrics,
                  ControlServiceHooks aHooks);
@@ -68,6 +75,17 @@
 
   void HandlePeerEvent(PeerEvent aEvent);
   void Announce(const Announcement& aAnnouncement);
+
+  /** aDone is called when the report is in effect and kept, if it must be. */
+  void TakeReport(ServerReport aReport,
+                  std::function<void(ReportVerdict)> aDone);
+
+  /** Withdraws a server that has ended without a word. */
+  void ServerGone(const std::string& aService, int aPort);
+
+  /** Whether a version is held and may be served. */
+  bool IsReady() const;
+
   /** Sends the reports to the status reporter of the failure domain. */
   void Report(std::vector<wire::EntryReport> aReports);
   bool Claim(std::uint64_t aKeyHash, const std::string& aHolder);
@@ -82,6 +100,21 @@
   Json EntryState(const std::string& aName);
 
 private:
+  /** A report whose acknowledgement waits for the store. */
+  struct PendingReport
+  {
+    std::function<void(ReportVerdict)> done;
+    Millis dueAt = 0;
+  };
+
+  bool HasDocuments() const;
+  void PublishServer();
+  void EndReport(std::uint64_t aNumber);
+  void TickReports();
+  PlatformResult<std::optional<CatalogueDocument>> ReadDocument(
+    const ObjectStore& aStore) const;
+  void DocumentsChanged(const PlatformResult<ObjectList>& aResult);
+  void PublishMembers();
   MembershipConfig MemberConfig(std::int64_t aIncarnation) const;
   MembershipHooks MemberHooks();
   DistributorConfig DistributionConfig() const;
@@ -101,6 +134,7 @@
   void WriteStatus(const StoredObject& aObject);
 
   Settings settings;
+  DaemonProtocol protocol;
   MetricsRegistry& metrics;
   ControlServiceHooks hooks;
   Clock clock;
@@ -116,6 +150,11 @@
   ClaimWriter claimWriter;
   ClaimClient claimClient;
   SeedList seeds;
+  MemberDirectory directory;
+  LocalServer localServer;
+  std::map<std::uint64_t, PendingReport> pendingReports;
+  std::uint64_t lastReport = 0;
+  std::atomic<bool> isReady = false;
   StatusAggregator aggregator;
   PlatformWatch acceptedWatch;
   PlatformWatch catalogueWatch;
@@ -126,4 +165,16 @@
   EventLoop loop; // Last, so that its thread ends before what it uses.
 };
 
+inline bool
+ControlService::IsReady() const
+{
+  return this->isReady;
+}
+
+inline bool
+ControlService::HasDocuments() const
+{
+  return this->protocol.documents.has_value();
+}
+
 } // namespace lacewingwharf
--- a/src/daemon/controlservicehooks.cpp
+++ b/src/daemon/controlservicehooks.cpp
@@ -26,6 +26,7 @@
   config.feeders = static_cast<std::size_t>(this->settings.feeders);
   config.fanout = static_cast<std::size_t>(this->settings.fanout);
   config.incarnation = aIncarnation;
+  config.isFleetWide = this->HasDocuments();
   return config;
 }
 
@@ -56,7 +57,10 @@
   member.mergeMarks = [this](const std::vector<wire::QuarantineMark>& aMarks) {
     this->hooks.mergeMarks(aMarks);
   };
-  member.seedPeers = [this] { return this->seeds.Peers(); };
+  member.seedPeers = [this] {
+    return this->HasDocuments() ? this->directory.Peers()
+                                : this->seeds.Peers();
+  };
   return member;
 }
 
@@ -88,7 +92,15 @@
   distribution.domainMembers = [this] {
     return this->membership.LiveHosts(this->settings.domain);
   };
+  if (this->HasDocuments()) {
+    distribution.readDocument = [this](const ObjectStore& aStore) {
+      return this->ReadDocument(aStore);
+    };
+  }
   distribution.acceptorCandidates = [this] {
+    if (this->HasDocuments()) {
+      return this->membership.AllLiveHosts();
+    }
     auto hosts =
       this->membership.LiveHostsOfRegion(this->settings.platformRegion);
     return hosts.empty() ? this->membership.AllLiveHosts() : hosts;
@@ -130,7 +142,9 @@
     [this, aIsCatalogue](PlatformResult<ObjectList> aResult, bool aIsFullList) {
       this->loop.Post(
         [this, aIsCatalogue, aIsFullList, result = std::move(aResult)] {
-          if (aIsCatalogue) {
+          if (this->HasDocuments()) {
+            this->DocumentsChanged(result);
+          } else if (aIsCatalogue) {
             this->distributor.CatalogueChanged(result, aIsFullList);
           } else {
             this->distributor.AcceptedChanged(result, aIsFullList);
--- /dev/null
+++ b/src/daemon/controlservicesite.cpp
@@ -0,0 +1,154 @@
+// The part of ControlService for sites whose platform sets the protocol.
+
+#include "common/log.h"
+#include "daemon/controlservice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("control");
+
+// A server believes its report lost after a second, so an acknowledgement that
+// waits for the store comes by then even if the store does not answer.
+constexpr Millis kLongestReportWait = 600;
+
+} // namespace
+
+void
+ControlService::TakeReport(ServerReport aReport,
+                           std::function<void(ReportVerdict)> aDone)
+{
+  this->loop.Post([this, report = std::move(aReport), done = std::move(aDone)] {
+    const auto leaving = this->localServer.Leaving();
+    const ReportVerdict verdict = this->localServer.Take(report);
+    const bool isNews =
+      verdict != ReportVerdict::Taken || leaving != this->localServer.Leaving();
+    if (isNews || report.kind == ServerReportKind::Leaving) {
+      kLog.Decision("server-report",
+                    "server={} kind={} state={} sequence={} started={} "
+                    "verdict={}",
+                    report.id,
+                    report.kind == ServerReportKind::Leaving ? "leaving"
+                                                             : "heartbeat",
+                    wire::to_string(report.state),
+                    report.sequence,
+                    report.startedAt.value_or(0),
+                    kReportVerdictNames.NameOf(verdict));
+    }
+    if (verdict != ReportVerdict::Taken) {
+      done(verdict);
+      return;
+    }
+    this->PublishServer();
+    if (leaving == this->localServer.Leaving()) {
+      done(verdict);
+      return;
+    }
+    const std::uint64_t number = ++this->lastReport;
+    this->pendingReports[number] = { done,
+                                     this->clock.Now() + kLongestReportWait };
+    this->directory.StoreLeaving(
+      *this->localServer.Leaving(), [this, number](bool aIsStored) {
+        if (!aIsStored) {
+          kLog.Warning("that the server leaves could not be stored");
+        }
+        this->EndReport(number);
+      });
+  });
+}
+
+void
+ControlService::EndReport(std::uint64_t aNumber)
+{
+  const auto pending = this->pendingReports.extract(aNumber);
+  if (!pending.empty()) {
+    pending.mapped().done(ReportVerdict::Taken);
+  }
+}
+
+void
+ControlService::TickReports()
+{
+  const Millis now = this->clock.Now();
+  std::vector<std::uint64_t> due;
+  std::ranges::for_each(this->pendingReports, [&due, now](const auto& aPair) {
+    if (now >= aPair.second.dueAt) {
+      due.push_back(aPair.first);
+    }
+  });
+  std::ranges::for_each(due, [this](std::uint64_t aNumber) {
+    kLog.Warning("a report is acknowledged before the store has it");
+    this->EndReport(aNumber);
+  });
+}
+
+void
+ControlService::PublishServer()
+{
+  const auto& current = this->localServer.Current();
+  if (!current) {
+    return;
+  }
+  this->hooks.onServerId(current->port, this->localServer.Id());
+  this->membership.Announce(*current);
+  this->PublishEndpoints();
+  this->PublishConfiguration();
+}
+
+void
+ControlService::ServerGone(const std::string& aService, int aPort)
+{
+  this->loop.Post([this, aService, aPort] {
+    this->membership.Withdraw(aService, aPort);
+    this->PublishEndpoints();
+    this->PublishConfiguration();
+  });
+}
+
+PlatformResult<std::optional<CatalogueDocument>>
+ControlService::ReadDocument(const ObjectStore& aStore) const
+{
+  const DocumentSource& source = *this->protocol.documents;
+  const auto object = aStore.get(source.object);
+  if (!object && object.error().code == PlatformErrorCode::NotFound) {
+    return std::optional<CatalogueDocument>();
+  }
+  if (!object) {
+    return failure(object.error());
+  }
+  auto document = source.read(object.value().value);
+  if (!document) {
+    return failure(PlatformError{ PlatformErrorCode::Malformed,
+                                  document.assume_error().detail });
+  }
+  return std::optional(std::move(document).assume_value());
+}
+
+void
+ControlService::DocumentsChanged(const PlatformResult<ObjectList>& aResult)
+{
+  if (!aResult) {
+    return; // The watch has logged it and tries again.
+  }
+  const DocumentSource& source = *this->protocol.documents;
+  for (const StoredObject& object : aResult.assume_value().objects) {
+    if (object.name != source.object || object.isDeleted) {
+      continue;
+    }
+    auto document = source.read(object.value);
+    if (!document) {
+      kLog.Error("document {} of revision {} refused: {}",
+                 object.name,
+                 object.revision,
+                 document.assume_error().detail);
+      continue;
+    }
+    this->distributor.TakeDocument(std::move(document).assume_value());
+  }
+}
+
+} // namespace lacewingwharf
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -28,6 +28,16 @@
 
 constexpr std::chrono::milliseconds kPoll(20);
 
+// On a site the platform asks once a second whether a daemon is ready, and sends
+// it callers until two questions in a row were in vain.
+constexpr Millis kNoticeTime = 2500;
+
+// The process is to be gone this long before it would be killed.
+constexpr Millis kStopReserve = 600;
+
+// Calls that enter at the end of the intake get this long.
+constexpr Millis kLastCalls = 700;
+
 EndpointState
 StateOf(wire::EndpointState::type aState)
 {
@@ -43,8 +53,9 @@
 
 } // namespace
 
-Daemon::Daemon(const Settings& aSettings)
+Daemon::Daemon(const Settings& aSettings, const DaemonProtocol& aProtocol)
   : settings(aSettings)
+  , protocol(aProtocol)
   , incarnation(Clock::Wall().Now())
   , network(this->NetworkConfig(),
             { [this](PeerEvent aEvent) {
@@ -53,10 +64,34 @@
               [this](PeerEvent aEvent) {
                 this->calls.HandlePeerEvent(std::move(aEvent));
               } })
-  , calls(aSettings, this->incarnation, this->metrics, this->CallsHooks())
-  , control(aSettings, this->incarnation, this->metrics, this->ControlHooks())
+  , calls(aSettings,
+          aProtocol,
+          this->incarnation,
+          this->metrics,
+          this->CallsHooks())
+  , control(aSettings,
+            aProtocol,
+            this->incarnation,
+            this->metrics,
+            this->ControlHooks())
   , admin(aSettings, this->AdministrationHooks())
 {
+  if (this->protocol.siteCalls) {
+    this->site.emplace(
+      aSettings.site, *this->protocol.siteCalls, this->SiteHooks());
+  }
+}
+
+SiteServiceHooks
+Daemon::SiteHooks()
+{
+  SiteServiceHooks hooks;
+  hooks.isReady = [this] { return this->control.IsReady(); };
+  hooks.takeReport = [this](ServerReport aReport,
+                            std::function<void(ReportVerdict)> aDone) {
+    this->control.TakeReport(std::move(aReport), std::move(aDone));
+  };
+  return hooks;
 }
 
 PeerNetworkConfig
@@ -96,6 +131,11 @@
                              Outcome aOutcome) {
     this->control.Settle(aKeyHash, aHolder, aOutcome);
   };
+  if (this->protocol.siteCalls) {
+    hooks.serverGone = [this](const std::string& aService, int aPort) {
+      this->control.ServerGone(aService, aPort);
+    };
+  }
   hooks.report = [this](std::vector<wire::EntryReport> aReports) {
     this->control.Report(std::move(aReports));
   };
@@ -130,6 +170,9 @@
   hooks.onEndpointGone = [this](const std::string& aService, int aPort) {
     this->calls.RemoveEndpoint(aService, aPort);
   };
+  hooks.onServerId = [this](int aPort, const std::string& aId) {
+    this->calls.SetServerId(aPort, aId);
+  };
   hooks.onClaim = [this](const std::string& aHolder,
                          wire::ClaimResult::type aResult) {
     this->calls.HandleClaim(aHolder, aResult);
@@ -174,29 +217,70 @@
   if (!this->calls.Start() || !this->admin.Start()) {
     return false;
   }
-  kLog.Info("{} in {}, {} is up: calls on port {}, admin on port {}",
-            this->settings.host,
-            this->settings.domain,
-            this->settings.region,
-            this->settings.callPort,
-            this->settings.adminPort);
+  if (this->site && !this->site->Start()) {
+    return false;
+  }
+  kLog.Decision("start",
+                "host={} domain={} region={} incarnation={} admin_port={}",
+                this->settings.host,
+                this->settings.domain,
+                this->settings.region,
+                this->incarnation,
+                this->settings.adminPort);
   return true;
 }
 
 void
 Daemon::Stop()
 {
-  kLog.Info("stopping: no new calls, {} in flight", this->calls.InFlight());
+  kLog.Decision("stop", "in_flight={}", this->calls.InFlight());
   this->control.Leave();
-  std::this_thread::sleep_for(std::chrono::milliseconds(kLeaveNotice));
-  this->calls.StopIntake();
-  this->RefuseLateCalls();
-  this->FinishCalls();
+  if (this->site) {
+    this->StopOnSite();
+  } else {
+    this->StopSlowly();
+  }
+  if (this->site) {
+    this->site->Stop();
+  }
   this->admin.Stop();
   this->calls.Stop();
   this->control.Stop();
   this->network.Stop();
-  kLog.Info("stopped");
+  kLog.Decision("stopped", "in_flight=0");
+}
+
+void
+Daemon::StopSlowly()
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds(kLeaveNotice));
+  this->calls.StopIntake();
+  this->RefuseLateCalls();
+  this->FinishCalls(this->settings.stopLimit);
+}
+
+/**
+ * Callers are sent here until the platform has asked twice in vain whether this
+ * daemon is ready, so they are served until then.
+ */
+void
+Daemon::StopOnSite()
+{
+  const Clock clock = Clock::Steady();
+  const Millis end =
+    clock.Now() + this->protocol.bounds.stopTime - kStopReserve;
+  const Millis intakeEnd = clock.Now() + kNoticeTime;
+  this->site->SetLeaving();
+  this->calls.AnnounceClose();
+  std::this_thread::sleep_for(std::chrono::milliseconds(kLeaveNotice));
+  this->calls.StopPeerIntake();
+  // The server on this host may still make calls for the requests it runs.
+  while (clock.Now() < intakeEnd ||
+         (this->calls.InFlight() > 0 && clock.Now() < end - kLastCalls)) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(kPoll));
+  }
+  this->calls.StopIntake();
+  this->FinishCalls(end - clock.Now());
 }
 
 void
@@ -212,10 +296,10 @@
 }
 
 void
-Daemon::FinishCalls()
+Daemon::FinishCalls(Millis aLimit)
 {
   const Clock clock = Clock::Steady();
-  const Millis limit = clock.Now() + this->settings.stopLimit;
+  const Millis limit = clock.Now() + aLimit;
   std::size_t inFlight = this->calls.InFlight();
   while (inFlight > 0 && clock.Now() < limit) {
     std::this_thread::sleep_for(kPoll);
@@ -225,7 +309,7 @@
     kLog.Warning("{} calls did not end within the stop limit of {} ms; their "
                  "outcome is unknown",
                  inFlight,
-                 this->settings.stopLimit);
+                 aLimit);
   }
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,11 +3,14 @@
 #include "daemon/adminservice.h"
 #include "daemon/callsservice.h"
 #include "daemon/controlservice.h"
+#include "daemon/daemonprotocol.h"
+#include "daemon/siteservice.h"
 #include "peer/peernetwork.h"
 #include "settings/settings.h"
 #include "status/metricsregistry.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lacewingwharf {
@@ -16,7 +19,7 @@
 class Daemon
 {
 public:
-  explicit Daemon(const Settings& aSettings);
+  Daemon(const Settings& aSettings, const DaemonProtocol& aProtocol);
 
   /** False when a port cannot be bound. */
   bool Start();
@@ -36,15 +39,20 @@
   std::string Metrics();
   /** Keeps the sessions until peers send no more calls. */
   void RefuseLateCalls();
-  void FinishCalls();
+  void FinishCalls(Millis aLimit);
+  void StopSlowly();
+  void StopOnSite();
+  SiteServiceHooks SiteHooks();
 
   Settings settings;
+  DaemonProtocol protocol;
   std::int64_t incarnation;
   MetricsRegistry metrics;
   PeerNetwork network;
   CallsService calls;
   ControlService control;
   AdminService admin;
+  std::optional<SiteService> site;
 };
 
 } // namespace lacewingwharf
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "common/log.h"
 #include "daemon/daemon.h"
+#include "protocol.h"
 #include "settings/settingsreader.h"
 
 #include <fmt/format.h>
@@ -8,12 +9,16 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 
+#include <unistd.h>
+
 using namespace lacewingwharf;
 
 namespace {
 
+constexpr Log kLog("main");
 constexpr int kExitUsage = 2;
 
 constexpr const char* kHelp =
@@ -22,13 +27,16 @@
 Usage: lacewingwharfd --config FILE [--check]
 
 Options:
-  --config FILE  settings in INI format
+  --config FILE  settings in INI format; default: the file that the variable
+                 LACEWINGWHARF_NODE_FILE names
   --check        check the settings and exit
   --help         print this text
 
 Exit codes: 0 stopped or settings valid, 1 cannot start, 2 usage or settings
 )";
 
+constexpr const char* kFileVariable = "LACEWINGWHARF_NODE_FILE";
+
 struct Options
 {
   std::string config;
@@ -70,28 +78,57 @@
         options.isBad = true;
     }
   }
+  if (options.config.empty()) {
+    const char* const file = std::getenv(kFileVariable);
+    options.config = file == nullptr ? "" : file;
+  }
   options.isBad = options.isBad || optind != aCount ||
                   (options.config.empty() && !options.wantsHelp);
   return options;
 }
 
+/** Takes over what can change while the daemon runs. */
+void
+Reload(const std::string& aFile)
+{
+  const auto settings = ReadSettings(aFile);
+  if (!settings) {
+    std::ranges::for_each(
+      settings.error(), [&aFile](const SettingsError& aError) {
+        kLog.Error("settings kept: {}", DescribeError(aFile, aError));
+      });
+    return;
+  }
+  Log::SetLevel(settings.value().logLevel);
+  kLog.Decision("reload", "file={} outcome=taken", aFile);
+}
+
 int
-RunDaemon(const Settings& aSettings)
+RunDaemon(const Settings& aSettings, const std::string& aFile)
 {
   // Signals are taken by sigwait below, so that the stop runs on this thread.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  Daemon daemon(aSettings);
+  Log::SetOutput(STDOUT_FILENO);
+  Log::SetBuffered(true);
+  const bool isSite = aSettings.site.protocol == ProtocolKind::Platform;
+  Daemon daemon(aSettings,
+                isSite ? platform::MakeProtocol(aSettings) : DaemonProtocol());
   if (!daemon.Start()) {
+    Log::Flush();
     return 1;
   }
   int received = 0;
-  sigwait(&signals, &received);
+  while (sigwait(&signals, &received) == 0 && received == SIGHUP) {
+    Reload(aFile);
+  }
   daemon.Stop();
+  Log::Flush();
   return 0;
 }
 
@@ -122,5 +159,5 @@
     return 0;
   }
   Log::SetLevel(settings.value().logLevel);
-  return RunDaemon(settings.value());
+  return RunDaemon(settings.value(), options.config);
 }
--- /dev/null
+++ b/src/daemon/siteservice.cpp
@@ -0,0 +1,109 @@
+#include "daemon/siteservice.h"
+
+#include "common/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("site");
+constexpr std::size_t kMaxBodyBytes = 65536;
+constexpr unsigned int kMaxConnections = 64;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+HttpServerConfig
+ServerConfig(const SocketAddress& aAddress)
+{
+  HttpServerConfig config;
+  config.address = aAddress.address;
+  config.port = aAddress.port;
+  config.maxBodyBytes = kMaxBodyBytes;
+  config.maxConnections = kMaxConnections;
+  return config;
+}
+
+HttpAnswer
+JsonAnswer(int aStatus, const nlohmann::json& aBody)
+{
+  HttpAnswer answer;
+  answer.status = aStatus;
+  answer.headers["Content-Type"] = "application/json";
+  answer.body = aBody.dump();
+  return answer;
+}
+
+} // namespace
+
+SiteService::SiteService(const SiteSettings& aSettings,
+                         SiteCalls aCalls,
+                         SiteServiceHooks aHooks)
+  : calls(std::move(aCalls))
+  , hooks(std::move(aHooks))
+  , readiness(ServerConfig(aSettings.readiness),
+              { [this](RequestId aId, const HttpRequest& aRequest) {
+                 this->readiness.Answer(aId, this->AnswerReadiness(aRequest));
+               },
+                [](RequestId) {} })
+  , reports(ServerConfig(aSettings.announcements),
+            { [this](RequestId aId, const HttpRequest& aRequest) {
+               this->HandleReport(aId, aRequest);
+             },
+              [](RequestId) {} })
+{
+}
+
+bool
+SiteService::Start()
+{
+  return this->readiness.Start() && this->reports.Start();
+}
+
+void
+SiteService::SetLeaving()
+{
+  this->isLeaving = true;
+}
+
+void
+SiteService::Stop()
+{
+  this->readiness.Stop();
+  this->reports.Stop();
+}
+
+HttpAnswer
+SiteService::AnswerReadiness(const HttpRequest& aRequest) const
+{
+  if (aRequest.path != this->calls.readinessPath) {
+    return JsonAnswer(kNotFound, { { "error", "not found" } });
+  }
+  const bool isReady = !this->isLeaving && this->hooks.isReady();
+  return JsonAnswer(isReady ? kOk : kUnavailable, { { "ready", isReady } });
+}
+
+void
+SiteService::HandleReport(RequestId aId, const HttpRequest& aRequest)
+{
+  auto report = this->calls.readReport(aRequest);
+  if (!report) {
+    const ReportRefusal& refusal = report.error();
+    kLog.Warning("report {} refused: {}", aRequest.target, refusal.detail);
+    this->reports.Answer(
+      aId, JsonAnswer(refusal.status, { { "error", refusal.detail } }));
+    return;
+  }
+  this->hooks.takeReport(
+    std::move(report).value(), [this, aId](ReportVerdict /*aVerdict*/) {
+      // An old or foreign report is acknowledged too: its sender can do nothing
+      // about it, and another daemon would know even less.
+      this->reports.Answer(aId, JsonAnswer(kOk, nlohmann::json::object()));
+    });
+}
+
+} // namespace lacewingwharf
--- a/src/distribution/acceptorrole.h
+++ b/src/distribution/acceptorrole.h
@@ -3,7 +3,7 @@
 #include "common/clock.h"
 #include "common/random.h"
 #include "distribution/acceptorround.h"
-#include "platform/platformjob.h"
+#include "store/platformjob.h"
 
 #include <functional>
 #include <map>
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -21,6 +21,9 @@
 // Gossip usually reports a new version while its push is still on the way.
 constexpr Millis kFetchJitter = 250;
 
+// Pause after the platform did not answer a process that starts.
+constexpr Millis kAskAgain = 300;
+
 // New processes ask the platform at a random time in this part of startwait,
 // so that the hosts of a region that restarts do not ask at once.
 constexpr Millis kPlatformAskShare = 4;
@@ -77,7 +80,9 @@
   , fetchPlan(this->clock, this->random)
   , fetchServer(this->clock, this->config.maxWholeTransfers)
   , feederPush(this->clock)
-  , startRule(this->clock, this->config.startWait)
+  , startRule(this->clock,
+              this->config.startWait,
+              this->HasAcceptor() ? StartRule::kDefaultPeersToHear : 0)
   , platformDueAt(this->clock.Now() +
                   PlatformDelay(this->random, this->config.startWait))
 {
@@ -111,7 +116,8 @@
   if (candidates != this->candidates) {
     this->candidates = std::move(candidates);
     const auto order = RendezvousOrder("acceptor", this->candidates);
-    this->isAcceptor = !order.empty() && order.front() == this->config.host;
+    this->isAcceptor = this->HasAcceptor() && !order.empty() &&
+                       order.front() == this->config.host;
   }
 }
 
@@ -178,21 +184,82 @@
     return;
   }
   this->isPlatformBusy = true; // Before submit, which may run the job at once.
+  const bool isSubmitted = this->hooks.submit(
+    this->HasAcceptor() ? this->ChainJob() : this->DocumentJob());
+  if (!isSubmitted) {
+    this->isPlatformBusy = false;
+  }
+}
+
+PlatformJob
+Distributor::ChainJob()
+{
   const std::weak_ptr<bool> guard = this->alive;
   const std::int64_t held = this->Held()->Version();
-  const bool isSubmitted =
-    this->hooks.submit([this, guard, held](const ObjectStore& aStore) {
-      return Completion([this, guard, read = ReadChain(aStore, held)] {
+  return [this, guard, held](const ObjectStore& aStore) {
+    return Completion([this, guard, read = ReadChain(aStore, held)] {
+      if (!guard.expired()) {
+        this->PlatformAnswered(read);
+      }
+    });
+  };
+}
+
+PlatformJob
+Distributor::DocumentJob()
+{
+  const std::weak_ptr<bool> guard = this->alive;
+  return
+    [this, guard, read = this->hooks.readDocument](const ObjectStore& aStore) {
+      return Completion([this, guard, result = read(aStore)] {
         if (!guard.expired()) {
-          this->PlatformAnswered(read);
+          this->DocumentAnswered(result);
         }
       });
-    });
-  if (!isSubmitted) {
-    this->isPlatformBusy = false;
+    };
+}
+
+void
+Distributor::DocumentAnswered(
+  const PlatformResult<std::optional<CatalogueDocument>>& aRead)
+{
+  this->isPlatformBusy = false;
+  if (!aRead) {
+    kLog.Warning("the catalogue cannot be read: {} {}",
+                 kPlatformErrorNames.NameOf(aRead.assume_error().code),
+                 aRead.assume_error().detail);
+    this->isPlatformAsked = false;
+    this->platformDueAt = this->clock.Now() + kAskAgain;
+    return;
+  }
+  this->startRule.PlatformAnswered();
+  if (aRead.assume_value()) {
+    this->TakeDocument(*aRead.assume_value());
   }
 }
 
+void
+Distributor::TakeDocument(CatalogueDocument aDocument)
+{
+  if (aDocument.version <= this->Held()->Version()) {
+    return;
+  }
+  const auto delta = DeltaTo(*this->Held(),
+                             { aDocument.version, 0, 0 },
+                             std::move(aDocument.entries));
+  if (!delta) {
+    const CatalogueError& error = delta.assume_error();
+    kLog.Error("version {} refused: {} {}: {}",
+               aDocument.version,
+               kCatalogueErrorNames.NameOf(error.code),
+               error.entry,
+               error.detail);
+    return;
+  }
+  this->TakeAccepted(delta.assume_value(), false);
+  this->TickPush();
+}
+
 void
 Distributor::PlatformAnswered(const PlatformResult<ChainRead>& aRead)
 {
@@ -253,6 +320,9 @@
 void
 Distributor::TickAcceptor()
 {
+  if (!this->HasAcceptor()) {
+    return;
+  }
   this->acceptor.SetActive(this->IsAcceptor());
   // An acceptor that knows of a newer version would publish from an old base.
   if (this->isStartOver && this->startRule.MayPublish() && !this->IsBehind()) {
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -31,6 +31,16 @@
   int maxWholeTransfers = 2;
 };
 
+/**
+ * A whole version as operators wrote it. Used where accepted versions come from
+ * elsewhere, so that no daemon is the acceptor.
+ */
+struct CatalogueDocument
+{
+  std::int64_t version = 0;
+  std::vector<ChangedEntry> entries;
+};
+
 struct DistributorHooks
 {
   std::function<void(const std::string& aHost, wire::Envelope)> send;
@@ -45,6 +55,14 @@
 
   /** Called on each change of the held snapshot. */
   std::function<void(SnapshotPtr)> onHeld;
+
+  /**
+   * Reads the newest document, empty when there is none yet; blocks. Not set
+   * where this fleet accepts versions itself.
+   */
+  std::function<PlatformResult<std::optional<CatalogueDocument>>(
+    const ObjectStore&)>
+    readDocument;
 };
 
 /**
@@ -86,6 +104,9 @@
   void CatalogueChanged(const PlatformResult<ObjectList>& aResult,
                         bool aIsFullList);
 
+  /** A document that a watch has found. */
+  void TakeDocument(CatalogueDocument aDocument);
+
   /**
    * False until the start is over: a process that knows no members yet would
    * take both roles and read the whole catalogue from the platform.
@@ -110,6 +131,11 @@
   void TickStart();
   void AskPeers(std::vector<std::string> aHosts);
   void AskPlatform();
+  PlatformJob ChainJob();
+  PlatformJob DocumentJob();
+  void DocumentAnswered(
+    const PlatformResult<std::optional<CatalogueDocument>>& aRead);
+  bool HasAcceptor() const;
   void PlatformAnswered(const PlatformResult<ChainRead>& aRead);
   void TickFetch();
   void TickPush();
@@ -142,6 +168,12 @@
   Divergence divergence;
 };
 
+inline bool
+Distributor::HasAcceptor() const
+{
+  return !this->hooks.readDocument;
+}
+
 inline bool
 Distributor::IsFeeder() const
 {
--- a/src/distribution/fakestore.h
+++ b/src/distribution/fakestore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 
 #include <functional>
 #include <map>
--- a/src/distribution/startrule.cpp
+++ b/src/distribution/startrule.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr std::size_t kPeersToHear = 3;
-
 // Some of the asked peers may be dead without the member list knowing it yet.
 constexpr std::size_t kPeersToAsk = 5;
 
@@ -21,10 +19,11 @@
 
 } // namespace
 
-StartRule::StartRule(Clock aClock, Millis aStartWait)
+StartRule::StartRule(Clock aClock, Millis aStartWait, std::size_t aPeersToHear)
   : clock(std::move(aClock))
   , startedAt(this->clock.Now())
   , startWait(aStartWait)
+  , peersToHear(aPeersToHear)
 {
 }
 
@@ -70,7 +69,7 @@
 bool
 StartRule::IsOver(bool aIsBehind)
 {
-  const bool isComplete = this->answered.size() >= kPeersToHear &&
+  const bool isComplete = this->answered.size() >= this->peersToHear &&
                           this->isPlatformAnswered && !aIsBehind;
   const Millis age = this->clock.Now() - this->startedAt;
   if (isComplete || age >= this->startWait) {
@@ -82,7 +81,7 @@
 bool
 StartRule::MayPublish() const
 {
-  const std::size_t needed = std::min(kPeersToHear, this->knownPeers);
+  const std::size_t needed = std::min(this->peersToHear, this->knownPeers);
   return this->answered.size() >= needed ||
          this->clock.Now() - this->startedAt >= kLongestSilence;
 }
--- a/src/distribution/startrule.h
+++ b/src/distribution/startrule.h
@@ -17,7 +17,15 @@
 class StartRule
 {
 public:
-  StartRule(Clock aClock, Millis aStartWait);
+  /**
+   * aPeersToHear is 0 where the store itself always has the newest version.
+   */
+  StartRule(Clock aClock,
+            Millis aStartWait,
+            std::size_t aPeersToHear = kDefaultPeersToHear);
+
+  static constexpr std::size_t kDefaultPeersToHear = 3;
+
 
   /** Those of aPeers that are to be asked now, for the first time or again. */
   std::vector<std::string> TakeDue(const std::vector<std::string>& aPeers);
@@ -40,6 +48,7 @@
   Clock clock;
   Millis startedAt;
   Millis startWait;
+  std::size_t peersToHear;
   std::size_t knownPeers = 0;
   std::map<std::string, Millis, std::less<>> asked; // With the last time.
   std::set<std::string, std::less<>> answered;
--- a/src/execution/callanswer.cpp
+++ b/src/execution/callanswer.cpp
@@ -14,9 +14,16 @@
   return IsLimit(aReason) || aReason == RefusalReason::Draining ||
          aReason == RefusalReason::NotConnected ||
          aReason == RefusalReason::Fenced ||
+         aReason == RefusalReason::OtherServer ||
          aReason == RefusalReason::ShuttingDown;
 }
 
+bool
+HasArrived(RefusalReason aReason)
+{
+  return aReason == RefusalReason::ServerRefused;
+}
+
 bool
 IsWorthRetry(RefusalReason aReason)
 {
@@ -38,11 +45,13 @@
 }
 
 Ending
-RefusalEnding(const EntryCall& aCall, const Refusal& aRefusal)
+RefusalEnding(const EntryCall& aCall,
+              const Refusal& aRefusal,
+              const CallDialect& aDialect)
 {
   Ending ending;
   ending.outcome = aCall.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-  ending.status = StatusOf(aRefusal.reason);
+  ending.status = StatusFor(aDialect, aRefusal.reason, aCall.mayHaveRun);
   ending.reason = kRefusalReasonNames.NameOf(aRefusal.reason);
   ending.isRefusal = true;
   ending.refusal = aRefusal;
@@ -72,13 +81,15 @@
 }
 
 HttpAnswer
-DoneAnswer(wire::CallAnswer aAnswer)
+DoneAnswer(wire::CallAnswer aAnswer, const CallDialect& aDialect)
 {
   HttpAnswer answer;
   answer.status = aAnswer.status;
   const HttpHeaders headers(aAnswer.headers.begin(), aAnswer.headers.end());
   answer.headers = EndToEndHeaders(headers);
-  answer.headers[kOutcomeHeader] = kOutcomeNames.NameOf(Outcome::Done);
+  if (aDialect.addsOwnHeaders) {
+    answer.headers[kOutcomeHeader] = kOutcomeNames.NameOf(Outcome::Done);
+  }
   answer.body = std::move(aAnswer.body);
   return answer;
 }
--- a/src/execution/callanswer.h
+++ b/src/execution/callanswer.h
@@ -11,6 +11,10 @@
 bool
 IsFreeToRetry(RefusalReason aReason);
 
+/** Whether the request was handed to a backend server, which refused it. */
+bool
+HasArrived(RefusalReason aReason);
+
 /** Whether another destination may accept what this one refused. */
 bool
 IsWorthRetry(RefusalReason aReason);
@@ -21,7 +25,9 @@
 
 /** `unknown` instead of `not-run` when an earlier attempt may have run. */
 Ending
-RefusalEnding(const EntryCall& aCall, const Refusal& aRefusal);
+RefusalEnding(const EntryCall& aCall,
+              const Refusal& aRefusal,
+              const CallDialect& aDialect = {});
 
 /** The call may have run and no whole answer was seen. */
 Ending
@@ -33,7 +39,7 @@
 
 /** The backend server's answer for the caller. */
 HttpAnswer
-DoneAnswer(wire::CallAnswer aAnswer);
+DoneAnswer(wire::CallAnswer aAnswer, const CallDialect& aDialect = {});
 
 /** What the chooser learns from the latest attempt. */
 Observation
--- a/src/execution/callqueries.cpp
+++ b/src/execution/callqueries.cpp
@@ -32,9 +32,11 @@
 void
 CallQueries::Begin(EntryCall& aCall)
 {
-  kLog.Info("call {} lost its session to {}, asking for its fate",
-            aCall.id,
-            aCall.attempt.endpoint.host);
+  kLog.Decision("fate-asked",
+                "request={} call={} host={} reason=session-lost",
+                aCall.requestId,
+                aCall.id,
+                aCall.attempt.endpoint.host);
   aCall.stage = CallStage::Querying;
   aCall.queryUntil = this->clock.Now() + this->wait;
   this->SendQuery(aCall);
--- a/src/execution/callrequest.cpp
+++ b/src/execution/callrequest.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 std::optional<std::int64_t>
-NumberHeader(const HttpHeaders& aHeaders, const char* aName)
+NumberHeader(const HttpHeaders& aHeaders, const std::string& aName)
 {
   const auto header = aHeaders.find(aName);
   if (header == aHeaders.end()) {
@@ -61,7 +61,7 @@
 } // namespace
 
 void
-ReadRequest(EntryCall& aCall, Millis aNow)
+ReadRequest(EntryCall& aCall, Millis aNow, const CallDialect& aDialect)
 {
   const HttpHeaders& headers = aCall.http.headers;
   const auto method = kHttpMethodNames.ValueOf(aCall.http.method);
@@ -69,7 +69,7 @@
   aCall.depth =
     static_cast<int>(NumberHeader(headers, kDepthHeader).value_or(0));
   const Millis limit = aCall.entry->limits.deadline;
-  const Millis asked = NumberHeader(headers, kDeadlineHeader).value_or(limit);
+  const Millis asked = NumberHeader(headers, aDialect.deadlineHeader).value_or(limit);
   aCall.deadlineAt = aNow + std::min(limit, asked);
   const auto key = headers.find(kKeyHeader);
   if (key == headers.end()) {
@@ -83,18 +83,23 @@
 }
 
 std::optional<Refusal>
-CheckRequest(EntryCall& aCall, Millis aNow)
+CheckRequest(EntryCall& aCall, Millis aNow, const CallDialect& aDialect)
 {
   if (!aCall.snapshot) {
     return RefusalFor(RefusalReason::NoConfiguration);
   }
   const auto method = kHttpMethodNames.ValueOf(aCall.http.method);
-  aCall.entry =
-    method ? aCall.snapshot->MatchRoute(*method, aCall.http.path) : nullptr;
+  const auto host = aCall.http.headers.find("Host");
+  const bool hasHost = host != aCall.http.headers.end();
+  aCall.entry = method ? aCall.snapshot->MatchRoute(
+                           *method,
+                           aCall.http.path,
+                           hasHost ? std::string_view(host->second) : "")
+                       : nullptr;
   if (aCall.entry == nullptr) {
     return RefusalFor(RefusalReason::NoRoute);
   }
-  ReadRequest(aCall, aNow);
+  ReadRequest(aCall, aNow, aDialect);
   const auto bodyBytes = static_cast<std::int64_t>(aCall.http.body.size());
   const std::int64_t bodyLimit = aCall.entry->limits.bodyBytes;
   if (bodyLimit > 0 && bodyBytes > bodyLimit) {
@@ -111,27 +116,41 @@
 
 wire::CallRequest
 RequestMessage(const EntryCall& aCall,
-               const std::string& aHost,
-               Millis aRemaining)
+               const RequestOrigin& aOrigin,
+               Millis aRemaining,
+               const CallDialect& aDialect)
 {
   wire::CallRequest request;
   request.callId = aCall.attempt.id;
   request.entry = aCall.entry->name;
-  request.serviceName = aCall.entry->service;
+  request.serviceName = aCall.service;
   request.port = aCall.attempt.endpoint.port;
   request.method = aCall.http.method;
   request.target = aCall.http.target;
   const HttpHeaders headers = EndToEndHeaders(aCall.http.headers);
   request.headers.insert(headers.begin(), headers.end());
-  request.headers[kCallIdHeader] = aCall.id;
-  request.headers[kDepthHeader] = fmt::format("{}", aCall.depth + 1);
+  if (aDialect.addsOwnHeaders) {
+    request.headers[kCallIdHeader] = aCall.id;
+    request.headers[kDepthHeader] = fmt::format("{}", aCall.depth + 1);
+  }
+  if (!aDialect.callerServiceHeader.empty()) {
+    request.headers[aDialect.callerServiceHeader] = aOrigin.service;
+  }
+  if (const auto host = aCall.http.headers.find("Host");
+      aDialect.keepsHost && host != aCall.http.headers.end()) {
+    request.headers["Host"] = host->second;
+  }
   request.body = aCall.http.body;
   request.remainingMillis = aRemaining;
   request.idempotent = aCall.isIdempotent;
   request.depth = aCall.depth;
-  request.callerHost = aHost;
+  request.callerHost = aOrigin.host;
   request.version = aCall.snapshot->Version();
   request.digest = static_cast<std::int64_t>(aCall.digest);
+  request.owner = aCall.entry->owner;
+  request.workClass = static_cast<std::int32_t>(aCall.entry->workClass);
+  request.queueMillis =
+    static_cast<std::int32_t>(aCall.entry->limits.queueWait);
   return request;
 }
 
--- a/src/execution/callrequest.h
+++ b/src/execution/callrequest.h
@@ -24,20 +24,28 @@
  * and key. The entry must be set.
  */
 void
-ReadRequest(EntryCall& aCall, Millis aNow);
+ReadRequest(EntryCall& aCall, Millis aNow, const CallDialect& aDialect);
 
 /**
  * Finds the entry, fills in the call by ReadRequest() and checks what needs no
  * state of the daemon. Empty when nothing refuses the call.
  */
 std::optional<Refusal>
-CheckRequest(EntryCall& aCall, Millis aNow);
+CheckRequest(EntryCall& aCall, Millis aNow, const CallDialect& aDialect);
+
+/** What the entry daemon adds to every request. */
+struct RequestOrigin
+{
+  std::string host;
+  std::string service; // Of the backend server on that host; may be empty.
+};
 
 /** The message for the current attempt. */
 wire::CallRequest
 RequestMessage(const EntryCall& aCall,
-               const std::string& aHost,
-               Millis aRemaining);
+               const RequestOrigin& aOrigin,
+               Millis aRemaining,
+               const CallDialect& aDialect);
 
 /** Hash of the answer body that travels with it. */
 std::int64_t
--- a/src/execution/claimwork.h
+++ b/src/execution/claimwork.h
@@ -2,7 +2,7 @@
 
 #include "common/clock.h"
 #include "execution/claimshard.h"
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/execution/claimwriter.h
+++ b/src/execution/claimwriter.h
@@ -2,7 +2,7 @@
 
 #include "common/clock.h"
 #include "execution/claimshard.h"
-#include "platform/platformjob.h"
+#include "store/platformjob.h"
 
 #include <array>
 #include <cstddef>
--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace lacewingwharf {
@@ -42,6 +43,31 @@
   return NotRun(aCallId, refusal);
 }
 
+WorkClass
+ClassOf(const wire::CallRequest& aRequest)
+{
+  const auto value = static_cast<WorkClass>(aRequest.workClass);
+  return kWorkClassNames.NameOf(value) == "?" ? WorkClass::Batch : value;
+}
+
+/** A time in seconds, perhaps with a fraction; 0 when it is not one. */
+Millis
+RetryAfterOf(const HttpHeaders& aHeaders)
+{
+  constexpr double kMillisPerSecond = 1000;
+  constexpr double kLongest = 60; // Seconds; more is not believed.
+  const auto header = aHeaders.find("Retry-After");
+  if (header == aHeaders.end()) {
+    return 0;
+  }
+  char* end = nullptr;
+  const double seconds = std::strtod(header->second.c_str(), &end);
+  const bool isNumber = end != header->second.c_str() && *end == '\0';
+  return isNumber && seconds > 0 && seconds <= kLongest
+           ? static_cast<Millis>(seconds * kMillisPerSecond)
+           : 0;
+}
+
 wire::CallAnswer
 Unknown(const std::string& aCallId, const std::string& aReason)
 {
@@ -93,7 +119,7 @@
   }
   const AcceptedEntry* const accepted =
     this->snapshot ? this->snapshot->Find(aRequest.entry) : nullptr;
-  if (accepted == nullptr) {
+  if (accepted == nullptr && !this->config.takesUnknownEntries) {
     this->hooks.answer(aOrigin, NotRun(id, RefusalReason::NoRoute));
     return;
   }
@@ -107,13 +133,14 @@
   call.deadlineAt = this->clock.Now() + aRequest.remainingMillis;
   AdmissionRequest admissionRequest;
   admissionRequest.callId = id;
-  admissionRequest.entry = accepted->entry.name;
-  admissionRequest.owner = accepted->entry.owner;
-  admissionRequest.workClass = accepted->entry.workClass;
+  // The entry daemon's version may be newer or older than the one held here.
+  admissionRequest.entry = aRequest.entry;
+  admissionRequest.owner = aRequest.owner;
+  admissionRequest.workClass = ClassOf(aRequest);
   admissionRequest.service = aRequest.serviceName;
   admissionRequest.port = aRequest.port;
   admissionRequest.deadlineAt = call.deadlineAt;
-  admissionRequest.queueWait = accepted->entry.limits.queueWait;
+  admissionRequest.queueWait = aRequest.queueMillis;
   call.request = std::move(aRequest);
   this->calls.emplace(id, std::move(call));
   ++this->inFlight;
@@ -126,11 +153,14 @@
   Call& call = this->calls.at(aCallId);
   call.stage = Stage::Running;
   call.startedAt = this->clock.PreciseNow();
-  kLog.Info("call {} entry={} runs on {}:{}",
-            aCallId,
-            call.request.entry,
-            call.request.serviceName,
-            call.request.port);
+  kLog.Decision("call-runs",
+                "request={} call={} entry={} service={} port={} left_ms={}",
+                this->RequestIdOf(call),
+                aCallId,
+                call.request.entry,
+                call.request.serviceName,
+                call.request.port,
+                call.deadlineAt - this->clock.Now());
   if (this->hooks.submit(this->ExchangeOf(call))) {
     return;
   }
@@ -146,11 +176,16 @@
                              const Refusal& aRefusal)
 {
   Call& call = this->calls.at(aCallId);
-  kLog.Info("call {} entry={} owner={} not run: {}",
-            aCallId,
-            call.request.entry,
-            aRefusal.owner,
-            DescribeLimit(aRefusal));
+  kLog.Decision("call-refused",
+                "request={} call={} entry={} owner={} reason={} bound={} "
+                "seen={}",
+                this->RequestIdOf(call),
+                aCallId,
+                call.request.entry,
+                aRefusal.owner,
+                kRefusalReasonNames.NameOf(aRefusal.reason),
+                aRefusal.bound,
+                aRefusal.seen);
   this->Finish(aCallId, call, NotRun(aCallId, aRefusal));
 }
 
@@ -167,7 +202,20 @@
   exchange.request.target = request.target;
   exchange.request.headers =
     HttpHeaders(request.headers.begin(), request.headers.end());
-  exchange.request.headers[kDeadlineHeader] = fmt::format("{}", remaining);
+  const CallDialect& dialect = this->config.dialect;
+  exchange.request.headers[dialect.deadlineHeader] =
+    fmt::format("{}", std::max<Millis>(remaining, 1));
+  if (!dialect.serverIdHeader.empty()) {
+    const auto server = this->serverIds.find(request.port);
+    const bool isKnown =
+      server != this->serverIds.end() && !server->second.empty();
+    exchange.request.headers.erase(dialect.serverIdHeader);
+    if (isKnown) {
+      exchange.request.headers[dialect.serverIdHeader] = server->second;
+    }
+  }
+  exchange.echoedHeader = dialect.requestIdHeader;
+  exchange.unframedBody = dialect.unframedBody;
   exchange.request.body = request.body;
   exchange.timeLimit = std::max<Millis>(remaining, 1);
   exchange.needsNewConnection = !request.idempotent;
@@ -230,6 +278,9 @@
   const std::string& id = aCall.request.callId;
   switch (aResult.end) {
     case ExchangeEnd::Answered: {
+      if (auto refusal = this->RefusalIn(id, aResult.answer)) {
+        return std::move(*refusal);
+      }
       wire::CallAnswer answer;
       answer.callId = id;
       answer.outcome = wire::CallOutcome::DONE;
@@ -241,11 +292,22 @@
       return answer;
     }
     case ExchangeEnd::NotConnected: {
-      kLog.Warning("call {} not run: {}", id, aResult.detail);
+      kLog.Decision("server-not-connected",
+                    "request={} call={} detail=\"{}\"",
+                    this->RequestIdOf(aCall),
+                    id,
+                    aResult.detail);
+      if (!this->hooks.isListening(aCall.request.port)) {
+        this->ReportGone(aCall);
+      }
       return NotRun(id, RefusalReason::NotConnected);
     }
     case ExchangeEnd::Cut: {
-      kLog.Warning("call {} was cut: {}", id, aResult.detail);
+      kLog.Decision("answer-cut",
+                    "request={} call={} detail=\"{}\"",
+                    this->RequestIdOf(aCall),
+                    id,
+                    aResult.detail);
       wire::CallAnswer answer = Unknown(id, "cut-answer");
       this->CheckServerLost(aCall, answer);
       return answer;
@@ -257,6 +319,49 @@
   }
 }
 
+const std::string&
+DestinationCalls::RequestIdOf(const Call& aCall) const
+{
+  static const std::string sNone;
+  const auto header =
+    aCall.request.headers.find(this->config.dialect.requestIdHeader);
+  return header == aCall.request.headers.end() ? sNone : header->second;
+}
+
+/** What an answer says that is not the result of running the request. */
+std::optional<wire::CallAnswer>
+DestinationCalls::RefusalIn(const std::string& aCallId,
+                            const HttpAnswer& aAnswer) const
+{
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  const CallDialect& dialect = this->config.dialect;
+  if (dialect.otherServerStatus != 0 &&
+      aAnswer.status == dialect.otherServerStatus) {
+    kLog.Decision("other-server", "call={} status={}", aCallId, aAnswer.status);
+    return NotRun(aCallId, RefusalReason::OtherServer);
+  }
+  if (!dialect.notExecutedHeader.empty() &&
+      aAnswer.headers.contains(dialect.notExecutedHeader)) {
+    kLog.Decision("server-refused", "call={} status={}", aCallId, aAnswer.status);
+    Refusal refusal;
+    refusal.reason = RefusalReason::ServerRefused;
+    refusal.retryAfter = RetryAfterOf(aAnswer.headers);
+    return NotRun(aCallId, refusal);
+  }
+  const bool isSigned = dialect.signatureHeader.empty() ||
+                        aAnswer.headers.contains(dialect.signatureHeader);
+  const bool isSuccess =
+    aAnswer.status >= kFirstSuccess && aAnswer.status < kFirstRedirect;
+  const int asRefusal = StatusFor(dialect, RefusalReason::Overload, false);
+  if (!isSigned && (isSuccess || aAnswer.status == asRefusal)) {
+    kLog.Decision(
+      "answer-unsigned", "call={} status={}", aCallId, aAnswer.status);
+    return Unknown(aCallId, "unsigned-answer");
+  }
+  return std::nullopt;
+}
+
 void
 DestinationCalls::CheckServerLost(const Call& aCall, wire::CallAnswer& aAnswer)
 {
@@ -264,6 +369,7 @@
     return;
   }
   aAnswer.serverLost = true;
+  this->ReportGone(aCall);
   kLog.Warning("backend server {}:{} was lost while it ran call {}",
                aCall.request.serviceName,
                aCall.request.port,
@@ -271,6 +377,14 @@
   this->hooks.serverLost(static_cast<std::uint64_t>(aCall.request.digest));
 }
 
+void
+DestinationCalls::ReportGone(const Call& aCall) const
+{
+  if (this->hooks.serverGone) {
+    this->hooks.serverGone(aCall.request.serviceName, aCall.request.port);
+  }
+}
+
 void
 DestinationCalls::Finish(const std::string& aCallId,
                          Call& aCall,
--- a/src/execution/destinationcalls.h
+++ b/src/execution/destinationcalls.h
@@ -11,7 +11,9 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +36,11 @@
 
   /** How long a fenced call id is remembered. */
   Millis keepFences = 600000;
+
+  CallDialect dialect;
+
+  /** Whether calls of entries are run that this daemon does not hold yet. */
+  bool takesUnknownEntries = false;
 };
 
 /** What the destination daemon's calls need from the rest of the daemon. */
@@ -48,6 +55,9 @@
 
   /** Whether something still listens on a port of this host. */
   std::function<bool(int aPort)> isListening;
+
+  /** Nothing listens there. Optional. */
+  std::function<void(const std::string& aService, int aPort)> serverGone;
 };
 
 /**
@@ -65,6 +75,9 @@
   void SetConfiguration(SnapshotPtr aSnapshot, EndpointViewPtr aView);
   Admission& Slots();
 
+  /** The id of the server process that has a port; empty: not known. */
+  void SetServerId(int aPort, const std::string& aId);
+
   void HandleRequest(SessionId aOrigin, wire::CallRequest aRequest);
   void HandleCancel(const std::string& aCallId);
   void HandleQuery(SessionId aOrigin, const wire::CallQuery& aQuery);
@@ -110,8 +123,12 @@
   void RefuseCall(const std::string& aCallId, const Refusal& aRefusal);
   HttpExchange ExchangeOf(const Call& aCall) const;
   wire::CallAnswer AnswerOf(const Call& aCall, ExchangeResult aResult);
+  std::optional<wire::CallAnswer> RefusalIn(const std::string& aCallId,
+                                            const HttpAnswer& aAnswer) const;
   void EndExchange(ExchangeResult aResult);
   void CheckCutExchanges();
+  const std::string& RequestIdOf(const Call& aCall) const;
+  void ReportGone(const Call& aCall) const;
   void CheckServerLost(const Call& aCall, wire::CallAnswer& aAnswer);
   void Finish(const std::string& aCallId,
               Call& aCall,
@@ -125,6 +142,7 @@
   DestinationCallsHooks hooks;
   SnapshotPtr snapshot;
   Admission admission;
+  std::map<int, std::string> serverIds; // By port.
   std::unordered_map<std::string, Call> calls;
   std::deque<std::pair<Millis, std::string>> finishedQueue;
   std::deque<std::pair<Millis, std::string>> fenceQueue;
@@ -148,6 +166,12 @@
   this->isStopping = true;
 }
 
+inline void
+DestinationCalls::SetServerId(int aPort, const std::string& aId)
+{
+  this->serverIds[aPort] = aId;
+}
+
 inline Admission&
 DestinationCalls::Slots()
 {
--- a/src/execution/entrycall.h
+++ b/src/execution/entrycall.h
@@ -4,6 +4,7 @@
 #include "common/clock.h"
 #include "execution/outcome.h"
 #include "membership/endpointview.h"
+#include "peer_types.h"
 #include "proxy/httpserver.h"
 #include "routing/serverchooser.h"
 
@@ -39,6 +40,8 @@
   HttpRequest http;
   SnapshotPtr snapshot;
   const Entry* entry = nullptr; // Owned by the snapshot.
+  std::string service; // That the route or its split names.
+  std::string requestId; // That the caller gave; for logs.
   bool isIdempotent = false;
   int depth = 0;
   double startedAt = 0;
@@ -49,6 +52,12 @@
   CallStage stage = CallStage::Attempting;
   Attempt attempt;
   int attempts = 0;
+
+  /** Attempts that a backend server was handed, or may have been. */
+  int arrivals = 0;
+
+  /** A server's failure, for the caller when no later attempt does better. */
+  std::optional<wire::CallAnswer> failure;
   std::set<EndpointKey> tried;
   Millis nextQueryAt = 0;
   Millis queryUntil = 0;
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -39,14 +39,15 @@
   : config(std::move(aConfig))
   , clock(aClock)
   , hooks(std::move(aHooks))
-  , chooser(aClock, std::move(aRandom))
+  , chooser(aClock, aRandom)
+  , splits(std::move(aRandom))
   , queries(aClock,
             this->config.queryWait,
             [this](const EndpointInfo& aTo, wire::Envelope aEnvelope) {
               return this->SendTo(aTo, std::move(aEnvelope));
             })
   , limitMemory(aClock)
-  , retryBudget(std::move(aClock))
+  , retryBudget(std::move(aClock), this->config.retryBudget)
 {
 }
 
@@ -94,6 +95,11 @@
   call->request = aRequest;
   call->http = std::move(aHttp);
   call->snapshot = this->snapshot;
+  const auto requestId =
+    call->http.headers.find(this->config.dialect.requestIdHeader);
+  if (requestId != call->http.headers.end()) {
+    call->requestId = requestId->second;
+  }
   call->startedAt = this->clock.PreciseNow();
   call->deadlineAt = this->clock.Now();
   this->open.Add(call);
@@ -107,11 +113,13 @@
     this->RefuseReason(aCall, RefusalReason::ShuttingDown);
     return false;
   }
-  const auto refusal = CheckRequest(*aCall, this->clock.Now());
+  const auto refusal =
+    CheckRequest(*aCall, this->clock.Now(), this->config.dialect);
   if (refusal) {
     this->Refuse(aCall, *refusal);
     return false;
   }
+  aCall->service = this->splits.Next(*aCall->entry);
   if (this->hooks.isQuarantined(aCall->digest)) {
     this->RefuseReason(aCall, RefusalReason::Quarantined);
     return false;
@@ -139,7 +147,7 @@
       // The claim belongs to the other call and is not settled from here.
       call->keyHash.reset();
       const Ending ending = DuplicateEnding();
-      this->End(call, MakeAnswer(ending), ending);
+      this->End(call, MakeAnswer(ending, this->config.dialect), ending);
       return;
     }
     default:
@@ -151,7 +159,11 @@
 EntryCalls::StartAttempt(const EntryCallPtr& aCall)
 {
   const auto choice = this->chooser.Choose(
-    aCall->entry->service, this->limitMemory.LeftOut(*this->view, *aCall));
+    aCall->service, this->limitMemory.LeftOut(*this->view, *aCall));
+  if (!choice && aCall->failure) {
+    this->DeliverFailure(aCall);
+    return;
+  }
   if (!choice) {
     this->Refuse(aCall, this->limitMemory.RefusalFor(*aCall));
     return;
@@ -162,21 +174,28 @@
   aCall->attempt.endpoint = choice->endpoint;
   aCall->attempt.startedAt = this->clock.PreciseNow();
   aCall->tried.insert(KeyOf(choice->endpoint));
-  kLog.Info("call {} entry={} owner={} chose {}:{} in {} ({}), attempt {}",
-            aCall->id,
-            aCall->entry->name,
-            aCall->entry->owner,
-            choice->endpoint.host,
-            choice->endpoint.port,
-            choice->endpoint.domain,
-            kChoiceReasonNames.NameOf(choice->reason),
-            aCall->attempts);
+  ++aCall->arrivals; // Taken back when the request did not reach a server.
+  kLog.Decision("server-chosen",
+                "request={} call={} entry={} owner={} version={} service={} "
+                "host={} domain={} reason={} attempt={} left_ms={}",
+                aCall->requestId,
+                aCall->id,
+                aCall->entry->name,
+                aCall->entry->owner,
+                aCall->snapshot->Version(),
+                aCall->service,
+                choice->endpoint.host,
+                choice->endpoint.domain,
+                kChoiceReasonNames.NameOf(choice->reason),
+                aCall->attempts,
+                this->Remaining(*aCall));
   this->open.OpenAttempt(aCall);
   this->chooser.Started(KeyOf(choice->endpoint));
   if (this->Dispatch(*aCall)) {
     return;
   }
   // Nothing was sent: the ring to the peer thread is full.
+  --aCall->arrivals;
   this->open.CloseAttempt(*aCall);
   this->Observe(*aCall, CallEnd::Refused, {});
   this->RefuseReason(aCall, RefusalReason::Overload);
@@ -187,7 +206,10 @@
 {
   wire::Envelope envelope;
   envelope.__set_callRequest(
-    RequestMessage(aCall, this->config.host, this->Remaining(aCall)));
+    RequestMessage(aCall,
+                   { this->config.host, this->config.service },
+                   this->Remaining(aCall),
+                   this->config.dialect));
   return this->SendTo(aCall.attempt.endpoint, std::move(envelope));
 }
 
@@ -215,7 +237,7 @@
 {
   const EntryCallPtr call = this->open.TakeAttempt(aAnswer.callId);
   if (!call) {
-    kLog.Info("answer to {} came too late and was dropped", aAnswer.callId);
+    kLog.Decision("late-answer-dropped", "call={}", aAnswer.callId);
     return;
   }
   switch (aAnswer.outcome) {
@@ -256,11 +278,37 @@
     this->StartAttempt(aCall);
     return;
   }
+  if (isFailure && this->RetryFailure(aCall, aAnswer)) {
+    return;
+  }
   if (!isFailure) {
-    this->retryBudget.CountSuccess(aCall->entry->service);
+    this->retryBudget.CountSuccess(aCall->service);
   }
   const Ending ending{ Outcome::Done, aAnswer.status, "answered", {}, false };
-  this->End(aCall, DoneAnswer(std::move(aAnswer)), ending);
+  this->End(
+    aCall, DoneAnswer(std::move(aAnswer), this->config.dialect), ending);
+}
+
+/** The failure is kept, so that the caller gets it if nothing better comes. */
+bool
+EntryCalls::RetryFailure(const EntryCallPtr& aCall, wire::CallAnswer& aAnswer)
+{
+  if (!this->config.retriesFailures || !aCall->isIdempotent ||
+      !this->MayRetry(*aCall, false)) {
+    return false;
+  }
+  aCall->mayHaveRun = true;
+  aCall->failure = std::move(aAnswer);
+  this->StartAttempt(aCall);
+  return true;
+}
+
+void
+EntryCalls::DeliverFailure(const EntryCallPtr& aCall)
+{
+  wire::CallAnswer answer = std::move(*aCall->failure);
+  const Ending ending{ Outcome::Done, answer.status, "answered", {}, false };
+  this->End(aCall, DoneAnswer(std::move(answer), this->config.dialect), ending);
 }
 
 void
@@ -275,11 +323,14 @@
     return;
   }
   const Refusal refusal = RefusalOf(aAnswer);
+  if (!HasArrived(refusal.reason)) {
+    --aCall->arrivals;
+  }
   const bool isLost = refusal.reason == RefusalReason::NotConnected;
   this->Observe(*aCall, isLost ? CallEnd::Lost : CallEnd::Refused, aAnswer);
   this->limitMemory.Note(*aCall, refusal);
   if (IsWorthRetry(refusal.reason) &&
-      this->MayRetry(*aCall, IsFreeToRetry(refusal.reason))) {
+      this->MayRetry(*aCall, this->IsFree(refusal.reason))) {
     aCall->lastRefusal = refusal;
     this->StartAttempt(aCall);
     return;
@@ -297,8 +348,22 @@
     this->StartAttempt(aCall);
     return;
   }
+  if (aCall->failure) {
+    this->DeliverFailure(aCall);
+    return;
+  }
   const Ending ending = UnknownEnding(aReason, this->Remaining(*aCall) <= 0);
-  this->End(aCall, MakeAnswer(ending), ending);
+  this->End(aCall, MakeAnswer(ending, this->config.dialect), ending);
+}
+
+bool
+EntryCalls::IsFree(RefusalReason aReason) const
+{
+  const bool isForRoom = aReason == RefusalReason::QueueFull ||
+                         aReason == RefusalReason::QueueWait ||
+                         aReason == RefusalReason::Displaced ||
+                         aReason == RefusalReason::NoEndpoint;
+  return IsFreeToRetry(aReason) || (this->config.triesElsewhere && isForRoom);
 }
 
 bool
@@ -311,8 +376,8 @@
   if (aIsFree) {
     return true;
   }
-  return aCall.attempts <= aCall.entry->limits.retries &&
-         this->retryBudget.TryRetry(aCall.entry->service);
+  return aCall.arrivals <= aCall.entry->limits.retries &&
+         this->retryBudget.TryRetry(aCall.service);
 }
 
 void
@@ -360,7 +425,8 @@
     return;
   }
   call->hasCallerLeft = true;
-  kLog.Info("call {} was left by its caller", call->id);
+  kLog.Decision(
+    "caller-left", "request={} call={}", call->requestId, call->id);
   if (this->open.HasOpenAttempt(*call)) {
     this->queries.Cancel(*call);
   }
@@ -415,8 +481,12 @@
 void
 EntryCalls::Refuse(const EntryCallPtr& aCall, const Refusal& aRefusal)
 {
-  const Ending ending = RefusalEnding(*aCall, aRefusal);
-  this->End(aCall, MakeAnswer(ending), ending);
+  if (aCall->failure) {
+    this->DeliverFailure(aCall);
+    return;
+  }
+  const Ending ending = RefusalEnding(*aCall, aRefusal, this->config.dialect);
+  this->End(aCall, MakeAnswer(ending, this->config.dialect), ending);
 }
 
 void
@@ -426,18 +496,29 @@
 {
   const std::string entry = aCall->entry != nullptr ? aCall->entry->name : "-";
   const std::string owner = aCall->entry != nullptr ? aCall->entry->owner : "-";
-  kLog.Info("call {} entry={} owner={} ended {} status={} reason={} {}",
-            aCall->id,
-            entry,
-            owner,
-            kOutcomeNames.NameOf(aEnding.outcome),
-            aEnding.status,
-            aEnding.reason,
-            aEnding.isRefusal ? DescribeLimit(aEnding.refusal) : "");
+  kLog.Decision(
+    "call-ended",
+    "request={} call={} entry={} owner={} version={} outcome={} status={} "
+    "reason={} bound={} seen={} retry_after_ms={} attempts={} took_ms={:.1f}",
+    aCall->requestId,
+    aCall->id,
+    entry,
+    owner,
+    aCall->snapshot ? aCall->snapshot->Version() : 0,
+    kOutcomeNames.NameOf(aEnding.outcome),
+    aEnding.status,
+    aEnding.reason,
+    aEnding.refusal.bound,
+    aEnding.refusal.seen,
+    aEnding.refusal.retryAfter,
+    aCall->attempts,
+    this->clock.PreciseNow() - aCall->startedAt);
   if (aCall->keyHash) {
     this->hooks.settleClaim(*aCall->keyHash, aCall->id, aEnding.outcome);
   }
-  AddCallHeaders(*aCall, aAnswer);
+  if (this->config.dialect.addsOwnHeaders) {
+    AddCallHeaders(*aCall, aAnswer);
+  }
   this->hooks.ended(*aCall, aEnding);
   this->hooks.answer(aCall->request, std::move(aAnswer));
   this->open.Remove(*aCall);
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -8,6 +8,7 @@
 #include "execution/limitmemory.h"
 #include "execution/opencalls.h"
 #include "peer/peernetwork.h"
+#include "routing/splitchooser.h"
 #include "peer_types.h"
 
 #include <cstdint>
@@ -24,6 +25,17 @@
   std::string host;
   std::int64_t incarnation = 0;
   Millis claimWait = 1000;
+  CallDialect dialect;
+
+  /** Service of the backend server on this host; may be empty. */
+  std::string service;
+  RetryBudgetConfig retryBudget;
+
+  /** Whether an idempotent call is tried again after a server's failure. */
+  bool retriesFailures = false;
+
+  /** Whether a refusal for lack of room may be tried elsewhere for free. */
+  bool triesElsewhere = false;
 
   /** How long a destination may be asked for the fate of a call. */
   Millis queryWait = 2000;
@@ -88,6 +100,8 @@
   void StopIntake();
   std::size_t InFlight() const;
 
+  void SetRetryBudget(const RetryBudgetConfig& aConfig);
+
 private:
   EntryCallPtr Admit(RequestId aRequest, HttpRequest aHttp);
   bool PassesChecks(const EntryCallPtr& aCall);
@@ -98,11 +112,14 @@
                CallEnd aEnd,
                const wire::CallAnswer& aAnswer);
   void HandleDone(const EntryCallPtr& aCall, wire::CallAnswer aAnswer);
+  bool RetryFailure(const EntryCallPtr& aCall, wire::CallAnswer& aAnswer);
+  void DeliverFailure(const EntryCallPtr& aCall);
   void HandleNotRun(const EntryCallPtr& aCall, const wire::CallAnswer& aAnswer);
   void HandleUnknown(const EntryCallPtr& aCall, const std::string& aReason);
   void HandleUnsent(const std::string& aAttemptId);
   void LoseAttempt(const EntryCallPtr& aCall);
   bool MayRetry(EntryCall& aCall, bool aIsFree);
+  bool IsFree(RefusalReason aReason) const;
   void CheckTime(const EntryCallPtr& aCall);
   void Refuse(const EntryCallPtr& aCall, const Refusal& aRefusal);
   void RefuseReason(const EntryCallPtr& aCall, RefusalReason aReason);
@@ -115,6 +132,7 @@
   Clock clock;
   EntryCallsHooks hooks;
   ServerChooser chooser;
+  SplitChooser splits;
   SnapshotPtr snapshot;
   EndpointViewPtr view = std::make_shared<EndpointView>();
   std::uint64_t nextCall = 1;
@@ -131,6 +149,12 @@
   this->isStopping = true;
 }
 
+inline void
+EntryCalls::SetRetryBudget(const RetryBudgetConfig& aConfig)
+{
+  this->retryBudget.SetConfig(aConfig);
+}
+
 inline std::size_t
 EntryCalls::InFlight() const
 {
--- a/src/execution/limitmemory.cpp
+++ b/src/execution/limitmemory.cpp
@@ -77,7 +77,7 @@
   const Millis now = this->clock.Now();
   std::erase_if(this->marks,
                 [now](const auto& aMark) { return aMark.second <= now; });
-  const auto service = aView.services.find(aCall.entry->service);
+  const auto service = aView.services.find(aCall.service);
   if (service == aView.services.end()) {
     return leftOut;
   }
--- a/src/execution/limitmemory_test.cpp
+++ b/src/execution/limitmemory_test.cpp
@@ -26,6 +26,7 @@
     this->entry.name = "orders-route";
     this->entry.service = kService;
     this->call.entry = &this->entry;
+    this->call.service = kService;
     this->view.services[kService].endpoints = { EndpointIn("near", "a"),
                                                 EndpointIn("near", "b"),
                                                 EndpointIn("far", "c") };
--- a/src/execution/outcome.cpp
+++ b/src/execution/outcome.cpp
@@ -38,28 +38,45 @@
                      aRefusal.seen);
 }
 
+namespace {
+
+std::string
+RetryAfterText(Millis aTime, const CallDialect& aDialect)
+{
+  constexpr Millis kSecond = 1000;
+  if (aDialect.tellsFractions) {
+    return fmt::format("{:.3f}", static_cast<double>(aTime) / kSecond);
+  }
+  return fmt::format("{}", (aTime + kSecond - 1) / kSecond);
+}
+
+} // namespace
+
 HttpAnswer
-MakeAnswer(const Ending& aEnding)
+MakeAnswer(const Ending& aEnding, const CallDialect& aDialect)
 {
   HttpAnswer answer;
   answer.status = aEnding.status;
   nlohmann::json body = { { "outcome", kOutcomeNames.NameOf(aEnding.outcome) },
                           { "reason", aEnding.reason } };
-  answer.headers[kReasonHeader] = aEnding.reason;
   if (aEnding.isRefusal) {
     const Refusal& refusal = aEnding.refusal;
     body["entry"] = refusal.entry;
     body["owner"] = refusal.owner;
     body["bound"] = refusal.bound;
     body["seen"] = refusal.seen;
-    answer.headers[kLimitHeader] = DescribeLimit(refusal);
+    if (aDialect.addsOwnHeaders) {
+      answer.headers[kLimitHeader] = DescribeLimit(refusal);
+    }
     if (refusal.retryAfter > 0) {
-      constexpr Millis kSecond = 1000;
-      const Millis seconds = (refusal.retryAfter + kSecond - 1) / kSecond;
-      answer.headers["Retry-After"] = fmt::format("{}", seconds);
+      answer.headers["Retry-After"] =
+        RetryAfterText(refusal.retryAfter, aDialect);
     }
   }
-  answer.headers[kOutcomeHeader] = kOutcomeNames.NameOf(aEnding.outcome);
+  if (aDialect.addsOwnHeaders) {
+    answer.headers[kReasonHeader] = aEnding.reason;
+    answer.headers[kOutcomeHeader] = kOutcomeNames.NameOf(aEnding.outcome);
+  }
   answer.headers["Content-Type"] = "application/json";
   answer.body = body.dump() + "\n";
   return answer;
--- a/src/execution/outcome.h
+++ b/src/execution/outcome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/refusal.h"
+#include "execution/calldialect.h"
 #include "common/names.h"
 #include "peer_types.h"
 #include "proxy/httptypes.h"
@@ -30,7 +31,6 @@
 inline constexpr const char* kReasonHeader = "Lacewingwharf-Reason";
 inline constexpr const char* kVersionHeader = "Lacewingwharf-Version";
 inline constexpr const char* kCallIdHeader = "Lacewingwharf-Call-Id";
-inline constexpr const char* kDeadlineHeader = "Lacewingwharf-Deadline-Ms";
 inline constexpr const char* kDepthHeader = "Lacewingwharf-Depth";
 inline constexpr const char* kKeyHeader = "Idempotency-Key";
 
@@ -56,9 +56,9 @@
 
 /** An answer made by the daemon itself, with a short JSON body. */
 HttpAnswer
-MakeAnswer(const Ending& aEnding);
+MakeAnswer(const Ending& aEnding, const CallDialect& aDialect = {});
 
-/** Leaves out headers that belong to one connection only. */
+/** Leaves out headers that belong to one connection only, and Host. */
 HttpHeaders
 EndToEndHeaders(const HttpHeaders& aHeaders);
 
--- /dev/null
+++ b/src/membership/localserver.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/names.h"
+#include "membership/endpointregistry.h"
+#include "settings/settings.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace lacewingwharf {
+
+enum class ServerReportKind
+{
+  Heartbeat,
+  Leaving // It serves for a short time yet and takes no new work.
+};
+
+/** What a backend server says of itself. */
+struct ServerReport
+{
+  ServerReportKind kind = ServerReportKind::Heartbeat;
+  std::string id; // Of the server process; mostly new at each start.
+
+  /** Its start on its own clock; only compared with its other reports. */
+  std::optional<std::int64_t> startedAt;
+
+  // Heartbeats only.
+  std::string service;
+  SocketAddress address;
+  wire::EndpointState::type state = wire::EndpointState::READY;
+  std::int64_t sequence = 0;
+  int slots = 0;
+  Millis warmUpLeft = 0;
+};
+
+enum class ReportVerdict
+{
+  Taken,
+  Old,    // Of an earlier process, or overtaken by a later report.
+  Foreign // Of another service or address than this host's.
+};
+
+inline constexpr auto kReportVerdictNames =
+  MakeNameTable<ReportVerdict>({ { ReportVerdict::Taken, "taken" },
+                                 { ReportVerdict::Old, "old" },
+                                 { ReportVerdict::Foreign, "foreign" } });
+
+/** A server process that said it leaves. */
+struct LeavingServer
+{
+  std::string id;
+  std::int64_t startedAt = 0; // 0 when it was not told.
+
+  bool operator==(const LeavingServer&) const = default;
+};
+
+/**
+ * The backend server on this host, from its reports. They may arrive late, out
+ * of order and from a process that has ended.
+ */
+class LocalServer
+{
+public:
+  LocalServer(std::string aService, SocketAddress aAddress);
+
+  ReportVerdict Take(const ServerReport& aReport);
+
+  /** A server of before this daemon's start that must get no new work. */
+  void Recall(const LeavingServer& aLeaving);
+
+  /** What the server announces now; empty before its first heartbeat. */
+  const std::optional<Announcement>& Current() const;
+  const std::string& Id() const;
+
+  /** The process that leaves, for Recall() after a restart. */
+  const std::optional<LeavingServer>& Leaving() const;
+
+private:
+  bool IsOld(const ServerReport& aReport) const;
+  bool IsLeaving(const ServerReport& aReport) const;
+
+  std::string service;
+  SocketAddress address;
+  std::string id;
+  std::int64_t startedAt = 0;
+  std::int64_t sequence = 0;
+  std::optional<Announcement> current;
+  std::optional<LeavingServer> leaving;
+};
+
+inline const std::optional<Announcement>&
+LocalServer::Current() const
+{
+  return this->current;
+}
+
+inline const std::string&
+LocalServer::Id() const
+{
+  return this->id;
+}
+
+inline const std::optional<LeavingServer>&
+LocalServer::Leaving() const
+{
+  return this->leaving;
+}
+
+} // namespace lacewingwharf
--- /dev/null
+++ b/src/membership/localserver_test.cpp
@@ -0,0 +1,119 @@
+#include "membership/localserver.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingwharf;
+
+namespace {
+
+constexpr int kPort = 9000;
+constexpr std::int64_t kStart = 1000000;
+
+ServerReport
+Heartbeat(const std::string& aId,
+          std::int64_t aSequence,
+          std::optional<std::int64_t> aStartedAt = kStart,
+          wire::EndpointState::type aState = wire::EndpointState::READY)
+{
+  ServerReport report;
+  report.id = aId;
+  report.startedAt = aStartedAt;
+  report.service = "orders";
+  report.address = { "10.0.0.1", kPort };
+  report.state = aState;
+  report.sequence = aSequence;
+  report.slots = 6;
+  return report;
+}
+
+ServerReport
+Leaving(const std::string& aId,
+        std::optional<std::int64_t> aStartedAt = std::nullopt)
+{
+  ServerReport report;
+  report.kind = ServerReportKind::Leaving;
+  report.id = aId;
+  report.startedAt = aStartedAt;
+  return report;
+}
+
+LocalServer
+Server()
+{
+  return { "orders", { "10.0.0.1", kPort } };
+}
+
+} // namespace
+
+// Guards against a late heartbeat that takes a draining server for ready.
+Test(localserver, an_overtaken_heartbeat_changes_nothing)
+{
+  LocalServer server = Server();
+  server.Take(Heartbeat("a", 5));
+  server.Take(Heartbeat("a", 7, kStart, wire::EndpointState::DRAINING));
+  cr_expect_eq(server.Take(Heartbeat("a", 6)), ReportVerdict::Old);
+  cr_expect_eq(server.Current()->state, wire::EndpointState::DRAINING);
+}
+
+// Guards against a heartbeat of a process that has ended, held up on its way.
+Test(localserver, a_report_of_an_earlier_process_changes_nothing)
+{
+  LocalServer server = Server();
+  server.Take(Heartbeat("b", 1, kStart + 500));
+  cr_expect_eq(server.Take(Heartbeat("a", 90, kStart)), ReportVerdict::Old);
+  cr_expect_eq(server.Take(Leaving("a", kStart)), ReportVerdict::Old);
+  cr_expect_eq(server.Id(), "b");
+  cr_expect_eq(server.Current()->state, wire::EndpointState::READY);
+}
+
+// Guards against refusing a server that starts again under its id, whose
+// sequence begins anew.
+Test(localserver, a_new_start_under_the_same_id_is_taken)
+{
+  LocalServer server = Server();
+  server.Take(Heartbeat("a", 90));
+  server.Take(Leaving("a", kStart));
+  cr_expect_eq(server.Take(Heartbeat("a", 1, kStart + 500)),
+               ReportVerdict::Taken);
+  cr_expect_eq(server.Current()->state, wire::EndpointState::READY);
+}
+
+// Guards against new work for a server that left without draining first.
+Test(localserver, a_server_that_left_gets_no_new_work)
+{
+  LocalServer server = Server();
+  server.Take(Heartbeat("a", 5));
+  cr_expect_eq(server.Take(Leaving("a")), ReportVerdict::Taken);
+  cr_expect_eq(server.Current()->state, wire::EndpointState::DRAINING);
+  server.Take(Heartbeat("a", 6));
+  cr_expect_eq(server.Current()->state, wire::EndpointState::DRAINING);
+  cr_expect_eq(server.Leaving()->id, "a");
+  cr_expect_eq(server.Leaving()->startedAt, kStart);
+}
+
+// Guards against a restarted daemon that takes a leaving server for ready, from
+// a heartbeat that was sent before.
+Test(localserver, a_restart_recalls_the_server_that_leaves)
+{
+  LocalServer server = Server();
+  server.Take(Heartbeat("a", 4));
+  server.Recall({ "a", kStart });
+  cr_expect_eq(server.Current()->state, wire::EndpointState::DRAINING);
+  server.Take(Heartbeat("a", 5));
+  cr_expect_eq(server.Current()->state, wire::EndpointState::DRAINING);
+  server.Take(Heartbeat("b", 1, kStart + 500));
+  cr_expect_eq(server.Current()->state, wire::EndpointState::READY);
+}
+
+// Guards against calls to a server of another service at this host's address.
+Test(localserver, a_report_of_another_service_or_address_is_foreign)
+{
+  LocalServer server = Server();
+  ServerReport report = Heartbeat("a", 1);
+  report.service = "fonts";
+  cr_expect_eq(server.Take(report), ReportVerdict::Foreign);
+  report = Heartbeat("a", 1);
+  report.address.port = kPort + 1;
+  cr_expect_eq(server.Take(report), ReportVerdict::Foreign);
+  cr_expect_not(server.Current().has_value());
+}
--- /dev/null
+++ b/src/membership/memberdirectory_test.cpp
@@ -0,0 +1,120 @@
+#include "membership/memberdirectory.h"
+
+#include "distribution/fakestore.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingwharf;
+
+namespace {
+
+/** The directory of one daemon; jobs run at once. */
+struct Daemon
+{
+  Daemon(FakeStore& aStore, const std::string& aHost, int aPort)
+    : directory({ aHost, { "10.0.0.1", aPort }, std::nullopt },
+                this->clock.View(),
+                [&aStore](const PlatformJob& aJob) {
+                  aJob(aStore.Hooks())();
+                  return true;
+                })
+  {
+    this->directory.SetOnRecalled([this](const LeavingServer& aLeaving) {
+      this->recalled.push_back(aLeaving.id);
+    });
+  }
+
+  void Run(Millis aMillis, bool aIsAlone = false)
+  {
+    constexpr Millis kTick = 50;
+    for (Millis at = 0; at < aMillis; at += kTick) {
+      this->clock.Advance(kTick);
+      this->directory.Tick(aIsAlone);
+    }
+  }
+
+  /** The only peer, or what else there is. */
+  std::string FirstPeer() const
+  {
+    const auto& peers = this->directory.Peers();
+    return peers.size() == 1
+             ? peers[0].address + ":" + std::to_string(peers[0].port)
+             : std::to_string(peers.size()) + " peers";
+  }
+
+  ManualClock clock{ 1000 };
+  std::vector<std::string> recalled;
+  MemberDirectory directory;
+};
+
+} // namespace
+
+// Guards against daemons that start together and never find one another.
+Test(memberdirectory, daemons_that_start_together_find_one_another)
+{
+  FakeStore store;
+  Daemon first(store, "a", 1);
+  Daemon second(store, "b", 2);
+  first.Run(200);
+  second.Run(200);
+  first.Run(2000);
+  second.Run(2000);
+  cr_expect_eq(first.FirstPeer(), "10.0.0.1:2");
+  cr_expect_eq(second.FirstPeer(), "10.0.0.1:1");
+}
+
+// Guards against a daemon that stays unknown because the store was down when it
+// started.
+Test(memberdirectory, a_daemon_is_written_once_the_store_is_back)
+{
+  FakeStore store;
+  store.isDown = true;
+  Daemon daemon(store, "a", 1);
+  daemon.Run(3000);
+  cr_expect(store.All().empty());
+  store.isDown = false;
+  daemon.Run(3000);
+  cr_expect(store.All().contains("members/a"));
+}
+
+// Guards against priced calls of the store without an end.
+Test(memberdirectory, a_daemon_with_members_stops_reading)
+{
+  FakeStore store;
+  Daemon daemon(store, "a", 1);
+  daemon.Run(5000);
+  const int puts = store.puts["members/a"];
+  cr_expect_eq(puts, 1);
+  store.Edit("members/b", R"({"address":"10.0.0.2","port":5})");
+  daemon.Run(5000);
+  cr_expect(daemon.directory.Peers().empty());
+  daemon.Run(3000, true);
+  cr_expect_eq(daemon.directory.Peers().size(), 1U);
+}
+
+// Guards against a leaving server that is forgotten with its daemon.
+Test(memberdirectory, a_restart_recalls_the_leaving_server)
+{
+  FakeStore store;
+  Daemon before(store, "a", 1);
+  before.Run(1000);
+  bool isStored = false;
+  before.directory.StoreLeaving({ "i-1", 77 },
+                                [&](bool aIsStored) { isStored = aIsStored; });
+  cr_expect(isStored);
+  Daemon after(store, "a", 1);
+  after.Run(1000);
+  cr_expect(after.recalled == std::vector<std::string>{ "i-1" });
+}
+
+// Guards against foreign objects that are taken for daemons.
+Test(memberdirectory, unreadable_objects_are_ignored)
+{
+  FakeStore store;
+  store.Edit("members/x", "no json");
+  store.Edit("members/y", R"({"address":7,"port":"8"})");
+  store.Edit("members/z", R"({"address":"10.0.0.9","port":9})");
+  Daemon daemon(store, "a", 1);
+  daemon.Run(1000);
+  cr_expect_eq(daemon.FirstPeer(), "10.0.0.9:9");
+}
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -64,7 +64,7 @@
   , random(std::move(aRandom))
   , self(MakeSelf(this->config, aWall))
   , registry(this->config.endpointTimeout)
-  , table(this->config.domain)
+  , table(this->config.isFleetWide ? std::string() : this->config.domain)
   , syncBudget(this->config.syncBytesPerSecond, this->config.syncBurstBytes)
   , syncer({ this->config.host, this->config.syncInterval }, this->random)
   , gossip(this->config,
@@ -137,7 +137,9 @@
   if (!this->syncer.HasSynced() && now - this->startedAt < kAloneAfter) {
     this->exchange.HoldBack(now);
   }
-  this->exchange.Tick(now);
+  if (!this->config.isFleetWide) {
+    this->exchange.Tick(now);
+  }
   if (now - this->prunedAt >= kPruneInterval) {
     this->prunedAt = now;
     this->table.Prune(now - kDeadRetention);
@@ -229,10 +231,18 @@
 std::vector<std::string>
 Membership::LiveHosts(const std::string& aDomain) const
 {
+  std::vector<std::string> hosts;
+  if (this->config.isFleetWide) {
+    std::ranges::copy_if(this->table.LiveHosts(),
+                         std::back_inserter(hosts),
+                         [this, &aDomain](const std::string& aHost) {
+                           return this->table.Find(aHost)->domain == aDomain;
+                         });
+    return hosts;
+  }
   if (aDomain == this->config.domain) {
     return this->table.LiveHosts();
   }
-  std::vector<std::string> hosts;
   if (const HeldSummary* const held = this->Summaries().Find(aDomain)) {
     AddHosts(hosts, held->contacts);
   }
@@ -290,8 +300,9 @@
   if (!isCurrent) {
     this->viewTableVersion = this->table.Version();
     this->viewSummariesVersion = this->Summaries().Version();
-    this->view = BuildView(
-      this->table, this->Summaries(), this->config.region, this->config.domain);
+    this->view = BuildView(this->table,
+                           this->Summaries(),
+                           { this->config.region, this->config.domain });
   }
   return this->view;
 }
--- a/src/membership/membershipconfig.h
+++ b/src/membership/membershipconfig.h
@@ -20,6 +20,11 @@
   std::string region;
   std::string domain;
   std::vector<PeerAddress> peers;
+  /**
+   * Whether full records of all hosts are kept, not only of the own failure
+   * domain. There are then no summaries of domains.
+   */
+  bool isFleetWide = false;
   Millis gossipInterval = 1000;
   Millis suspicionTime = 3000;
   Millis syncInterval = 30000;
--- a/src/membership/membershipsync.cpp
+++ b/src/membership/membershipsync.cpp
@@ -106,7 +106,7 @@
 Membership::AnswerSync(SessionId aSession, const wire::MemberSync& aRequest)
 {
   const wire::MemberRecord& sender = aRequest.records.front();
-  if (sender.domain != this->config.domain) {
+  if (!this->config.isFleetWide && sender.domain != this->config.domain) {
     this->exchange.Introduce(aSession, sender, this->clock.Now());
     return;
   }
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -66,7 +66,7 @@
 bool
 MemberTable::Merge(const wire::MemberRecord& aRecord, Millis aNow)
 {
-  if (aRecord.domain != this->domain) {
+  if (!this->domain.empty() && aRecord.domain != this->domain) {
     return false;
   }
   const auto [position, isNew] = this->members.try_emplace(aRecord.host);
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -29,6 +29,7 @@
   /** Buckets of Digests(); a sync transfers only those that differ. */
   static constexpr std::size_t kBuckets = 256;
 
+  /** Takes records of one failure domain, or all when aDomain is empty. */
   explicit MemberTable(std::string aDomain);
 
   /** True when the record replaced the held one. */
--- a/src/membership/seedlist.h
+++ b/src/membership/seedlist.h
@@ -2,7 +2,7 @@
 
 #include "common/clock.h"
 #include "peer/peernetwork.h"
-#include "platform/platformjob.h"
+#include "store/platformjob.h"
 
 #include <memory>
 #include <string>
--- a/src/membership/viewbuilder.cpp
+++ b/src/membership/viewbuilder.cpp
@@ -11,9 +11,37 @@
 
 namespace {
 
+Distance
+DistanceOf(const std::string& aDomain,
+           const std::string& aRegion,
+           const Place& aFrom)
+{
+  if (aDomain == aFrom.domain) {
+    return Distance::SameDomain;
+  }
+  return aRegion == aFrom.region ? Distance::SameRegion
+                                 : Distance::OtherRegion;
+}
+
+DomainLoad&
+LoadOf(ServiceView& aService, const std::string& aDomain, Distance aDistance)
+{
+  const auto known =
+    std::ranges::find(aService.domains, aDomain, &DomainLoad::domain);
+  if (known != aService.domains.end()) {
+    return *known;
+  }
+  aService.domains.push_back({ aDomain, aDistance, 0, 0, 0, 1.0 });
+  return aService.domains.back();
+}
+
 void
-AddRecord(EndpointView& aView, const wire::MemberRecord& aRecord)
+AddRecord(EndpointView& aView,
+          const wire::MemberRecord& aRecord,
+          const Place& aFrom)
 {
+  const Distance distance =
+    DistanceOf(aRecord.domain, aRecord.region, aFrom);
   for (const wire::Endpoint& endpoint : aRecord.endpoints) {
     if (endpoint.state != wire::EndpointState::READY) {
       continue;
@@ -24,15 +52,11 @@
                                   aRecord.peerPort,
                                   aRecord.incarnation,
                                   aRecord.domain,
-                                  Distance::SameDomain,
+                                  distance,
                                   endpoint.port,
                                   endpoint.slots,
                                   EndpointState::Ready });
-    if (service.domains.empty()) {
-      service.domains.push_back(
-        { aRecord.domain, Distance::SameDomain, 0, 0, 0, 1.0 });
-    }
-    DomainLoad& load = service.domains.front();
+    DomainLoad& load = LoadOf(service, aRecord.domain, distance);
     ++load.ready;
     load.slots += endpoint.slots;
     load.freeSlots += endpoint.slots;
@@ -95,20 +119,17 @@
 EndpointViewPtr
 BuildView(const MemberTable& aTable,
           const DomainSummaries& aSummaries,
-          const std::string& aRegion,
-          const std::string& aDomain)
+          const Place& aFrom)
 {
   auto view = std::make_shared<EndpointView>();
-  aTable.ForEach([&view, &aDomain](const wire::MemberRecord& aRecord) {
-    if (IsLive(aRecord) && aRecord.domain == aDomain) {
-      AddRecord(*view, aRecord);
+  aTable.ForEach([&view, &aFrom](const wire::MemberRecord& aRecord) {
+    if (IsLive(aRecord)) {
+      AddRecord(*view, aRecord, aFrom);
     }
   });
   for (const auto& [domain, summary] : aSummaries.Others()) {
-    AddSummary(*view,
-               summary,
-               summary.region == aRegion ? Distance::SameRegion
-                                         : Distance::OtherRegion);
+    AddSummary(
+      *view, summary, DistanceOf(summary.domain, summary.region, aFrom));
   }
   for (auto& [name, service] : view->services) {
     Finish(service);
--- a/src/membership/viewbuilder.h
+++ b/src/membership/viewbuilder.h
@@ -9,11 +9,17 @@
 class DomainSummaries;
 class MemberTable;
 
-/** Combines the own domain's records with the summaries of the others. */
+/** Where a daemon is. */
+struct Place
+{
+  std::string region;
+  std::string domain;
+};
+
+/** Combines the records of members with the summaries of other domains. */
 EndpointViewPtr
 BuildView(const MemberTable& aTable,
           const DomainSummaries& aSummaries,
-          const std::string& aRegion,
-          const std::string& aDomain);
+          const Place& aFrom);
 
 } // namespace lacewingwharf
--- a/src/proxy/httpclient.h
+++ b/src/proxy/httpclient.h
@@ -18,6 +18,13 @@
   Cancelled
 };
 
+/** What may be believed of an answer that ends where its connection ends. */
+enum class UnframedBody
+{
+  Cut,     // It may have been cut short.
+  Complete // It is whole when the connection was closed in order.
+};
+
 struct HttpExchange
 {
   std::string id;
@@ -31,6 +38,14 @@
    * needs a connection that was never used.
    */
   bool needsNewConnection = false;
+
+  /**
+   * A header that the answer repeats from the request. An answer with another
+   * value belongs to another request and is not taken. Empty: none.
+   */
+  std::string echoedHeader;
+
+  UnframedBody unframedBody = UnframedBody::Cut;
 };
 
 struct ExchangeResult
--- a/src/proxy/httpserver.cpp
+++ b/src/proxy/httpserver.cpp
@@ -230,7 +230,7 @@
   }
   const auto status = static_cast<unsigned int>(answer.status);
   MHD_Response* response =
-    MakeResponse(std::move(answer), this->isStopping.load());
+    MakeResponse(std::move(answer), this->isStopping || this->isClosing);
   if (response == nullptr) {
     return MHD_NO;
   }
@@ -304,6 +304,12 @@
   }
 }
 
+void
+HttpServer::Impl::AnnounceClose()
+{
+  this->isClosing = true;
+}
+
 void
 HttpServer::Impl::StopIntake()
 {
@@ -378,6 +384,12 @@
   return this->impl->Start();
 }
 
+void
+HttpServer::AnnounceClose()
+{
+  this->impl->AnnounceClose();
+}
+
 void
 HttpServer::StopIntake()
 {
--- a/src/proxy/httpserver.h
+++ b/src/proxy/httpserver.h
@@ -51,6 +51,12 @@
 
   bool Start();
 
+  /**
+   * Answers from now on ask callers to close their connection; new requests and
+   * connections are taken yet.
+   */
+  void AnnounceClose();
+
   /** No new connections; those with a request in flight go on. */
   void StopIntake();
   void Stop();
--- a/src/proxy/httpserverimpl.h
+++ b/src/proxy/httpserverimpl.h
@@ -25,6 +25,7 @@
   ~Impl();
 
   bool Start();
+  void AnnounceClose();
   void StopIntake();
   void Stop();
   void Answer(RequestId aRequest, HttpAnswer aAnswer);
@@ -66,6 +67,7 @@
   MHD_Daemon* daemon = nullptr;
   HangupWatcher watcher;
   std::atomic<bool> isStopping{ false };
+  std::atomic<bool> isClosing{ false };
   std::atomic<std::size_t> inFlight{ 0 };
   std::mutex mutex; // Guards what follows, and the state of exchanges.
   RequestId lastRequest = 0;
--- a/src/proxy/httptransfer.cpp
+++ b/src/proxy/httptransfer.cpp
@@ -180,7 +180,12 @@
     transfer->isTooLong = true;
     return 0;
   }
-  transfer->ReadHeaderLine(WithoutLineEnd({ aBytes, bytes }));
+  const std::string_view line = WithoutLineEnd({ aBytes, bytes });
+  transfer->ReadHeaderLine(line);
+  if (line.empty() && transfer->IsForeignAnswer()) {
+    transfer->isForeign = true;
+    return 0; // Ends the transfer and closes the connection.
+  }
   return bytes;
 }
 
@@ -203,6 +208,17 @@
             std::string(value));
 }
 
+bool
+HttpTransfer::IsForeignAnswer() const
+{
+  const std::string& name = this->exchange.echoedHeader;
+  const auto answered = this->answer.headers.find(name);
+  const auto sent = this->exchange.request.headers.find(name);
+  return !name.empty() && answered != this->answer.headers.end() &&
+         sent != this->exchange.request.headers.end() &&
+         answered->second != sent->second;
+}
+
 std::size_t
 HttpTransfer::OnBody(char* aBytes,
                      std::size_t aSize,
@@ -256,10 +272,15 @@
     this->detail = "the answer is too long";
     return ExchangeEnd::Cut;
   }
+  if (this->isForeign) {
+    this->detail = "the answer belongs to another request";
+    return ExchangeEnd::Cut;
+  }
   if (aCode != CURLE_OK) {
     return ExchangeEnd::Cut;
   }
-  if (this->HasUnprovenLength()) {
+  if (this->exchange.unframedBody == UnframedBody::Cut &&
+      this->HasUnprovenLength()) {
     this->detail = "the answer has neither a length nor chunks";
     return ExchangeEnd::Cut;
   }
--- a/src/proxy/httptransfer.h
+++ b/src/proxy/httptransfer.h
@@ -63,6 +63,7 @@
   bool SetHeaders();
   bool AppendHeaderLine(const std::string& aLine);
   void ReadHeaderLine(std::string_view aLine);
+  bool IsForeignAnswer() const;
   ExchangeEnd EndOf(CURLcode aCode);
   bool HasUnprovenLength() const;
   ExchangeResult ResultOf(ExchangeEnd aEnd);
@@ -78,6 +79,7 @@
   double startedAt;
   bool wasStarted = false; // A request byte may have left.
   bool isTooLong = false;
+  bool isForeign = false; // The answer belongs to another request.
 };
 
 inline CURL*
--- /dev/null
+++ b/src/routing/splitchooser_test.cpp
@@ -0,0 +1,60 @@
+#include "routing/splitchooser.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace lacewingwharf;
+
+namespace {
+
+Entry
+Route(std::vector<ServiceShare> aSplit)
+{
+  Entry route;
+  route.name = "route";
+  route.kind = EntryKind::Route;
+  route.service = "alone";
+  route.split = std::move(aSplit);
+  return route;
+}
+
+} // namespace
+
+// Guards against shares that only hold over long times.
+Test(splitchooser, shares_hold_over_any_hundred_requests)
+{
+  const Entry route = Route({ { "a", 70 }, { "b", 25 }, { "c", 5 } });
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SplitChooser chooser(SeededRandom(seed));
+    for (int window = 0; window < 5; ++window) {
+      std::map<std::string, int> counts;
+      for (int i = 0; i < 100; ++i) {
+        ++counts[chooser.Next(route)];
+      }
+      cr_expect_leq(std::abs(counts["a"] - 70), 2);
+      cr_expect_leq(std::abs(counts["b"] - 25), 2);
+      cr_expect_leq(std::abs(counts["c"] - 5), 2);
+    }
+  }
+}
+
+// Guards against work for a service that an operator has set to no share.
+Test(splitchooser, a_service_without_weight_gets_nothing)
+{
+  SplitChooser chooser(SeededRandom(1));
+  const Entry route = Route({ { "off", 0 }, { "on", 100 }, { "none", 0 } });
+  for (int i = 0; i < 50; ++i) {
+    cr_expect_eq(chooser.Next(route), "on");
+  }
+}
+
+// Guards against turns of an older split that count in the new one.
+Test(splitchooser, a_changed_split_takes_effect_at_once)
+{
+  SplitChooser chooser(SeededRandom(1));
+  chooser.Next(Route({ { "a", 100 }, { "b", 1 } }));
+  const Entry moved = Route({ { "a", 0 }, { "b", 1 } });
+  cr_expect_eq(chooser.Next(moved), "b");
+  cr_expect_eq(chooser.Next(Route({})), "alone");
+}
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "common/names.h"
 
 #include <string>
 #include <vector>
@@ -15,6 +16,30 @@
   int port = 0;
 };
 
+enum class ProtocolKind
+{
+  Own,     // The interface of docs/OPERATIONS.md and docs/platform-api.md.
+  Platform // The interface of the users' platform, see docs/platform.md.
+};
+
+inline constexpr auto kProtocolKindNames = MakeNameTable<ProtocolKind>(
+  { { ProtocolKind::Own, "own" }, { ProtocolKind::Platform, "platform" } });
+
+/** The addresses and facts of a site where the platform sets the protocol. */
+struct SiteSettings
+{
+  ProtocolKind protocol = ProtocolKind::Own;
+  SocketAddress calls;         // For callers and the server's own calls.
+  SocketAddress readiness;     // Asked by the platform.
+  SocketAddress announcements; // Called by the server on this host.
+  SocketAddress server;
+  std::string service; // Of the server on this host.
+  Millis announceInterval = 1500;
+
+  /** Bounds as NAME=VALUE in the platform's words. */
+  std::vector<std::string> bounds;
+};
+
 /** A peer that is reached through a port forwarder. */
 struct PeerForward
 {
@@ -67,6 +92,9 @@
 
   // [status]
   Millis reportInterval = 5000;
+
+  // [site]
+  SiteSettings site;
 };
 
 } // namespace lacewingwharf
--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -1,5 +1,7 @@
 #include "settings/settingskeys.h"
 
+#include "common/duration.h"
+
 #include <arpa/inet.h>
 #include <boost/algorithm/string.hpp>
 #include <fmt/format.h>
@@ -7,6 +9,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -178,6 +181,69 @@
   return true;
 }
 
+SettingsKey
+SiteAddressKey(std::string_view aName, SocketAddress SiteSettings::*aMember)
+{
+  return { "site",
+           aName,
+           false,
+           "IPV4:PORT",
+           [aMember](Settings& aSettings, std::string_view aText) {
+             const auto address = ParseSocketAddress(aText);
+             if (address) {
+               aSettings.site.*aMember = *address;
+             }
+             return address.has_value();
+           } };
+}
+
+std::vector<SettingsKey>
+SiteKeys()
+{
+  return {
+    { "site",
+      "protocol",
+      false,
+      "own or platform",
+      [](Settings& aSettings, std::string_view aText) {
+        const auto kind = kProtocolKindNames.ValueOf(aText);
+        aSettings.site.protocol = kind.value_or(ProtocolKind::Own);
+        return kind.has_value();
+      } },
+    SiteAddressKey("calls", &SiteSettings::calls),
+    SiteAddressKey("readiness", &SiteSettings::readiness),
+    SiteAddressKey("announcements", &SiteSettings::announcements),
+    SiteAddressKey("server", &SiteSettings::server),
+    { "site",
+      "service",
+      false,
+      "a name of letters, digits, '-', '.' and '_'",
+      [](Settings& aSettings, std::string_view aText) {
+        aSettings.site.service = std::string(aText);
+        return IsName(aText);
+      } },
+    { "site",
+      "announceinterval",
+      false,
+      "a time such as 1500ms or 2.5s",
+      [](Settings& aSettings, std::string_view aText) {
+        const auto time = ParseDuration(aText);
+        aSettings.site.announceInterval =
+          time.value_or(aSettings.site.announceInterval);
+        return time.has_value() && *time > 0;
+      } },
+    { "site",
+      "bound",
+      false,
+      "NAME=VALUE",
+      [](Settings& aSettings, std::string_view aText) {
+        aSettings.site.bounds.emplace_back(aText);
+        return aText.find('=') != std::string_view::npos;
+      },
+      true },
+  };
+}
+
 std::vector<SettingsKey>
 MakeKeys()
 {
@@ -239,7 +305,11 @@
 const std::vector<SettingsKey>&
 SettingsKeys()
 {
-  static const std::vector<SettingsKey> sKeys = MakeKeys();
+  static const std::vector<SettingsKey> sKeys = [] {
+    auto keys = MakeKeys();
+    std::ranges::move(SiteKeys(), std::back_inserter(keys));
+    return keys;
+  }();
   return sKeys;
 }
 
--- a/src/status/explanation.h
+++ b/src/status/explanation.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/objectstore.h"
 #include "status/domainstatus.h"
+#include "store/objectstore.h"
 
 #include <string>
 #include <string_view>
--- a/src/platform/callbudget.cpp
+++ b/src/store/callbudget.cpp
@@ -1,4 +1,4 @@
-#include "platform/callbudget.h"
+#include "store/callbudget.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/platform/callbudget.h
+++ b/src/store/callbudget.h
@@ -2,7 +2,7 @@
 
 #include "common/clock.h"
 #include "common/random.h"
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 
 #include <optional>
 
--- a/src/platform/callcounts.cpp
+++ b/src/store/callcounts.cpp
@@ -1,4 +1,4 @@
-#include "platform/callcounts.h"
+#include "store/callcounts.h"
 
 namespace lacewingwharf {
 
--- a/src/platform/httpobjectstore.cpp
+++ b/src/store/httpobjectstore.cpp
@@ -1,15 +1,12 @@
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 
-#include "platform/storetransfer.h"
+#include "store/transferpool.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
-#include <thread>
 
 namespace lacewingwharf {
 
@@ -17,55 +14,6 @@
 
 using Json = nlohmann::json;
 
-constexpr long kOk = 200;
-constexpr long kCreated = 201;
-constexpr long kNoContent = 204;
-constexpr long kNotFound = 404;
-constexpr long kConflict = 409;
-constexpr long kGone = 410;
-constexpr long kTooLarge = 413;
-constexpr long kTooManyRequests = 429;
-constexpr long kServerErrors = 500;
-
-bool
-IsSuccess(long aStatus)
-{
-  return aStatus == kOk || aStatus == kCreated || aStatus == kNoContent;
-}
-
-PlatformErrorCode
-CodeOfStatus(long aStatus)
-{
-  switch (aStatus) {
-    case kNotFound:
-      return PlatformErrorCode::NotFound;
-    case kConflict:
-      return PlatformErrorCode::Conflict;
-    case kGone:
-      return PlatformErrorCode::Compacted;
-    case kTooLarge:
-      return PlatformErrorCode::TooLarge;
-    case kTooManyRequests:
-      return PlatformErrorCode::Throttled;
-    default:
-      // A server error says nothing about whether a write took effect.
-      return aStatus >= kServerErrors ? PlatformErrorCode::TimedOut
-                                      : PlatformErrorCode::Malformed;
-  }
-}
-
-PlatformError
-ErrorOfAnswer(const TransferAnswer& aAnswer)
-{
-  const auto code = CodeOfStatus(aAnswer.status);
-  if (code == PlatformErrorCode::Conflict) {
-    return {
-      code, fmt::format("the present revision is {}", aAnswer.objectRevision)
-    };
-  }
-  return { code, fmt::format("HTTP status {}", aAnswer.status) };
-}
-
 PlatformError
 Malformed(std::string aDetail)
 {
@@ -133,7 +81,7 @@
 {
 public:
   explicit HttpStore(HttpStoreConfig aConfig)
-    : config(std::move(aConfig))
+    : transfers(std::move(aConfig))
   {
   }
 
@@ -174,45 +122,34 @@
   PlatformResult<ObjectList> List(const std::string& aPrefix)
   {
     return this->RunList(
-      this->RequestFor("/v1/objects?prefix=" + EscapeObjectName(aPrefix),
-                       this->config.requestBound));
+      this->transfers.Request("/v1/objects?prefix=" +
+                              EscapeObjectName(aPrefix)));
   }
 
   PlatformResult<ObjectList> Watch(const std::string& aPrefix,
                                    std::int64_t aSince,
                                    Millis aTimeout)
   {
-    return this->RunList(
-      this->RequestFor(fmt::format("/v1/watch?prefix={}&since={}&timeout_ms={}",
-                                   EscapeObjectName(aPrefix),
-                                   aSince,
-                                   aTimeout),
-                       aTimeout + this->config.watchGrace));
+    TransferRequest request = this->transfers.Request(
+      fmt::format("/v1/watch?prefix={}&since={}&timeout_ms={}",
+                  EscapeObjectName(aPrefix),
+                  aSince,
+                  aTimeout));
+    request.bound = aTimeout + this->transfers.Config().watchGrace;
+    return this->RunList(request);
   }
 
 private:
-  TransferRequest RequestFor(const std::string& aTarget, Millis aBound) const
-  {
-    TransferRequest request;
-    request.url = this->config.baseUrl + aTarget;
-    request.connectBound = this->config.connectBound;
-    request.bound = aBound;
-    request.maxAnswerBytes = this->config.maxAnswerBytes;
-    request.shouldStop = this->config.shouldStop;
-    return request;
-  }
-
   TransferRequest ObjectRequest(const std::string& aName) const
   {
-    return this->RequestFor("/v1/objects/" + EscapeObjectName(aName),
-                            this->config.requestBound);
+    return this->transfers.Request("/v1/objects/" + EscapeObjectName(aName));
   }
 
   PlatformResult<TransferAnswer> Run(const TransferRequest& aRequest)
   {
-    auto answer = this->TransferOfThread().Run(aRequest);
+    auto answer = this->transfers.Run(aRequest);
     if (answer && !IsSuccess(answer.value().status)) {
-      return failure(ErrorOfAnswer(answer.value()));
+      return failure(ErrorOfStatus(answer.value()));
     }
     return answer;
   }
@@ -238,19 +175,7 @@
     return ListOfBody(answer.value().body);
   }
 
-  StoreTransfer& TransferOfThread()
-  {
-    const std::lock_guard lock(this->mutex);
-    auto& transfer = this->transfers[std::this_thread::get_id()];
-    if (!transfer) {
-      transfer = std::make_unique<StoreTransfer>();
-    }
-    return *transfer;
-  }
-
-  HttpStoreConfig config;
-  std::mutex mutex;
-  std::map<std::thread::id, std::unique_ptr<StoreTransfer>> transfers;
+  TransferPool transfers;
 };
 
 } // namespace
--- a/src/platform/httpobjectstore_test.cpp
+++ b/src/store/httpobjectstore_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 
 #include "testkit/platformstandin.h"
 
--- a/src/platform/platformwatch.cpp
+++ b/src/store/platformwatch.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformwatch.h"
+#include "store/platformwatch.h"
 
 #include "common/log.h"
 
@@ -123,7 +123,10 @@
     return true;
   }
   if (aResult.error().code == PlatformErrorCode::Compacted) {
+    // The store works, and what it has forgotten is only in a list.
     this->revision.reset();
+    kLog.Decision("history-gone", "prefix={}", this->config.prefix);
+    return true;
   }
   aPause = this->backoff.Next();
   kLog.Warning("watch of {} failed: {} ({}); next try in {} ms",
--- a/src/platform/platformwatch.h
+++ b/src/store/platformwatch.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/callbudget.h"
-#include "platform/callcounts.h"
+#include "store/callbudget.h"
+#include "store/callcounts.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/src/platform/platformwatch_test.cpp
+++ b/src/store/platformwatch_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformwatch.h"
+#include "store/platformwatch.h"
 
 #include "testkit/platformstandin.h"
 
--- a/src/platform/platformworker.h
+++ b/src/store/platformworker.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "common/ring.h"
-#include "platform/callbudget.h"
-#include "platform/callcounts.h"
-#include "platform/platformjob.h"
+#include "store/callbudget.h"
+#include "store/callcounts.h"
+#include "store/platformjob.h"
 
 #include <condition_variable>
 #include <mutex>
--- a/src/platform/platformworker_test.cpp
+++ b/src/store/platformworker_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformworker.h"
+#include "store/platformworker.h"
 
 #include "testkit/process.h"
 
--- a/src/platform/storetransfer.cpp
+++ b/src/store/storetransfer.cpp
@@ -1,4 +1,4 @@
-#include "platform/storetransfer.h"
+#include "store/storetransfer.h"
 
 #include <curl/curl.h>
 #include <fmt/format.h>
@@ -90,6 +90,9 @@
   }
   const auto size = static_cast<curl_off_t>(aState.request->body.size());
   curl_easy_setopt(aHandle, CURLOPT_UPLOAD, 1L);
+  if (aState.request->kind == TransferRequest::Kind::Create) {
+    curl_easy_setopt(aHandle, CURLOPT_CUSTOMREQUEST, "POST");
+  }
   curl_easy_setopt(aHandle, CURLOPT_INFILESIZE_LARGE, size);
   // Without a seek function libcurl cannot rewind the body, so it fails
   // instead of sending it again. An empty body needs no rewind.
--- a/src/platform/storetransfer.h
+++ b/src/store/storetransfer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 
 #include <cstddef>
 #include <functional>
@@ -15,7 +15,8 @@
   enum class Kind
   {
     Read,
-    Write,
+    Write,  // PUT
+    Create, // POST
     Remove
   };
 
--- /dev/null
+++ b/src/store/transferpool.cpp
@@ -0,0 +1,96 @@
+#include "store/transferpool.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr long kOk = 200;
+constexpr long kCreated = 201;
+constexpr long kNoContent = 204;
+constexpr long kNotFound = 404;
+constexpr long kConflict = 409;
+constexpr long kGone = 410;
+constexpr long kTooLarge = 413;
+constexpr long kTooManyRequests = 429;
+constexpr long kServerErrors = 500;
+
+PlatformErrorCode
+CodeOfStatus(long aStatus)
+{
+  switch (aStatus) {
+    case kNotFound:
+      return PlatformErrorCode::NotFound;
+    case kConflict:
+      return PlatformErrorCode::Conflict;
+    case kGone:
+      return PlatformErrorCode::Compacted;
+    case kTooLarge:
+      return PlatformErrorCode::TooLarge;
+    case kTooManyRequests:
+      return PlatformErrorCode::Throttled;
+    default:
+      // A server error says nothing about whether a write took effect.
+      return aStatus >= kServerErrors ? PlatformErrorCode::TimedOut
+                                      : PlatformErrorCode::Malformed;
+  }
+}
+
+} // namespace
+
+bool
+IsSuccess(long aStatus)
+{
+  return aStatus == kOk || aStatus == kCreated || aStatus == kNoContent;
+}
+
+PlatformError
+ErrorOfStatus(const TransferAnswer& aAnswer)
+{
+  const auto code = CodeOfStatus(aAnswer.status);
+  if (code == PlatformErrorCode::Conflict) {
+    return {
+      code, fmt::format("the present revision is {}", aAnswer.objectRevision)
+    };
+  }
+  return { code, fmt::format("HTTP status {}", aAnswer.status) };
+}
+
+TransferPool::TransferPool(HttpStoreConfig aConfig)
+  : config(std::move(aConfig))
+{
+}
+
+TransferRequest
+TransferPool::Request(const std::string& aTarget) const
+{
+  TransferRequest request;
+  request.url = this->config.baseUrl + aTarget;
+  request.connectBound = this->config.connectBound;
+  request.bound = this->config.requestBound;
+  request.maxAnswerBytes = this->config.maxAnswerBytes;
+  request.shouldStop = this->config.shouldStop;
+  return request;
+}
+
+PlatformResult<TransferAnswer>
+TransferPool::Run(const TransferRequest& aRequest)
+{
+  return this->TransferOfThread().Run(aRequest);
+}
+
+StoreTransfer&
+TransferPool::TransferOfThread()
+{
+  const std::lock_guard lock(this->mutex);
+  auto& transfer = this->transfers[std::this_thread::get_id()];
+  if (!transfer) {
+    transfer = std::make_unique<StoreTransfer>();
+  }
+  return *transfer;
+}
+
+} // namespace lacewingwharf
--- a/standins/backend/announcer.cpp
+++ b/standins/backend/announcer.cpp
@@ -1,6 +1,6 @@
 #include "announcer.h"
 
-#include "platform/storetransfer.h"
+#include "store/storetransfer.h"
 
 #include <chrono>
 
--- a/standins/testkit/platformstandin.h
+++ b/standins/testkit/platformstandin.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 #include "testkit/process.h"
 
 #include <string>
