--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lacewingwharf {
@@ -22,6 +23,9 @@
   int port = 0;
   Millis deadlineAt = 0; // On the admission clock.
   Millis queueWait = 0;  // 0 means no bound but the deadline.
+
+  /** Until when an answer is of full use; empty where no target is stated. */
+  std::optional<Millis> targetAt;
 };
 
 /** Load of one backend server on this host. */
--- a/src/admission/retrybudget.cpp
+++ b/src/admission/retrybudget.cpp
@@ -31,8 +31,7 @@
 void
 RetryBudget::CountSuccess(std::string_view aService)
 {
-  this->Updated(aService).fromSuccesses +=
-    this->config.perSuccess;
+  this->Updated(aService).fromSuccesses += this->config.perSuccess;
 }
 
 bool
@@ -66,10 +65,9 @@
   }
   Account& account = found->second;
   const double elapsed = now - account.updatedAt;
-  account.fromTime =
-    std::min(this->config.burst,
-             account.fromTime +
-               elapsed * this->config.perSecond / kMillisPerSecond);
+  account.fromTime = std::min(
+    this->config.burst,
+    account.fromTime + elapsed * this->config.perSecond / kMillisPerSecond);
   account.fromSuccesses *= std::exp(-elapsed / kRecentMillis);
   account.updatedAt = now;
   return account;
--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -17,6 +17,16 @@
 
 constexpr double kServiceWeight = 0.1;
 
+// Routes come and go with versions; means of former ones are dropped with all.
+constexpr std::size_t kMaxEntries = 1024;
+
+void
+Add(double& aMean, double aSample)
+{
+  aMean = aMean == 0 ? aSample
+                     : aMean * (1 - kServiceWeight) + aSample * kServiceWeight;
+}
+
 Millis
 RoundUp(double aMillis)
 {
@@ -80,7 +90,7 @@
   if (this->running >= this->slots || this->waiting.empty()) {
     return std::nullopt;
   }
-  const auto next = this->Next();
+  const auto next = this->Next(aNow);
   if (this->Expiry(*next, aNow)) {
     return std::nullopt; // TakeExpired() has to be called first.
   }
@@ -100,10 +110,27 @@
     this->runningByOwner.erase(owner);
   }
   const double sample = std::max(0.0, aServiceMillis);
-  this->meanService =
-    this->meanService == 0
-      ? sample
-      : this->meanService * (1 - kServiceWeight) + sample * kServiceWeight;
+  Add(this->meanService, sample);
+  if (this->meanByEntry.size() >= kMaxEntries &&
+      !this->meanByEntry.contains(aRequest.entry)) {
+    this->meanByEntry.clear();
+  }
+  Add(this->meanByEntry[aRequest.entry], sample);
+}
+
+/** How long calls of the entry run, or all calls when it is not known. */
+double
+SlotQueue::ServiceOf(const AdmissionRequest& aRequest) const
+{
+  const auto mean = this->meanByEntry.find(aRequest.entry);
+  return mean == this->meanByEntry.end() ? this->meanService : mean->second;
+}
+
+bool
+SlotQueue::MissesTarget(const AdmissionRequest& aRequest, double aNow) const
+{
+  return aRequest.targetAt && aNow + this->ServiceOf(aRequest) >
+                                static_cast<double>(*aRequest.targetAt);
 }
 
 std::optional<AdmissionRequest>
@@ -229,11 +256,20 @@
     refusal.retryAfter = RoundUp(wait) - aRequest.queueWait;
     return refusal;
   }
-  if (wait > 0 && wait + this->meanService > remaining) {
+  const double service = this->ServiceOf(aRequest);
+  if (wait > 0 && wait + service > remaining) {
     return RefusalOf(aRequest,
                      RefusalReason::QueueWait,
                      RoundUp(remaining),
-                     RoundUp(wait + this->meanService));
+                     RoundUp(wait + service));
+  }
+  if (wait > 0 && this->MissesTarget(aRequest, aNow + wait)) {
+    auto refusal = RefusalOf(aRequest,
+                             RefusalReason::QueueWait,
+                             *aRequest.targetAt - RoundUp(aNow),
+                             RoundUp(wait + service));
+    refusal.retryAfter = RoundUp(wait);
+    return refusal;
   }
   return std::nullopt;
 }
@@ -272,7 +308,7 @@
 }
 
 SlotQueue::Iterator
-SlotQueue::Next()
+SlotQueue::Next(double aNow)
 {
   const auto first = this->waiting.begin();
   const bool hasOthers =
@@ -282,8 +318,11 @@
   const int cap = this->OwnerCap();
   const auto rank = [&](const WaitingCall& aCall) {
     const int owned = this->RunningOf(aCall.request.owner);
-    return std::tuple(
-      hasOthers && owned >= cap, aCall.request.workClass, owned);
+    return std::tuple(hasOthers && owned >= cap,
+                      aCall.request.workClass,
+                      this->MissesTarget(aCall.request, aNow),
+                      aCall.request.targetAt.value_or(0),
+                      owned);
   };
   // The first of the lowest rank is also the one that waits longest.
   return std::ranges::min_element(this->waiting, {}, rank);
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -35,6 +35,10 @@
 /**
  * The slots and the bounded queue of one backend server.
  *
+ * Calls with a target time are taken only if they are expected to be answered by
+ * then, and among waiting calls of a class the one whose target comes first goes
+ * first; those that will miss it come after all others.
+ *
  * A free slot goes to the most important class and within it to the owner
  * with the fewest running calls, so owners that always have calls waiting get
  * equal numbers of slots whatever they send. While other owners wait, no owner
@@ -77,7 +81,9 @@
   std::optional<Refusal> CheckWait(const AdmissionRequest& aRequest,
                                    double aNow) const;
   Iterator Victim(const AdmissionRequest& aRequest);
-  Iterator Next();
+  Iterator Next(double aNow);
+  double ServiceOf(const AdmissionRequest& aRequest) const;
+  bool MissesTarget(const AdmissionRequest& aRequest, double aNow) const;
   std::optional<Refusal> Expiry(const WaitingCall& aCall, double aNow) const;
 
   int slots = 0;
@@ -85,6 +91,7 @@
   int running = 0;
   std::list<WaitingCall> waiting; // In order of arrival.
   double meanService = 0;         // 0 until the first call has finished.
+  std::map<std::string, double, std::less<>> meanByEntry; // As meanService.
 };
 
 inline int
--- a/src/catalogue/entry.cpp
+++ b/src/catalogue/entry.cpp
@@ -167,8 +167,10 @@
     aFields.Number("deadline_ms", aLimits.deadline, { 1, kMaxDeadline });
   aLimits.target =
     aFields.Number("target_ms", aLimits.target, { 0, kMaxDeadline });
+  // Where a target is stated, it bounds the wait better than a fixed time.
+  const Millis queueDefault = aLimits.target > 0 ? 0 : aLimits.queueWait;
   aLimits.queueWait =
-    aFields.Number("queue_ms", aLimits.queueWait, { 0, kMaxDeadline });
+    aFields.Number("queue_ms", queueDefault, { 0, kMaxDeadline });
   aLimits.bodyBytes =
     aFields.Number("body_bytes", aLimits.bodyBytes, { 0, kMaxBodyBytes });
   aLimits.retries = static_cast<int>(
--- a/src/common/testsocket.h
+++ b/src/common/testsocket.h
@@ -64,6 +64,14 @@
     }
   }
 
+  /** Closes with a reset instead of an orderly end. */
+  void Reset()
+  {
+    const linger abort{ 1, 0 };
+    setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+    this->Close();
+  }
+
   bool Bind(const std::string& aAddress, int aPort = 0)
   {
     const sockaddr_in address = AddressOf(aAddress, aPort);
--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -188,6 +188,13 @@
   this->server.AnnounceClose();
 }
 
+void
+CallsService::LimitIntake(Millis aTime)
+{
+  const Millis end = this->clock.Now() + aTime;
+  this->loop.Post([this, end] { this->entryCalls.SetIntakeEnd(end); });
+}
+
 void
 CallsService::StopPeerIntake()
 {
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -60,6 +60,9 @@
   /** Tells callers to use other daemons from now on; serves them yet. */
   void AnnounceClose();
 
+  /** Takes only calls from now on that end within aTime. */
+  void LimitIntake(Millis aTime);
+
   /** Refuses calls that other daemons send; those in flight go on. */
   void StopPeerIntake();
 
--- a/src/daemon/callsservicehooks.cpp
+++ b/src/daemon/callsservicehooks.cpp
@@ -82,10 +82,9 @@
     this->quarantine.CountLoss(static_cast<std::int64_t>(aDigest));
     this->marksDueAt = 0;
   };
-  const std::string address =
-    this->settings.site.protocol == ProtocolKind::Own
-      ? this->settings.address
-      : this->settings.site.server.address;
+  const std::string address = this->settings.site.protocol == ProtocolKind::Own
+                                ? this->settings.address
+                                : this->settings.site.server.address;
   destinationHooks.isListening = [address](int aPort) {
     return IsListening(address, aPort);
   };
--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -74,11 +74,15 @@
 }
 
 DirectoryEntry
-SelfOf(const Settings& aSettings)
+SelfOf(const Settings& aSettings, std::int64_t aIncarnation)
 {
-  return { aSettings.host,
-           { aSettings.address, aSettings.peerPort },
-           std::nullopt };
+  DirectoryEntry self;
+  self.host = aSettings.host;
+  self.address = { aSettings.address, aSettings.peerPort };
+  self.region = aSettings.region;
+  self.domain = aSettings.domain;
+  self.incarnation = aIncarnation;
+  return self;
 }
 
 ClaimWriterConfig
@@ -148,11 +152,9 @@
           [this](PlatformJob aJob) {
             return this->platform.Submit(std::move(aJob));
           })
-  , directory(SelfOf(aSettings),
+  , directory(SelfOf(aSettings, aIncarnation),
               this->clock,
-              [this](PlatformJob aJob) {
-                return this->platform.Submit(std::move(aJob));
-              })
+              this->DirectoryHooks())
   , localServer(aSettings.site.service, aSettings.site.server)
   , aggregator(
       aSettings.domain,
@@ -174,10 +176,6 @@
 void
 ControlService::Start()
 {
-  this->directory.SetOnRecalled([this](const LeavingServer& aLeaving) {
-    this->localServer.Recall(aLeaving);
-    this->PublishServer();
-  });
   this->loop.Start();
   this->platform.Start();
   this->acceptedWatch.Start();
@@ -190,7 +188,19 @@
 void
 ControlService::Leave()
 {
-  this->loop.Run([this] { this->membership.Leave(); });
+  this->loop.Run([this] {
+    this->membership.Leave();
+    if (this->HasDocuments() && this->localServer.Leaving() &&
+        this->localServer.Leaving()->id == this->localServer.Id()) {
+      this->directory.Remove(); // The server is gone, and the host with it.
+    }
+  });
+}
+
+void
+ControlService::StopWatching()
+{
+  this->isStopping = true;
 }
 
 void
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -71,6 +71,9 @@
 
   /** Tells the other members that this daemon leaves. */
   void Leave();
+
+  /** Gives up waiting calls of the store, so that Stop() is quick. */
+  void StopWatching();
   void Stop();
 
   void HandlePeerEvent(PeerEvent aEvent);
@@ -115,6 +118,7 @@
     const ObjectStore& aStore) const;
   void DocumentsChanged(const PlatformResult<ObjectList>& aResult);
   void PublishMembers();
+  MemberDirectoryHooks DirectoryHooks();
   MembershipConfig MemberConfig(std::int64_t aIncarnation) const;
   MembershipHooks MemberHooks();
   DistributorConfig DistributionConfig() const;
--- a/src/daemon/controlservicehooks.cpp
+++ b/src/daemon/controlservicehooks.cpp
@@ -58,8 +58,7 @@
     this->hooks.mergeMarks(aMarks);
   };
   member.seedPeers = [this] {
-    return this->HasDocuments() ? this->directory.Peers()
-                                : this->seeds.Peers();
+    return this->HasDocuments() ? this->directory.Peers() : this->seeds.Peers();
   };
   return member;
 }
--- a/src/daemon/controlservicesite.cpp
+++ b/src/daemon/controlservicesite.cpp
@@ -18,6 +18,25 @@
 
 } // namespace
 
+MemberDirectoryHooks
+ControlService::DirectoryHooks()
+{
+  MemberDirectoryHooks hooks;
+  hooks.submit = [this](PlatformJob aJob) {
+    return this->platform.Submit(std::move(aJob));
+  };
+  hooks.onRecalled = [this](const DirectoryEntry& aOwn) {
+    this->localServer.Recall(aOwn.server, aOwn.leaving);
+    this->PublishServer();
+  };
+  hooks.onMembers = [this](const std::vector<DirectoryEntry>& aOthers) {
+    std::ranges::for_each(aOthers, [this](const DirectoryEntry& aOther) {
+      this->membership.Introduce(RecordOf(aOther));
+    });
+  };
+  return hooks;
+}
+
 void
 ControlService::TakeReport(ServerReport aReport,
                            std::function<void(ReportVerdict)> aDone)
@@ -94,6 +113,9 @@
     return;
   }
   this->hooks.onServerId(current->port, this->localServer.Id());
+  if (const auto known = this->localServer.Known()) {
+    this->directory.StoreServer(*known);
+  }
   this->membership.Announce(*current);
   this->PublishEndpoints();
   this->PublishConfiguration();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -28,15 +28,19 @@
 
 constexpr std::chrono::milliseconds kPoll(20);
 
-// On a site the platform asks once a second whether a daemon is ready, and sends
-// it callers until two questions in a row were in vain.
+// Several round trips between regions; calls of a site wait for no more.
+constexpr Millis kSiteConnectLimit = 300;
+
+// On a site the platform asks once a second whether a daemon is ready, and
+// sends it callers until two questions in a row were in vain.
 constexpr Millis kNoticeTime = 2500;
 
-// The process is to be gone this long before it would be killed.
-constexpr Millis kStopReserve = 600;
+// Calls end this long before the process would be killed; its threads and
+// queued answers need the rest.
+constexpr Millis kStopReserve = 700;
 
-// Calls that enter at the end of the intake get this long.
-constexpr Millis kLastCalls = 700;
+// Time for calls that were taken just before the end of the intake.
+constexpr Millis kLastCalls = 500;
 
 EndpointState
 StateOf(wire::EndpointState::type aState)
@@ -103,6 +107,9 @@
   config.self.incarnation = this->incarnation;
   config.self.region = this->settings.region;
   config.self.domain = this->settings.domain;
+  if (this->protocol.siteCalls) {
+    config.connectLimit = kSiteConnectLimit;
+  }
   std::ranges::for_each(
     this->settings.forwards, [&config](const PeerForward& aForward) {
       config.forwards[{ aForward.peer.address, aForward.peer.port }] = {
@@ -274,9 +281,13 @@
   this->calls.AnnounceClose();
   std::this_thread::sleep_for(std::chrono::milliseconds(kLeaveNotice));
   this->calls.StopPeerIntake();
-  // The server on this host may still make calls for the requests it runs.
-  while (clock.Now() < intakeEnd ||
-         (this->calls.InFlight() > 0 && clock.Now() < end - kLastCalls)) {
+  std::this_thread::sleep_for(
+    std::chrono::milliseconds(intakeEnd - clock.Now()));
+  // The server on this host may still make calls for the requests it runs; they
+  // are short. Other calls would be cut, so they are refused.
+  this->calls.LimitIntake(end - clock.Now());
+  this->control.StopWatching();
+  while (this->calls.InFlight() > 0 && clock.Now() < end - kLastCalls) {
     std::this_thread::sleep_for(std::chrono::milliseconds(kPoll));
   }
   this->calls.StopIntake();
--- a/src/execution/callqueries.cpp
+++ b/src/execution/callqueries.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "execution/callrequest.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingwharf {
@@ -38,7 +39,8 @@
                 aCall.id,
                 aCall.attempt.endpoint.host);
   aCall.stage = CallStage::Querying;
-  aCall.queryUntil = this->clock.Now() + this->wait;
+  // The caller does not wait longer than its deadline.
+  aCall.queryUntil = std::min(this->clock.Now() + this->wait, aCall.deadlineAt);
   this->SendQuery(aCall);
 }
 
--- a/src/execution/callrequest.cpp
+++ b/src/execution/callrequest.cpp
@@ -69,8 +69,10 @@
   aCall.depth =
     static_cast<int>(NumberHeader(headers, kDepthHeader).value_or(0));
   const Millis limit = aCall.entry->limits.deadline;
-  const Millis asked = NumberHeader(headers, aDialect.deadlineHeader).value_or(limit);
+  const Millis asked =
+    NumberHeader(headers, aDialect.deadlineHeader).value_or(limit);
   aCall.deadlineAt = aNow + std::min(limit, asked);
+  aCall.targetAt = aNow + aCall.entry->limits.target;
   const auto key = headers.find(kKeyHeader);
   if (key == headers.end()) {
     aCall.digest = HashOfRequest(aCall.http);
@@ -151,6 +153,10 @@
   request.workClass = static_cast<std::int32_t>(aCall.entry->workClass);
   request.queueMillis =
     static_cast<std::int32_t>(aCall.entry->limits.queueWait);
+  if (aCall.entry->limits.target > 0) {
+    const Millis left = aRemaining - (aCall.deadlineAt - aCall.targetAt);
+    request.targetMillis = static_cast<std::int32_t>(left == 0 ? -1 : left);
+  }
   return request;
 }
 
--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -141,6 +141,9 @@
   admissionRequest.port = aRequest.port;
   admissionRequest.deadlineAt = call.deadlineAt;
   admissionRequest.queueWait = aRequest.queueMillis;
+  if (aRequest.targetMillis != 0) {
+    admissionRequest.targetAt = this->clock.Now() + aRequest.targetMillis;
+  }
   call.request = std::move(aRequest);
   this->calls.emplace(id, std::move(call));
   ++this->inFlight;
@@ -343,7 +346,8 @@
   }
   if (!dialect.notExecutedHeader.empty() &&
       aAnswer.headers.contains(dialect.notExecutedHeader)) {
-    kLog.Decision("server-refused", "call={} status={}", aCallId, aAnswer.status);
+    kLog.Decision(
+      "server-refused", "call={} status={}", aCallId, aAnswer.status);
     Refusal refusal;
     refusal.reason = RefusalReason::ServerRefused;
     refusal.retryAfter = RetryAfterOf(aAnswer.headers);
--- a/src/execution/entrycall.h
+++ b/src/execution/entrycall.h
@@ -40,12 +40,13 @@
   HttpRequest http;
   SnapshotPtr snapshot;
   const Entry* entry = nullptr; // Owned by the snapshot.
-  std::string service; // That the route or its split names.
-  std::string requestId; // That the caller gave; for logs.
+  std::string service;          // That the route or its split names.
+  std::string requestId;        // That the caller gave; for logs.
   bool isIdempotent = false;
   int depth = 0;
   double startedAt = 0;
   Millis deadlineAt = 0;
+  Millis targetAt = 0; // Until when an answer is of full use.
   std::uint64_t digest = 0;
   std::optional<std::uint64_t> keyHash;
 
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -24,12 +24,30 @@
 // be tried elsewhere this often without taking from the retry budget.
 constexpr int kMaxAttempts = 5;
 
+// Told to callers where a refusal says nothing better: about the time of one
+// call, after which a slot is free.
+constexpr Millis kComeBackTime = 100;
+
 EndpointKey
 KeyOf(const EndpointInfo& aEndpoint)
 {
   return { aEndpoint.host, aEndpoint.port };
 }
 
+/** What a refusal tells of its server. */
+CallEnd
+EndOf(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::NotConnected:
+      return CallEnd::Lost;
+    case RefusalReason::ServerRefused:
+      return CallEnd::Failed; // Its daemon had a slot for the call.
+    default:
+      return CallEnd::Refused;
+  }
+}
+
 } // namespace
 
 EntryCalls::EntryCalls(EntryCallsConfig aConfig,
@@ -119,6 +137,10 @@
     this->Refuse(aCall, *refusal);
     return false;
   }
+  if (this->intakeEnd && aCall->deadlineAt > *this->intakeEnd) {
+    this->RefuseReason(aCall, RefusalReason::ShuttingDown);
+    return false;
+  }
   aCall->service = this->splits.Next(*aCall->entry);
   if (this->hooks.isQuarantined(aCall->digest)) {
     this->RefuseReason(aCall, RefusalReason::Quarantined);
@@ -176,12 +198,13 @@
   aCall->tried.insert(KeyOf(choice->endpoint));
   ++aCall->arrivals; // Taken back when the request did not reach a server.
   kLog.Decision("server-chosen",
-                "request={} call={} entry={} owner={} version={} service={} "
-                "host={} domain={} reason={} attempt={} left_ms={}",
+                "request={} call={} entry={} owner={} class={} version={} "
+                "service={} host={} domain={} reason={} attempt={} left_ms={}",
                 aCall->requestId,
                 aCall->id,
                 aCall->entry->name,
                 aCall->entry->owner,
+                kWorkClassNames.NameOf(aCall->entry->workClass),
                 aCall->snapshot->Version(),
                 aCall->service,
                 choice->endpoint.host,
@@ -326,8 +349,7 @@
   if (!HasArrived(refusal.reason)) {
     --aCall->arrivals;
   }
-  const bool isLost = refusal.reason == RefusalReason::NotConnected;
-  this->Observe(*aCall, isLost ? CallEnd::Lost : CallEnd::Refused, aAnswer);
+  this->Observe(*aCall, EndOf(refusal.reason), aAnswer);
   this->limitMemory.Note(*aCall, refusal);
   if (IsWorthRetry(refusal.reason) &&
       this->MayRetry(*aCall, this->IsFree(refusal.reason))) {
@@ -425,8 +447,7 @@
     return;
   }
   call->hasCallerLeft = true;
-  kLog.Decision(
-    "caller-left", "request={} call={}", call->requestId, call->id);
+  kLog.Decision("caller-left", "request={} call={}", call->requestId, call->id);
   if (this->open.HasOpenAttempt(*call)) {
     this->queries.Cancel(*call);
   }
@@ -485,7 +506,11 @@
     this->DeliverFailure(aCall);
     return;
   }
-  const Ending ending = RefusalEnding(*aCall, aRefusal, this->config.dialect);
+  Refusal refusal = aRefusal;
+  if (this->config.dialect.statusIsPromise && refusal.retryAfter == 0) {
+    refusal.retryAfter = kComeBackTime;
+  }
+  const Ending ending = RefusalEnding(*aCall, refusal, this->config.dialect);
   this->End(aCall, MakeAnswer(ending, this->config.dialect), ending);
 }
 
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -8,12 +8,13 @@
 #include "execution/limitmemory.h"
 #include "execution/opencalls.h"
 #include "peer/peernetwork.h"
-#include "routing/splitchooser.h"
 #include "peer_types.h"
+#include "routing/splitchooser.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,9 @@
   void StopIntake();
   std::size_t InFlight() const;
 
+  /** Takes only calls from now on whose deadline comes before aEnd. */
+  void SetIntakeEnd(Millis aEnd);
+
   void SetRetryBudget(const RetryBudgetConfig& aConfig);
 
 private:
@@ -137,6 +141,7 @@
   EndpointViewPtr view = std::make_shared<EndpointView>();
   std::uint64_t nextCall = 1;
   bool isStopping = false;
+  std::optional<Millis> intakeEnd;
   OpenCalls open;
   CallQueries queries;
   LimitMemory limitMemory;
@@ -149,6 +154,12 @@
   this->isStopping = true;
 }
 
+inline void
+EntryCalls::SetIntakeEnd(Millis aEnd)
+{
+  this->intakeEnd = aEnd;
+}
+
 inline void
 EntryCalls::SetRetryBudget(const RetryBudgetConfig& aConfig)
 {
--- a/src/execution/outcome.h
+++ b/src/execution/outcome.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "admission/refusal.h"
-#include "execution/calldialect.h"
 #include "common/names.h"
+#include "execution/calldialect.h"
 #include "peer_types.h"
 #include "proxy/httptypes.h"
 
--- a/src/membership/localserver.cpp
+++ b/src/membership/localserver.cpp
@@ -47,13 +47,12 @@
   if (aReport.state == wire::EndpointState::DRAINING) {
     this->leaving = LeavingServer{ this->id, this->startedAt };
   }
-  const auto state = this->IsLeaving(aReport) ? wire::EndpointState::DRAINING
-                                              : aReport.state;
-  this->current = Announcement{ this->service,
-                                this->address.port,
-                                aReport.slots,
-                                kNoConnectionLimit,
-                                state };
+  const auto state = this->IsLeaving(aReport.id, aReport.startedAt.value_or(0))
+                       ? wire::EndpointState::DRAINING
+                       : aReport.state;
+  this->current = Announcement{
+    this->service, this->address.port, aReport.slots, kNoConnectionLimit, state
+  };
   return ReportVerdict::Taken;
 }
 
@@ -78,28 +77,51 @@
 }
 
 bool
-LocalServer::IsLeaving(const ServerReport& aReport) const
+LocalServer::IsLeaving(const std::string& aId, std::int64_t aStartedAt) const
 {
-  return this->leaving && this->leaving->id == aReport.id &&
-         aReport.startedAt.value_or(0) <= this->leaving->startedAt;
+  return this->leaving && this->leaving->id == aId &&
+         aStartedAt <= this->leaving->startedAt;
 }
 
 void
-LocalServer::Recall(const LeavingServer& aLeaving)
+LocalServer::Recall(const std::optional<KnownServer>& aServer,
+                    const std::optional<LeavingServer>& aLeaving)
 {
-  if (this->leaving) {
-    return;
+  if (aLeaving && !this->leaving) {
+    this->leaving = aLeaving;
   }
-  kLog.Decision("leaving-server-recalled",
-                "server={} started={}",
-                aLeaving.id,
-                aLeaving.startedAt);
-  this->leaving = aLeaving;
-  const bool isCurrent =
-    this->id == aLeaving.id && this->startedAt <= aLeaving.startedAt;
-  if (this->current && isCurrent) {
+  const bool isOurs = aServer && aServer->service == this->service &&
+                      aServer->port == this->address.port;
+  if (!this->current && isOurs) {
+    this->id = aServer->id;
+    this->startedAt = aServer->startedAt;
+    this->current = Announcement{ this->service,
+                                  this->address.port,
+                                  aServer->slots,
+                                  kNoConnectionLimit,
+                                  wire::EndpointState::READY };
+  }
+  if (this->current && this->IsLeaving(this->id, this->startedAt)) {
     this->current->state = wire::EndpointState::DRAINING;
   }
+  kLog.Decision("server-recalled",
+                "server={} started={} leaving={}",
+                this->id,
+                this->startedAt,
+                this->leaving ? this->leaving->id : "-");
+}
+
+std::optional<KnownServer>
+LocalServer::Known() const
+{
+  if (!this->current || this->id.empty()) {
+    return std::nullopt;
+  }
+  return KnownServer{ this->id,
+                      this->startedAt,
+                      this->service,
+                      this->address.port,
+                      this->current->slots };
 }
 
 } // namespace lacewingwharf
--- a/src/membership/localserver.h
+++ b/src/membership/localserver.h
@@ -47,6 +47,18 @@
                                  { ReportVerdict::Old, "old" },
                                  { ReportVerdict::Foreign, "foreign" } });
 
+/** A server process that was heard, as it is kept in the store. */
+struct KnownServer
+{
+  std::string id;
+  std::int64_t startedAt = 0; // 0 when it was not told.
+  std::string service;
+  int port = 0;
+  int slots = 0;
+
+  bool operator==(const KnownServer&) const = default;
+};
+
 /** A server process that said it leaves. */
 struct LeavingServer
 {
@@ -67,8 +79,15 @@
 
   ReportVerdict Take(const ServerReport& aReport);
 
-  /** A server of before this daemon's start that must get no new work. */
-  void Recall(const LeavingServer& aLeaving);
+  /**
+   * What a daemon before this one knew. The server may have ended since; calls
+   * name the process that they are meant for, so no other one runs them.
+   */
+  void Recall(const std::optional<KnownServer>& aServer,
+              const std::optional<LeavingServer>& aLeaving);
+
+  /** The present process; empty before its first heartbeat. */
+  std::optional<KnownServer> Known() const;
 
   /** What the server announces now; empty before its first heartbeat. */
   const std::optional<Announcement>& Current() const;
@@ -79,7 +98,7 @@
 
 private:
   bool IsOld(const ServerReport& aReport) const;
-  bool IsLeaving(const ServerReport& aReport) const;
+  bool IsLeaving(const std::string& aId, std::int64_t aStartedAt) const;
 
   std::string service;
   SocketAddress address;
--- a/src/membership/localserver_test.cpp
+++ b/src/membership/localserver_test.cpp
@@ -97,7 +97,7 @@
 {
   LocalServer server = Server();
   server.Take(Heartbeat("a", 4));
-  server.Recall({ "a", kStart });
+  server.Recall(std::nullopt, LeavingServer{ "a", kStart });
   cr_expect_eq(server.Current()->state, wire::EndpointState::DRAINING);
   server.Take(Heartbeat("a", 5));
   cr_expect_eq(server.Current()->state, wire::EndpointState::DRAINING);
@@ -117,3 +117,31 @@
   cr_expect_eq(server.Take(report), ReportVerdict::Foreign);
   cr_expect_not(server.Current().has_value());
 }
+
+// Guards against a service that has no servers until the next heartbeats, after
+// all daemons have restarted.
+Test(localserver, a_restart_recalls_the_server)
+{
+  LocalServer server = Server();
+  server.Recall(KnownServer{ "a", kStart, "orders", kPort, 6 }, std::nullopt);
+  cr_assert(server.Current().has_value());
+  cr_expect_eq(server.Id(), "a");
+  cr_expect_eq(server.Current()->state, wire::EndpointState::READY);
+  cr_expect_eq(server.Take(Heartbeat("a", 1)), ReportVerdict::Taken);
+  cr_expect_eq(server.Take(Heartbeat("old", 9, kStart - 1)),
+               ReportVerdict::Old);
+}
+
+// Guards against a stored server that is believed more than its own words.
+Test(localserver, what_was_heard_goes_before_what_was_stored)
+{
+  LocalServer server = Server();
+  server.Take(Heartbeat("b", 1, kStart + 500));
+  server.Recall(KnownServer{ "a", kStart, "orders", kPort, 6 },
+                LeavingServer{ "a", kStart });
+  cr_expect_eq(server.Id(), "b");
+  cr_expect_eq(server.Current()->state, wire::EndpointState::READY);
+  LocalServer other = Server();
+  other.Recall(KnownServer{ "a", kStart, "fonts", kPort, 6 }, std::nullopt);
+  cr_expect_not(other.Current().has_value());
+}
--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -30,7 +30,17 @@
 TextOf(const DirectoryEntry& aEntry)
 {
   Json json = { { "address", aEntry.address.address },
-                { "port", aEntry.address.port } };
+                { "port", aEntry.address.port },
+                { "region", aEntry.region },
+                { "domain", aEntry.domain },
+                { "incarnation", aEntry.incarnation } };
+  if (aEntry.server) {
+    json["server"] = { { "id", aEntry.server->id },
+                       { "startedAt", aEntry.server->startedAt },
+                       { "service", aEntry.server->service },
+                       { "port", aEntry.server->port },
+                       { "slots", aEntry.server->slots } };
+  }
   if (aEntry.leaving) {
     json["leaving"] = { { "id", aEntry.leaving->id },
                         { "startedAt", aEntry.leaving->startedAt } };
@@ -38,39 +48,110 @@
   return json.dump();
 }
 
+std::string
+TextIn(const Json& aObject, const char* aField)
+{
+  const auto field = aObject.find(aField);
+  return field != aObject.end() && field->is_string()
+           ? field->get<std::string>()
+           : std::string();
+}
+
+std::int64_t
+NumberIn(const Json& aObject, const char* aField)
+{
+  const auto field = aObject.find(aField);
+  return field != aObject.end() && field->is_number_integer()
+           ? field->get<std::int64_t>()
+           : 0;
+}
+
 std::optional<DirectoryEntry>
 EntryOf(const StoredObject& aObject)
 {
   const Json json = Json::parse(aObject.value, nullptr, false);
-  if (!json.is_object() || !json.contains("address") ||
-      !json["address"].is_string() || !json.contains("port") ||
-      !json["port"].is_number_integer()) {
+  if (!json.is_object() || TextIn(json, "address").empty() ||
+      NumberIn(json, "port") <= 0) {
     kLog.Warning("object {} is not a member: {}", aObject.name, aObject.value);
     return std::nullopt;
   }
   DirectoryEntry entry;
   entry.host = aObject.name.substr(std::string_view(kPrefix).size());
-  entry.address = { json["address"].get<std::string>(),
-                    json["port"].get<int>() };
-  const auto leaving = json.find("leaving");
-  if (leaving != json.end() && leaving->is_object() &&
-      leaving->contains("id") && (*leaving)["id"].is_string() &&
-      leaving->contains("startedAt") &&
-      (*leaving)["startedAt"].is_number_integer()) {
-    entry.leaving = LeavingServer{ (*leaving)["id"].get<std::string>(),
-                                   (*leaving)["startedAt"].get<std::int64_t>() };
+  entry.address = { TextIn(json, "address"),
+                    static_cast<int>(NumberIn(json, "port")) };
+  entry.region = TextIn(json, "region");
+  entry.domain = TextIn(json, "domain");
+  entry.incarnation = NumberIn(json, "incarnation");
+  const Json server = json.value("server", Json::object());
+  if (server.is_object() && NumberIn(server, "slots") > 0) {
+    entry.server = KnownServer{ TextIn(server, "id"),
+                                NumberIn(server, "startedAt"),
+                                TextIn(server, "service"),
+                                static_cast<int>(NumberIn(server, "port")),
+                                static_cast<int>(NumberIn(server, "slots")) };
+  }
+  const Json leaving = json.value("leaving", Json::object());
+  if (leaving.is_object() && !TextIn(leaving, "id").empty()) {
+    entry.leaving =
+      LeavingServer{ TextIn(leaving, "id"), NumberIn(leaving, "startedAt") };
   }
   return entry;
 }
 
+/**
+ * Replaces the own object on condition of its revision: a write whose answer
+ * was lost may take effect late, and must not undo a newer one.
+ */
+PlatformResult<std::int64_t>
+Replace(const ObjectStore& aStore,
+        const std::string& aName,
+        const std::string& aText,
+        std::int64_t aRevision)
+{
+  auto written = aStore.put(aName, aText, aRevision);
+  const bool isStale =
+    !written && (written.error().code == PlatformErrorCode::Conflict ||
+                 written.error().code == PlatformErrorCode::NotFound);
+  if (!isStale) {
+    return written;
+  }
+  const auto present = aStore.get(aName);
+  return aStore.put(
+    aName, aText, present ? present.value().revision : kCreateOnly);
+}
+
 } // namespace
 
+wire::MemberRecord
+RecordOf(const DirectoryEntry& aEntry)
+{
+  wire::MemberRecord record;
+  record.host = aEntry.host;
+  record.address = aEntry.address.address;
+  record.peerPort = aEntry.address.port;
+  record.region = aEntry.region;
+  record.domain = aEntry.domain;
+  record.incarnation = aEntry.incarnation;
+  record.state = wire::MemberState::ALIVE;
+  const bool isLeaving =
+    aEntry.server && aEntry.leaving && aEntry.leaving->id == aEntry.server->id;
+  if (aEntry.server && !isLeaving) {
+    wire::Endpoint endpoint;
+    endpoint.serviceName = aEntry.server->service;
+    endpoint.port = aEntry.server->port;
+    endpoint.slots = aEntry.server->slots;
+    endpoint.state = wire::EndpointState::READY;
+    record.endpoints.push_back(endpoint);
+  }
+  return record;
+}
+
 MemberDirectory::MemberDirectory(DirectoryEntry aSelf,
                                  Clock aClock,
-                                 SubmitPlatformJob aSubmit)
+                                 MemberDirectoryHooks aHooks)
   : self(std::move(aSelf))
   , clock(std::move(aClock))
-  , submit(std::move(aSubmit))
+  , hooks(std::move(aHooks))
 {
 }
 
@@ -99,7 +180,7 @@
   this->isBusy = true;
   const std::weak_ptr<bool> guard = this->alive;
   const bool isSubmitted =
-    this->submit([this, guard](const ObjectStore& aStore) {
+    this->hooks.submit([this, guard](const ObjectStore& aStore) {
       auto list = aStore.list(kPrefix);
       return Completion([this, guard, result = std::move(list)] {
         if (guard.expired()) {
@@ -107,15 +188,18 @@
         }
         this->isBusy = false;
         if (!result) {
-          kLog.Warning(
-            "the members cannot be read: {} {}",
-            kPlatformErrorNames.NameOf(result.assume_error().code),
-            result.assume_error().detail);
+          kLog.Warning("the members cannot be read: {} {}",
+                       kPlatformErrorNames.NameOf(result.assume_error().code),
+                       result.assume_error().detail);
           this->readDueAt = this->clock.Now() + kRetryInterval;
           return;
         }
         std::vector<DirectoryEntry> entries;
+        const std::string own = kPrefix + this->self.host;
         for (const StoredObject& object : result.assume_value().objects) {
+          if (object.name == own) {
+            this->revision = object.revision;
+          }
           if (auto entry = EntryOf(object)) {
             entries.push_back(std::move(*entry));
           }
@@ -136,23 +220,60 @@
     this->clock.Now() +
     (this->reads < kFirstReadCount ? kFirstReads : kAloneInterval);
   this->peers.clear();
+  std::vector<DirectoryEntry> others;
   for (const DirectoryEntry& entry : aEntries) {
-    if (entry.host != this->self.host) {
-      this->peers.push_back(entry.address);
+    if (entry.host == this->self.host) {
+      this->Recall(entry);
       continue;
     }
-    if (!this->hasRead && entry.leaving && !this->self.leaving) {
-      this->self.leaving = entry.leaving;
-      if (this->onRecalled) {
-        this->onRecalled(*entry.leaving);
-      }
-    }
-    this->isWritten = this->isWritten || entry.address == this->self.address;
+    this->peers.push_back(entry.address);
+    others.push_back(entry);
+  }
+  if (this->hooks.onMembers) {
+    this->hooks.onMembers(others);
   }
   this->hasRead = true;
   kLog.Decision("members-read", "count={}", aEntries.size());
 }
 
+void
+MemberDirectory::Recall(const DirectoryEntry& aOwn)
+{
+  if (this->hasRead) {
+    return;
+  }
+  // What this process has heard meanwhile is newer.
+  this->self.leaving = this->self.leaving ? this->self.leaving : aOwn.leaving;
+  this->self.server = this->self.server ? this->self.server : aOwn.server;
+  if (this->hooks.onRecalled) {
+    this->hooks.onRecalled(aOwn);
+  }
+}
+
+void
+MemberDirectory::StoreServer(const KnownServer& aServer)
+{
+  if (this->self.server == aServer) {
+    return;
+  }
+  this->self.server = aServer;
+  this->isWritten = false; // Tick() writes it.
+}
+
+void
+MemberDirectory::Remove()
+{
+  const std::string name = kPrefix + this->self.host;
+  this->hooks.submit([name](const ObjectStore& aStore) {
+    const auto removed = aStore.remove(name, kAnyRevision);
+    if (!removed) {
+      kLog.Warning("the own entry was not removed: {}",
+                   kPlatformErrorNames.NameOf(removed.error().code));
+    }
+    return Completion([] {});
+  });
+}
+
 void
 MemberDirectory::StoreLeaving(const LeavingServer& aLeaving,
                               std::function<void(bool)> aDone)
@@ -171,15 +292,23 @@
   this->writeDueAt = this->clock.Now() + kRetryInterval;
   const std::weak_ptr<bool> guard = this->alive;
   const std::string name = kPrefix + this->self.host;
-  const bool isSubmitted = this->submit(
-    [this, guard, name, text = TextOf(this->self), done = aDone](
-      const ObjectStore& aStore) {
-      auto written = aStore.put(name, text, kAnyRevision);
-      return Completion([this, guard, done, result = std::move(written)] {
-        if (!guard.expired()) {
-          this->isWritten = this->isWritten || result.has_value();
-          done(result.has_value());
+  const bool isSubmitted =
+    this->hooks.submit([this,
+                        guard,
+                        name,
+                        text = TextOf(this->self),
+                        known = this->revision,
+                        done = aDone](const ObjectStore& aStore) {
+      auto written = Replace(aStore, name, text, known);
+      return Completion([this, guard, text, done, result = std::move(written)] {
+        if (guard.expired()) {
+          return;
+        }
+        if (result) {
+          this->revision = result.value();
+          this->isWritten = text == TextOf(this->self);
         }
+        done(result.has_value());
       });
     });
   if (!isSubmitted) {
--- a/src/membership/memberdirectory.h
+++ b/src/membership/memberdirectory.h
@@ -14,27 +14,49 @@
 
 namespace lacewingwharf {
 
-/** What this daemon keeps in the store of itself. */
+/** What a daemon keeps in the store of itself and of the server beside it. */
 struct DirectoryEntry
 {
   std::string host;
   PeerAddress address;
+  std::string region;
+  std::string domain;
+  std::int64_t incarnation = 0;
+
+  /** The server process that was heard last. */
+  std::optional<KnownServer> server;
 
   /** Survives the daemon, so that a leaving server gets no new work. */
   std::optional<LeavingServer> leaving;
 };
 
+/** The member that an entry tells of, older than what the member says itself.
+ */
+wire::MemberRecord
+RecordOf(const DirectoryEntry& aEntry);
+
+struct MemberDirectoryHooks
+{
+  SubmitPlatformJob submit;
+
+  /** Called once with what an earlier process of this host has stored. */
+  std::function<void(const DirectoryEntry&)> onRecalled;
+
+  /** Called with the other daemons after each read. */
+  std::function<void(const std::vector<DirectoryEntry>&)> onMembers;
+};
+
 /**
  * The objects members/HOST, by which daemons find one another. Each writes its
- * own when it starts and when its server leaves; others are read at the start
- * and while no other member is known.
+ * own when it starts and when its server changes or leaves; others are read at
+ * the start and while no other member is known.
  */
 class MemberDirectory
 {
 public:
   MemberDirectory(DirectoryEntry aSelf,
                   Clock aClock,
-                  SubmitPlatformJob aSubmit);
+                  MemberDirectoryHooks aHooks);
 
   /** Addresses of other daemons that the store named last. */
   const std::vector<PeerAddress>& Peers() const;
@@ -49,23 +71,27 @@
   void StoreLeaving(const LeavingServer& aLeaving,
                     std::function<void(bool aIsStored)> aDone);
 
-  /** Called once with what an earlier process of this host has stored. */
-  void SetOnRecalled(std::function<void(const LeavingServer&)> aHook);
+  /** Writes the server when it is another process than the stored one. */
+  void StoreServer(const KnownServer& aServer);
+
+  /** Removes the own object; for a daemon that ends with its server. */
+  void Remove();
 
 private:
   void Read();
   void Write(std::function<void(bool)> aDone);
+  void Recall(const DirectoryEntry& aOwn);
   void TakeList(const std::vector<DirectoryEntry>& aEntries);
 
   DirectoryEntry self;
   Clock clock;
-  SubmitPlatformJob submit;
-  std::function<void(const LeavingServer&)> onRecalled;
+  MemberDirectoryHooks hooks;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   std::vector<PeerAddress> peers;
   bool isBusy = false;
   bool hasRead = false;
   bool isWritten = false;
+  std::int64_t revision = kCreateOnly; // Of the own object.
   int reads = 0;
   Millis readDueAt = 0;
   Millis writeDueAt = 0;
@@ -77,10 +103,4 @@
   return this->peers;
 }
 
-inline void
-MemberDirectory::SetOnRecalled(std::function<void(const LeavingServer&)> aHook)
-{
-  this->onRecalled = std::move(aHook);
-}
-
 } // namespace lacewingwharf
--- a/src/membership/memberdirectory_test.cpp
+++ b/src/membership/memberdirectory_test.cpp
@@ -12,16 +12,35 @@
 struct Daemon
 {
   Daemon(FakeStore& aStore, const std::string& aHost, int aPort)
-    : directory({ aHost, { "10.0.0.1", aPort }, std::nullopt },
-                this->clock.View(),
-                [&aStore](const PlatformJob& aJob) {
-                  aJob(aStore.Hooks())();
-                  return true;
-                })
+    : directory(SelfOf(aHost, aPort), this->clock.View(), this->Hooks(aStore))
   {
-    this->directory.SetOnRecalled([this](const LeavingServer& aLeaving) {
-      this->recalled.push_back(aLeaving.id);
-    });
+  }
+
+  static DirectoryEntry SelfOf(const std::string& aHost, int aPort)
+  {
+    DirectoryEntry self;
+    self.host = aHost;
+    self.address = { "10.0.0.1", aPort };
+    self.domain = "gent";
+    self.incarnation = 40;
+    return self;
+  }
+
+  MemberDirectoryHooks Hooks(FakeStore& aStore)
+  {
+    MemberDirectoryHooks hooks;
+    hooks.submit = [&aStore](const PlatformJob& aJob) {
+      aJob(aStore.Hooks())();
+      return true;
+    };
+    hooks.onRecalled = [this](const DirectoryEntry& aOwn) {
+      this->recalled.push_back(aOwn.leaving ? aOwn.leaving->id : "-");
+      this->recalledServer = aOwn.server;
+    };
+    hooks.onMembers = [this](const std::vector<DirectoryEntry>& aOthers) {
+      this->others = aOthers;
+    };
+    return hooks;
   }
 
   void Run(Millis aMillis, bool aIsAlone = false)
@@ -44,6 +63,8 @@
 
   ManualClock clock{ 1000 };
   std::vector<std::string> recalled;
+  std::optional<KnownServer> recalledServer;
+  std::vector<DirectoryEntry> others;
   MemberDirectory directory;
 };
 
@@ -118,3 +139,48 @@
   daemon.Run(1000);
   cr_expect_eq(daemon.FirstPeer(), "10.0.0.9:9");
 }
+
+// Guards against a fleet that knows no servers after all daemons restarted.
+Test(memberdirectory, members_are_read_with_their_servers)
+{
+  FakeStore store;
+  Daemon before(store, "a", 1);
+  before.Run(1000);
+  const KnownServer server{ "i-1", 77, "orders", 9000, 6 };
+  before.directory.StoreServer(server);
+  before.Run(1000);
+  Daemon after(store, "a", 1);
+  after.Run(100);
+  cr_assert(after.recalledServer.has_value());
+  cr_expect(*after.recalledServer == server);
+  Daemon other(store, "b", 2);
+  other.Run(100);
+  cr_assert_eq(other.others.size(), 1U);
+  const wire::MemberRecord record = RecordOf(other.others[0]);
+  cr_expect_eq(record.host, "a");
+  cr_expect_eq(record.domain, "gent");
+  cr_expect_eq(record.incarnation, 40);
+  cr_assert_eq(record.endpoints.size(), 1U);
+  cr_expect_eq(record.endpoints[0].slots, 6);
+}
+
+// Guards against new work for a leaving server whose daemon is gone.
+Test(memberdirectory, a_leaving_server_is_no_endpoint)
+{
+  DirectoryEntry entry = Daemon::SelfOf("a", 1);
+  entry.server = KnownServer{ "i-1", 77, "orders", 9000, 6 };
+  entry.leaving = LeavingServer{ "i-1", 77 };
+  cr_expect(RecordOf(entry).endpoints.empty());
+  entry.leaving = LeavingServer{ "i-0", 70 };
+  cr_expect_eq(RecordOf(entry).endpoints.size(), 1U);
+}
+
+// Guards against the entry of a host that was taken away for good.
+Test(memberdirectory, a_removed_entry_is_gone)
+{
+  FakeStore store;
+  Daemon daemon(store, "a", 1);
+  daemon.Run(1000);
+  daemon.directory.Remove();
+  cr_expect(store.All().empty());
+}
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -158,6 +158,15 @@
   this->gossip.Changed(this->self, Spread::Tree, now);
 }
 
+void
+Membership::Introduce(const wire::MemberRecord& aRecord)
+{
+  if (aRecord.host != this->config.host &&
+      this->table.Find(aRecord.host) == nullptr) {
+    this->MergeRecord(aRecord, Spread::No);
+  }
+}
+
 void
 Membership::Leave()
 {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -49,6 +49,9 @@
                      const std::string& aFromHost,
                      const wire::Envelope& aEnvelope);
 
+  /** Takes a member from the store, unless it is known from itself. */
+  void Introduce(const wire::MemberRecord& aRecord);
+
   /** Tells the members that this daemon stops; nothing is sent afterwards. */
   void Leave();
 
--- a/src/membership/viewbuilder.cpp
+++ b/src/membership/viewbuilder.cpp
@@ -19,8 +19,7 @@
   if (aDomain == aFrom.domain) {
     return Distance::SameDomain;
   }
-  return aRegion == aFrom.region ? Distance::SameRegion
-                                 : Distance::OtherRegion;
+  return aRegion == aFrom.region ? Distance::SameRegion : Distance::OtherRegion;
 }
 
 DomainLoad&
@@ -40,8 +39,7 @@
           const wire::MemberRecord& aRecord,
           const Place& aFrom)
 {
-  const Distance distance =
-    DistanceOf(aRecord.domain, aRecord.region, aFrom);
+  const Distance distance = DistanceOf(aRecord.domain, aRecord.region, aFrom);
   for (const wire::Endpoint& endpoint : aRecord.endpoints) {
     if (endpoint.state != wire::EndpointState::READY) {
       continue;
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -3979,6 +3979,10 @@
 void CallRequest::__set_queueMillis(const int32_t val) {
   this->queueMillis = val;
 }
+
+void CallRequest::__set_targetMillis(const int32_t val) {
+  this->targetMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -4158,6 +4162,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->targetMillis);
+          this->__isset.targetMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4252,6 +4264,10 @@
   xfer += oprot->writeI32(this->queueMillis);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetMillis", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->targetMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4276,6 +4292,7 @@
   swap(a.owner, b.owner);
   swap(a.workClass, b.workClass);
   swap(a.queueMillis, b.queueMillis);
+  swap(a.targetMillis, b.targetMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -4297,6 +4314,7 @@
   owner = other179.owner;
   workClass = other179.workClass;
   queueMillis = other179.queueMillis;
+  targetMillis = other179.targetMillis;
   __isset = other179.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other180) noexcept {
@@ -4317,6 +4335,7 @@
   owner = std::move(other180.owner);
   workClass = other180.workClass;
   queueMillis = other180.queueMillis;
+  targetMillis = other180.targetMillis;
   __isset = other180.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other181) {
@@ -4337,6 +4356,7 @@
   owner = other181.owner;
   workClass = other181.workClass;
   queueMillis = other181.queueMillis;
+  targetMillis = other181.targetMillis;
   __isset = other181.__isset;
   return *this;
 }
@@ -4358,6 +4378,7 @@
   owner = std::move(other182.owner);
   workClass = other182.workClass;
   queueMillis = other182.queueMillis;
+  targetMillis = other182.targetMillis;
   __isset = other182.__isset;
   return *this;
 }
@@ -4381,6 +4402,7 @@
   out << ", " << "owner=" << to_string(owner);
   out << ", " << "workClass=" << to_string(workClass);
   out << ", " << "queueMillis=" << to_string(queueMillis);
+  out << ", " << "targetMillis=" << to_string(targetMillis);
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -1538,7 +1538,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigAnswer& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), entry(false), serviceName(false), port(false), method(false), target(false), headers(false), body(false), remainingMillis(false), idempotent(false), depth(false), callerHost(false), version(false), digest(false), owner(false), workClass(false), queueMillis(false) {}
+  _CallRequest__isset() : callId(false), entry(false), serviceName(false), port(false), method(false), target(false), headers(false), body(false), remainingMillis(false), idempotent(false), depth(false), callerHost(false), version(false), digest(false), owner(false), workClass(false), queueMillis(false), targetMillis(false) {}
   bool callId :1;
   bool entry :1;
   bool serviceName :1;
@@ -1556,6 +1556,7 @@
   bool owner :1;
   bool workClass :1;
   bool queueMillis :1;
+  bool targetMillis :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -1581,7 +1582,8 @@
                 digest(0),
                 owner(),
                 workClass(0),
-                queueMillis(0) {
+                queueMillis(0),
+                targetMillis(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -1611,6 +1613,10 @@
    */
   int32_t workClass;
   int32_t queueMillis;
+  /**
+   * What is left of the route's target time; 0 when it states none.
+   */
+  int32_t targetMillis;
 
   _CallRequest__isset __isset;
 
@@ -1648,6 +1654,8 @@
 
   void __set_queueMillis(const int32_t val);
 
+  void __set_targetMillis(const int32_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -1684,6 +1692,8 @@
       return false;
     if (!(queueMillis == rhs.queueMillis))
       return false;
+    if (!(targetMillis == rhs.targetMillis))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -217,6 +217,8 @@
   /** Position in the list of classes of work, most important first. */
   16: i32 workClass
   17: i32 queueMillis
+  /** What is left of the route's target time; 0 when it states none. */
+  18: i32 targetMillis
 }
 
 struct CallAnswer {
--- a/src/proxy/httpclient_test.cpp
+++ b/src/proxy/httpclient_test.cpp
@@ -263,3 +263,69 @@
   cr_assert_eq(TimesPostArrives(true, end), 1);
   cr_assert_eq(end, ExchangeEnd::Cut);
 }
+
+namespace {
+
+HttpExchange
+Identified(const Fixture& aFixture, const std::string& aId)
+{
+  HttpExchange exchange;
+  exchange.id = aId;
+  exchange.url =
+    fmt::format("http://{}:{}/a", kAddress, aFixture.listener.Port());
+  exchange.request.method = "GET";
+  exchange.request.headers = { { "Request", aId } };
+  exchange.timeLimit = 20000;
+  exchange.echoedHeader = "Request";
+  return exchange;
+}
+
+std::string
+AnswerOf(const std::string& aId)
+{
+  return "HTTP/1.1 200 OK\r\nRequest: " + aId +
+         "\r\nContent-Length: 5\r\n\r\nwhole";
+}
+
+} // namespace
+
+// Guards against an answer to an earlier request that is taken for this one's,
+// and against the connection on which everything comes one too late.
+Test(httpclient, AnswerOfAnotherRequestIsNotTaken)
+{
+  Fixture fixture;
+  cr_assert(fixture.client.Submit(Identified(fixture, "one")));
+  Socket socket = fixture.listener.Accept();
+  socket.ReceiveUntil("\r\n\r\n");
+  cr_assert(socket.Send(AnswerOf("zero")));
+  cr_expect_eq(fixture.Result().end, ExchangeEnd::Cut);
+  cr_assert(fixture.client.Submit(Identified(fixture, "two")));
+  Socket second = fixture.listener.Accept();
+  second.ReceiveUntil("\r\n\r\n");
+  cr_assert(second.Send(AnswerOf("two")));
+  const ExchangeResult result = fixture.Result();
+  cr_expect_eq(result.end, ExchangeEnd::Answered);
+  cr_expect_eq(result.answer.body, "whole");
+}
+
+// Guards against refusing a whole answer without a length where servers are
+// known to send such, and against taking one that was reset for whole.
+Test(httpclient, BodyThatEndsWithItsConnection)
+{
+  for (const bool isReset : { false, true }) {
+    Fixture fixture;
+    HttpExchange exchange = Identified(fixture, "one");
+    exchange.unframedBody = UnframedBody::Complete;
+    cr_assert(fixture.client.Submit(exchange));
+    Socket socket = fixture.listener.Accept();
+    socket.ReceiveUntil("\r\n\r\n");
+    cr_assert(socket.Send("HTTP/1.1 200 OK\r\nRequest: one\r\n\r\nwhole"));
+    if (isReset) {
+      socket.Reset();
+    }
+    socket.Close();
+    const ExchangeResult result = fixture.Result();
+    cr_expect_eq(result.end,
+                 isReset ? ExchangeEnd::Cut : ExchangeEnd::Answered);
+  }
+}
