Refuse waiting calls that will miss their target while others wait

Ruled out: no room anywhere (the other servers were never asked).

They are refused as soon as they will miss the target while others wait, or cannot be answered by their deadline, and tried elsewhere.

--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -336,7 +336,18 @@
   if (late >= 0) {
     return RefusalOf(request, RefusalReason::DeadlinePassed, 0, RoundUp(late));
   }
+  const double service = this->ServiceOf(request);
   const double waited = aNow - aCall.since;
+  // Nobody waits for its answer, or others would miss their target for it.
+  const bool isHopeless = service > -late;
+  const bool isInTheWay =
+    this->Waiting() > 1 && waited > 0 && this->MissesTarget(request, aNow);
+  if (request.targetAt && (isHopeless || isInTheWay)) {
+    auto refusal = RefusalOf(
+      request, RefusalReason::QueueWait, RoundUp(-late), RoundUp(waited));
+    refusal.retryAfter = RoundUp(service / std::max(1, this->slots));
+    return refusal;
+  }
   if (request.queueWait > 0 &&
       waited > static_cast<double>(request.queueWait)) {
     return RefusalOf(
