--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -156,6 +156,7 @@
               this->clock,
               this->DirectoryHooks())
   , localServer(aSettings.site.service, aSettings.site.server)
+  , startedAt(this->clock.Now())
   , aggregator(
       aSettings.domain,
       Clock::Wall(),
@@ -371,6 +372,9 @@
     return;
   }
   this->directory.Tick(this->membership.Table().LiveHosts().size() <= 1);
+  if (this->isServerPending) {
+    this->PublishServer();
+  }
 }
 
 void
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -158,6 +158,8 @@
   LocalServer localServer;
   std::map<std::uint64_t, PendingReport> pendingReports;
   std::uint64_t lastReport = 0;
+  bool isServerPending = false; // Reported, and not announced yet.
+  Millis startedAt;
   std::atomic<bool> isReady = false;
   StatusAggregator aggregator;
   PlatformWatch acceptedWatch;
--- a/src/daemon/controlservicesite.cpp
+++ b/src/daemon/controlservicesite.cpp
@@ -112,11 +112,20 @@
   if (!current) {
     return;
   }
+  // A late heartbeat may come from a server that told the process before this
+  // one that it leaves. Without the store, its next heartbeat says so again.
+  const Millis age = this->clock.Now() - this->startedAt;
+  this->isServerPending =
+    !this->directory.HasRead() && age < this->settings.startWait;
+  if (this->isServerPending) {
+    return;
+  }
   this->hooks.onServerId(current->port, this->localServer.Id());
   if (const auto known = this->localServer.Known()) {
     this->directory.StoreServer(*known);
   }
   this->membership.Announce(*current);
+  this->membership.PublishChanges(); // Before the report is acknowledged.
   this->PublishEndpoints();
   this->PublishConfiguration();
 }
@@ -126,6 +135,7 @@
 {
   this->loop.Post([this, aService, aPort] {
     this->membership.Withdraw(aService, aPort);
+    this->membership.PublishChanges();
     this->PublishEndpoints();
     this->PublishConfiguration();
   });
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -84,7 +84,9 @@
               this->config.startWait,
               this->HasAcceptor() ? StartRule::kDefaultPeersToHear : 0)
   , platformDueAt(this->clock.Now() +
-                  PlatformDelay(this->random, this->config.startWait))
+                  (this->HasAcceptor()
+                     ? PlatformDelay(this->random, this->config.startWait)
+                     : 0))
 {
 }
 
@@ -244,9 +246,8 @@
   if (aDocument.version <= this->Held()->Version()) {
     return;
   }
-  const auto delta = DeltaTo(*this->Held(),
-                             { aDocument.version, 0, 0 },
-                             std::move(aDocument.entries));
+  const auto delta = DeltaTo(
+    *this->Held(), { aDocument.version, 0, 0 }, std::move(aDocument.entries));
   if (!delta) {
     const CatalogueError& error = delta.assume_error();
     kLog.Error("version {} refused: {} {}: {}",
--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -20,7 +20,7 @@
 
 // Daemons that start together have written their objects by the second read.
 constexpr Millis kFirstReads = 600;
-constexpr int kFirstReadCount = 3;
+constexpr int kFirstReadCount = 2;
 
 // Pause between reads of a daemon that knows no other member.
 constexpr Millis kAloneInterval = 1000;
--- a/src/membership/memberdirectory.h
+++ b/src/membership/memberdirectory.h
@@ -61,6 +61,9 @@
   /** Addresses of other daemons that the store named last. */
   const std::vector<PeerAddress>& Peers() const;
 
+  /** Whether the store has told what an earlier process of this host knew. */
+  bool HasRead() const;
+
   /** aIsAlone is true when no other live member is known. */
   void Tick(bool aIsAlone);
 
@@ -103,4 +106,10 @@
   return this->peers;
 }
 
+inline bool
+MemberDirectory::HasRead() const
+{
+  return this->hasRead;
+}
+
 } // namespace lacewingwharf
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -106,6 +106,15 @@
   }
 }
 
+void
+Membership::PublishChanges()
+{
+  if (this->isSelfDirty && !this->hasLeft) {
+    this->PublishSelf(wire::MemberState::ALIVE);
+    this->gossip.FlushPushes();
+  }
+}
+
 void
 Membership::ReportLoad(const std::string& aService,
                        int aFreeSlots,
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -36,6 +36,9 @@
 
   void Announce(const Announcement& aAnnouncement);
   void Withdraw(const std::string& aService, int aPort);
+
+  /** Tells members of announcements at once instead of on the next tick. */
+  void PublishChanges();
   void ReportLoad(const std::string& aService,
                   int aFreeSlots,
                   double aSlowdown);
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -39,6 +39,7 @@
     { "writes-per-s", required_argument, nullptr, 'w' },
     { "reads-per-s", required_argument, nullptr, 'r' },
     { "history", required_argument, nullptr, 'h' },
+    { "page-items", required_argument, nullptr, 'i' },
     { nullptr, 0, nullptr, 0 },
   };
   int choice = 0;
@@ -63,6 +64,10 @@
       case 'h':
         aOptions.history = static_cast<std::size_t>(std::atoll(optarg));
         break;
+      case 'i':
+        aOptions.switches.pageItems =
+          static_cast<std::size_t>(std::atoll(optarg));
+        break;
       default:
         return false;
     }
--- a/standins/platform/platformservice.cpp
+++ b/standins/platform/platformservice.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace lacewingwharf {
@@ -120,6 +121,7 @@
                                  After aAfter)
   : switches(aSwitches)
   , table(aMaxHistory)
+  , objectsForm(this->table, aSwitches.pageItems)
   , after(std::move(aAfter))
   , reads(aSwitches.readsPerSecond)
   , writes(aSwitches.writesPerSecond)
@@ -165,7 +167,11 @@
 PlatformService::HandleCall(const Exchange& aExchange)
 {
   const StandinRequest& request = aExchange->Request();
-  if (request.path.starts_with(kObjectPath)) {
+  if (this->switches.isSilent) {
+    this->unanswered.push_back(aExchange);
+  } else if (request.path.starts_with(ObjectsForm::kPath)) {
+    this->HandleObjectsForm(aExchange);
+  } else if (request.path.starts_with(kObjectPath)) {
     this->HandleObject(aExchange, request.path.substr(kObjectPath.size()));
   } else if (request.path == "/v1/objects" && request.method == "GET") {
     this->HandleList(aExchange);
@@ -283,17 +289,55 @@
     aExchange->Answer(TextAnswer(kBadRequest, "wrong since or timeout_ms"));
     return;
   }
-  this->waiters.push_back({ aExchange, request.Query("prefix"), *since });
+  this->AddWaiter({ aExchange, request.Query("prefix"), *since, false },
+                  *timeout);
+}
+
+void
+PlatformService::HandleObjectsForm(const Exchange& aExchange)
+{
+  const StandinRequest& request = aExchange->Request();
+  const bool isRead = request.method == "GET";
+  const auto since = NumberOf(request.Query("watch"));
+  const bool isWatch = isRead && !request.Query("watch").empty();
+  const std::string kind = isWatch ? "watch" : isRead ? "list" : "put";
+  if (!this->Count(kind, isRead ? this->reads : this->writes)) {
+    aExchange->Answer(TextAnswer(kTooManyRequests, {}));
+    return;
+  }
+  if (isWatch) {
+    this->AddWaiter({ aExchange,
+                      ObjectsForm::TargetOf(request) + "/",
+                      since.value_or(0),
+                      true },
+                    NumberOf(request.Query("wait_ms")).value_or(0));
+    return;
+  }
+  StandinAnswer answer = this->objectsForm.Answer(request);
+  if (!isRead && this->switches.dropAnswerAfterWrite > 0) {
+    --this->switches.dropAnswerAfterWrite;
+    aExchange->Abort();
+  } else {
+    aExchange->Answer(std::move(answer));
+  }
+  this->AnswerWatches();
+}
+
+void
+PlatformService::AddWaiter(Waiter aWaiter, Millis aTimeout)
+{
+  const Exchange exchange = aWaiter.exchange;
+  this->waiters.push_back(std::move(aWaiter));
   // The hooks name the exchange only by its address, which stays in use while
   // the waiter is listed.
-  const StandinExchange* key = aExchange.get();
-  aExchange->SetOnCallerLeft([this, key] {
+  const StandinExchange* key = exchange.get();
+  exchange->SetOnCallerLeft([this, key] {
     const std::lock_guard lock(this->mutex);
     this->EndWatch(key);
   });
-  this->after(std::min<Millis>(*timeout, kLongestWatch), [this, aExchange] {
+  this->after(std::min<Millis>(aTimeout, kLongestWatch), [this, exchange] {
     const std::lock_guard lock(this->mutex);
-    this->EndWatch(aExchange.get());
+    this->EndWatch(exchange.get());
   });
   this->AnswerWatches();
 }
@@ -323,6 +367,11 @@
   if (this->switches.isDown) {
     this->BreakWatches();
   }
+  if (this->switches.isSilent) {
+    std::ranges::transform(
+      this->waiters, std::back_inserter(this->unanswered), &Waiter::exchange);
+    this->waiters.clear();
+  }
   this->AnswerWatches();
   aExchange->Answer(JsonAnswer("{}"));
 }
@@ -350,7 +399,9 @@
     if (changes.value().objects.empty()) {
       return false;
     }
-    aWaiter.exchange->Answer(JsonAnswer(BodyOf(changes.value())));
+    aWaiter.exchange->Answer(
+      JsonAnswer(aWaiter.isObjectsForm ? ObjectsForm::EventsOf(changes.value())
+                                       : BodyOf(changes.value())));
     return true;
   });
 }
@@ -367,7 +418,8 @@
   }
   ObjectList nothing;
   nothing.revision = this->table.Revision();
-  waiter->exchange->Answer(JsonAnswer(BodyOf(nothing)));
+  waiter->exchange->Answer(JsonAnswer(
+    waiter->isObjectsForm ? ObjectsForm::EventsOf(nothing) : BodyOf(nothing)));
   this->waiters.erase(waiter);
 }
 
--- a/standins/platform/platformservice.h
+++ b/standins/platform/platformservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpserver/standinserver.h"
+#include "objectsform.h"
 #include "objecttable.h"
 #include "switches.h"
 
@@ -30,6 +31,7 @@
     Exchange exchange;
     std::string prefix;
     std::int64_t since = 0;
+    bool isObjectsForm = false;
   };
 
   void HandleTest(const Exchange& aExchange);
@@ -39,6 +41,8 @@
   void HandleWrite(const Exchange& aExchange, const std::string& aName);
   void HandleList(const Exchange& aExchange);
   void HandleWatch(const Exchange& aExchange);
+  void HandleObjectsForm(const Exchange& aExchange);
+  void AddWaiter(Waiter aWaiter, Millis aTimeout);
   void HandleSwitch(const Exchange& aExchange);
 
   std::optional<WriteResult> Write(const StandinRequest& aRequest,
@@ -52,10 +56,12 @@
   std::mutex mutex;
   Switches switches;
   ObjectTable table;
+  ObjectsForm objectsForm;
   After after;
   TokenBucket reads;
   TokenBucket writes;
   std::list<Waiter> waiters;
+  std::list<Exchange> unanswered; // While silent; never answered.
   std::map<std::string, std::uint64_t> calls;
 };
 
--- a/standins/platform/switches.cpp
+++ b/standins/platform/switches.cpp
@@ -27,6 +27,7 @@
 {
   return {
     { "down", [&](const Json& aValue) { aSwitches.isDown = aValue; } },
+    { "silent", [&](const Json& aValue) { aSwitches.isSilent = aValue; } },
     { "slow_ms", [&](const Json& aValue) { aSwitches.slowMillis = aValue; } },
     { "drop_answer_after_write",
       [&](const Json& aValue) { aSwitches.dropAnswerAfterWrite = aValue; } },
--- a/standins/platform/switches.h
+++ b/standins/platform/switches.h
@@ -13,10 +13,14 @@
 {
   bool isDown = false;
   Millis slowMillis = 0;
+
+  /** Calls are taken and never answered, waiting watches too. */
+  bool isSilent = false;
   int dropAnswerAfterWrite = 0;
   double writesPerSecond = 400;
   double readsPerSecond = 2000;
   std::size_t maxValueBytes = 1U << 20U;
+  std::size_t pageItems = 500; // Of a list in the objects form.
 };
 
 /** Actions that a switch request asks for once. */
