--- a/bench/convergencelogs.h
+++ b/bench/convergencelogs.h
@@ -156,7 +156,8 @@
 
   void TakeLine(std::size_t aDaemon, std::string_view aLine)
   {
-    constexpr std::string_view kStart = "part=control event=version-in-force version=";
+    constexpr std::string_view kStart =
+      "part=control event=version-in-force version=";
     const std::size_t start = aLine.find(kStart);
     if (start == std::string_view::npos) {
       return;
--- a/src/admission/retrybudget.h
+++ b/src/admission/retrybudget.h
@@ -12,7 +12,8 @@
 /** How many retries an entry daemon may send to one service. */
 struct RetryBudgetConfig
 {
-  /** Retries per successful call; a failing service sees this much more load. */
+  /** Retries per successful call; a failing service sees this much more load.
+   */
   double perSuccess = 0.1;
 
   /** Retries per second, whatever succeeds. */
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -35,10 +35,10 @@
 /**
  * The slots and the bounded queue of one backend server.
  *
- * Calls with a target time are taken only if they are expected to be answered by
- * then, and among waiting calls of a class the one whose target comes first goes
- * first. One that will miss it is refused while others wait, so that another
- * server can run it.
+ * Calls with a target time are taken only if they are expected to be answered
+ * by then, and among waiting calls of a class the one whose target comes first
+ * goes first. One that will miss it is refused while others wait, so that
+ * another server can run it.
  *
  * A free slot goes to the most important class and within it to the owner
  * with the fewest running calls, so owners that always have calls waiting get
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -24,9 +24,7 @@
 {
   std::string text(aText);
   std::ranges::replace_if(
-    text,
-    [](unsigned char aCharacter) { return aCharacter < ' '; },
-    ' ');
+    text, [](unsigned char aCharacter) { return aCharacter < ' '; }, ' ');
   return text;
 }
 
@@ -60,12 +58,11 @@
                std::string_view aPart,
                std::string_view aMessage)
 {
-  LogWriter::Process().Write(
-    aLevel,
-    fmt::format("level={} part={} msg=\"{}\"",
-                kLevelNames.NameOf(aLevel),
-                aPart,
-                Escaped(aMessage)));
+  LogWriter::Process().Write(aLevel,
+                             fmt::format("level={} part={} msg=\"{}\"",
+                                         kLevelNames.NameOf(aLevel),
+                                         aPart,
+                                         Escaped(aMessage)));
 }
 
 void
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -20,9 +20,9 @@
 
 /**
  * Writes log lines of one part of the system to standard error, or where
- * SetOutput() says. Each line is a list of key=value fields, beginning with time, level and part. Writing never
- * waits: lines beyond a rate, or that the reader of the output has no room for,
- * are left out and counted.
+ * SetOutput() says. Each line is a list of key=value fields, beginning with
+ * time, level and part. Writing never waits: lines beyond a rate, or that the
+ * reader of the output has no room for, are left out and counted.
  */
 class Log
 {
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -21,13 +21,15 @@
 // Gossip usually reports a new version while its push is still on the way.
 constexpr Millis kFetchJitter = 250;
 
-// Pause after the platform did not answer a process that starts.
-constexpr Millis kAskAgain = 300;
-
 // New processes ask the platform at a random time in this part of startwait,
 // so that the hosts of a region that restarts do not ask at once.
 constexpr Millis kPlatformAskShare = 4;
 
+// A document may be large, and many daemons may read it at once over a narrow
+// link. The short list of members goes first, so that peers are known
+// meanwhile.
+constexpr Millis kDocumentDelay = 100;
+
 Millis
 PlatformDelay(const Random& aRandom, Millis aStartWait)
 {
@@ -86,7 +88,7 @@
   , platformDueAt(this->clock.Now() +
                   (this->HasAcceptor()
                      ? PlatformDelay(this->random, this->config.startWait)
-                     : 0))
+                     : kDocumentDelay))
 {
 }
 
@@ -207,60 +209,6 @@
   };
 }
 
-PlatformJob
-Distributor::DocumentJob()
-{
-  const std::weak_ptr<bool> guard = this->alive;
-  return
-    [this, guard, read = this->hooks.readDocument](const ObjectStore& aStore) {
-      return Completion([this, guard, result = read(aStore)] {
-        if (!guard.expired()) {
-          this->DocumentAnswered(result);
-        }
-      });
-    };
-}
-
-void
-Distributor::DocumentAnswered(
-  const PlatformResult<std::optional<CatalogueDocument>>& aRead)
-{
-  this->isPlatformBusy = false;
-  if (!aRead) {
-    kLog.Warning("the catalogue cannot be read: {} {}",
-                 kPlatformErrorNames.NameOf(aRead.assume_error().code),
-                 aRead.assume_error().detail);
-    this->isPlatformAsked = false;
-    this->platformDueAt = this->clock.Now() + kAskAgain;
-    return;
-  }
-  this->startRule.PlatformAnswered();
-  if (aRead.assume_value()) {
-    this->TakeDocument(*aRead.assume_value());
-  }
-}
-
-void
-Distributor::TakeDocument(CatalogueDocument aDocument)
-{
-  if (aDocument.version <= this->Held()->Version()) {
-    return;
-  }
-  const auto delta = DeltaTo(
-    *this->Held(), { aDocument.version, 0, 0 }, std::move(aDocument.entries));
-  if (!delta) {
-    const CatalogueError& error = delta.assume_error();
-    kLog.Error("version {} refused: {} {}: {}",
-               aDocument.version,
-               kCatalogueErrorNames.NameOf(error.code),
-               error.entry,
-               error.detail);
-    return;
-  }
-  this->TakeAccepted(delta.assume_value(), false);
-  this->TickPush();
-}
-
 void
 Distributor::PlatformAnswered(const PlatformResult<ChainRead>& aRead)
 {
--- a/src/distribution/startrule.h
+++ b/src/distribution/startrule.h
@@ -26,7 +26,6 @@
 
   static constexpr std::size_t kDefaultPeersToHear = 3;
 
-
   /** Those of aPeers that are to be asked now, for the first time or again. */
   std::vector<std::string> TakeDue(const std::vector<std::string>& aPeers);
   void PeerAnswered(const std::string& aHost);
--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -3,11 +3,11 @@
 #include "common/log.h"
 #include "execution/callrequest.h"
 #include "execution/outcome.h"
+#include "execution/serveranswer.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 namespace lacewingwharf {
@@ -21,28 +21,6 @@
 // the backend server was lost.
 constexpr Millis kLossCheckTime = 50;
 
-wire::CallAnswer
-NotRun(const std::string& aCallId, const Refusal& aRefusal)
-{
-  wire::CallAnswer answer;
-  answer.callId = aCallId;
-  answer.outcome = wire::CallOutcome::NOT_RUN;
-  answer.reason = kRefusalReasonNames.NameOf(aRefusal.reason);
-  answer.owner = aRefusal.owner;
-  answer.bound = aRefusal.bound;
-  answer.seen = aRefusal.seen;
-  answer.retryAfterMillis = static_cast<std::int32_t>(aRefusal.retryAfter);
-  return answer;
-}
-
-wire::CallAnswer
-NotRun(const std::string& aCallId, RefusalReason aReason)
-{
-  Refusal refusal;
-  refusal.reason = aReason;
-  return NotRun(aCallId, refusal);
-}
-
 WorkClass
 ClassOf(const wire::CallRequest& aRequest)
 {
@@ -50,34 +28,6 @@
   return kWorkClassNames.NameOf(value) == "?" ? WorkClass::Batch : value;
 }
 
-/** A time in seconds, perhaps with a fraction; 0 when it is not one. */
-Millis
-RetryAfterOf(const HttpHeaders& aHeaders)
-{
-  constexpr double kMillisPerSecond = 1000;
-  constexpr double kLongest = 60; // Seconds; more is not believed.
-  const auto header = aHeaders.find("Retry-After");
-  if (header == aHeaders.end()) {
-    return 0;
-  }
-  char* end = nullptr;
-  const double seconds = std::strtod(header->second.c_str(), &end);
-  const bool isNumber = end != header->second.c_str() && *end == '\0';
-  return isNumber && seconds > 0 && seconds <= kLongest
-           ? static_cast<Millis>(seconds * kMillisPerSecond)
-           : 0;
-}
-
-wire::CallAnswer
-Unknown(const std::string& aCallId, const std::string& aReason)
-{
-  wire::CallAnswer answer;
-  answer.callId = aCallId;
-  answer.outcome = wire::CallOutcome::UNKNOWN;
-  answer.reason = aReason;
-  return answer;
-}
-
 } // namespace
 
 DestinationCalls::DestinationCalls(DestinationCallsConfig aConfig,
@@ -114,18 +64,18 @@
   }
   if (this->isStopping) {
     this->refusedAt = this->clock.Now();
-    this->hooks.answer(aOrigin, NotRun(id, RefusalReason::ShuttingDown));
+    this->hooks.answer(aOrigin, NotRunAnswer(id, RefusalReason::ShuttingDown));
     return;
   }
   const AcceptedEntry* const accepted =
     this->snapshot ? this->snapshot->Find(aRequest.entry) : nullptr;
   if (accepted == nullptr && !this->config.takesUnknownEntries) {
-    this->hooks.answer(aOrigin, NotRun(id, RefusalReason::NoRoute));
+    this->hooks.answer(aOrigin, NotRunAnswer(id, RefusalReason::NoRoute));
     return;
   }
   const auto digest = static_cast<std::uint64_t>(aRequest.digest);
   if (this->hooks.isQuarantined(digest)) {
-    this->hooks.answer(aOrigin, NotRun(id, RefusalReason::Quarantined));
+    this->hooks.answer(aOrigin, NotRunAnswer(id, RefusalReason::Quarantined));
     return;
   }
   Call call;
@@ -189,7 +139,7 @@
                 kRefusalReasonNames.NameOf(aRefusal.reason),
                 aRefusal.bound,
                 aRefusal.seen);
-  this->Finish(aCallId, call, NotRun(aCallId, aRefusal));
+  this->Finish(aCallId, call, NotRunAnswer(aCallId, aRefusal));
 }
 
 HttpExchange
@@ -281,7 +231,8 @@
   const std::string& id = aCall.request.callId;
   switch (aResult.end) {
     case ExchangeEnd::Answered: {
-      if (auto refusal = this->RefusalIn(id, aResult.answer)) {
+      if (auto refusal =
+            JudgeServerAnswer(this->config.dialect, id, aResult.answer)) {
         return std::move(*refusal);
       }
       wire::CallAnswer answer;
@@ -303,7 +254,7 @@
       if (!this->hooks.isListening(aCall.request.port)) {
         this->ReportGone(aCall);
       }
-      return NotRun(id, RefusalReason::NotConnected);
+      return NotRunAnswer(id, RefusalReason::NotConnected);
     }
     case ExchangeEnd::Cut: {
       kLog.Decision("answer-cut",
@@ -311,14 +262,14 @@
                     this->RequestIdOf(aCall),
                     id,
                     aResult.detail);
-      wire::CallAnswer answer = Unknown(id, "cut-answer");
+      wire::CallAnswer answer = UnknownAnswer(id, "cut-answer");
       this->CheckServerLost(aCall, answer);
       return answer;
     }
     case ExchangeEnd::TimedOut:
-      return Unknown(id, "deadline-while-running");
+      return UnknownAnswer(id, "deadline-while-running");
     default:
-      return Unknown(id, "cancelled-while-running");
+      return UnknownAnswer(id, "cancelled-while-running");
   }
 }
 
@@ -331,41 +282,6 @@
   return header == aCall.request.headers.end() ? sNone : header->second;
 }
 
-/** What an answer says that is not the result of running the request. */
-std::optional<wire::CallAnswer>
-DestinationCalls::RefusalIn(const std::string& aCallId,
-                            const HttpAnswer& aAnswer) const
-{
-  constexpr int kFirstSuccess = 200;
-  constexpr int kFirstRedirect = 300;
-  const CallDialect& dialect = this->config.dialect;
-  if (dialect.otherServerStatus != 0 &&
-      aAnswer.status == dialect.otherServerStatus) {
-    kLog.Decision("other-server", "call={} status={}", aCallId, aAnswer.status);
-    return NotRun(aCallId, RefusalReason::OtherServer);
-  }
-  if (!dialect.notExecutedHeader.empty() &&
-      aAnswer.headers.contains(dialect.notExecutedHeader)) {
-    kLog.Decision(
-      "server-refused", "call={} status={}", aCallId, aAnswer.status);
-    Refusal refusal;
-    refusal.reason = RefusalReason::ServerRefused;
-    refusal.retryAfter = RetryAfterOf(aAnswer.headers);
-    return NotRun(aCallId, refusal);
-  }
-  const bool isSigned = dialect.signatureHeader.empty() ||
-                        aAnswer.headers.contains(dialect.signatureHeader);
-  const bool isSuccess =
-    aAnswer.status >= kFirstSuccess && aAnswer.status < kFirstRedirect;
-  const int asRefusal = StatusFor(dialect, RefusalReason::Overload, false);
-  if (!isSigned && (isSuccess || aAnswer.status == asRefusal)) {
-    kLog.Decision(
-      "answer-unsigned", "call={} status={}", aCallId, aAnswer.status);
-    return Unknown(aCallId, "unsigned-answer");
-  }
-  return std::nullopt;
-}
-
 void
 DestinationCalls::CheckServerLost(const Call& aCall, wire::CallAnswer& aAnswer)
 {
@@ -419,7 +335,7 @@
   while (this->keptBytes > this->config.keepBytes) {
     Call& oldest = this->calls.at(this->keptAnswers.front());
     this->keptBytes -= oldest.answer.body.size();
-    oldest.answer = Unknown(this->keptAnswers.front(), "answer-not-kept");
+    oldest.answer = UnknownAnswer(this->keptAnswers.front(), "answer-not-kept");
     this->keptAnswers.pop_front();
   }
 }
@@ -447,7 +363,8 @@
     return;
   }
   if (call.stage == Stage::Waiting && this->admission.Withdraw(aCallId)) {
-    this->Finish(aCallId, call, NotRun(aCallId, RefusalReason::CallerLeft));
+    this->Finish(
+      aCallId, call, NotRunAnswer(aCallId, RefusalReason::CallerLeft));
   }
 }
 
@@ -455,7 +372,8 @@
 DestinationCalls::HandleQuery(SessionId aOrigin, const wire::CallQuery& aQuery)
 {
   if (aQuery.incarnation != this->config.incarnation) {
-    this->hooks.answer(aOrigin, Unknown(aQuery.callId, "daemon-restarted"));
+    this->hooks.answer(aOrigin,
+                       UnknownAnswer(aQuery.callId, "daemon-restarted"));
     return;
   }
   const auto found = this->calls.find(aQuery.callId);
@@ -466,7 +384,8 @@
     this->fenceQueue.emplace_back(this->clock.Now() + this->config.keepFences,
                                   aQuery.callId);
     kLog.Info("call {} never arrived and is fenced", aQuery.callId);
-    this->hooks.answer(aOrigin, NotRun(aQuery.callId, RefusalReason::Fenced));
+    this->hooks.answer(aOrigin,
+                       NotRunAnswer(aQuery.callId, RefusalReason::Fenced));
     return;
   }
   Call& call = found->second;
@@ -475,7 +394,8 @@
     return;
   }
   if (call.stage == Stage::Fenced) {
-    this->hooks.answer(aOrigin, NotRun(aQuery.callId, RefusalReason::Fenced));
+    this->hooks.answer(aOrigin,
+                       NotRunAnswer(aQuery.callId, RefusalReason::Fenced));
     return;
   }
   call.origin = aOrigin;
--- a/src/execution/destinationcalls.h
+++ b/src/execution/destinationcalls.h
@@ -123,8 +123,6 @@
   void RefuseCall(const std::string& aCallId, const Refusal& aRefusal);
   HttpExchange ExchangeOf(const Call& aCall) const;
   wire::CallAnswer AnswerOf(const Call& aCall, ExchangeResult aResult);
-  std::optional<wire::CallAnswer> RefusalIn(const std::string& aCallId,
-                                            const HttpAnswer& aAnswer) const;
   void EndExchange(ExchangeResult aResult);
   void CheckCutExchanges();
   const std::string& RequestIdOf(const Call& aCall) const;
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -20,34 +20,10 @@
 // call ran, so the entry daemon waits a little longer for it.
 constexpr Millis kDeadlineGrace = 150;
 
-// A refusal that costs the destination nothing (draining, no connection) may
-// be tried elsewhere this often without taking from the retry budget.
-constexpr int kMaxAttempts = 5;
-
 // Told to callers where a refusal says nothing better: about the time of one
 // call, after which a slot is free.
 constexpr Millis kComeBackTime = 100;
 
-EndpointKey
-KeyOf(const EndpointInfo& aEndpoint)
-{
-  return { aEndpoint.host, aEndpoint.port };
-}
-
-/** What a refusal tells of its server. */
-CallEnd
-EndOf(RefusalReason aReason)
-{
-  switch (aReason) {
-    case RefusalReason::NotConnected:
-      return CallEnd::Lost;
-    case RefusalReason::ServerRefused:
-      return CallEnd::Failed; // Its daemon had a slot for the call.
-    default:
-      return CallEnd::Refused;
-  }
-}
-
 } // namespace
 
 EntryCalls::EntryCalls(EntryCallsConfig aConfig,
@@ -195,7 +171,7 @@
   aCall->attempt.id = fmt::format("{}.{}", aCall->id, aCall->attempts);
   aCall->attempt.endpoint = choice->endpoint;
   aCall->attempt.startedAt = this->clock.PreciseNow();
-  aCall->tried.insert(KeyOf(choice->endpoint));
+  aCall->tried.insert(KeyOfEndpoint(choice->endpoint));
   ++aCall->arrivals; // Taken back when the request did not reach a server.
   kLog.Decision("server-chosen",
                 "request={} call={} entry={} owner={} class={} version={} "
@@ -213,7 +189,7 @@
                 aCall->attempts,
                 this->Remaining(*aCall));
   this->open.OpenAttempt(aCall);
-  this->chooser.Started(KeyOf(choice->endpoint));
+  this->chooser.Started(KeyOfEndpoint(choice->endpoint));
   if (this->Dispatch(*aCall)) {
     return;
   }
@@ -245,163 +221,7 @@
   return this->hooks.send(AddressOfEndpoint(aEndpoint), std::move(aEnvelope));
 }
 
-void
-EntryCalls::Observe(const EntryCall& aCall,
-                    CallEnd aEnd,
-                    const wire::CallAnswer& aAnswer)
-{
-  const Observation observation =
-    ObservationOf(aCall, aEnd, aAnswer, this->clock.PreciseNow());
-  this->chooser.Finished(KeyOf(aCall.attempt.endpoint), observation);
-}
-
-void
-EntryCalls::HandleAnswer(wire::CallAnswer aAnswer)
-{
-  const EntryCallPtr call = this->open.TakeAttempt(aAnswer.callId);
-  if (!call) {
-    kLog.Decision("late-answer-dropped", "call={}", aAnswer.callId);
-    return;
-  }
-  switch (aAnswer.outcome) {
-    case wire::CallOutcome::DONE:
-      this->HandleDone(call, std::move(aAnswer));
-      return;
-    case wire::CallOutcome::NOT_RUN:
-      this->HandleNotRun(call, aAnswer);
-      return;
-    default:
-      if (aAnswer.serverLost) {
-        // Gossip is too slow for a caller that sends the request again at once.
-        this->hooks.serverLost(call->digest, call->attempt.endpoint.host);
-      }
-      this->Observe(
-        *call, aAnswer.serverLost ? CallEnd::Lost : CallEnd::Failed, aAnswer);
-      this->HandleUnknown(call, aAnswer.reason);
-  }
-}
-
-void
-EntryCalls::HandleDone(const EntryCallPtr& aCall, wire::CallAnswer aAnswer)
-{
-  if (BodyHash(aAnswer.body) != aAnswer.bodyHash) {
-    this->Observe(*aCall, CallEnd::Failed, aAnswer);
-    this->HandleUnknown(aCall, "damaged-answer");
-    return;
-  }
-  constexpr int kServerError = 500;
-  constexpr int kShedding = 503;
-  const bool isFailure = aAnswer.status >= kServerError;
-  this->Observe(
-    *aCall, isFailure ? CallEnd::Failed : CallEnd::Succeeded, aAnswer);
-  if (aAnswer.status == kShedding && aCall->isIdempotent &&
-      this->MayRetry(*aCall, false)) {
-    // The backend server was handed the request, whatever it did with it.
-    aCall->mayHaveRun = true;
-    this->StartAttempt(aCall);
-    return;
-  }
-  if (isFailure && this->RetryFailure(aCall, aAnswer)) {
-    return;
-  }
-  if (!isFailure) {
-    this->retryBudget.CountSuccess(aCall->service);
-  }
-  const Ending ending{ Outcome::Done, aAnswer.status, "answered", {}, false };
-  this->End(
-    aCall, DoneAnswer(std::move(aAnswer), this->config.dialect), ending);
-}
-
 /** The failure is kept, so that the caller gets it if nothing better comes. */
-bool
-EntryCalls::RetryFailure(const EntryCallPtr& aCall, wire::CallAnswer& aAnswer)
-{
-  if (!this->config.retriesFailures || !aCall->isIdempotent ||
-      !this->MayRetry(*aCall, false)) {
-    return false;
-  }
-  aCall->mayHaveRun = true;
-  aCall->failure = std::move(aAnswer);
-  this->StartAttempt(aCall);
-  return true;
-}
-
-void
-EntryCalls::DeliverFailure(const EntryCallPtr& aCall)
-{
-  wire::CallAnswer answer = std::move(*aCall->failure);
-  const Ending ending{ Outcome::Done, answer.status, "answered", {}, false };
-  this->End(aCall, DoneAnswer(std::move(answer), this->config.dialect), ending);
-}
-
-void
-EntryCalls::HandleNotRun(const EntryCallPtr& aCall,
-                         const wire::CallAnswer& aAnswer)
-{
-  if (aCall->stage == CallStage::Querying && this->queries.IsOver(*aCall)) {
-    // A daemon that was paused reads this late: the destination may have
-    // forgotten the call before it answered.
-    this->Observe(*aCall, CallEnd::Lost, {});
-    this->HandleUnknown(aCall, "session-lost");
-    return;
-  }
-  const Refusal refusal = RefusalOf(aAnswer);
-  if (!HasArrived(refusal.reason)) {
-    --aCall->arrivals;
-  }
-  this->Observe(*aCall, EndOf(refusal.reason), aAnswer);
-  this->limitMemory.Note(*aCall, refusal);
-  if (IsWorthRetry(refusal.reason) &&
-      this->MayRetry(*aCall, this->IsFree(refusal.reason))) {
-    aCall->lastRefusal = refusal;
-    this->StartAttempt(aCall);
-    return;
-  }
-  this->Refuse(aCall, refusal);
-}
-
-void
-EntryCalls::HandleUnknown(const EntryCallPtr& aCall, const std::string& aReason)
-{
-  aCall->mayHaveRun = true;
-  const bool mayRepeat =
-    aCall->isIdempotent && !this->hooks.hasLostServer(aCall->digest);
-  if (mayRepeat && this->MayRetry(*aCall, false)) {
-    this->StartAttempt(aCall);
-    return;
-  }
-  if (aCall->failure) {
-    this->DeliverFailure(aCall);
-    return;
-  }
-  const Ending ending = UnknownEnding(aReason, this->Remaining(*aCall) <= 0);
-  this->End(aCall, MakeAnswer(ending, this->config.dialect), ending);
-}
-
-bool
-EntryCalls::IsFree(RefusalReason aReason) const
-{
-  const bool isForRoom = aReason == RefusalReason::QueueFull ||
-                         aReason == RefusalReason::QueueWait ||
-                         aReason == RefusalReason::Displaced ||
-                         aReason == RefusalReason::NoEndpoint;
-  return IsFreeToRetry(aReason) || (this->config.triesElsewhere && isForRoom);
-}
-
-bool
-EntryCalls::MayRetry(EntryCall& aCall, bool aIsFree)
-{
-  if (aCall.hasCallerLeft || this->Remaining(aCall) <= 0 ||
-      aCall.attempts >= kMaxAttempts) {
-    return false;
-  }
-  if (aIsFree) {
-    return true;
-  }
-  return aCall.arrivals <= aCall.entry->limits.retries &&
-         this->retryBudget.TryRetry(aCall.service);
-}
-
 void
 EntryCalls::HandleSessionLost(const PeerAddress& aRemote,
                               bool aWasConnected,
--- a/src/execution/opencalls.cpp
+++ b/src/execution/opencalls.cpp
@@ -11,6 +11,12 @@
   return { aEndpoint.address, aEndpoint.peerPort };
 }
 
+EndpointKey
+KeyOfEndpoint(const EndpointInfo& aEndpoint)
+{
+  return { aEndpoint.host, aEndpoint.port };
+}
+
 void
 OpenCalls::Add(const EntryCallPtr& aCall)
 {
--- a/src/execution/opencalls.h
+++ b/src/execution/opencalls.h
@@ -14,6 +14,10 @@
 PeerAddress
 AddressOfEndpoint(const EndpointInfo& aEndpoint);
 
+/** How the chooser names an endpoint. */
+EndpointKey
+KeyOfEndpoint(const EndpointInfo& aEndpoint);
+
 /** The calls that entered here and have not ended, and their open attempts. */
 class OpenCalls
 {
--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -276,18 +276,18 @@
 
 void
 MemberDirectory::StoreLeaving(const LeavingServer& aLeaving,
-                              std::function<void(bool)> aDone)
+                              const std::function<void(bool)>& aDone)
 {
   if (this->self.leaving == aLeaving) {
     aDone(true);
     return;
   }
   this->self.leaving = aLeaving;
-  this->Write(std::move(aDone));
+  this->Write(aDone);
 }
 
 void
-MemberDirectory::Write(std::function<void(bool)> aDone)
+MemberDirectory::Write(const std::function<void(bool)>& aDone)
 {
   this->writeDueAt = this->clock.Now() + kRetryInterval;
   const std::weak_ptr<bool> guard = this->alive;
--- a/src/membership/memberdirectory.h
+++ b/src/membership/memberdirectory.h
@@ -72,7 +72,7 @@
    * not be.
    */
   void StoreLeaving(const LeavingServer& aLeaving,
-                    std::function<void(bool aIsStored)> aDone);
+                    const std::function<void(bool aIsStored)>& aDone);
 
   /** Writes the server when it is another process than the stored one. */
   void StoreServer(const KnownServer& aServer);
@@ -82,7 +82,7 @@
 
 private:
   void Read();
-  void Write(std::function<void(bool)> aDone);
+  void Write(const std::function<void(bool)>& aDone);
   void Recall(const DirectoryEntry& aOwn);
   void TakeList(const std::vector<DirectoryEntry>& aEntries);
 
--- a/src/peer/peersession.h
+++ b/src/peer/peersession.h
@@ -18,6 +18,9 @@
 
 namespace lacewingwharf {
 
+/** A Hello is far smaller; a stranger may not make us buffer more than this. */
+inline constexpr std::size_t kMaxHelloBytes = 4096;
+
 class PeerSession;
 
 /** What all sessions of one network share; outlives them. */
--- a/src/routing/splitchooser.cpp
+++ b/src/routing/splitchooser.cpp
@@ -19,14 +19,13 @@
   Turns fresh{ aRoute.split, {} };
   // A start at random keeps many daemons from giving the same service their
   // first requests.
-  std::ranges::transform(aRoute.split,
-                         std::back_inserter(fresh.credit),
-                         [this](const ServiceShare& aShare) {
-                           const auto bound =
-                             static_cast<std::uint64_t>(aShare.weight + 1);
-                           return static_cast<double>(
-                             RandomBelow(this->random, bound));
-                         });
+  std::ranges::transform(
+    aRoute.split,
+    std::back_inserter(fresh.credit),
+    [this](const ServiceShare& aShare) {
+      const auto bound = static_cast<std::uint64_t>(aShare.weight + 1);
+      return static_cast<double>(RandomBelow(this->random, bound));
+    });
   return fresh;
 }
 
--- a/src/store/httpobjectstore.cpp
+++ b/src/store/httpobjectstore.cpp
@@ -121,9 +121,8 @@
 
   PlatformResult<ObjectList> List(const std::string& aPrefix)
   {
-    return this->RunList(
-      this->transfers.Request("/v1/objects?prefix=" +
-                              EscapeObjectName(aPrefix)));
+    return this->RunList(this->transfers.Request("/v1/objects?prefix=" +
+                                                 EscapeObjectName(aPrefix)));
   }
 
   PlatformResult<ObjectList> Watch(const std::string& aPrefix,
