--- a/src/daemon/controlservicehooks.cpp
+++ b/src/daemon/controlservicehooks.cpp
@@ -6,6 +6,14 @@
 
 namespace lacewingwharf {
 
+namespace {
+
+// A server that has missed this many heartbeats is gone. Some arrive seconds
+// late, and a server that ended is noticed by its refused connections before.
+constexpr Millis kMissedHeartbeats = 4;
+
+} // namespace
+
 MembershipConfig
 ControlService::MemberConfig(std::int64_t aIncarnation) const
 {
@@ -27,6 +35,10 @@
   config.fanout = static_cast<std::size_t>(this->settings.fanout);
   config.incarnation = aIncarnation;
   config.isFleetWide = this->HasDocuments();
+  if (this->HasDocuments()) {
+    config.endpointTimeout =
+      kMissedHeartbeats * this->settings.site.announceInterval;
+  }
   return config;
 }
 
