--- a/src/routing/splitchooser.cpp
+++ b/src/routing/splitchooser.cpp
@@ -23,7 +23,7 @@
     aRoute.split,
     std::back_inserter(fresh.credit),
     [this](const ServiceShare& aShare) {
-      const auto bound = static_cast<std::uint64_t>(aShare.weight + 1);
+      const auto bound = static_cast<std::uint64_t>(aShare.weight) + 1;
       return static_cast<double>(RandomBelow(this->random, bound));
     });
   return fresh;
