--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -247,9 +247,6 @@
   } else {
     this->StopSlowly();
   }
-  if (this->site) {
-    this->site->Stop();
-  }
   this->admin.Stop();
   this->calls.Stop();
   this->control.Stop();
@@ -292,6 +289,7 @@
   }
   this->calls.StopIntake();
   this->FinishCalls(end - clock.Now());
+  this->site->Stop();
 }
 
 void
--- a/src/routing/splitchooser.cpp
+++ b/src/routing/splitchooser.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <iterator>
 #include <numeric>
-#include <optional>
 #include <utility>
 
 namespace lacewingwharf {
@@ -44,17 +43,15 @@
     aRoute.split.end(),
     0,
     [](int aSum, const ServiceShare& aShare) { return aSum + aShare.weight; });
-  std::optional<std::size_t> best;
   for (std::size_t index = 0; index < aRoute.split.size(); ++index) {
     turns.credit[index] += aRoute.split[index].weight;
-    const bool takesWork = aRoute.split[index].weight > 0;
-    if (takesWork && (!best || turns.credit[index] > turns.credit[*best])) {
-      best = index;
-    }
   }
-  const std::size_t next = best.value_or(0);
-  turns.credit[next] -= sum;
-  return aRoute.split[next].service;
+  // All credits together are now at least the sum of weights, so the largest is
+  // above 0, where that of a service without weight stays.
+  const auto next = std::ranges::max_element(turns.credit);
+  *next -= sum;
+  const auto index = static_cast<std::size_t>(next - turns.credit.begin());
+  return aRoute.split[index].service;
 }
 
 } // namespace lacewingwharf
