Offer no calls to a daemon that has no version yet

Cause: a daemon announced the servers of its host as ready before it held a version; peers that knew them could only get no-configuration.

Change: Membership::SetServing; until the daemon can serve, its ready servers are published as starting.

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -167,6 +167,7 @@
   , catalogueWatch(this->store, WatchOf("catalogue/"), this->WatchHook(true))
   , loop("control", kRingCapacity, kTickInterval, [this] { this->Tick(); })
 {
+  this->membership.SetServing(false);
 }
 
 ControlService::~ControlService()
@@ -396,19 +397,30 @@
   this->seeds.Publish(members);
 }
 
+void
+ControlService::PublishReadiness()
+{
+  if (this->isReady == this->distributor.IsReady()) {
+    return;
+  }
+  this->isReady = this->distributor.IsReady();
+  this->membership.SetServing(this->isReady);
+  this->membership.PublishChanges();
+  this->PublishEndpoints();
+}
+
 void
 ControlService::PublishConfiguration()
 {
+  this->PublishReadiness();
   EndpointViewPtr view = this->membership.View();
-  SnapshotPtr snapshot =
-    this->distributor.IsReady() ? this->distributor.Held() : nullptr;
+  SnapshotPtr snapshot = this->isReady ? this->distributor.Held() : nullptr;
   if (snapshot == this->publishedSnapshot && view == this->publishedView) {
     return;
   }
   if (snapshot && snapshot != this->publishedSnapshot) {
     kLog.Decision("version-in-force", "version={}", snapshot->Version());
   }
-  this->isReady = snapshot != nullptr;
   this->publishedSnapshot = snapshot;
   this->publishedView = view;
   this->hooks.onConfiguration(std::move(snapshot), std::move(view));
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -130,6 +130,7 @@
   void Tick();
   void SetWatches();
   void PublishSeeds();
+  void PublishReadiness();
   void PublishConfiguration();
   void PublishEndpoints();
   void PublishMetrics();
--- a/src/daemon/drainfleet_test.cpp
+++ b/src/daemon/drainfleet_test.cpp
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <map>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -104,6 +106,27 @@
   }
 }
 
+/** How often the host's present daemon refused peers for want of a version. */
+int
+RefusedUnconfigured(const Fleet& aFleet, std::size_t aHost)
+{
+  std::istringstream log(aFleet.Log(aHost));
+  int count = 0;
+  for (std::string line; std::getline(log, line);) {
+    const bool isRefusal = line.find("event=call-refused") != std::string::npos;
+    count += isRefusal && line.find("no-configuration") != std::string::npos;
+  }
+  return count;
+}
+
+/** LWW_REPLACEMENTS=5 replaces every host five times, in over two minutes. */
+int
+ReplacementRounds()
+{
+  const char* const text = std::getenv("LWW_REPLACEMENTS");
+  return text == nullptr ? 1 : std::max(1, std::atoi(text));
+}
+
 void
 ExpectNothingLost(const FleetCalls& aCalls)
 {
@@ -176,7 +199,8 @@
 }
 
 // Guards against calls that are lost or run twice while every host, daemon
-// and backend server, is replaced one after the other.
+// and backend server, is replaced one after the other, and against peers that
+// send calls to a daemon before it has a version.
 Test(drainfleet, replacing_every_host_loses_and_doubles_no_call)
 {
   Fleet fleet(TwoDomains(2, 1));
@@ -185,7 +209,12 @@
   FleetCaller gets(Load(fleet, "GET"));
   FleetCaller posts(KeyedLoad(fleet));
   cr_assert(WaitUntil([&] { return posts.Ended() > 15; }));
-  for (const std::size_t host : fleet.AllHosts()) {
+  std::vector<std::size_t> replaced;
+  for (int round = 0; round < ReplacementRounds(); ++round) {
+    const auto all = fleet.AllHosts();
+    replaced.insert(replaced.end(), all.begin(), all.end());
+  }
+  for (const std::size_t host : replaced) {
     // The backend server drains but stays until its counts have been read.
     const auto url = fmt::format(
       "http://{}:{}/test/behaviour", fleet.Address(host), kBackendPort);
@@ -204,6 +233,7 @@
   const FleetCalls postCalls = posts.Stop();
   for (const std::size_t host : fleet.AllHosts()) {
     AddRuns(runs, fleet.AllRuns(host, kBackendPort));
+    cr_expect_eq(RefusedUnconfigured(fleet, host), 0);
   }
   Print("replacement, GET", getCalls);
   Print("replacement, POST", postCalls);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -106,6 +106,15 @@
   }
 }
 
+void
+Membership::SetServing(bool aIsServing)
+{
+  if (this->isServing != aIsServing) {
+    this->isServing = aIsServing;
+    this->isSelfDirty = true;
+  }
+}
+
 void
 Membership::PublishChanges()
 {
@@ -161,12 +170,27 @@
   this->isSelfDirty = false;
   ++this->self.sequence;
   this->self.state = aState;
-  this->self.endpoints = this->registry.Endpoints();
+  this->self.endpoints = this->OwnEndpoints();
   const Millis now = this->clock.Now();
   this->table.Merge(this->self, now);
   this->gossip.Changed(this->self, Spread::Tree, now);
 }
 
+std::vector<wire::Endpoint>
+Membership::OwnEndpoints() const
+{
+  auto endpoints = this->registry.Endpoints();
+  if (this->isServing) {
+    return endpoints;
+  }
+  std::ranges::for_each(endpoints, [](wire::Endpoint& aEndpoint) {
+    if (aEndpoint.state == wire::EndpointState::READY) {
+      aEndpoint.state = wire::EndpointState::STARTING;
+    }
+  });
+  return endpoints;
+}
+
 void
 Membership::Introduce(const wire::MemberRecord& aRecord)
 {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -37,6 +37,12 @@
   void Announce(const Announcement& aAnnouncement);
   void Withdraw(const std::string& aService, int aPort);
 
+  /**
+   * While this daemon cannot serve calls, members see its backend servers as
+   * starting and send it none.
+   */
+  void SetServing(bool aIsServing);
+
   /** Tells members of announcements at once instead of on the next tick. */
   void PublishChanges();
   void ReportLoad(const std::string& aService,
@@ -86,6 +92,7 @@
 
 private:
   void PublishSelf(wire::MemberState::type aState);
+  std::vector<wire::Endpoint> OwnEndpoints() const;
   void MergeRecord(const wire::MemberRecord& aRecord, Spread aSpread);
   void Refute(const wire::MemberRecord& aRecord);
   void StartSyncs(Millis aNow);
@@ -111,6 +118,7 @@
   Millis startedAt = 0;
   Millis prunedAt = 0;
   bool isSelfDirty = true;
+  bool isServing = true;
   bool hasLeft = false;
   std::uint64_t viewTableVersion = ~0ULL;
   std::uint64_t viewSummariesVersion = ~0ULL;
--- /dev/null
+++ b/src/membership/serving_test.cpp
@@ -0,0 +1,62 @@
+#include "membership/memorynetwork.h"
+
+#include "common/log.h"
+
+#include <criterion/criterion.h>
+
+using namespace lacewingwharf;
+
+namespace {
+
+std::size_t
+EndpointsSeen(MemoryNetwork& aNetwork, std::size_t aNode)
+{
+  const auto view = aNetwork.At(aNode).View();
+  const auto service = view->services.find("orders");
+  return service == view->services.end() ? 0 : service->second.endpoints.size();
+}
+
+void
+Quiet()
+{
+  Log::SetLevel(LogLevel::Error);
+}
+
+} // namespace
+
+TestSuite(serving, .init = Quiet);
+
+// Guards against calls that are sent to a daemon which has no configuration yet
+// and could only refuse them.
+Test(serving, servers_of_a_daemon_that_cannot_serve_are_offered_no_calls)
+{
+  MemoryNetwork network(7);
+  for (int index = 0; index < 4; ++index) {
+    network.Add("north", "bangor");
+  }
+  network.At(0).SetServing(false);
+  network.Announce(0, { "orders", 9000, 6, 110, wire::EndpointState::READY });
+  network.Run(3000);
+  cr_expect_eq(EndpointsSeen(network, 0), 0U);
+  cr_expect_eq(EndpointsSeen(network, 3), 0U);
+  network.At(0).SetServing(true);
+  network.At(0).PublishChanges();
+  network.Run(1000);
+  cr_expect_eq(EndpointsSeen(network, 0), 1U);
+  cr_expect_eq(EndpointsSeen(network, 3), 1U);
+}
+
+// Guards against a draining server that counts as starting, and so as one that
+// will take calls.
+Test(serving, a_draining_server_stays_draining)
+{
+  MemoryNetwork network(8);
+  network.Add("north", "bangor");
+  network.At(0).SetServing(false);
+  network.Announce(0,
+                   { "orders", 9000, 6, 110, wire::EndpointState::DRAINING });
+  network.Run(200);
+  const auto& endpoints = network.At(0).Self().endpoints;
+  cr_assert_eq(endpoints.size(), 1U);
+  cr_expect_eq(endpoints.front().state, wire::EndpointState::DRAINING);
+}
