Read settings that change without a signal

Cause: only SIGHUP made the daemon read its settings again.

Change: SettingsFile looks at the file's time and size every 2 s. The line event=reload is written before the new log level holds, which may hide it.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "common/log.h"
 #include "daemon/daemon.h"
 #include "protocol.h"
+#include "settings/settingsfile.h"
 #include "settings/settingsreader.h"
 
 #include <fmt/format.h>
@@ -87,6 +88,10 @@
   return options;
 }
 
+// How often the settings file is looked at for a change without a signal; an
+// operator who waits for one sees it within seconds.
+constexpr timespec kFileCheckInterval{ 2, 0 };
+
 /** Takes over what can change while the daemon runs. */
 void
 Reload(const std::string& aFile)
@@ -99,8 +104,23 @@
       });
     return;
   }
-  Log::SetLevel(settings.value().logLevel);
   kLog.Decision("reload", "file={} outcome=taken", aFile);
+  Log::SetLevel(settings.value().logLevel);
+}
+
+/** Returns when the daemon is to stop. */
+void
+WaitForStop(const sigset_t& aSignals, SettingsFile aFile)
+{
+  while (true) {
+    const int received = sigtimedwait(&aSignals, nullptr, &kFileCheckInterval);
+    if (received == SIGTERM || received == SIGINT) {
+      return;
+    }
+    if (aFile.TakeChange() || received == SIGHUP) {
+      Reload(aFile.Name());
+    }
+  }
 }
 
 int
@@ -123,10 +143,7 @@
     Log::Flush();
     return 1;
   }
-  int received = 0;
-  while (sigwait(&signals, &received) == 0 && received == SIGHUP) {
-    Reload(aFile);
-  }
+  WaitForStop(signals, SettingsFile(aFile));
   daemon.Stop();
   Log::Flush();
   return 0;
