--- a/src/admission/refusal.h
+++ b/src/admission/refusal.h
@@ -74,4 +74,13 @@
   Millis retryAfter = 0; // 0 means unknown.
 };
 
+/** Whether a server that is otherwise well has no room for a call. */
+constexpr bool
+IsForRoom(RefusalReason aReason)
+{
+  return aReason == RefusalReason::QueueFull ||
+         aReason == RefusalReason::QueueWait ||
+         aReason == RefusalReason::Displaced;
+}
+
 } // namespace lacewingwharf
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -326,6 +326,11 @@
     this->DeliverFailure(aCall);
     return;
   }
+  const bool hasNoRoom = IsForRoom(aRefusal.reason) ||
+                         aRefusal.reason == RefusalReason::ServerRefused;
+  if (hasNoRoom && aCall->entry != nullptr && !aCall->mayHaveRun) {
+    this->splits.TakeBack(*aCall->entry, aCall->service);
+  }
   Refusal refusal = aRefusal;
   if (this->config.dialect.statusIsPromise && refusal.retryAfter == 0) {
     refusal.retryAfter = kComeBackTime;
--- a/src/execution/entrycallsanswers.cpp
+++ b/src/execution/entrycallsanswers.cpp
@@ -168,11 +168,9 @@
 bool
 EntryCalls::IsFree(RefusalReason aReason) const
 {
-  const bool isForRoom = aReason == RefusalReason::QueueFull ||
-                         aReason == RefusalReason::QueueWait ||
-                         aReason == RefusalReason::Displaced ||
-                         aReason == RefusalReason::NoEndpoint;
-  return IsFreeToRetry(aReason) || (this->config.triesElsewhere && isForRoom);
+  const bool isElsewhere =
+    IsForRoom(aReason) || aReason == RefusalReason::NoEndpoint;
+  return IsFreeToRetry(aReason) || (this->config.triesElsewhere && isElsewhere);
 }
 
 bool
--- a/src/routing/splitchooser_test.cpp
+++ b/src/routing/splitchooser_test.cpp
@@ -2,7 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <deque>
 #include <map>
+#include <string>
 
 using namespace lacewingwharf;
 
@@ -19,8 +22,51 @@
   return route;
 }
 
+/**
+ * The largest share of service b among any 200 requests that ran, where a runs
+ * only aRoom of those offered to it.
+ */
+double
+LargestShareOfOther(double aRoom, std::uint64_t aSeed)
+{
+  constexpr std::size_t kWindow = 200;
+  constexpr int kRequests = 4000;
+  const Entry route = Route({ { "a", 50 }, { "b", 50 } });
+  SplitChooser chooser(SeededRandom(aSeed));
+  const Random random = SeededRandom(aSeed + 1000);
+  std::deque<std::string> window;
+  double largest = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string service = chooser.Next(route);
+    if (service == "a" && RandomBelow(random, 1000) >= aRoom * 1000) {
+      chooser.TakeBack(route, service);
+      continue;
+    }
+    window.push_back(service);
+    if (window.size() > kWindow) {
+      window.pop_front();
+      const auto others = std::ranges::count(window, "b");
+      largest =
+        std::max(largest, static_cast<double>(others) / double{ kWindow });
+    }
+  }
+  return largest;
+}
+
 } // namespace
 
+// Guards against a service that gets far more than its share because requests
+// of the others find no room; a site allows 0.2.
+Test(splitchooser, shares_of_what_runs_hold_while_a_service_is_short_of_room)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    cr_expect_leq(LargestShareOfOther(0.35, seed), 0.7);
+    cr_expect_leq(LargestShareOfOther(0.1, seed), 0.7);
+    // A few refusals are not made worse by others.
+    cr_expect_geq(LargestShareOfOther(0.9, seed), 0.5);
+  }
+}
+
 // Guards against shares that only hold over long times.
 Test(splitchooser, shares_hold_over_any_hundred_requests)
 {
