Watch the store only once the members that start together are known

Cause: at a start each daemon knows only itself and takes the duty of its failure domain, so every one listed the configuration and began a watch beside its own read: 8 to 9 priced calls a start, and the document twice over the link between regions.

Change: MemberDirectory::HasSettled; the watch waits for it. The time of a watch follows from the site's bound for versions (0.9 s for 2 s as before, 1.65 s for 3 s).

Ruled out: calls for leavings and heartbeats; they are written once a change.

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -60,15 +60,20 @@
 PlatformWatchConfig
 VersionWatchOf(const DaemonProtocol& aProtocol)
 {
-  // A store may cut a waiting watch without a word. That is noticed after this
-  // time and the grace, which leaves time to read and pass on the version.
-  constexpr Millis kSiteWatchTime = 900;
+  // The part of the time for a version that a list, after a watch that was not
+  // answered, and the push may take.
+  constexpr Millis kReadShare = 4;
+  constexpr Millis kLeastWatchTime = 500;    // Each watch is priced.
   constexpr Millis kSiteLongestPause = 1000; // Between failed tries.
   if (!aProtocol.documents) {
     return WatchOf(std::string(kAcceptedPrefix));
   }
   PlatformWatchConfig config = WatchOf(aProtocol.documents->prefix);
-  config.watchTime = kSiteWatchTime;
+  // A store may cut a waiting watch without a word. That is noticed after this
+  // time and the grace.
+  const Millis bound = aProtocol.bounds.versionTime;
+  config.watchTime =
+    std::max(bound - bound / kReadShare - kSiteWatchGrace, kLeastWatchTime);
   config.backoff.longest = kSiteLongestPause;
   return config;
 }
@@ -359,7 +364,8 @@
 void
 ControlService::SetWatches()
 {
-  this->acceptedWatch.SetActive(this->distributor.IsFeeder() ||
+  const bool isSettled = !this->HasDocuments() || this->directory.HasSettled();
+  this->acceptedWatch.SetActive((isSettled && this->distributor.IsFeeder()) ||
                                 this->distributor.IsAcceptor());
   this->catalogueWatch.SetActive(this->distributor.IsAcceptor());
 }
--- a/src/daemon/sitebounds.h
+++ b/src/daemon/sitebounds.h
@@ -10,6 +10,9 @@
   /** From SIGTERM to SIGKILL. */
   Millis stopTime = 6000;
 
+  /** Until a new version is in force everywhere. */
+  Millis versionTime = 2000;
+
   /** Retries of a service as a part of the requests for it. */
   double retryRatio = 0.2;
 
--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -22,6 +22,9 @@
 constexpr Millis kFirstReads = 600;
 constexpr int kFirstReadCount = 2;
 
+// After the last of the first reads, until duties follow from what it told.
+constexpr Millis kSettleTime = 600;
+
 // Pause between reads of a daemon that knows no other member.
 constexpr Millis kAloneInterval = 1000;
 constexpr Millis kRetryInterval = 500;
@@ -216,6 +219,9 @@
 MemberDirectory::TakeList(const std::vector<DirectoryEntry>& aEntries)
 {
   ++this->reads;
+  if (this->reads == kFirstReadCount) {
+    this->settledAt = this->clock.Now() + kSettleTime;
+  }
   this->readDueAt =
     this->clock.Now() +
     (this->reads < kFirstReadCount ? kFirstReads : kAloneInterval);
@@ -236,6 +242,12 @@
   kLog.Decision("members-read", "count={}", aEntries.size());
 }
 
+bool
+MemberDirectory::HasSettled() const
+{
+  return this->settledAt && this->clock.Now() >= *this->settledAt;
+}
+
 void
 MemberDirectory::Recall(const DirectoryEntry& aOwn)
 {
--- a/src/membership/memberdirectory.h
+++ b/src/membership/memberdirectory.h
@@ -64,6 +64,12 @@
   /** Whether the store has told what an earlier process of this host knew. */
   bool HasRead() const;
 
+  /**
+   * Whether the members that started with this daemon are known, so that
+   * duties computed from them no longer move.
+   */
+  bool HasSettled() const;
+
   /** aIsAlone is true when no other live member is known. */
   void Tick(bool aIsAlone);
 
@@ -97,6 +103,7 @@
   std::int64_t revision = kCreateOnly; // Of the own object.
   int reads = 0;
   Millis readDueAt = 0;
+  std::optional<Millis> settledAt;
   Millis writeDueAt = 0;
 };
 
--- a/src/membership/memberdirectory_test.cpp
+++ b/src/membership/memberdirectory_test.cpp
@@ -184,3 +184,16 @@
   daemon.directory.Remove();
   cr_expect(store.All().empty());
 }
+
+// Guards against every daemon of a fleet that starts taking the duties of its
+// failure domain, as each knows only itself at first.
+Test(memberdirectory, duties_wait_until_those_that_start_together_are_known)
+{
+  FakeStore store;
+  Daemon daemon(store, "a", 1);
+  daemon.Run(300);
+  cr_expect(daemon.directory.HasRead());
+  cr_expect_not(daemon.directory.HasSettled());
+  daemon.Run(2000);
+  cr_expect(daemon.directory.HasSettled());
+}
