Let others watch the store for a daemon that it turns away

The store turned away just those daemons that had read it last.

Ruled out: a slow store (a list took 150 ms at the same time); a store that had dropped its history (no 410).

Change: a daemon whose watch fails says so in its member record for 8 s (isStoreLost) and is no feeder meanwhile; while some are left out, two spare feeders watch beside the usual one. Roles follow the member table at once. On a site feeders are chosen in a region instead of a failure domain, so that the document crosses the link between regions once.

--- a/bench/distributionfleet.h
+++ b/bench/distributionfleet.h
@@ -158,7 +158,7 @@
   {
     DistributorConfig config;
     config.host = NameOf(aIndex);
-    config.domain = fmt::format("domain-{}", DomainOf(aIndex));
+    config.group = fmt::format("domain-{}", DomainOf(aIndex));
     config.startWait = 1000;
     const auto random = SeededRandom(static_cast<std::uint64_t>(aIndex) + 1);
     return std::make_unique<Distributor>(
--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -348,6 +348,10 @@
 ControlService::Tick()
 {
   this->membership.Tick();
+  const auto table = this->membership.Table().Version();
+  if (std::exchange(this->seenTable, table) != table) {
+    this->distributor.MembersChanged();
+  }
   this->distributor.Tick();
   this->claimWriter.Tick();
   this->claimClient.Tick();
@@ -357,6 +361,7 @@
   this->SetWatches();
   this->PublishMembers();
   this->TickReports();
+  this->TickStoreLost();
   this->PublishEndpoints();
   this->PublishConfiguration();
 }
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -117,6 +118,8 @@
   PlatformResult<std::optional<CatalogueDocument>> ReadDocument(
     const ObjectStore& aStore) const;
   void DocumentsChanged(const PlatformResult<ObjectList>& aResult);
+  void StoreFailed();
+  void TickStoreLost();
   void PublishMembers();
   MemberDirectoryHooks DirectoryHooks();
   MembershipConfig MemberConfig(std::int64_t aIncarnation) const;
@@ -161,12 +164,14 @@
   std::uint64_t lastReport = 0;
   bool isServerPending = false; // Reported, and not announced yet.
   Millis startedAt;
+  std::optional<Millis> storeLostUntil;
   std::atomic<bool> isReady = false;
   StatusAggregator aggregator;
   PlatformWatch acceptedWatch;
   PlatformWatch catalogueWatch;
   SnapshotPtr publishedSnapshot;
   EndpointViewPtr publishedView;
+  std::uint64_t seenTable = 0; // Version of the table that roles follow.
   std::map<std::pair<std::string, int>, wire::Endpoint> publishedEndpoints;
   Millis metricsDueAt = 0;
   EventLoop loop; // Last, so that its thread ends before what it uses.
--- a/src/daemon/controlservicehooks.cpp
+++ b/src/daemon/controlservicehooks.cpp
@@ -80,7 +80,8 @@
 {
   DistributorConfig config;
   config.host = this->settings.host;
-  config.domain = this->settings.domain;
+  config.group =
+    this->HasDocuments() ? this->settings.region : this->settings.domain;
   config.region = this->settings.region;
   config.platformRegion = this->settings.platformRegion;
   config.feeders = this->settings.feeders;
@@ -100,10 +101,17 @@
     }
   };
   distribution.reply = this->hooks.reply;
-  distribution.domainMembers = [this] {
+  distribution.groupMembers = [this] {
     return this->membership.LiveHosts(this->settings.domain);
   };
   if (this->HasDocuments()) {
+    // A document is large, so it crosses the link between regions once.
+    distribution.groupMembers = [this] {
+      return this->membership.HostsOfOwnRegion();
+    };
+    distribution.feederCandidates = [this] {
+      return this->membership.HostsThatStoreServes();
+    };
     distribution.readDocument = [this](const ObjectStore& aStore) {
       return this->ReadDocument(aStore);
     };
--- a/src/daemon/controlservicesite.cpp
+++ b/src/daemon/controlservicesite.cpp
@@ -16,6 +16,10 @@
 // waits for the store comes by then even if the store does not answer.
 constexpr Millis kLongestReportWait = 600;
 
+// How long a daemon that the store turned away leaves the watch to others. A
+// store that is down turns away one after the other, and each tells all.
+constexpr Millis kStoreLostTime = 8000;
+
 } // namespace
 
 MemberDirectoryHooks
@@ -160,11 +164,32 @@
   return std::optional(std::move(document).assume_value());
 }
 
+/** Another daemon watches the store until this one may try again. */
+void
+ControlService::StoreFailed()
+{
+  this->storeLostUntil = this->clock.Now() + kStoreLostTime;
+  this->membership.SetStoreLost(true);
+  this->membership.PublishChanges();
+}
+
+void
+ControlService::TickStoreLost()
+{
+  if (this->storeLostUntil && this->clock.Now() >= *this->storeLostUntil) {
+    this->storeLostUntil.reset();
+    this->membership.SetStoreLost(false);
+  }
+}
+
 void
 ControlService::DocumentsChanged(const PlatformResult<ObjectList>& aResult)
 {
-  if (!aResult) {
-    return; // The watch has logged it and tries again.
+  if (!aResult) { // The watch has logged it and tries again.
+    if (aResult.assume_error().code != PlatformErrorCode::Compacted) {
+      this->StoreFailed();
+    }
+    return;
   }
   const DocumentSource& source = *this->protocol.documents;
   for (const StoredObject& object : aResult.assume_value().objects) {
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -30,6 +30,9 @@
 // meanwhile.
 constexpr Millis kDocumentDelay = 100;
 
+// Feeders beside the usual ones while the store turns some members away.
+constexpr int kSpareFeeders = 2;
+
 Millis
 PlatformDelay(const Random& aRandom, Millis aStartWait)
 {
@@ -110,10 +113,15 @@
 Distributor::RefreshRoles()
 {
   this->rolesDueAt = this->clock.Now() + kRoleInterval;
-  std::vector<std::string> live = this->hooks.domainMembers();
+  std::vector<std::string> live = this->hooks.groupMembers();
   std::ranges::sort(live);
-  if (live != this->members) {
-    this->members = std::move(live);
+  const bool isChanged = live != this->members;
+  this->members = std::move(live);
+  std::vector<std::string> feeding = this->hooks.feederCandidates
+                                       ? this->hooks.feederCandidates()
+                                       : this->members;
+  if (isChanged || feeding != this->feederCandidates) {
+    this->feederCandidates = std::move(feeding);
     this->RefreshFeeders();
   }
   std::vector<std::string> candidates = this->hooks.acceptorCandidates();
@@ -125,18 +133,26 @@
   }
 }
 
+void
+Distributor::MembersChanged()
+{
+  this->rolesDueAt = 0;
+}
+
 void
 Distributor::RefreshFeeders()
 {
-  const auto rank =
-    RankOf(RendezvousOrder("feeder/" + this->config.domain, this->members),
-           this->config.host,
-           this->config.feeders);
+  // The next candidates may be turned away like those that are left out.
+  const bool isShort = this->feederCandidates.size() < this->members.size();
+  const auto rank = RankOf(
+    RendezvousOrder("feeder/" + this->config.group, this->feederCandidates),
+    this->config.host,
+    this->config.feeders + (isShort ? kSpareFeeders : 0));
   if (rank.has_value() != this->feederRank.has_value()) {
     kLog.Info("{} {} a feeder of {}",
               this->config.host,
               rank ? "is" : "is no longer",
-              this->config.domain);
+              this->config.group);
   }
   this->feederRank = rank;
 }
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -21,10 +21,11 @@
 struct DistributorConfig
 {
   std::string host;
-  std::string domain;
+  /** Names the hosts that share feeders: a failure domain, or a region. */
+  std::string group;
   std::string region;
   std::string platformRegion;
-  int feeders = 2;
+  int feeders = 2; // Of the group.
   int fanout = 8;
   Millis startWait = 2000;
   std::size_t keptDeltas = 128;
@@ -46,8 +47,8 @@
   std::function<void(const std::string& aHost, wire::Envelope)> send;
   std::function<void(SessionId, wire::Envelope)> reply;
 
-  /** Live hosts of the own failure domain, including this one. */
-  std::function<std::vector<std::string>()> domainMembers;
+  /** Live hosts of the own group, including this one. */
+  std::function<std::vector<std::string>()> groupMembers;
 
   /** Live hosts of the platform's region, or all when it has none. */
   std::function<std::vector<std::string>()> acceptorCandidates;
@@ -63,6 +64,9 @@
   std::function<PlatformResult<std::optional<CatalogueDocument>>(
     const ObjectStore&)>
     readDocument;
+
+  /** Members of the group that may be feeders; not set: all. */
+  std::function<std::vector<std::string>()> feederCandidates;
 };
 
 /**
@@ -104,6 +108,9 @@
   void CatalogueChanged(const PlatformResult<ObjectList>& aResult,
                         bool aIsFullList);
 
+  /** Roles follow on the next Tick() instead of some time later. */
+  void MembersChanged();
+
   /** A document that a watch has found. */
   void TakeDocument(CatalogueDocument aDocument);
 
@@ -160,7 +167,8 @@
   bool isPlatformBusy = false;
   Millis platformDueAt = 0;
   Millis rolesDueAt = 0;
-  std::vector<std::string> members;    // Sorted; of the own failure domain.
+  std::vector<std::string> members; // Sorted; of the own group.
+  std::vector<std::string> feederCandidates;
   std::vector<std::string> candidates; // For the acceptor role.
   std::optional<int> feederRank;
   bool isAcceptor = false;
--- a/src/distribution/distributor_test.cpp
+++ b/src/distribution/distributor_test.cpp
@@ -132,8 +132,8 @@
   config.host = "h0";
   DistributorHooks hooks;
   hooks.send = [](const std::string&, const wire::Envelope&) {};
-  hooks.domainMembers = [] { return std::vector<std::string>{ "h0" }; };
-  hooks.acceptorCandidates = hooks.domainMembers;
+  hooks.groupMembers = [] { return std::vector<std::string>{ "h0" }; };
+  hooks.acceptorCandidates = hooks.groupMembers;
   hooks.submit = [](const PlatformJob&) { return false; };
   hooks.onHeld = [](const SnapshotPtr&) {};
   Distributor distributor(config, clock.View(), SeededRandom(1), hooks);
@@ -352,3 +352,47 @@
   single.distributor.HandlePush("b", push);
   cr_assert_eq(single.pushes, (std::vector<std::int64_t>{ 2, 2 }));
 }
+
+// Guards against versions that nobody of a group reads while the store turns
+// away the one daemon that should.
+Test(distributor, the_next_candidate_feeds_when_the_feeder_may_not)
+{
+  Log::SetLevel(LogLevel::Error);
+  ManualClock clock(1000);
+  std::vector<std::string> candidates{ "h0", "h1", "h2" };
+  std::vector<std::unique_ptr<Distributor>> all;
+  for (const std::string& host : candidates) {
+    DistributorConfig config;
+    config.host = host;
+    config.feeders = 1;
+    DistributorHooks hooks;
+    hooks.send = [](const std::string&, const wire::Envelope&) {};
+    hooks.groupMembers = [] {
+      return std::vector<std::string>{ "h0", "h1", "h2" };
+    };
+    hooks.feederCandidates = [&candidates] { return candidates; };
+    hooks.acceptorCandidates = hooks.groupMembers;
+    hooks.submit = [](const PlatformJob&) { return false; };
+    hooks.onHeld = [](const SnapshotPtr&) {};
+    all.push_back(std::make_unique<Distributor>(
+      config, clock.View(), SeededRandom(1), hooks));
+  }
+  const auto feeders = [&] {
+    clock.Advance(3000);
+    std::vector<std::string> hosts;
+    for (std::size_t index = 0; index < all.size(); ++index) {
+      all[index]->Tick();
+      if (all[index]->IsFeeder()) {
+        hosts.push_back("h" + std::to_string(index));
+      }
+    }
+    return hosts;
+  };
+  feeders(); // The start of the processes ends.
+  const auto first = feeders();
+  cr_assert_eq(first.size(), 1U);
+  std::erase(candidates, first.front());
+  const auto second = feeders();
+  // All that are left, as the store may turn away the next one as well.
+  cr_expect_eq(second, candidates);
+}
--- a/src/distribution/simnodes.h
+++ b/src/distribution/simnodes.h
@@ -77,7 +77,7 @@
   {
     DistributorConfig config;
     config.host = aHost;
-    config.domain = "d";
+    config.group = "d";
     config.fanout = 2;     // So that a small tree has several levels.
     config.keptDeltas = 8; // So that whole snapshots are needed too.
     return config;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -109,8 +109,16 @@
 void
 Membership::SetServing(bool aIsServing)
 {
-  if (this->isServing != aIsServing) {
-    this->isServing = aIsServing;
+  this->isServing = aIsServing;
+  this->isSelfDirty =
+    this->isSelfDirty || this->OwnEndpoints() != this->self.endpoints;
+}
+
+void
+Membership::SetStoreLost(bool aIsStoreLost)
+{
+  if (this->self.isStoreLost != aIsStoreLost) {
+    this->self.__set_isStoreLost(aIsStoreLost);
     this->isSelfDirty = true;
   }
 }
@@ -291,6 +299,31 @@
   return SortedUnique(std::move(hosts));
 }
 
+std::vector<std::string>
+Membership::HostsOfOwnRegion() const
+{
+  std::vector<std::string> hosts;
+  std::ranges::copy_if(this->table.LiveHosts(),
+                       std::back_inserter(hosts),
+                       [this](const std::string& aHost) {
+                         return this->table.Find(aHost)->region ==
+                                this->config.region;
+                       });
+  return hosts;
+}
+
+std::vector<std::string>
+Membership::HostsThatStoreServes() const
+{
+  const auto hosts = this->HostsOfOwnRegion();
+  std::vector<std::string> served;
+  std::ranges::copy_if(
+    hosts, std::back_inserter(served), [this](const std::string& aHost) {
+      return !this->table.Find(aHost)->isStoreLost;
+    });
+  return served.empty() ? hosts : served;
+}
+
 std::vector<std::string>
 Membership::LiveHostsOfRegion(const std::string& aRegion) const
 {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -43,6 +43,9 @@
    */
   void SetServing(bool aIsServing);
 
+  /** While the store turns this daemon away, others watch it instead. */
+  void SetStoreLost(bool aIsStoreLost);
+
   /** Tells members of announcements at once instead of on the next tick. */
   void PublishChanges();
   void ReportLoad(const std::string& aService,
@@ -73,6 +76,12 @@
    */
   std::vector<std::string> LiveHostsOfRegion(const std::string& aRegion) const;
 
+  /** Where the hosts of all domains are known. Sorted. */
+  std::vector<std::string> HostsOfOwnRegion() const;
+
+  /** Those of the own region; all of them while the store serves none. */
+  std::vector<std::string> HostsThatStoreServes() const;
+
   /** Members of the own domain and the contacts of the others. */
   std::vector<std::string> AllLiveHosts() const;
 
--- a/src/membership/serving_test.cpp
+++ b/src/membership/serving_test.cpp
@@ -60,3 +60,29 @@
   cr_assert_eq(endpoints.size(), 1U);
   cr_expect_eq(endpoints.front().state, wire::EndpointState::DRAINING);
 }
+
+// Guards against daemons that do not learn whom the store turns away, and
+// against a fleet without a candidate when it turns away all.
+Test(serving, members_know_whom_the_store_serves)
+{
+  MemoryNetwork network(9);
+  network.adjustConfig = [](MembershipConfig& aConfig) {
+    aConfig.isFleetWide = true;
+  };
+  network.Add("north", "bangor");
+  network.Add("north", "wrecsam");
+  network.Add("south", "abertawe");
+  network.Run(5000);
+  const auto served = [&network] {
+    return network.At(1).HostsThatStoreServes();
+  };
+  cr_assert_eq(served().size(), 2U);
+  network.At(0).SetStoreLost(true);
+  network.At(0).PublishChanges();
+  network.Run(1000);
+  cr_expect_eq(served(), std::vector<std::string>{ "wrecsam-0001" });
+  network.At(1).SetStoreLost(true);
+  cr_expect_eq(served().size(), 1U); // Not published yet.
+  network.At(1).PublishChanges();
+  cr_expect_eq(served().size(), 2U);
+}
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -643,6 +643,11 @@
 void MemberRecord::__set_endpoints(const std::vector<Endpoint> & val) {
   this->endpoints = val;
 }
+
+void MemberRecord::__set_isStoreLost(const bool val) {
+  this->isStoreLost = val;
+__isset.isStoreLost = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
 {
   obj.printTo(out);
@@ -757,6 +762,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isStoreLost);
+          this->__isset.isStoreLost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -818,6 +831,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.isStoreLost) {
+    xfer += oprot->writeFieldBegin("isStoreLost", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->isStoreLost);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -834,6 +852,7 @@
   swap(a.sequence, b.sequence);
   swap(a.state, b.state);
   swap(a.endpoints, b.endpoints);
+  swap(a.isStoreLost, b.isStoreLost);
   swap(a.__isset, b.__isset);
 }
 
@@ -847,6 +866,7 @@
   sequence = other17.sequence;
   state = other17.state;
   endpoints = other17.endpoints;
+  isStoreLost = other17.isStoreLost;
   __isset = other17.__isset;
 }
 MemberRecord::MemberRecord(MemberRecord&& other18) noexcept {
@@ -859,6 +879,7 @@
   sequence = other18.sequence;
   state = other18.state;
   endpoints = std::move(other18.endpoints);
+  isStoreLost = other18.isStoreLost;
   __isset = other18.__isset;
 }
 MemberRecord& MemberRecord::operator=(const MemberRecord& other19) {
@@ -871,6 +892,7 @@
   sequence = other19.sequence;
   state = other19.state;
   endpoints = other19.endpoints;
+  isStoreLost = other19.isStoreLost;
   __isset = other19.__isset;
   return *this;
 }
@@ -884,6 +906,7 @@
   sequence = other20.sequence;
   state = other20.state;
   endpoints = std::move(other20.endpoints);
+  isStoreLost = other20.isStoreLost;
   __isset = other20.__isset;
   return *this;
 }
@@ -899,6 +922,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "state=" << to_string(state);
   out << ", " << "endpoints=" << to_string(endpoints);
+  out << ", " << "isStoreLost="; (__isset.isStoreLost ? (out << to_string(isStoreLost)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -332,7 +332,7 @@
 std::ostream& operator<<(std::ostream& out, const Endpoint& obj);
 
 typedef struct _MemberRecord__isset {
-  _MemberRecord__isset() : host(false), address(false), peerPort(false), region(false), domain(false), incarnation(false), sequence(false), state(false), endpoints(false) {}
+  _MemberRecord__isset() : host(false), address(false), peerPort(false), region(false), domain(false), incarnation(false), sequence(false), state(false), endpoints(false), isStoreLost(false) {}
   bool host :1;
   bool address :1;
   bool peerPort :1;
@@ -342,6 +342,7 @@
   bool sequence :1;
   bool state :1;
   bool endpoints :1;
+  bool isStoreLost :1;
 } _MemberRecord__isset;
 
 class MemberRecord : public virtual ::apache::thrift::TBase {
@@ -359,7 +360,8 @@
                  domain(),
                  incarnation(0),
                  sequence(0),
-                 state(static_cast<MemberState::type>(0)) {
+                 state(static_cast<MemberState::type>(0)),
+                 isStoreLost(0) {
   }
 
   virtual ~MemberRecord() noexcept;
@@ -376,6 +378,10 @@
    */
   MemberState::type state;
   std::vector<Endpoint>  endpoints;
+  /**
+   * The store turned this member away lately, so it is no feeder.
+   */
+  bool isStoreLost;
 
   _MemberRecord__isset __isset;
 
@@ -397,6 +403,8 @@
 
   void __set_endpoints(const std::vector<Endpoint> & val);
 
+  void __set_isStoreLost(const bool val);
+
   bool operator == (const MemberRecord & rhs) const
   {
     if (!(host == rhs.host))
@@ -417,6 +425,10 @@
       return false;
     if (!(endpoints == rhs.endpoints))
       return false;
+    if (__isset.isStoreLost != rhs.__isset.isStoreLost)
+      return false;
+    else if (__isset.isStoreLost && !(isStoreLost == rhs.isStoreLost))
+      return false;
     return true;
   }
   bool operator != (const MemberRecord &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -59,6 +59,8 @@
   7: i64 sequence
   8: MemberState state
   9: list<Endpoint> endpoints
+  /** The store turned this member away lately, so it is no feeder. */
+  10: optional bool isStoreLost
 }
 
 struct QuarantineMark {
