Let safe work leave daemons that seem silent

A suspect member kept its calls until it counted as dead or its session was lost, 1.5 to 3 s later.

Ruled out: calls that waited in the queue of a destination (no call-refused, no call-runs for them); unsafe work, for which the fate is asked as before.

Change: endpoints of suspects are the last choice, and open attempts of work that may be repeated leave them while another server is there, drawing on the retry budget.

--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -58,6 +58,49 @@
 {
   this->view = aView;
   this->chooser.SetView(std::move(aView));
+  if (this->view) {
+    this->LeaveSuspects();
+  }
+}
+
+/**
+ * Work that may be repeated does not wait for a daemon that seems to be silent
+ * while another can do it.
+ */
+void
+EntryCalls::LeaveSuspects()
+{
+  for (const auto& [name, service] : this->view->services) {
+    for (const EndpointInfo& endpoint : service.endpoints) {
+      if (!endpoint.isSuspect) {
+        continue;
+      }
+      for (const EntryCallPtr& call :
+           this->open.AttemptsAt(AddressOfEndpoint(endpoint))) {
+        if (call->isIdempotent && this->HasOtherServer(*call)) {
+          kLog.Decision("suspect-left",
+                        "request={} call={} host={}",
+                        call->requestId,
+                        call->id,
+                        endpoint.host);
+          this->queries.Cancel(*call);
+          this->LoseAttempt(call);
+        }
+      }
+    }
+  }
+}
+
+bool
+EntryCalls::HasOtherServer(const EntryCall& aCall) const
+{
+  const auto service = this->view->services.find(aCall.service);
+  return service != this->view->services.end() &&
+         std::ranges::any_of(
+           service->second.endpoints, [&aCall](const EndpointInfo& aInfo) {
+             return !aInfo.isSuspect &&
+                    !aCall.tried.contains(KeyOfEndpoint(aInfo));
+           });
 }
 
 void
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -121,6 +121,8 @@
   void HandleNotRun(const EntryCallPtr& aCall, const wire::CallAnswer& aAnswer);
   void HandleUnknown(const EntryCallPtr& aCall, const std::string& aReason);
   void HandleUnsent(const std::string& aAttemptId);
+  void LeaveSuspects();
+  bool HasOtherServer(const EntryCall& aCall) const;
   void LoseAttempt(const EntryCallPtr& aCall);
   bool MayRetry(EntryCall& aCall, bool aIsFree);
   bool IsFree(RefusalReason aReason) const;
--- a/src/execution/sitecalls_test.cpp
+++ b/src/execution/sitecalls_test.cpp
@@ -9,7 +9,9 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -73,6 +75,12 @@
     limits.deadline = kDeadline;
     limits.retries = 1;
     this->calls->SetSnapshot(CatalogueWith(limits, {}));
+    this->SetServers(aServers, {});
+  }
+
+  /** aSuspect is the peer port of a daemon that does not answer others. */
+  void SetServers(std::size_t aServers, std::optional<int> aSuspect)
+  {
     EndpointView view;
     for (std::size_t i = 0; i < aServers; ++i) {
       EndpointInfo info;
@@ -80,6 +88,7 @@
       info.peerPort = static_cast<int>(i);
       info.port = kPort;
       info.slots = 4;
+      info.isSuspect = info.peerPort == aSuspect;
       view.services[kService].endpoints.push_back(info);
     }
     this->calls->SetView(std::make_shared<const EndpointView>(view));
@@ -297,3 +306,28 @@
                wire::CallOutcome::DONE);
   cr_expect_eq(Judged(400, {}).outcome, wire::CallOutcome::DONE);
 }
+
+// Guards against safe work that waits until its deadline for a daemon that has
+// gone silent, and against unsafe work that is sent again for it.
+Test(sitecalls, safe_work_leaves_a_suspect_daemon_for_another)
+{
+  EntryDaemon entry(3);
+  entry.Begin(1, "GET");
+  const int silent = entry.sent.back().first.port;
+  entry.SetServers(3, silent);
+  const auto requests = [&entry] {
+    return std::ranges::count_if(entry.sent, [](const auto& aSent) {
+      return aSent.second.__isset.callRequest;
+    });
+  };
+  cr_assert_eq(requests(), 2);
+  cr_expect_neq(entry.sent.back().first.port, silent);
+  entry.Begin(2, "POST");
+  entry.SetServers(3, entry.sent.back().first.port);
+  cr_expect_eq(requests(), 3);
+  // The only server is waited for.
+  EntryDaemon alone(1);
+  alone.Begin(3, "GET");
+  alone.SetServers(1, 0);
+  cr_expect_eq(alone.sent.size(), 1U);
+}
--- a/src/membership/endpointview.h
+++ b/src/membership/endpointview.h
@@ -36,6 +36,9 @@
   int port = 0; // Of the backend server on its host.
   int slots = 0;
   EndpointState state = EndpointState::Ready;
+
+  /** The destination daemon did not answer other daemons lately. */
+  bool isSuspect = false;
 };
 
 /** What is known of a service in one failure domain. */
--- a/src/membership/viewbuilder.cpp
+++ b/src/membership/viewbuilder.cpp
@@ -40,6 +40,7 @@
           const Place& aFrom)
 {
   const Distance distance = DistanceOf(aRecord.domain, aRecord.region, aFrom);
+  const bool isSuspect = aRecord.state == wire::MemberState::SUSPECT;
   for (const wire::Endpoint& endpoint : aRecord.endpoints) {
     if (endpoint.state != wire::EndpointState::READY) {
       continue;
@@ -53,7 +54,8 @@
                                   distance,
                                   endpoint.port,
                                   endpoint.slots,
-                                  EndpointState::Ready });
+                                  EndpointState::Ready,
+                                  isSuspect });
     DomainLoad& load = LoadOf(service, aRecord.domain, distance);
     ++load.ready;
     load.slots += endpoint.slots;
@@ -75,7 +77,8 @@
                                  aDistance,
                                  aSample.port,
                                  aSample.slots,
-                                 EndpointState::Ready });
+                                 EndpointState::Ready,
+                                 false });
 }
 
 void
--- a/src/routing/serverchooser.cpp
+++ b/src/routing/serverchooser.cpp
@@ -255,6 +255,9 @@
   for (const EjectionCandidate& candidate : candidates) {
     aRecord.options[candidate.index].isEjected = true;
   }
+  for (Option& option : aRecord.options) {
+    option.isEjected = option.isEjected || option.info->isSuspect;
+  }
 }
 
 void
--- a/src/routing/serverchooser_test.cpp
+++ b/src/routing/serverchooser_test.cpp
@@ -258,3 +258,19 @@
     fixture.Run(200, [&](const std::string&) { return refused; });
   cr_assert_eq(chosen.at("near"), 200);
 }
+
+// Guards against calls to a daemon that seems to be silent while others are
+// there, and against none for a service whose daemons all seem so.
+Test(serverchooser, SuspectsAreTheLastChoice)
+{
+  ManualClock clock(1000);
+  ServerChooser chooser(clock.View(), SeededRandom(1));
+  auto view = std::make_shared<EndpointView>(
+    *ViewBuilder().AddMany(2, "h", Distance::SameDomain).Build());
+  view->services[kService].endpoints[0].isSuspect = true;
+  chooser.SetView(view);
+  for (int call = 0; call < 50; ++call) {
+    cr_expect_eq(chooser.Choose(kService, {})->endpoint.host, "h1");
+  }
+  cr_expect_eq(chooser.Choose(kService, { KeyOf("h1") })->endpoint.host, "h0");
+}
