--- /dev/null
+++ b/src/daemon/controlservicepublish.cpp
@@ -0,0 +1,103 @@
+// The part of ControlService that tells the store, other daemons and the calls
+// thread what has changed.
+
+#include "common/log.h"
+#include "daemon/controlservice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewingwharf {
+
+namespace {
+
+constexpr Log kLog("control");
+
+} // namespace
+
+/** Where other daemons find this one, by objects of the store. */
+void
+ControlService::PublishMembers()
+{
+  if (!this->HasDocuments()) {
+    this->PublishSeeds();
+    return;
+  }
+  this->directory.Tick(this->membership.Table().LiveHosts().size() <= 1);
+  if (this->isServerPending) {
+    this->PublishServer();
+  }
+}
+
+void
+ControlService::PublishSeeds()
+{
+  // Runs on every tick, so the list of addresses is only made when it is due.
+  const std::vector<std::string>& hosts = this->membership.Table().LiveHosts();
+  this->seeds.ReadWhenAlone(hosts.size() <= 1);
+  if (!this->distributor.IsFeeder() || hosts.size() <= 1 ||
+      !this->seeds.IsPublishDue()) {
+    return;
+  }
+  std::vector<PeerAddress> members;
+  std::ranges::for_each(hosts, [&](const std::string& aHost) {
+    if (const auto address = this->membership.AddressOf(aHost)) {
+      members.push_back(*address);
+    }
+  });
+  this->seeds.Publish(members);
+}
+
+void
+ControlService::PublishReadiness()
+{
+  if (this->isReady == this->distributor.IsReady()) {
+    return;
+  }
+  this->isReady = this->distributor.IsReady();
+  this->membership.SetServing(this->isReady);
+  this->membership.PublishChanges();
+  this->PublishEndpoints();
+}
+
+void
+ControlService::PublishConfiguration()
+{
+  this->PublishReadiness();
+  EndpointViewPtr view = this->membership.View();
+  SnapshotPtr snapshot = this->isReady ? this->distributor.Held() : nullptr;
+  if (snapshot == this->publishedSnapshot && view == this->publishedView) {
+    return;
+  }
+  if (snapshot && snapshot != this->publishedSnapshot) {
+    kLog.Decision("version-in-force", "version={}", snapshot->Version());
+  }
+  this->publishedSnapshot = snapshot;
+  this->publishedView = view;
+  this->hooks.onConfiguration(std::move(snapshot), std::move(view));
+}
+
+void
+ControlService::PublishEndpoints()
+{
+  std::map<std::pair<std::string, int>, wire::Endpoint> present;
+  std::ranges::for_each(
+    this->membership.Self().endpoints, [&](const wire::Endpoint& aEndpoint) {
+      present.emplace(std::pair(aEndpoint.serviceName, aEndpoint.port),
+                      aEndpoint);
+    });
+  if (present == this->publishedEndpoints) {
+    return;
+  }
+  std::ranges::for_each(this->publishedEndpoints, [&](const auto& aPair) {
+    if (!present.contains(aPair.first)) {
+      this->hooks.onEndpointGone(aPair.first.first, aPair.first.second);
+    }
+  });
+  std::ranges::for_each(present, [this](const auto& aPair) {
+    this->hooks.onEndpoint(aPair.second);
+  });
+  this->publishedEndpoints = std::move(present);
+}
+
+} // namespace lacewingwharf
--- a/src/membership/domainsummaries.cpp
+++ b/src/membership/domainsummaries.cpp
@@ -443,14 +443,4 @@
   return location ? location->incarnation : 0;
 }
 
-const HeldSummary*
-DomainSummaries::Find(const std::string& aDomain) const
-{
-  if (aDomain == this->own.domain) {
-    return &this->own;
-  }
-  const auto position = this->others.find(aDomain);
-  return position == this->others.end() ? nullptr : &position->second;
-}
-
 } // namespace lacewingwharf
--- a/src/membership/domainsummaries.h
+++ b/src/membership/domainsummaries.h
@@ -138,4 +138,14 @@
   return this->version;
 }
 
+inline const HeldSummary*
+DomainSummaries::Find(const std::string& aDomain) const
+{
+  if (aDomain == this->own.domain) {
+    return &this->own;
+  }
+  const auto position = this->others.find(aDomain);
+  return position == this->others.end() ? nullptr : &position->second;
+}
+
 } // namespace lacewingwharf
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -28,14 +28,6 @@
   }
 }
 
-std::size_t
-EndpointsSeen(MemoryNetwork& aNetwork, std::size_t aNode)
-{
-  const auto view = aNetwork.At(aNode).View();
-  const auto service = view->services.find("orders");
-  return service == view->services.end() ? 0 : service->second.endpoints.size();
-}
-
 bool
 Sees(MemoryNetwork& aNetwork, std::size_t aNode, const std::string& aHost)
 {
--- a/src/membership/memorynetwork.h
+++ b/src/membership/memorynetwork.h
@@ -341,4 +341,13 @@
   std::vector<Session> sessions{ 1 };
 };
 
+/** Endpoints of the service orders in the view of a node. */
+inline std::size_t
+EndpointsSeen(MemoryNetwork& aNetwork, std::size_t aNode)
+{
+  const auto view = aNetwork.At(aNode).View();
+  const auto service = view->services.find("orders");
+  return service == view->services.end() ? 0 : service->second.endpoints.size();
+}
+
 } // namespace lacewingwharf
--- a/src/membership/serving_test.cpp
+++ b/src/membership/serving_test.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-std::size_t
-EndpointsSeen(MemoryNetwork& aNetwork, std::size_t aNode)
-{
-  const auto view = aNetwork.At(aNode).View();
-  const auto service = view->services.find("orders");
-  return service == view->services.end() ? 0 : service->second.endpoints.size();
-}
-
 void
 Quiet()
 {
--- a/src/routing/splitchooser_test.cpp
+++ b/src/routing/splitchooser_test.cpp
@@ -38,7 +38,8 @@
   double largest = 0;
   for (int i = 0; i < kRequests; ++i) {
     const std::string service = chooser.Next(route);
-    if (service == "a" && RandomBelow(random, 1000) >= aRoom * 1000) {
+    if (service == "a" &&
+        static_cast<double>(RandomBelow(random, 1000)) >= aRoom * 1000) {
       chooser.TakeBack(route, service);
       continue;
     }
--- a/standins/testkit/oddserver.cpp
+++ b/standins/testkit/oddserver.cpp
@@ -93,8 +93,8 @@
     if (!socket.IsValid()) {
       continue; // Its bound passed, or the server stops.
     }
-    Connection& connection =
-      this->connections.emplace_back(std::move(socket), std::thread());
+    this->connections.push_back({ std::move(socket), {} });
+    Connection& connection = this->connections.back();
     connection.thread =
       std::thread([this, &connection] { this->Serve(connection.socket); });
   }
--- a/standins/testkit/site.cpp
+++ b/standins/testkit/site.cpp
@@ -1,6 +1,5 @@
 #include "testkit/site.h"
 
-
 #include <fmt/format.h>
 
 #include <fstream>
