--- a/standins/testkit/site.cpp
+++ b/standins/testkit/site.cpp
@@ -16,6 +16,8 @@
 constexpr int kReportsPort = 9003;
 constexpr int kPeerPort = 9004;
 constexpr int kAdminPort = 9005;
+constexpr int kLinkPort = 9006;
+constexpr int kLinkControlPort = 9007;
 constexpr int kFirstVersion = 3;
 constexpr const char* kFirstPrefix = "/v3/";
 
@@ -42,13 +44,17 @@
 
 } // namespace
 
-Site::Site()
+Site::Site(bool aHasLinks)
   : directory(std::filesystem::temp_directory_path() /
               fmt::format("lww-site-{}", getpid()))
 {
   std::filesystem::create_directories(this->directory);
   this->Configure(kFirstVersion, kFirstPrefix);
   this->daemons.resize(2);
+  if (aHasLinks) {
+    this->StartLink(0);
+    this->StartLink(1);
+  }
   this->Start(0);
   this->Start(1);
 }
@@ -56,9 +62,54 @@
 Site::~Site()
 {
   this->daemons.clear();
+  this->links.clear();
   std::filesystem::remove_all(this->directory);
 }
 
+void
+Site::StartLink(std::size_t aHost)
+{
+  const std::string scheme = "http://";
+  const std::string store = this->platform.Url().substr(scheme.size());
+  this->links.push_back(std::make_unique<ChildProcess>(
+    "lww-link",
+    std::vector<std::string>{ "--listen",
+                              Address(aHost),
+                              "--control",
+                              std::to_string(kLinkControlPort),
+                              "--relay",
+                              fmt::format("{}:{}", kLinkPort, store) },
+    (this->directory / fmt::format("link-{}.log", aHost)).string()));
+  const std::string url =
+    fmt::format("http://{}:{}/", Address(aHost), kLinkControlPort);
+  WaitUntil([&url] { return SendTestRequest("GET", url).status == 200; });
+}
+
+std::string
+Site::StoreAddress(std::size_t aHost) const
+{
+  const std::string scheme = "http://";
+  return this->links.empty() ? this->platform.Url().substr(scheme.size())
+                             : fmt::format("{}:{}", Address(aHost), kLinkPort);
+}
+
+bool
+Site::IsFeeder(std::size_t aHost) const
+{
+  const std::string url =
+    fmt::format("http://{}:{}/v1/state", Address(aHost), kAdminPort);
+  return SendTestRequest("GET", url).body.find("\"feeder\":true") !=
+         std::string::npos;
+}
+
+bool
+Site::CutStore(std::size_t aHost) const
+{
+  const std::string url =
+    fmt::format("http://{}:{}/", Address(aHost), kLinkControlPort);
+  return SendTestRequest("POST", url, R"({"cut":true})").status == 200;
+}
+
 std::string
 Site::Address(std::size_t aHost)
 {
@@ -74,7 +125,6 @@
 void
 Site::Start(std::size_t aHost)
 {
-  const std::string scheme = "http://";
   std::ofstream(this->SettingsFile(aHost)) << fmt::format(
     "[daemon]\nhost = host-{0}\naddress = {1}\nregion = r\ndomain = d\n"
     "[peer]\nport = {2}\n[http]\nadminport = {3}\n"
@@ -88,7 +138,7 @@
     Address(aHost),
     kPeerPort,
     kAdminPort,
-    this->platform.Url().substr(scheme.size()),
+    this->StoreAddress(aHost),
     kCallsPort,
     kReadinessPort,
     kReportsPort,
--- a/standins/testkit/site.h
+++ b/standins/testkit/site.h
@@ -22,7 +22,8 @@
 public:
   static constexpr int kServerPort = 9000;
 
-  Site();
+  /** With links, each daemon reaches the store over one of its own. */
+  explicit Site(bool aHasLinks = false);
   ~Site();
   Site(const Site&) = delete;
   Site& operator=(const Site&) = delete;
@@ -45,6 +46,12 @@
 
   bool IsReady(std::size_t aHost) const;
 
+  /** Whether the daemon watches the store for its region. */
+  bool IsFeeder(std::size_t aHost) const;
+
+  /** Resets the daemon's connections to the store, new ones too. */
+  bool CutStore(std::size_t aHost) const;
+
   /** A call that enters at the first host. */
   TestAnswer Call(const std::string& aPath,
                   const std::string& aMethod = "GET",
@@ -65,7 +72,11 @@
   std::vector<std::unique_ptr<ChildProcess>> daemons;
 
 private:
+  void StartLink(std::size_t aHost);
+  std::string StoreAddress(std::size_t aHost) const;
+
   std::filesystem::path directory;
+  std::vector<std::unique_ptr<ChildProcess>> links;
 };
 
 } // namespace lacewingwharf
