Log when a daemon leaves the watch to others; shorten the loops over suspects

Read of the change: a lost store had no decision line of its own, only the warning of the watch, and the loop over suspects was nested four deep. No other change of behaviour.

--- a/src/daemon/controlservicesite.cpp
+++ b/src/daemon/controlservicesite.cpp
@@ -168,6 +168,14 @@
 void
 ControlService::StoreFailed()
 {
+  const Millis answeredAt = this->acceptedWatch.AnsweredAt();
+  if (!this->storeLostUntil) {
+    kLog.Decision("store-lost",
+                  "version={} answered_ms_ago={} retry_after_ms={}",
+                  this->distributor.Held()->Version(),
+                  answeredAt == 0 ? -1 : this->clock.Now() - answeredAt,
+                  kStoreLostTime);
+  }
   this->storeLostUntil = this->clock.Now() + kStoreLostTime;
   this->membership.SetStoreLost(true);
   this->membership.PublishChanges();
@@ -177,6 +185,8 @@
 ControlService::TickStoreLost()
 {
   if (this->storeLostUntil && this->clock.Now() >= *this->storeLostUntil) {
+    kLog.Decision(
+      "store-tried-again", "version={}", this->distributor.Held()->Version());
     this->storeLostUntil.reset();
     this->membership.SetStoreLost(false);
   }
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -63,32 +63,40 @@
   }
 }
 
+void
+EntryCalls::LeaveSuspects()
+{
+  for (const auto& [name, service] : this->view->services) {
+    std::ranges::for_each(service.endpoints,
+                          [this](const EndpointInfo& aEndpoint) {
+                            if (aEndpoint.isSuspect) {
+                              this->LeaveSuspect(aEndpoint);
+                            }
+                          });
+  }
+}
+
 /**
  * Work that may be repeated does not wait for a daemon that seems to be silent
  * while another can do it.
  */
 void
-EntryCalls::LeaveSuspects()
+EntryCalls::LeaveSuspect(const EndpointInfo& aEndpoint)
 {
-  for (const auto& [name, service] : this->view->services) {
-    for (const EndpointInfo& endpoint : service.endpoints) {
-      if (!endpoint.isSuspect) {
-        continue;
-      }
-      for (const EntryCallPtr& call :
-           this->open.AttemptsAt(AddressOfEndpoint(endpoint))) {
-        if (call->isIdempotent && this->HasOtherServer(*call)) {
-          kLog.Decision("suspect-left",
-                        "request={} call={} host={}",
-                        call->requestId,
-                        call->id,
-                        endpoint.host);
-          this->queries.Cancel(*call);
-          this->LoseAttempt(call);
-        }
-      }
-    }
-  }
+  auto calls = this->open.AttemptsAt(AddressOfEndpoint(aEndpoint));
+  std::erase_if(calls, [this](const EntryCallPtr& aCall) {
+    return !aCall->isIdempotent || !this->HasOtherServer(*aCall);
+  });
+  std::ranges::for_each(calls, [this](const EntryCallPtr& aCall) {
+    kLog.Decision("suspect-left",
+                  "request={} call={} host={} attempt={}",
+                  aCall->requestId,
+                  aCall->id,
+                  aCall->attempt.endpoint.host,
+                  aCall->attempts);
+    this->queries.Cancel(*aCall);
+    this->LoseAttempt(aCall);
+  });
 }
 
 bool
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -122,6 +122,7 @@
   void HandleUnknown(const EntryCallPtr& aCall, const std::string& aReason);
   void HandleUnsent(const std::string& aAttemptId);
   void LeaveSuspects();
+  void LeaveSuspect(const EndpointInfo& aEndpoint);
   bool HasOtherServer(const EntryCall& aCall) const;
   void LoseAttempt(const EntryCallPtr& aCall);
   bool MayRetry(EntryCall& aCall, bool aIsFree);
