Give each process of the site tests addresses of its own

Cause: the address followed from the process id modulo 200, and the server's socket did not reuse an address with closing connections, so a test soon after or beside another of the same remainder found it taken. Not the daemon: the test's own server could not start.

Change: 25,000 addresses in place of 200, and SO_REUSEADDR for test sockets.

--- a/src/common/testsocket.h
+++ b/src/common/testsocket.h
@@ -74,6 +74,8 @@
 
   bool Bind(const std::string& aAddress, int aPort = 0)
   {
+    const int on = 1; // Connections of an earlier test may still be closing.
+    setsockopt(this->descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const sockaddr_in address = AddressOf(aAddress, aPort);
     return bind(this->descriptor,
                 reinterpret_cast<const sockaddr*>(&address),
--- a/standins/testkit/site.cpp
+++ b/standins/testkit/site.cpp
@@ -113,7 +113,13 @@
 std::string
 Site::Address(std::size_t aHost)
 {
-  return fmt::format("127.90.{}.{}", 1 + getpid() % 200, aHost + 1);
+  // Tests run side by side and one after the other, each as its own process.
+  constexpr int kThirdOctets = 250;
+  constexpr int kSecondOctets = 100;
+  return fmt::format("127.{}.{}.{}",
+                     100 + getpid() / kThirdOctets % kSecondOctets,
+                     1 + getpid() % kThirdOctets,
+                     aHost + 1);
 }
 
 std::filesystem::path
