Use one reader of JSON fields and one harness of entry daemons; drop needless work

Answers, defaults and refusals stay as they were. - sitecalls_test repeated the harness of entrycalls_test.

--- a/src/ctl/jsonvalue.h
+++ b/src/common/jsonvalue.h
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace lacewingwharf {
@@ -25,4 +28,22 @@
   }
 }
 
+/** Empty when the field is missing or no text. */
+inline std::string
+TextIn(const nlohmann::json& aObject, const char* aName)
+{
+  return ValueOr(aObject, aName, std::string());
+}
+
+/** Empty when the field is missing or no whole number. */
+inline std::optional<std::int64_t>
+IntegerIn(const nlohmann::json& aObject, const char* aName)
+{
+  const auto field = aObject.find(aName);
+  if (field == aObject.end() || !field->is_number_integer()) {
+    return std::nullopt;
+  }
+  return field->get<std::int64_t>();
+}
+
 } // namespace lacewingwharf
--- a/src/ctl/catalogueeditor.cpp
+++ b/src/ctl/catalogueeditor.cpp
@@ -1,7 +1,7 @@
 #include "ctl/catalogueeditor.h"
 
 #include "catalogue/entry.h"
-#include "ctl/jsonvalue.h"
+#include "common/jsonvalue.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/src/ctl/daemonclient.cpp
+++ b/src/ctl/daemonclient.cpp
@@ -1,6 +1,6 @@
 #include "ctl/daemonclient.h"
 
-#include "ctl/jsonvalue.h"
+#include "common/jsonvalue.h"
 #include "store/storetransfer.h"
 
 #include <fmt/format.h>
--- a/src/ctl/fleetinspector.cpp
+++ b/src/ctl/fleetinspector.cpp
@@ -1,8 +1,8 @@
 #include "ctl/fleetinspector.h"
 
 #include "common/hash.h"
+#include "common/jsonvalue.h"
 #include "ctl/catalogueeditor.h"
-#include "ctl/jsonvalue.h"
 #include "status/explanation.h"
 
 #include <fmt/format.h>
--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -349,7 +349,8 @@
 {
   this->membership.Tick();
   const auto table = this->membership.Table().Version();
-  if (std::exchange(this->seenTable, table) != table) {
+  // Elsewhere the table tells nothing of who may feed, and changes often.
+  if (std::exchange(this->seenTable, table) != table && this->HasDocuments()) {
     this->distributor.MembersChanged();
   }
   this->distributor.Tick();
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -127,9 +127,11 @@
   std::vector<std::string> candidates = this->hooks.acceptorCandidates();
   if (candidates != this->candidates) {
     this->candidates = std::move(candidates);
-    const auto order = RendezvousOrder("acceptor", this->candidates);
-    this->isAcceptor = this->HasAcceptor() && !order.empty() &&
-                       order.front() == this->config.host;
+    this->isAcceptor = this->HasAcceptor() &&
+                       RankOf(RendezvousOrder("acceptor", this->candidates),
+                              this->config.host,
+                              1)
+                         .has_value();
   }
 }
 
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -209,10 +209,6 @@
 {
   const auto choice = this->chooser.Choose(
     aCall->service, this->limitMemory.LeftOut(*this->view, *aCall));
-  if (!choice && aCall->failure) {
-    this->DeliverFailure(aCall);
-    return;
-  }
   if (!choice) {
     this->Refuse(aCall, this->limitMemory.RefusalFor(*aCall));
     return;
@@ -272,7 +268,6 @@
   return this->hooks.send(AddressOfEndpoint(aEndpoint), std::move(aEnvelope));
 }
 
-/** The failure is kept, so that the caller gets it if nothing better comes. */
 void
 EntryCalls::HandleSessionLost(const PeerAddress& aRemote,
                               bool aWasConnected,
--- a/src/execution/entrycalls_test.cpp
+++ b/src/execution/entrycalls_test.cpp
@@ -1,15 +1,11 @@
 #include "execution/entrycalls.h"
 
-#include "admission/admissionharness.h"
 #include "common/log.h"
-#include "execution/callrequest.h"
+#include "execution/entryharness.h"
 
 #include <criterion/criterion.h>
-#include <fmt/format.h>
 
-#include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 using namespace lacewingwharf;
@@ -17,120 +13,13 @@
 
 namespace {
 
-constexpr Millis kDeadline = 2000;
-
-/** The calls of one entry daemon; records what it sends and answers. */
-struct EntryDaemon
+/** An entry daemon of the product's own protocol. */
+struct EntryDaemon : EntryHarness
 {
   explicit EntryDaemon(std::size_t aServers = 3, Millis aDeadline = kDeadline)
+    : EntryHarness({ "host-a", 1 }, aServers, aDeadline)
   {
-    EntryCallsHooks hooks;
-    hooks.answer = [this](RequestId aRequest, const HttpAnswer& aAnswer) {
-      ++this->answerCounts[aRequest];
-      this->answers[aRequest] = aAnswer;
-    };
-    hooks.send = [this](const PeerAddress& aTo, const wire::Envelope& aSent) {
-      this->sent.emplace_back(aTo, aSent);
-      return true;
-    };
-    hooks.sendLocal = [](const wire::Envelope&) { return false; };
-    hooks.claim = [this](std::uint64_t, const std::string& aHolder) {
-      this->holder = aHolder;
-      return true;
-    };
-    hooks.settleClaim = [this](auto, const auto&, Outcome aOutcome) {
-      this->settled.emplace_back(kOutcomeNames.NameOf(aOutcome));
-    };
-    hooks.isQuarantined = [](std::uint64_t) { return false; };
-    hooks.hasLostServer = [this](std::uint64_t) { return this->hasLostServer; };
-    hooks.serverLost = [this](std::uint64_t, const std::string& aHost) {
-      this->lostAt.push_back(aHost);
-    };
-    hooks.ended = [](const EntryCall&, const Ending&) {};
-    this->calls = std::make_unique<EntryCalls>(EntryCallsConfig{ "host-a", 1 },
-                                               this->clock.View(),
-                                               SeededRandom(1),
-                                               std::move(hooks));
-    Limits limits;
-    limits.deadline = aDeadline;
-    limits.retries = 1;
-    this->calls->SetSnapshot(CatalogueWith(limits, {}));
-    EndpointView view;
-    for (std::size_t i = 0; i < aServers; ++i) {
-      EndpointInfo info;
-      info.host = fmt::format("host-{}", i);
-      info.peerPort = static_cast<int>(i);
-      info.port = kPort;
-      info.slots = 4;
-      view.services[kService].endpoints.push_back(info);
-    }
-    this->calls->SetView(std::make_shared<const EndpointView>(view));
-  }
-
-  void Begin(RequestId aRequest,
-             const std::string& aMethod,
-             const HttpHeaders& aHeaders = {})
-  {
-    HttpRequest http;
-    http.method = aMethod;
-    http.path = "/orders";
-    http.target = http.path;
-    http.headers = aHeaders;
-    this->calls->Begin(aRequest, http);
-  }
-
-  const wire::CallRequest& LastRequest() const
-  {
-    return this->sent.back().second.callRequest;
   }
-
-  /** Answers an attempt as its destination daemon does. */
-  void Answer(const std::string& aAttempt,
-              wire::CallOutcome::type aOutcome,
-              const std::string& aText,
-              int aStatus = 200)
-  {
-    wire::CallAnswer answer;
-    answer.callId = aAttempt;
-    answer.outcome = aOutcome;
-    answer.status = aStatus;
-    if (aOutcome == wire::CallOutcome::DONE) {
-      answer.body = aText;
-      answer.bodyHash = BodyHash(aText);
-    } else {
-      answer.reason = aText;
-    }
-    this->calls->HandleAnswer(answer);
-  }
-
-  void LoseSession() const
-  {
-    this->calls->HandleSessionLost(this->sent.back().first, true, {});
-  }
-
-  void Wait(Millis aMillis)
-  {
-    this->clock.Advance(static_cast<double>(aMillis));
-    this->calls->Tick();
-  }
-
-  std::string OutcomeOf(RequestId aRequest) const
-  {
-    const auto found = this->answers.find(aRequest);
-    return found == this->answers.end()
-             ? ""
-             : found->second.headers.at(kOutcomeHeader);
-  }
-
-  ManualClock clock{ 100000 };
-  std::vector<std::pair<PeerAddress, wire::Envelope>> sent;
-  std::map<RequestId, HttpAnswer> answers;
-  std::map<RequestId, int> answerCounts;
-  std::string holder;
-  std::vector<std::string> settled;
-  bool hasLostServer = false;
-  std::vector<std::string> lostAt;
-  std::unique_ptr<EntryCalls> calls;
 };
 
 constexpr auto kDone = wire::CallOutcome::DONE;
--- a/src/execution/entrycallsanswers.cpp
+++ b/src/execution/entrycallsanswers.cpp
@@ -100,6 +100,7 @@
     aCall, DoneAnswer(std::move(aAnswer), this->config.dialect), ending);
 }
 
+/** The failure is kept, so that the caller gets it if nothing better comes. */
 bool
 EntryCalls::RetryFailure(const EntryCallPtr& aCall, wire::CallAnswer& aAnswer)
 {
--- a/src/execution/sitecalls_test.cpp
+++ b/src/execution/sitecalls_test.cpp
@@ -1,10 +1,9 @@
 // Calls where statuses are promises and servers mark their answers.
 
-#include "admission/admissionharness.h"
 #include "common/log.h"
 #include "execution/callrequest.h"
 #include "execution/destinationcalls.h"
-#include "execution/entrycalls.h"
+#include "execution/entryharness.h"
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
@@ -21,8 +20,6 @@
 
 namespace {
 
-constexpr Millis kDeadline = 2000;
-
 CallDialect
 SiteDialect()
 {
@@ -41,94 +38,36 @@
   return dialect;
 }
 
-/** An entry daemon whose sends and answers are recorded. */
-struct EntryDaemon
+EntryCallsConfig
+SiteConfig()
+{
+  EntryCallsConfig config;
+  config.host = "host-a";
+  config.incarnation = 1;
+  config.dialect = SiteDialect();
+  config.service = "own-service";
+  config.retriesFailures = true;
+  config.triesElsewhere = true;
+  return config;
+}
+
+/** An entry daemon of a site. */
+struct EntryDaemon : EntryHarness
 {
   explicit EntryDaemon(std::size_t aServers = 3)
+    : EntryHarness(SiteConfig(), aServers, kDeadline)
   {
     Log::SetLevel(LogLevel::Error);
-    EntryCallsHooks hooks;
-    hooks.answer = [this](RequestId aRequest, const HttpAnswer& aAnswer) {
-      this->answers[aRequest] = aAnswer;
-    };
-    hooks.send = [this](const PeerAddress& aTo, const wire::Envelope& aSent) {
-      this->sent.emplace_back(aTo, aSent);
-      return true;
-    };
-    hooks.sendLocal = [](const wire::Envelope&) { return false; };
-    hooks.claim = [](std::uint64_t, const std::string&) { return false; };
-    hooks.settleClaim = [](auto, const auto&, Outcome) {};
-    hooks.isQuarantined = [](std::uint64_t) { return false; };
-    hooks.hasLostServer = [](std::uint64_t) { return false; };
-    hooks.serverLost = [](std::uint64_t, const std::string&) {};
-    hooks.ended = [](const EntryCall&, const Ending&) {};
-    EntryCallsConfig config;
-    config.host = "host-a";
-    config.incarnation = 1;
-    config.dialect = SiteDialect();
-    config.service = "own-service";
-    config.retriesFailures = true;
-    config.triesElsewhere = true;
-    this->calls = std::make_unique<EntryCalls>(
-      config, this->clock.View(), SeededRandom(1), std::move(hooks));
-    Limits limits;
-    limits.deadline = kDeadline;
-    limits.retries = 1;
-    this->calls->SetSnapshot(CatalogueWith(limits, {}));
-    this->SetServers(aServers, {});
-  }
-
-  /** aSuspect is the peer port of a daemon that does not answer others. */
-  void SetServers(std::size_t aServers, std::optional<int> aSuspect)
-  {
-    EndpointView view;
-    for (std::size_t i = 0; i < aServers; ++i) {
-      EndpointInfo info;
-      info.host = fmt::format("host-{}", i);
-      info.peerPort = static_cast<int>(i);
-      info.port = kPort;
-      info.slots = 4;
-      info.isSuspect = info.peerPort == aSuspect;
-      view.services[kService].endpoints.push_back(info);
-    }
-    this->calls->SetView(std::make_shared<const EndpointView>(view));
-  }
-
-  void Begin(RequestId aRequest,
-             const std::string& aMethod,
-             const HttpHeaders& aHeaders = {})
-  {
-    HttpRequest http;
-    http.method = aMethod;
-    http.path = "/orders";
-    http.target = http.path;
-    http.headers = aHeaders;
-    this->calls->Begin(aRequest, http);
-  }
-
-  const wire::CallRequest& LastRequest() const
-  {
-    return this->sent.back().second.callRequest;
   }
 
+  /** Answers the latest attempt. */
   void Answer(wire::CallOutcome::type aOutcome,
               const std::string& aText,
               int aStatus = 200)
   {
-    wire::CallAnswer answer;
-    answer.callId = this->LastRequest().callId;
-    answer.outcome = aOutcome;
-    answer.status = aStatus;
-    answer.reason = aText;
-    answer.body = aText;
-    answer.bodyHash = BodyHash(aText);
-    this->calls->HandleAnswer(answer);
+    this->EntryHarness::Answer(
+      this->LastRequest().callId, aOutcome, aText, aStatus);
   }
-
-  ManualClock clock{ 100000 };
-  std::vector<std::pair<PeerAddress, wire::Envelope>> sent;
-  std::map<RequestId, HttpAnswer> answers;
-  std::unique_ptr<EntryCalls> calls;
 };
 
 /** The answer of a destination daemon to what a server answered. */
--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -1,5 +1,6 @@
 #include "membership/memberdirectory.h"
 
+#include "common/jsonvalue.h"
 #include "common/log.h"
 
 #include <fmt/format.h>
@@ -51,22 +52,10 @@
   return json.dump();
 }
 
-std::string
-TextIn(const Json& aObject, const char* aField)
-{
-  const auto field = aObject.find(aField);
-  return field != aObject.end() && field->is_string()
-           ? field->get<std::string>()
-           : std::string();
-}
-
 std::int64_t
 NumberIn(const Json& aObject, const char* aField)
 {
-  const auto field = aObject.find(aField);
-  return field != aObject.end() && field->is_number_integer()
-           ? field->get<std::int64_t>()
-           : 0;
+  return IntegerIn(aObject, aField).value_or(0);
 }
 
 std::optional<DirectoryEntry>
