Acknowledge a leaving server only once the store has it

A daemon that was killed after such an acknowledgement read an entry without the leaving, announced its server as ready and sent it calls.

Change: MemberDirectory repeats the write until the store accepts it and calls its waiters only then. LeavingReports answers a report that is not stored within 0.6 s with 503, so the server reports again; its calls stop at the first report, as before.

Tests: memberdirectory/a_leaving_counts_as_stored_only_when_the_store_has_it, .../a_leaving_reported_before_the_first_read_is_stored and leavingreports_test. They use an interface that the old code does not have, so they were not run against it; the fault was read in the old code.

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -161,6 +161,10 @@
               this->clock,
               this->DirectoryHooks())
   , localServer(aSettings.site.service, aSettings.site.server)
+  , leavingReports(this->clock,
+                   [this](const LeavingServer& aLeaving, auto aDone) {
+                     this->directory.StoreLeaving(aLeaving, std::move(aDone));
+                   })
   , startedAt(this->clock.Now())
   , aggregator(
       aSettings.domain,
@@ -367,7 +371,7 @@
   Log::Flush();
   this->SetWatches();
   this->PublishMembers();
-  this->AcknowledgeDueReports();
+  this->leavingReports.Tick();
   this->RetryLostStore();
   this->PublishEndpoints();
   this->PublishConfiguration();
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -6,6 +6,7 @@
 #include "execution/claimclient.h"
 #include "execution/claimwriter.h"
 #include "execution/outcome.h"
+#include "membership/leavingreports.h"
 #include "membership/localserver.h"
 #include "membership/memberdirectory.h"
 #include "membership/membership.h"
@@ -84,8 +85,8 @@
   void Announce(const Announcement& aAnnouncement);
 
   /**
-   * Calls aDone when the report is in effect. If the report has to be stored,
-   * this is after it is stored or after a time limit has passed.
+   * Calls aDone when the report is in effect, and with NotStored if it has to
+   * be stored and the store does not answer in time.
    */
   void HandleServerReport(ServerReport aReport,
                           std::function<void(ReportDecision)> aDone);
@@ -110,17 +111,8 @@
   Json EntryState(const std::string& aName);
 
 private:
-  /** A report that is acknowledged after it is written to the store. */
-  struct PendingReport
-  {
-    std::function<void(ReportDecision)> done;
-    Millis dueAt = 0;
-  };
-
   bool HasDocuments() const;
   void PublishServer();
-  void AcknowledgeReport(std::uint64_t aNumber);
-  void AcknowledgeDueReports();
   PlatformResult<std::optional<CatalogueDocument>> ReadDocument(
     const ObjectStore& aStore) const;
   void HandleDocumentChange(const PlatformResult<ObjectList>& aResult);
@@ -166,8 +158,7 @@
   SeedList seeds;
   MemberDirectory directory;
   LocalServer localServer;
-  std::map<std::uint64_t, PendingReport> pendingReports;
-  std::uint64_t lastReportNumber = 0;
+  LeavingReports leavingReports;
   bool isServerPending = false; // Reported, but not announced yet.
   Millis startedAt;
   std::optional<Millis> storeLostUntil;
--- a/src/daemon/controlservicesite.cpp
+++ b/src/daemon/controlservicesite.cpp
@@ -12,10 +12,6 @@
 
 constexpr Log kLog("control");
 
-// A server treats a report as lost after one second. This limit acknowledges
-// the report before that, even if the store does not answer.
-constexpr Millis kMaxReportWait = 600;
-
 // How long a daemon leaves the watch to other daemons after its own has failed.
 // When the store is down, the watches of one daemon after the other fail, and
 // each of these daemons notifies all members.
@@ -68,46 +64,13 @@
       return;
     }
     this->PublishServer();
-    if (leaving == this->localServer.Leaving()) {
+    const auto& current = this->localServer.Leaving();
+    if (current && current->id == report.id) {
+      this->leavingReports.Handle(*current, done);
+    } else {
       done(decision);
-      return;
-    }
-    const std::uint64_t number = ++this->lastReportNumber;
-    this->pendingReports[number] = { done, this->clock.Now() + kMaxReportWait };
-    this->directory.StoreLeaving(
-      *this->localServer.Leaving(), [this, number](bool aIsStored) {
-        if (!aIsStored) {
-          kLog.Warning("cannot store that the server is leaving");
-        }
-        this->AcknowledgeReport(number);
-      });
-  });
-}
-
-void
-ControlService::AcknowledgeReport(std::uint64_t aNumber)
-{
-  const auto pending = this->pendingReports.extract(aNumber);
-  if (!pending.empty()) {
-    pending.mapped().done(ReportDecision::Taken);
-  }
-}
-
-void
-ControlService::AcknowledgeDueReports()
-{
-  const Millis now = this->clock.Now();
-  std::vector<std::uint64_t> due;
-  std::ranges::for_each(this->pendingReports, [&due, now](const auto& aPair) {
-    if (now >= aPair.second.dueAt) {
-      due.push_back(aPair.first);
     }
   });
-  std::ranges::for_each(due, [this](std::uint64_t aNumber) {
-    kLog.Warning(
-      "a report is acknowledged before it is stored: the store is late");
-    this->AcknowledgeReport(aNumber);
-  });
 }
 
 void
--- a/src/daemon/siteservice.cpp
+++ b/src/daemon/siteservice.cpp
@@ -99,10 +99,14 @@
     return;
   }
   this->hooks.handleServerReport(
-    std::move(report).value(), [this, aId](ReportDecision /*aDecision*/) {
+    std::move(report).value(), [this, aId](ReportDecision aDecision) {
       // Old and foreign reports are acknowledged, too: their sender cannot
       // correct them, and no other daemon has more information to judge them.
-      this->reports.Answer(aId, JsonAnswer(kOk, nlohmann::json::object()));
+      const bool isStored = aDecision != ReportDecision::NotStored;
+      this->reports.Answer(
+        aId,
+        isStored ? JsonAnswer(kOk, nlohmann::json::object())
+                 : JsonAnswer(kUnavailable, { { "error", "not stored yet" } }));
     });
 }
 
--- /dev/null
+++ b/src/membership/leavingreports_test.cpp
@@ -0,0 +1,63 @@
+#include "membership/leavingreports.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+using namespace lacewingwharf;
+
+namespace {
+
+/** Reports of one server; the store answers when the test says so. */
+struct Harness
+{
+  Harness()
+    : reports(this->clock.View(),
+              [this](const LeavingServer&, std::function<void()> aDone) {
+                this->stored.push_back(std::move(aDone));
+              })
+  {
+  }
+
+  void Report()
+  {
+    this->reports.Handle({ "i-1", 77 }, [this](ReportDecision aDecision) {
+      this->answers.push_back(aDecision);
+    });
+  }
+
+  ManualClock clock{ 1000 };
+  std::vector<std::function<void()>> stored;
+  std::vector<ReportDecision> answers;
+  LeavingReports reports;
+};
+
+} // namespace
+
+// An acknowledgement that is given before the store has the leaving is undone
+// by a kill of the daemon, and the server gets calls again.
+Test(leavingreports, a_report_is_not_acknowledged_before_it_is_stored)
+{
+  Harness harness;
+  harness.Report();
+  harness.clock.Advance(5000);
+  harness.reports.Tick();
+  cr_assert_eq(harness.answers.size(), 1U);
+  cr_expect(harness.answers[0] == ReportDecision::NotStored);
+  harness.Report(); // The server tries again.
+  harness.stored[1]();
+  cr_assert_eq(harness.answers.size(), 2U);
+  cr_expect(harness.answers[1] == ReportDecision::Taken);
+}
+
+// Each report is answered once, also if the store answers after the time limit.
+Test(leavingreports, a_late_store_answer_does_not_answer_again)
+{
+  Harness harness;
+  harness.Report();
+  harness.clock.Advance(5000);
+  harness.reports.Tick();
+  harness.stored[0]();
+  harness.reports.Tick();
+  cr_expect_eq(harness.answers.size(), 1U);
+}
--- a/src/membership/localserver.h
+++ b/src/membership/localserver.h
@@ -41,14 +41,16 @@
 enum class ReportDecision
 {
   Taken,
-  Old,    // From an earlier process, or older than a report already handled.
-  Foreign // Names another service or address than the server on this host.
+  Old,      // From an earlier process, or older than a report already handled.
+  Foreign,  // Names another service or address than the server on this host.
+  NotStored // In effect, but a restart of the daemon may still undo it.
 };
 
-inline constexpr auto kReportDecisionNames =
-  MakeNameTable<ReportDecision>({ { ReportDecision::Taken, "taken" },
-                                  { ReportDecision::Old, "old" },
-                                  { ReportDecision::Foreign, "foreign" } });
+inline constexpr auto kReportDecisionNames = MakeNameTable<ReportDecision>(
+  { { ReportDecision::Taken, "taken" },
+    { ReportDecision::Old, "old" },
+    { ReportDecision::Foreign, "foreign" },
+    { ReportDecision::NotStored, "not-stored" } });
 
 /** A server process that has sent a heartbeat, as kept in the store. */
 struct ServerProcess
--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -165,7 +165,7 @@
   }
   // The entry of an earlier process is read before it is overwritten.
   if (this->hasRead && !this->isWritten && now >= this->writeDueAt) {
-    this->Write([](bool) {});
+    this->Write();
   }
 }
 
@@ -246,6 +246,7 @@
   if (this->hasRead) {
     return;
   }
+  this->storedLeaving = aOwn.leaving;
   // Reports that this process has received meanwhile are newer.
   this->self.leaving = this->self.leaving ? this->self.leaving : aOwn.leaving;
   this->self.server = this->self.server ? this->self.server : aOwn.server;
@@ -280,44 +281,76 @@
 
 void
 MemberDirectory::StoreLeaving(const LeavingServer& aLeaving,
-                              const std::function<void(bool)>& aDone)
+                              std::function<void()> aDone)
 {
-  if (this->self.leaving == aLeaving) {
-    aDone(true);
+  if (this->storedLeaving == aLeaving) {
+    aDone();
     return;
   }
+  this->leavingWaiters.push_back({ aLeaving, std::move(aDone) });
+  if (this->self.leaving == aLeaving) {
+    return; // A write is running, or Tick() repeats it.
+  }
   this->self.leaving = aLeaving;
-  this->Write(aDone);
+  this->isWritten = false;
+  if (this->hasRead && !this->isBusy) {
+    this->Write();
+  }
 }
 
 void
-MemberDirectory::Write(const std::function<void(bool)>& aDone)
+MemberDirectory::Write()
 {
+  this->isBusy = true;
   this->writeDueAt = this->clock.Now() + kRetryInterval;
   const std::weak_ptr<bool> guard = this->lifetime;
   const std::string name = kPrefix + this->self.host;
-  const bool isSubmitted =
-    this->hooks.submit([this,
-                        guard,
-                        name,
-                        text = EncodeEntry(this->self),
-                        expectedRevision = this->revision,
-                        done = aDone](const ObjectStore& aStore) {
+  const bool isSubmitted = this->hooks.submit(
+    [this,
+     guard,
+     name,
+     text = EncodeEntry(this->self),
+     leaving = this->self.leaving,
+     expectedRevision = this->revision](const ObjectStore& aStore) {
       auto written = Replace(aStore, name, text, expectedRevision);
-      return Completion([this, guard, text, done, result = std::move(written)] {
-        if (guard.expired()) {
-          return;
-        }
-        if (result) {
+      return Completion(
+        [this, guard, text, leaving, result = std::move(written)] {
+          if (guard.expired()) {
+            return;
+          }
+          this->isBusy = false;
+          if (!result) {
+            kLog.Warning("cannot write the own member entry: {} {}",
+                         kPlatformErrorNames.NameOf(result.error().code),
+                         result.error().detail);
+            return;
+          }
           this->revision = result.value();
           this->isWritten = text == EncodeEntry(this->self);
-        }
-        done(result.has_value());
-      });
+          this->HandleWritten(leaving);
+        });
     });
   if (!isSubmitted) {
-    aDone(false);
+    this->isBusy = false;
+  }
+}
+
+void
+MemberDirectory::HandleWritten(const std::optional<LeavingServer>& aLeaving)
+{
+  this->storedLeaving = aLeaving;
+  // A report that arrived during the write must not wait for the next tick.
+  if (!this->isWritten) {
+    this->Write();
   }
+  const auto waiters = std::exchange(this->leavingWaiters, {});
+  std::ranges::for_each(waiters, [this](const LeavingWaiter& aWaiter) {
+    if (aWaiter.leaving == this->storedLeaving) {
+      aWaiter.done();
+    } else if (aWaiter.leaving == this->self.leaving) {
+      this->leavingWaiters.push_back(aWaiter);
+    }
+  });
 }
 
 } // namespace lacewingwharf
--- a/src/membership/memberdirectory.h
+++ b/src/membership/memberdirectory.h
@@ -79,11 +79,11 @@
   void Tick(bool aIsAlone);
 
   /**
-   * Stores that a server is leaving. aDone is called with the result of the
-   * write.
+   * Stores that a server is leaving. A write that fails is repeated by Tick().
+   * aDone is called once the store has accepted it, and not at all if another
+   * server leaves before that.
    */
-  void StoreLeaving(const LeavingServer& aLeaving,
-                    const std::function<void(bool aIsStored)>& aDone);
+  void StoreLeaving(const LeavingServer& aLeaving, std::function<void()> aDone);
 
   /** Schedules a write if the server differs from the one in the entry. */
   void StoreServer(const ServerProcess& aServer);
@@ -92,8 +92,15 @@
   void Remove();
 
 private:
+  struct LeavingWaiter
+  {
+    LeavingServer leaving;
+    std::function<void()> done;
+  };
+
   void Read();
-  void Write(const std::function<void(bool)>& aDone);
+  void Write();
+  void HandleWritten(const std::optional<LeavingServer>& aLeaving);
   void RestoreOwn(const DirectoryEntry& aOwn);
   void HandleEntries(const std::vector<DirectoryEntry>& aEntries);
 
@@ -110,6 +117,10 @@
   Millis readDueAt = 0;
   std::optional<Millis> settledAt;
   Millis writeDueAt = 0;
+
+  /** The leaving server in the last entry that the store accepted. */
+  std::optional<LeavingServer> storedLeaving;
+  std::vector<LeavingWaiter> leavingWaiters;
 };
 
 inline const std::vector<PeerAddress>&
--- a/src/membership/memberdirectory_test.cpp
+++ b/src/membership/memberdirectory_test.cpp
@@ -122,8 +122,7 @@
   Daemon before(store, "a", 1);
   before.Run(1000);
   bool isStored = false;
-  before.directory.StoreLeaving({ "i-1", 77 },
-                                [&](bool aIsStored) { isStored = aIsStored; });
+  before.directory.StoreLeaving({ "i-1", 77 }, [&] { isStored = true; });
   cr_expect(isStored);
   Daemon after(store, "a", 1);
   after.Run(1000);
@@ -201,3 +200,42 @@
   daemon.Run(2000);
   cr_expect(daemon.directory.HasSettled());
 }
+
+// A leaving that is acknowledged and not stored is forgotten when the daemon
+// is killed, and the server gets calls again. The store must therefore have it
+// before the report counts as stored, however often a write fails.
+Test(memberdirectory, a_leaving_counts_as_stored_only_when_the_store_has_it)
+{
+  FakeStore store;
+  Daemon daemon(store, "a", 1);
+  daemon.Run(1000);
+  store.isDown = true;
+  int answers = 0;
+  const auto count = [&answers] { ++answers; };
+  daemon.directory.StoreLeaving({ "i-1", 77 }, count);
+  daemon.directory.StoreLeaving({ "i-1", 77 }, count); // Reported again.
+  daemon.Run(3000);
+  cr_expect_eq(answers, 0);
+  store.isDown = false;
+  daemon.Run(1000);
+  cr_expect_eq(answers, 2);
+  Daemon after(store, "a", 1);
+  after.Run(1000);
+  cr_expect(after.restoredLeaving == std::vector<std::string>{ "i-1" });
+}
+
+// A daemon that has not read its entry yet must not acknowledge a leaving, and
+// must keep the one that an earlier process stored.
+Test(memberdirectory, a_leaving_reported_before_the_first_read_is_stored)
+{
+  FakeStore store;
+  store.isDown = true;
+  Daemon daemon(store, "a", 1);
+  int answers = 0;
+  daemon.directory.StoreLeaving({ "i-1", 77 }, [&answers] { ++answers; });
+  daemon.Run(1000);
+  cr_expect_eq(answers, 0);
+  store.isDown = false;
+  daemon.Run(2000);
+  cr_expect_eq(answers, 1);
+}
