Push a changed record across the link between regions only twice

Cause: the two push trees were built over all hosts, so about half of their edges crossed the link. Change: trees within each region; the root sends to two gateways in each other region, which are the roots there.

--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -87,8 +87,10 @@
 void
 Gossip::FlushPushes()
 {
-  const auto byChild = this->pushes.Take(
-    this->table.LiveHosts(), this->config.host, this->config.fanout);
+  const auto byChild = this->pushes.Take(this->table.LiveHostsByRegion(),
+                                          this->config.region,
+                                          this->config.host,
+                                          this->config.fanout);
   for (const auto& [child, records] : byChild) {
     for (const auto& group : SplitBySize(records, kMaxRecordBytes)) {
       // A push is an ack with sequence 0; the sequences of pings start at 1.
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -97,22 +97,37 @@
   return position == this->members.end() ? nullptr : &position->second.record;
 }
 
-const std::vector<std::string>&
-MemberTable::LiveHosts() const
+void
+MemberTable::UpdateLiveHosts() const
 {
   if (this->liveHostsVersion == this->liveVersion) {
-    return this->liveHosts;
+    return;
   }
   this->liveHosts.clear();
+  this->liveHostsByRegion.clear();
   for (const auto& [host, member] : this->members) {
     if (IsLive(member.record)) {
       this->liveHosts.push_back(host);
+      this->liveHostsByRegion[member.record.region].push_back(host);
     }
   }
   this->liveHostsVersion = this->liveVersion;
+}
+
+const std::vector<std::string>&
+MemberTable::LiveHosts() const
+{
+  this->UpdateLiveHosts();
   return this->liveHosts;
 }
 
+const std::map<std::string, std::vector<std::string>>&
+MemberTable::LiveHostsByRegion() const
+{
+  this->UpdateLiveHosts();
+  return this->liveHostsByRegion;
+}
+
 std::vector<std::string>
 MemberTable::HostsInState(wire::MemberState::type aState) const
 {
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -43,6 +43,10 @@
 
   /** Hosts of live members, sorted. */
   const std::vector<std::string>& LiveHosts() const;
+
+  /** Hosts of live members by region, sorted. */
+  const std::map<std::string, std::vector<std::string>>& LiveHostsByRegion()
+    const;
   std::vector<std::string> HostsInState(wire::MemberState::type aState) const;
   std::size_t SuspectCount() const;
   std::size_t Size() const;
@@ -64,6 +68,8 @@
   std::uint64_t LiveVersion() const;
 
 private:
+  void UpdateLiveHosts() const;
+
   struct Member
   {
     wire::MemberRecord record;
@@ -77,6 +83,7 @@
   std::uint64_t liveVersion = 0;
   mutable std::uint64_t liveHostsVersion = ~0ULL;
   mutable std::vector<std::string> liveHosts;
+  mutable std::map<std::string, std::vector<std::string>> liveHostsByRegion;
 };
 
 inline std::size_t
--- a/src/membership/recordpush.cpp
+++ b/src/membership/recordpush.cpp
@@ -1,5 +1,6 @@
 #include "membership/recordpush.h"
 
+#include "common/hash.h"
 #include "membership/wiresize.h"
 
 #include <algorithm>
@@ -68,6 +69,22 @@
   }
 }
 
+/** The two hosts of a region that receive a record from another region. */
+struct Gateways
+{
+  std::string first;
+  std::string second;
+};
+
+/** Daemons that agree on the hosts of a region choose the same gateways. */
+Gateways
+GatewaysFor(const std::vector<std::string>& aHosts, const std::string& aRoot)
+{
+  const std::size_t count = aHosts.size();
+  const std::size_t first = Hash64(aRoot) % count;
+  return { aHosts[first], aHosts[(first + count / 2) % count] };
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -99,6 +116,52 @@
   return { children.begin(), children.end() };
 }
 
+std::vector<std::string>
+RegionTreeChildren(const HostsByRegion& aHosts,
+                   const std::string& aRootRegion,
+                   const std::string& aRoot,
+                   const std::string& aSelfRegion,
+                   const std::string& aSelf,
+                   std::size_t aFanout)
+{
+  const auto own = aHosts.find(aSelfRegion);
+  if (own == aHosts.end()) {
+    return {};
+  }
+  if (aSelfRegion != aRootRegion) {
+    const Gateways gateways = GatewaysFor(own->second, aRoot);
+    std::set<std::string> children;
+    AddChildren(children,
+                own->second,
+                gateways.first,
+                aSelf,
+                aFanout,
+                Direction::Ascending);
+    AddChildren(children,
+                own->second,
+                gateways.second,
+                aSelf,
+                aFanout,
+                Direction::Descending);
+    return { children.begin(), children.end() };
+  }
+  std::vector<std::string> children =
+    TwoTreeChildren(own->second, aRoot, aSelf, aFanout);
+  if (aSelf != aRoot) {
+    return children;
+  }
+  for (const auto& [region, hosts] : aHosts) {
+    if (region != aRootRegion) {
+      const Gateways gateways = GatewaysFor(hosts, aRoot);
+      children.push_back(gateways.first);
+      if (gateways.second != gateways.first) {
+        children.push_back(gateways.second);
+      }
+    }
+  }
+  return children;
+}
+
 void
 RecordPush::Add(const wire::MemberRecord& aRecord)
 {
@@ -106,14 +169,15 @@
 }
 
 std::map<std::string, std::vector<wire::MemberRecord>>
-RecordPush::Take(const std::vector<std::string>& aHosts,
+RecordPush::Take(const HostsByRegion& aHosts,
+                 const std::string& aSelfRegion,
                  const std::string& aSelf,
                  std::size_t aFanout)
 {
   std::map<std::string, std::vector<wire::MemberRecord>> byChild;
   for (const auto& [host, record] : this->pending) {
-    for (const std::string& child :
-         TwoTreeChildren(aHosts, host, aSelf, aFanout)) {
+    for (const std::string& child : RegionTreeChildren(
+           aHosts, record.region, host, aSelfRegion, aSelf, aFanout)) {
       byChild[child].push_back(record);
     }
   }
--- a/src/membership/recordpush.h
+++ b/src/membership/recordpush.h
@@ -27,6 +27,22 @@
                 const std::string& aSelf,
                 std::size_t aFanout);
 
+using HostsByRegion = std::map<std::string, std::vector<std::string>>;
+
+/**
+ * The daemons to which aSelf forwards a record of aRoot: its children in the
+ * two trees of its own region. The root also sends the record to two gateways
+ * in each other region, which are the roots of the trees there. So a change
+ * crosses the link between two regions twice, whatever their size.
+ */
+std::vector<std::string>
+RegionTreeChildren(const HostsByRegion& aHosts,
+                   const std::string& aRootRegion,
+                   const std::string& aRoot,
+                   const std::string& aSelfRegion,
+                   const std::string& aSelf,
+                   std::size_t aFanout);
+
 /**
  * Records to be forwarded at once along the trees whose roots are the hosts of
  * the records. With gossip alone, a record needs a number of gossip intervals
@@ -40,7 +56,8 @@
 
   /** Removes all pending records and returns them by receiving child. */
   std::map<std::string, std::vector<wire::MemberRecord>> Take(
-    const std::vector<std::string>& aHosts,
+    const HostsByRegion& aHosts,
+    const std::string& aSelfRegion,
     const std::string& aSelf,
     std::size_t aFanout);
 
