Probe one in eight members of other regions per round

Cause: probes chose among all hosts, so half of all pings, acks and updates crossed the link. The own region detects a member's faults; a few probes carry the news across.

--- a/src/membership/failuredetector.cpp
+++ b/src/membership/failuredetector.cpp
@@ -4,6 +4,7 @@
 #include "membership/membertable.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lacewingwharf {
@@ -19,6 +20,10 @@
 // row, all of different members, show the partition earlier.
 constexpr std::size_t kRecentProbeCount = 3;
 
+// A round of probes contains all members of the own region and one of this many
+// members of the other regions.
+constexpr std::size_t kOtherRegionShare = 8;
+
 void
 Shuffle(std::vector<std::string>& aHosts, const Random& aRandom)
 {
@@ -134,13 +139,29 @@
         return host;
       }
     }
-    this->targets = aTable.LiveHosts();
-    std::erase(this->targets, this->config.self);
-    Shuffle(this->targets, this->random);
+    this->targets = this->TargetsOfRound(aTable);
   }
   return std::nullopt;
 }
 
+std::vector<std::string>
+FailureDetector::TargetsOfRound(const MemberTable& aTable) const
+{
+  std::vector<std::string> targets;
+  for (const auto& [region, hosts] : aTable.LiveHostsByRegion()) {
+    std::vector<std::string> members = hosts;
+    std::erase(members, this->config.self);
+    Shuffle(members, this->random);
+    if (region != this->config.region) {
+      members.resize((members.size() + kOtherRegionShare - 1) /
+                     kOtherRegionShare);
+    }
+    std::ranges::move(members, std::back_inserter(targets));
+  }
+  Shuffle(targets, this->random);
+  return targets;
+}
+
 void
 FailureDetector::EndProbe(bool aIsAnswered)
 {
--- a/src/membership/failuredetector.h
+++ b/src/membership/failuredetector.h
@@ -19,6 +19,7 @@
 struct FailureDetectorConfig
 {
   std::string self;
+  std::string region;
   Millis interval = 1000;
   Millis suspicionTime = 3000;
 };
@@ -35,7 +36,9 @@
 };
 
 /**
- * SWIM failure detection within one failure domain. It first checks for faults
+ * SWIM failure detection among the members of the table. Members of other
+ * regions are probed less often: their own region detects their faults, and a
+ * few probes carry the news across. The detector first checks for faults
  * of its own: a pause of this process or a partition that isolates it does not
  * lead to other members being declared dead.
  */
@@ -88,6 +91,7 @@
   void SendPingRequests(const MemberTable& aTable);
   void StartProbe(Millis aNow, const MemberTable& aTable);
   std::optional<std::string> NextTarget(const MemberTable& aTable);
+  std::vector<std::string> TargetsOfRound(const MemberTable& aTable) const;
   void EndProbe(bool aIsAnswered);
   bool LooksPartitioned(const MemberTable& aTable) const;
   bool RecentProbesFailed() const;
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -33,7 +33,10 @@
   , network(aNetwork)
   , table(aTable)
   , hooks(std::move(aHooks))
-  , detector({ aConfig.host, aConfig.gossipInterval, aConfig.suspicionTime },
+  , detector({ aConfig.host,
+               aConfig.region,
+               aConfig.gossipInterval,
+               aConfig.suspicionTime },
              std::move(aRandom),
              this->MakeDetectorHooks())
 {
@@ -88,9 +91,9 @@
 Gossip::FlushPushes()
 {
   const auto byChild = this->pushes.Take(this->table.LiveHostsByRegion(),
-                                          this->config.region,
-                                          this->config.host,
-                                          this->config.fanout);
+                                         this->config.region,
+                                         this->config.host,
+                                         this->config.fanout);
   for (const auto& [child, records] : byChild) {
     for (const auto& group : SplitBySize(records, kMaxRecordBytes)) {
       // A push is an ack with sequence 0; the sequences of pings start at 1.
