Synchronise the member table mostly within the region

Cause: the first answer holds all records, and its sender was any member of the fleet. One sync in eight still chooses among all regions.

--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -123,6 +123,7 @@
   std::vector<PeerAddress> Seeds() const;
   std::vector<PeerAddress> UnknownSeeds() const;
   std::optional<PeerAddress> RandomMember(wire::MemberState::type aState) const;
+  std::optional<PeerAddress> SyncPartner() const;
   void HandleSync(SessionId aSession, const wire::MemberSync& aSync);
   void AnswerSync(SessionId aSession, const wire::MemberSync& aRequest);
   void CompleteSync(SessionId aSession, const wire::MemberSync& aAnswer);
--- a/src/membership/membershipsync.cpp
+++ b/src/membership/membershipsync.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// One of this many syncs chooses among the members of all regions.
+constexpr std::uint64_t kOtherRegionSyncs = 8;
+
 wire::Envelope
 ToEnvelope(const wire::MemberSync& aSync)
 {
@@ -63,13 +66,32 @@
   return ToPeerAddress(*this->table.Find(host));
 }
 
+/**
+ * A random live member, mostly of the own region: an answer to a daemon that
+ * starts contains all records, and the link between regions is narrow.
+ */
+std::optional<PeerAddress>
+Membership::SyncPartner() const
+{
+  const auto& byRegion = this->table.LiveHostsByRegion();
+  const auto own = byRegion.find(this->config.region);
+  const bool isAlone = own == byRegion.end() || own->second.size() < 2;
+  if (isAlone || RandomBelow(this->random, kOtherRegionSyncs) == 0) {
+    return this->RandomMember(wire::MemberState::ALIVE);
+  }
+  std::vector<std::string> hosts = own->second;
+  std::erase(hosts, this->config.host);
+  const auto& host = hosts[RandomBelow(this->random, hosts.size())];
+  return ToPeerAddress(*this->table.Find(host));
+}
+
 void
 Membership::StartSyncs(Millis aNow)
 {
   if (!this->syncer.IsDue(aNow)) {
     return;
   }
-  if (const auto member = this->RandomMember(wire::MemberState::ALIVE)) {
+  if (const auto member = this->SyncPartner()) {
     this->SendSync(*member);
   }
   const bool isSearching = !this->syncer.HasSynced();
