Send records that their members push less often with gossip

Cause: each daemon repeated each record 2 + log2(n) times, 11 times at 296 hosts, although its member had pushed it along two trees. A start of the fleet filled every datagram for about a minute. Records of members that are suspect or dead are not pushed and are sent as often as before.

Tests: regionlink_test.

--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -16,6 +16,13 @@
 // Bounds the memory that peers can occupy with ping requests.
 constexpr std::size_t kMaxIndirectPings = 256;
 
+bool
+IsDeclared(const wire::MemberRecord& aRecord)
+{
+  return aRecord.state == wire::MemberState::SUSPECT ||
+         aRecord.state == wire::MemberState::DEAD;
+}
+
 PeerAddress
 ToPeerAddress(const wire::MemberRecord& aRecord)
 {
@@ -79,12 +86,19 @@
                            Millis aNow)
 {
   this->detector.UpdateSuspicion(aRecord, aNow);
-  if (aPropagation != Propagation::None) {
-    this->queue.Add(aRecord);
+  if (aPropagation == Propagation::None) {
+    return;
   }
   if (aPropagation == Propagation::Tree) {
     this->pushes.Add(aRecord);
   }
+  // A member pushes its own changes to all others. Faults that other members
+  // declare are not pushed and depend on the gossip.
+  if (IsDeclared(aRecord)) {
+    this->queue.Add(aRecord);
+  } else {
+    this->queue.AddPushed(aRecord);
+  }
 }
 
 void
--- a/src/membership/updatequeue.cpp
+++ b/src/membership/updatequeue.cpp
@@ -3,7 +3,9 @@
 #include "common/log.h"
 #include "membership/wiresize.h"
 
+#include <algorithm>
 #include <bit>
+#include <limits>
 
 namespace lacewingwharf {
 
@@ -15,6 +17,9 @@
 // datagram in each direction.
 constexpr int kExtraSends = 2;
 
+// Two trees deliver a push, so almost no member depends on these sends.
+constexpr int kSendsOfPushed = 4;
+
 // Take() stops after this many updates that do not fit, which bounds the work
 // for one datagram when most updates exceed the remaining space.
 constexpr int kMaxSkipped = 8;
@@ -35,6 +40,18 @@
 
 void
 UpdateQueue::Add(const wire::MemberRecord& aRecord)
+{
+  this->Insert(aRecord, std::numeric_limits<int>::max());
+}
+
+void
+UpdateQueue::AddPushed(const wire::MemberRecord& aRecord)
+{
+  this->Insert(aRecord, kSendsOfPushed);
+}
+
+void
+UpdateQueue::Insert(const wire::MemberRecord& aRecord, int aMaxSends)
 {
   const std::size_t bytes = EncodedSize(aRecord);
   if (bytes > kMaxRecordBytes) {
@@ -49,6 +66,7 @@
   update.record = aRecord;
   update.bytes = bytes;
   update.sent = 0;
+  update.maxSends = aMaxSends;
   // Of updates that were sent equally often, the newest goes first.
   update.order = this->nextOrder--;
   this->ranks.insert(RankOf(update));
@@ -73,10 +91,11 @@
   for (const wire::MemberRecord& record : taken) {
     const auto position = this->updates.find(record.host);
     this->ranks.erase(RankOf(position->second));
-    if (++position->second.sent >= limit) {
+    Update& update = position->second;
+    if (++update.sent >= std::min(limit, update.maxSends)) {
       this->updates.erase(position);
     } else {
-      this->ranks.insert(RankOf(position->second));
+      this->ranks.insert(RankOf(update));
     }
   }
   return taken;
--- a/src/membership/updatequeue.h
+++ b/src/membership/updatequeue.h
@@ -23,6 +23,12 @@
   /** Adds an update; it replaces a queued update of the same host. */
   void Add(const wire::MemberRecord& aRecord);
 
+  /**
+   * Adds an update that is also pushed to all members. It is sent only a few
+   * times, to members that the push has missed.
+   */
+  void AddPushed(const wire::MemberRecord& aRecord);
+
   /**
    * Returns updates that take at most aBytes in encoded form and counts each
    * of them as sent once more. Updates that reach the send limit are removed.
@@ -41,11 +47,13 @@
     wire::MemberRecord record;
     std::size_t bytes = 0;
     int sent = 0;
+    int maxSends = 0;
     std::uint64_t order = 0;
   };
 
   using Rank = std::tuple<int, std::uint64_t, std::string>;
 
+  void Insert(const wire::MemberRecord& aRecord, int aMaxSends);
   static Rank RankOf(const Update& aUpdate);
 
   std::map<std::string, Update> updates;
