Read the member entries once and write only what differs at a start

Now a daemon that finds eight entries leaves the rest to gossip, and an entry that differs only in the incarnation is not written again.

Test: memberdirectory/a_restart_with_a_true_entry_reads_once_and_writes_nothing, seen to fail without the change (two reads, one more write).

--- a/src/distribution/fakestore.h
+++ b/src/distribution/fakestore.h
@@ -24,6 +24,7 @@
   int answersToLose = 0;           // To the next writes under accepted/.
   std::function<void()> beforePut; // Runs once before the next such write.
   std::map<std::string, int> puts; // Successful writes by name.
+  std::function<void()> onList;    // Runs before each list.
 
   ObjectStore Hooks()
   {
@@ -120,6 +121,9 @@
 
   PlatformResult<ObjectList> List(const std::string& aPrefix)
   {
+    if (this->onList) {
+      this->onList();
+    }
     if (this->isDown) {
       return Error(PlatformErrorCode::TimedOut);
     }
--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -19,14 +19,15 @@
 constexpr Log kLog("membership");
 constexpr const char* kPrefix = "members/";
 
-// Interval and number of the reads at startup. Daemons that start at the same
-// time have written their objects by the second read.
-constexpr Millis kFirstReadInterval = 600;
-constexpr int kFirstReadCount = 2;
+// A daemon that finds fewer entries than this reads a second time, when daemons
+// that started together with it have written theirs. With more entries, gossip
+// completes its members.
+constexpr std::size_t kEnoughEntries = 8;
+constexpr Millis kSecondReadDelay = 600;
 
-// Time after the last read at startup until the daemon computes roles from the
-// members that it knows.
-constexpr Millis kSettleTime = 600;
+// Time after the first read until the daemon computes roles from the members
+// that it knows.
+constexpr Millis kSettleTime = 1200;
 
 // Interval between reads while the daemon knows no other member.
 constexpr Millis kAloneInterval = 1000;
@@ -158,7 +159,8 @@
     return;
   }
   const bool isReadDue =
-    now >= this->readDueAt && (this->reads < kFirstReadCount || aIsAlone);
+    now >= this->readDueAt &&
+    (!this->hasRead || this->reads < this->requiredReads || aIsAlone);
   if (isReadDue) {
     this->Read();
     return;
@@ -210,13 +212,14 @@
 void
 MemberDirectory::HandleEntries(const std::vector<DirectoryEntry>& aEntries)
 {
-  ++this->reads;
-  if (this->reads == kFirstReadCount) {
+  if (!this->hasRead) {
+    this->requiredReads = aEntries.size() < kEnoughEntries ? 2 : 1;
     this->settledAt = this->clock.Now() + kSettleTime;
   }
+  ++this->reads;
   this->readDueAt =
     this->clock.Now() +
-    (this->reads < kFirstReadCount ? kFirstReadInterval : kAloneInterval);
+    (this->reads < this->requiredReads ? kSecondReadDelay : kAloneInterval);
   this->peers.clear();
   std::vector<DirectoryEntry> others;
   for (const DirectoryEntry& entry : aEntries) {
@@ -250,6 +253,11 @@
   // Reports that this process has received meanwhile are newer.
   this->self.leaving = this->self.leaving ? this->self.leaving : aOwn.leaving;
   this->self.server = this->self.server ? this->self.server : aOwn.server;
+  // Other daemons take the incarnation from gossip, so an entry that differs
+  // only in it need not be written.
+  DirectoryEntry present = aOwn;
+  present.incarnation = this->self.incarnation;
+  this->isWritten = EncodeEntry(present) == EncodeEntry(this->self);
   if (this->hooks.onRestored) {
     this->hooks.onRestored(aOwn);
   }
--- a/src/membership/memberdirectory.h
+++ b/src/membership/memberdirectory.h
@@ -53,8 +53,9 @@
 
 /**
  * The store objects members/HOST, through which daemons find each other. Each
- * daemon writes its own object when it starts and when its server changes or
- * leaves. It reads all objects at startup and while no other member is known.
+ * daemon writes its own object when the stored one differs: at its first start
+ * and when its server changes or leaves. It reads all objects at startup, again
+ * if it found few, and while no other member is known.
  */
 class MemberDirectory
 {
@@ -113,6 +114,7 @@
   bool hasRead = false;
   bool isWritten = false;
   std::int64_t revision = kCreateOnly; // Of the own object.
+  int requiredReads = 0; // At startup; known after the first read.
   int reads = 0;
   Millis readDueAt = 0;
   std::optional<Millis> settledAt;
--- a/src/membership/memberdirectory_test.cpp
+++ b/src/membership/memberdirectory_test.cpp
@@ -3,6 +3,7 @@
 #include "distribution/fakestore.h"
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 using namespace lacewingwharf;
 
@@ -239,3 +240,32 @@
   daemon.Run(2000);
   cr_expect_eq(answers, 1);
 }
+
+// When all daemons of a large fleet restart at once, each call to the store is
+// repeated by every daemon. A daemon whose entry is still true must only read.
+Test(memberdirectory, a_restart_with_a_true_entry_reads_once_and_writes_nothing)
+{
+  FakeStore store;
+  for (int index = 0; index < 20; ++index) {
+    store.Edit(fmt::format("members/other-{}", index),
+               R"({"address":"10.0.0.2","port":5})");
+  }
+  const ServerProcess server{ "i-1", 77, "orders", 9000, 6 };
+  Daemon before(store, "a", 1);
+  before.Run(1000);
+  before.directory.StoreServer(server);
+  before.Run(1000);
+  const int puts = store.puts["members/a"];
+  Daemon after(store, "a", 1);
+  int reads = 0;
+  store.onList = [&reads] { ++reads; };
+  after.Run(500);
+  after.directory.StoreServer(server); // The first heartbeat.
+  after.Run(5000);
+  cr_expect(after.directory.HasSettled());
+  cr_expect_eq(reads, 1);
+  cr_expect_eq(store.puts["members/a"], puts);
+  after.directory.StoreServer({ "i-2", 99, "orders", 9000, 6 });
+  after.Run(1000);
+  cr_expect_eq(store.puts["members/a"], puts + 1);
+}
