--- a/src/membership/regionlink_test.cpp
+++ b/src/membership/regionlink_test.cpp
@@ -73,7 +73,7 @@
       std::size_t crossings = 0;
       const std::size_t reached =
         CountReached(hosts, "south", hosts.at("south")[root], {}, crossings);
-      cr_expect_eq(reached, 2U * each);
+      cr_expect_eq(reached, static_cast<std::size_t>(each) * 2);
       cr_expect_leq(crossings, 2U);
     }
   }
