--- a/src/membership/leavingreports.cpp
+++ b/src/membership/leavingreports.cpp
@@ -12,8 +12,7 @@
 
 constexpr Log kLog("membership");
 
-// A server treats a report as lost after one second. It is answered before
-// that, so that the server's next report does not find a stale connection.
+// A server treats a report as lost after one second, so it is answered before.
 constexpr Millis kMaxReportWait = 600;
 
 } // namespace
