Keep one list of reports that wait for a stored leaving

Cause, found on reading the change again: LeavingReports and MemberDirectory each kept waiters. Those of the directory stayed until the store answered, one for each repeated report, so they grew as long as the store was away. The log line of a report that was not acknowledged did not name its server.

The line has server and start.

Tests: memberdirectory (12), leavingreports (2), localserver (8) and sitefleet (8) pass; the checks of the two tests of leavings are as before, that of another process and of later reports are new.

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -162,8 +162,8 @@
               this->DirectoryHooks())
   , localServer(aSettings.site.service, aSettings.site.server)
   , leavingReports(this->clock,
-                   [this](const LeavingServer& aLeaving, auto aDone) {
-                     this->directory.StoreLeaving(aLeaving, std::move(aDone));
+                   [this](const LeavingServer& aLeaving) {
+                     return this->directory.StoreLeaving(aLeaving);
                    })
   , startedAt(this->clock.Now())
   , aggregator(
--- a/src/daemon/controlservicesite.cpp
+++ b/src/daemon/controlservicesite.cpp
@@ -35,6 +35,9 @@
       this->membership.AddStoredMember(RecordOf(aOther));
     });
   };
+  hooks.onLeavingStored = [this](const LeavingServer& aLeaving) {
+    this->leavingReports.HandleStored(aLeaving);
+  };
   return hooks;
 }
 
--- a/src/membership/leavingreports.cpp
+++ b/src/membership/leavingreports.cpp
@@ -3,8 +3,8 @@
 #include "common/log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
-#include <vector>
 
 namespace lacewingwharf {
 
@@ -26,39 +26,53 @@
 void
 LeavingReports::Handle(const LeavingServer& aLeaving, Answer aAnswer)
 {
-  const std::uint64_t number = ++this->lastNumber;
-  this->pending[number] = { std::move(aAnswer),
-                            this->clock.Now() + kMaxReportWait };
-  this->store(aLeaving, [this, number] {
-    this->AnswerReport(number, ReportDecision::Taken);
+  if (this->store(aLeaving)) {
+    aAnswer(ReportDecision::Taken);
+    return;
+  }
+  this->pending.push_back(
+    { aLeaving, std::move(aAnswer), this->clock.Now() + kMaxReportWait });
+}
+
+void
+LeavingReports::HandleStored(const LeavingServer& aLeaving)
+{
+  const auto stored = this->TakeIf([&aLeaving](const PendingReport& aReport) {
+    return aReport.leaving == aLeaving;
+  });
+  std::ranges::for_each(stored, [](const PendingReport& aReport) {
+    aReport.answer(ReportDecision::Taken);
   });
 }
 
 void
 LeavingReports::Tick()
 {
-  const Millis now = this->clock.Now();
-  std::vector<std::uint64_t> due;
-  std::ranges::for_each(this->pending, [&due, now](const auto& aPair) {
-    if (now >= aPair.second.dueAt) {
-      due.push_back(aPair.first);
-    }
-  });
-  std::ranges::for_each(due, [this](std::uint64_t aNumber) {
+  const auto due =
+    this->TakeIf([now = this->clock.Now()](const PendingReport& aReport) {
+      return now >= aReport.dueAt;
+    });
+  std::ranges::for_each(due, [](const PendingReport& aReport) {
     kLog.Decision("leaving-not-acknowledged",
-                  "reason=not-stored waited_ms={}",
+                  "server={} started={} reason=not-stored waited_ms={}",
+                  aReport.leaving.id,
+                  aReport.leaving.startedAt,
                   kMaxReportWait);
-    this->AnswerReport(aNumber, ReportDecision::NotStored);
+    aReport.answer(ReportDecision::NotStored);
   });
 }
 
-void
-LeavingReports::AnswerReport(std::uint64_t aNumber, ReportDecision aDecision)
+/** Removes the reports before they are answered; an answer may add others. */
+std::vector<LeavingReports::PendingReport>
+LeavingReports::TakeIf(
+  const std::function<bool(const PendingReport&)>& aIsTaken)
 {
-  const auto report = this->pending.extract(aNumber);
-  if (!report.empty()) {
-    report.mapped().answer(aDecision);
-  }
+  const auto taken =
+    std::ranges::stable_partition(this->pending, std::not_fn(aIsTaken));
+  std::vector<PendingReport> reports(std::make_move_iterator(taken.begin()),
+                                     std::make_move_iterator(taken.end()));
+  this->pending.erase(taken.begin(), taken.end());
+  return reports;
 }
 
 } // namespace lacewingwharf
--- a/src/membership/leavingreports.h
+++ b/src/membership/leavingreports.h
@@ -3,9 +3,8 @@
 #include "common/clock.h"
 #include "membership/localserver.h"
 
-#include <cstdint>
 #include <functional>
-#include <map>
+#include <vector>
 
 namespace lacewingwharf {
 
@@ -20,30 +19,36 @@
 public:
   using Answer = std::function<void(ReportDecision)>;
 
-  /** Calls the function that it is given once the store has the leaving. */
-  using Store =
-    std::function<void(const LeavingServer&, std::function<void()> aDone)>;
+  /** Starts to store the leaving; returns whether the store already has it. */
+  using Store = std::function<bool(const LeavingServer&)>;
 
   LeavingReports(Clock aClock, Store aStore);
 
   void Handle(const LeavingServer& aLeaving, Answer aAnswer);
 
+  /** Acknowledges the reports of a leaving that the store has accepted. */
+  void HandleStored(const LeavingServer& aLeaving);
+
   /** Answers the reports whose time is up. */
   void Tick();
 
 private:
   struct PendingReport
   {
+    LeavingServer leaving;
     Answer answer;
     Millis dueAt = 0;
   };
 
-  void AnswerReport(std::uint64_t aNumber, ReportDecision aDecision);
+  std::vector<PendingReport> TakeIf(
+    const std::function<bool(const PendingReport&)>& aIsTaken);
 
   Clock clock;
   Store store;
-  std::map<std::uint64_t, PendingReport> pending;
-  std::uint64_t lastNumber = 0;
+
+  // Each report occupies a connection of the server that takes them, which
+  // bounds their number.
+  std::vector<PendingReport> pending;
 };
 
 } // namespace lacewingwharf
--- a/src/membership/leavingreports_test.cpp
+++ b/src/membership/leavingreports_test.cpp
@@ -13,9 +13,7 @@
 {
   Harness()
     : reports(this->clock.View(),
-              [this](const LeavingServer&, std::function<void()> aDone) {
-                this->stored.push_back(std::move(aDone));
-              })
+              [this](const LeavingServer&) { return this->isStored; })
   {
   }
 
@@ -27,7 +25,7 @@
   }
 
   ManualClock clock{ 1000 };
-  std::vector<std::function<void()>> stored;
+  bool isStored = false;
   std::vector<ReportDecision> answers;
   LeavingReports reports;
 };
@@ -44,10 +42,15 @@
   harness.reports.Tick();
   cr_assert_eq(harness.answers.size(), 1U);
   cr_expect(harness.answers[0] == ReportDecision::NotStored);
-  harness.Report(); // The server tries again.
-  harness.stored[1]();
+  harness.Report();                            // The server tries again.
+  harness.reports.HandleStored({ "i-0", 50 }); // Another process.
+  cr_assert_eq(harness.answers.size(), 1U);
+  harness.reports.HandleStored({ "i-1", 77 });
   cr_assert_eq(harness.answers.size(), 2U);
   cr_expect(harness.answers[1] == ReportDecision::Taken);
+  harness.isStored = true;
+  harness.Report(); // Later reports are acknowledged at once.
+  cr_expect_eq(harness.answers.size(), 3U);
 }
 
 // Each report is answered once, also if the store answers after the time limit.
@@ -57,7 +60,7 @@
   harness.Report();
   harness.clock.Advance(5000);
   harness.reports.Tick();
-  harness.stored[0]();
+  harness.reports.HandleStored({ "i-1", 77 });
   harness.reports.Tick();
   cr_expect_eq(harness.answers.size(), 1U);
 }
--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -287,23 +287,21 @@
   });
 }
 
-void
-MemberDirectory::StoreLeaving(const LeavingServer& aLeaving,
-                              std::function<void()> aDone)
+bool
+MemberDirectory::StoreLeaving(const LeavingServer& aLeaving)
 {
   if (this->storedLeaving == aLeaving) {
-    aDone();
-    return;
+    return true;
   }
-  this->leavingWaiters.push_back({ aLeaving, std::move(aDone) });
   if (this->self.leaving == aLeaving) {
-    return; // A write is running, or Tick() repeats it.
+    return false; // A write is running, or Tick() repeats it.
   }
   this->self.leaving = aLeaving;
   this->isWritten = false;
   if (this->hasRead && !this->isBusy) {
     this->Write();
   }
+  return this->storedLeaving == aLeaving;
 }
 
 void
@@ -347,18 +345,13 @@
 MemberDirectory::HandleWritten(const std::optional<LeavingServer>& aLeaving)
 {
   this->storedLeaving = aLeaving;
+  if (aLeaving && this->hooks.onLeavingStored) {
+    this->hooks.onLeavingStored(*aLeaving);
+  }
   // A report that arrived during the write must not wait for the next tick.
   if (!this->isWritten) {
     this->Write();
   }
-  const auto waiters = std::exchange(this->leavingWaiters, {});
-  std::ranges::for_each(waiters, [this](const LeavingWaiter& aWaiter) {
-    if (aWaiter.leaving == this->storedLeaving) {
-      aWaiter.done();
-    } else if (aWaiter.leaving == this->self.leaving) {
-      this->leavingWaiters.push_back(aWaiter);
-    }
-  });
 }
 
 } // namespace lacewingwharf
--- a/src/membership/memberdirectory.h
+++ b/src/membership/memberdirectory.h
@@ -49,6 +49,9 @@
 
   /** Called after each read with the entries of the other daemons. */
   std::function<void(const std::vector<DirectoryEntry>&)> onMembers;
+
+  /** Called when the store has accepted that a server is leaving. Optional. */
+  std::function<void(const LeavingServer&)> onLeavingStored;
 };
 
 /**
@@ -80,11 +83,10 @@
   void Tick(bool aIsAlone);
 
   /**
-   * Stores that a server is leaving. A write that fails is repeated by Tick().
-   * aDone is called once the store has accepted it, and not at all if another
-   * server leaves before that.
+   * Returns whether the store has it that the server is leaving. If not, it is
+   * written, and a write that fails is repeated by Tick().
    */
-  void StoreLeaving(const LeavingServer& aLeaving, std::function<void()> aDone);
+  bool StoreLeaving(const LeavingServer& aLeaving);
 
   /** Schedules a write if the server differs from the one in the entry. */
   void StoreServer(const ServerProcess& aServer);
@@ -93,12 +95,6 @@
   void Remove();
 
 private:
-  struct LeavingWaiter
-  {
-    LeavingServer leaving;
-    std::function<void()> done;
-  };
-
   void Read();
   void Write();
   void HandleWritten(const std::optional<LeavingServer>& aLeaving);
@@ -122,7 +118,6 @@
 
   /** The leaving server in the last entry that the store accepted. */
   std::optional<LeavingServer> storedLeaving;
-  std::vector<LeavingWaiter> leavingWaiters;
 };
 
 inline const std::vector<PeerAddress>&
--- a/src/membership/memberdirectory_test.cpp
+++ b/src/membership/memberdirectory_test.cpp
@@ -41,6 +41,9 @@
     hooks.onMembers = [this](const std::vector<DirectoryEntry>& aOthers) {
       this->others = aOthers;
     };
+    hooks.onLeavingStored = [this](const LeavingServer& aLeaving) {
+      this->storedLeavings.push_back(aLeaving.id);
+    };
     return hooks;
   }
 
@@ -64,6 +67,7 @@
 
   ManualClock clock{ 1000 };
   std::vector<std::string> restoredLeaving;
+  std::vector<std::string> storedLeavings;
   std::optional<ServerProcess> restoredServer;
   std::vector<DirectoryEntry> others;
   MemberDirectory directory;
@@ -122,9 +126,8 @@
   FakeStore store;
   Daemon before(store, "a", 1);
   before.Run(1000);
-  bool isStored = false;
-  before.directory.StoreLeaving({ "i-1", 77 }, [&] { isStored = true; });
-  cr_expect(isStored);
+  before.directory.StoreLeaving({ "i-1", 77 });
+  cr_expect_eq(before.storedLeavings.size(), 1U);
   Daemon after(store, "a", 1);
   after.Run(1000);
   cr_expect(after.restoredLeaving == std::vector<std::string>{ "i-1" });
@@ -211,15 +214,14 @@
   Daemon daemon(store, "a", 1);
   daemon.Run(1000);
   store.isDown = true;
-  int answers = 0;
-  const auto count = [&answers] { ++answers; };
-  daemon.directory.StoreLeaving({ "i-1", 77 }, count);
-  daemon.directory.StoreLeaving({ "i-1", 77 }, count); // Reported again.
+  cr_expect_not(daemon.directory.StoreLeaving({ "i-1", 77 }));
   daemon.Run(3000);
-  cr_expect_eq(answers, 0);
+  cr_expect_not(daemon.directory.StoreLeaving({ "i-1", 77 })); // Again.
+  cr_expect(daemon.storedLeavings.empty());
   store.isDown = false;
   daemon.Run(1000);
-  cr_expect_eq(answers, 2);
+  cr_expect(daemon.directory.StoreLeaving({ "i-1", 77 }));
+  cr_expect(daemon.storedLeavings == std::vector<std::string>{ "i-1" });
   Daemon after(store, "a", 1);
   after.Run(1000);
   cr_expect(after.restoredLeaving == std::vector<std::string>{ "i-1" });
@@ -232,13 +234,12 @@
   FakeStore store;
   store.isDown = true;
   Daemon daemon(store, "a", 1);
-  int answers = 0;
-  daemon.directory.StoreLeaving({ "i-1", 77 }, [&answers] { ++answers; });
+  cr_expect_not(daemon.directory.StoreLeaving({ "i-1", 77 }));
   daemon.Run(1000);
-  cr_expect_eq(answers, 0);
+  cr_expect(daemon.storedLeavings.empty());
   store.isDown = false;
   daemon.Run(2000);
-  cr_expect_eq(answers, 1);
+  cr_expect(daemon.storedLeavings == std::vector<std::string>{ "i-1" });
 }
 
 // When all daemons of a large fleet restart at once, each call to the store is
