--- a/src/membership/leavingreports.cpp
+++ b/src/membership/leavingreports.cpp
@@ -67,11 +67,12 @@
 LeavingReports::TakeIf(
   const std::function<bool(const PendingReport&)>& aIsTaken)
 {
-  const auto taken =
-    std::ranges::stable_partition(this->pending, std::not_fn(aIsTaken));
-  std::vector<PendingReport> reports(std::make_move_iterator(taken.begin()),
-                                     std::make_move_iterator(taken.end()));
-  this->pending.erase(taken.begin(), taken.end());
+  const auto taken = std::stable_partition(
+    this->pending.begin(), this->pending.end(), std::not_fn(aIsTaken));
+  std::vector<PendingReport> reports(
+    std::make_move_iterator(taken),
+    std::make_move_iterator(this->pending.end()));
+  this->pending.erase(taken, this->pending.end());
   return reports;
 }
 
