--- a/review/standin/net.hpp
+++ b/review/standin/net.hpp
@@ -191,14 +191,6 @@
     }
   }
 
-  /** Closes the connection with a reset instead of an orderly end. */
-  void Reset()
-  {
-    const linger noWait{ 1, 0 };
-    setsockopt(socket, SOL_SOCKET, SO_LINGER, &noWait, sizeof(noWait));
-    Close();
-  }
-
   bool Send(const std::string& aBytes)
   {
     std::size_t sent = 0;
@@ -245,9 +237,6 @@
     return ReadEnd::Whole;
   }
 
-  /** Whether bytes were received that no message has used. */
-  bool HasUnusedBytes() const { return !buffer.empty(); }
-
 private:
   ReadEnd ReadMore(long long aLimit)
   {
--- a/review/standin/site.hpp
+++ b/review/standin/site.hpp
@@ -149,9 +149,8 @@
       served = 0;
       for (const Machine& machine : machines) {
         bool isServed = IsReady(machine);
-        for (const Machine& other : machines) {
-          isServed =
-            isServed && Get(machine, other.service, "warm").IsSuccess();
+        for (const std::string& service : Services()) {
+          isServed = isServed && Get(machine, service, "warm").IsSuccess();
         }
         served += isServed ? 1 : 0;
       }
@@ -312,20 +311,20 @@
              Signature(aId, aReply.message.body);
   }
 
-  std::string Log(const Machine& aMachine) const
+  std::set<std::string> Services() const
   {
-    return ReadFile(directory / (aMachine.name + ".log"));
+    std::set<std::string> services;
+    for (const Machine& machine : machines) {
+      services.insert(machine.service);
+    }
+    return services;
   }
 
   /** A configuration with a safe and an unsafe route to each service. */
   Store::Json Configuration(int aVersion) const
   {
     Store::Json resources = Store::Json::array();
-    std::set<std::string> services;
-    for (const Machine& machine : machines) {
-      services.insert(machine.service);
-    }
-    for (const std::string& service : services) {
+    for (const std::string& service : Services()) {
       for (const char* kind : { "safe", "unsafe" }) {
         resources.push_back(
           { { "resource_kind", "routes" },
--- a/review/standin/store.hpp
+++ b/review/standin/store.hpp
@@ -36,17 +36,6 @@
     RecordChange(aKind, object, false);
   }
 
-  Json Get(const std::string& aKind, const std::string& aName)
-  {
-    const std::lock_guard lock(mutex);
-    const auto& kind = objects[aKind];
-    const auto found = kind.find(aName);
-    return found == kind.end() ? Json() : found->second;
-  }
-
-  /** While set, calls get no answer and have no effect. */
-  std::atomic<bool> isSilent{ false };
-
 private:
   struct Change
   {
@@ -78,9 +67,6 @@
   {
     Message request;
     while (aConnection.Read(request, 60000) == ReadEnd::Whole) {
-      while (isSilent) {
-        SleepMs(50);
-      }
       const auto [status, body] = Handle(request);
       const std::string text = body.dump();
       if (!aConnection.Send("HTTP/1.1 " + std::to_string(status) +
--- a/review/standin/upstream.hpp
+++ b/review/standin/upstream.hpp
@@ -92,6 +92,35 @@
            ",\"cold_left\":\"0ms\"},\"born\":" + std::to_string(born) + "}";
   }
 
+  /** Ends the heartbeats; the upstream goes on serving. */
+  void StopHeartbeats() { isAnnounced = false; }
+
+  /** The body of a deregistration. */
+  std::string DeregistrationBody() const
+  {
+    return "{\"born\":" + std::to_string(born) + "}";
+  }
+
+  /** Sends one of the upstream's reports; returns the status of the answer. */
+  int Report(const std::string& aCall, const std::string& aBody) const
+  {
+    Connection connection = Connection::To(config.control);
+    Message reply;
+    if (connection.IsOpen() &&
+        connection.Send("POST /api/rpc?call=instances." + aCall +
+                        "&of=" + config.id +
+                        " HTTP/1.1\r\nHost: control\r\n"
+                        "Content-Type: application/json\r\n"
+                        "Connection: close\r\nContent-Length: " +
+                        std::to_string(aBody.size()) + "\r\n\r\n" + aBody)) {
+      connection.Read(reply, 1000);
+    }
+    return reply.Status();
+  }
+
+  /** The sequence of the last heartbeat. */
+  long long LastSequence() const { return sequence; }
+
 private:
   void Serve(Connection& aConnection)
   {
@@ -136,27 +165,19 @@
 
   void Announce()
   {
-    for (long long sequence = 1;; ++sequence) {
-      const std::string body = HeartbeatBody(sequence);
-      Connection connection = Connection::To(config.control);
-      Message reply;
-      if (connection.IsOpen() &&
-          connection.Send(
-            "POST /api/rpc?call=instances.heartbeat&of=" + config.id +
-            " HTTP/1.1\r\nHost: control\r\n"
-            "Content-Type: application/json\r\n"
-            "Connection: close\r\nContent-Length: " +
-            std::to_string(body.size()) + "\r\n\r\n" + body)) {
-        connection.Read(reply, 1000);
-      }
-      // The next heartbeat; at once while the daemon has not taken the first.
-      SleepMs(reply.Status() == 200 ? 1500 : 300);
+    while (true) {
+      const bool isTaken =
+        isAnnounced && Report("heartbeat", HeartbeatBody(++sequence)) == 200;
+      // At once again while the daemon has not taken the first.
+      SleepMs(isTaken ? 1500 : 300);
     }
   }
 
   UpstreamConfig config;
   Record& record;
   long long born = UnixMs();
+  std::atomic<bool> isAnnounced{ true };
+  std::atomic<long long> sequence{ 0 };
   std::atomic<int> workMs{ 40 };
   std::atomic<int> running{ 0 };
   std::mutex mutex;
