--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,4 +1,4 @@
-// Three of the four machines of each zone are lost for good at the same moment.
+// Five of the six machines of each zone are lost for good at the same moment.
 // The others, which reach the store and each other all the while, have to put a
 // new configuration into force as before.
 #include "site.hpp"
@@ -10,7 +10,7 @@
 constexpr long long kStabilityMs = 3000;
 constexpr long long kConfigApplyMs = 2000;
 constexpr long long kObservedMs = 30000;
-constexpr int kMachinesPerZone = 4;
+constexpr int kMachinesPerZone = 6;
 
 /** Whether a daemon is one of those that watch the store for their region. */
 bool
