Reject answers that are cut within their head

Cause: libcurl 7.88.1 returns CURLE_OK for such an answer, and HttpTransfer took it for one without a length, which ends with its connection.

Change: AnswerHead reads the head; an answer whose empty line was not received, or whose Content-Length is not one number, is incomplete. The event answer-cut now names the framing, the announced and received bytes and the check that failed.

--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -259,7 +259,8 @@
     }
     case ExchangeEnd::Incomplete: {
       kLog.Decision("answer-cut",
-                    "request={} call={} detail=\"{}\"",
+                    "request={} call={} framing={} announced={} received={} "
+                    "detail=\"{}\"",
                     this->RequestIdOf(aCall),
                     id,
                     aResult.detail);
@@ -283,6 +284,9 @@
   return header == aCall.request.headers.end() ? sEmpty : header->second;
 }
 
+                    kAnswerFramingNames.NameOf(aResult.framing),
+                    aResult.announcedBytes,
+                    aResult.receivedBytes,
 void
 DestinationCalls::CheckServerLost(const Call& aCall, wire::CallAnswer& aAnswer)
 {
--- a/src/proxy/httpclient.h
+++ b/src/proxy/httpclient.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "proxy/httptypes.h"
+#include "proxy/answerhead.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -55,6 +56,11 @@
   ExchangeEnd end = ExchangeEnd::NotConnected;
   HttpAnswer answer;
   std::string detail;
+
+  // Of the part of the answer that was received, also if it was rejected.
+  AnswerFraming framing = AnswerFraming::Connection;
+  std::int64_t announcedBytes = -1; // Content-Length; -1 if there is none.
+  std::int64_t receivedBytes = 0;   // Of the body.
   double durationMillis = 0;
 };
 
--- a/src/proxy/httptransfer.cpp
+++ b/src/proxy/httptransfer.cpp
@@ -4,8 +4,6 @@
 
 #include <fmt/format.h>
 
-#include <strings.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -13,8 +11,6 @@
 
 namespace {
 
-constexpr long kStatusNoContent = 204;
-constexpr long kStatusNotModified = 304;
 constexpr std::size_t kMaxAnswerHeaderBytes = 65536;
 
 // Before reuse, libcurl checks whether the backend server has closed an idle
@@ -184,7 +180,7 @@
     return 0;
   }
   const std::string_view line = WithoutLineEnd({ aBytes, bytes });
-  transfer->ReadHeaderLine(line);
+  transfer->head.AddLine(line);
   if (line.empty() && transfer->IsAnswerToOtherRequest()) {
     transfer->isForOtherRequest = true;
     return 0; // Ends the transfer and closes the connection.
@@ -192,32 +188,13 @@
   return bytes;
 }
 
-void
-HttpTransfer::ReadHeaderLine(std::string_view aLine)
-{
-  if (aLine.starts_with("HTTP/")) {
-    // Only the last head counts: informational (1xx) heads may precede it.
-    this->answer.headers.clear();
-    return;
-  }
-  const auto colon = aLine.find(':');
-  if (colon == std::string_view::npos) {
-    return;
-  }
-  std::string_view value = aLine.substr(colon + 1);
-  value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-  AddHeader(this->answer.headers,
-            std::string(aLine.substr(0, colon)),
-            std::string(value));
-}
-
 bool
 HttpTransfer::IsAnswerToOtherRequest() const
 {
   const std::string& name = this->exchange.echoedHeader;
-  const auto answered = this->answer.headers.find(name);
+  const auto answered = this->head.headers.find(name);
   const auto sent = this->exchange.request.headers.find(name);
-  return !name.empty() && answered != this->answer.headers.end() &&
+  return !name.empty() && answered != this->head.headers.end() &&
          sent != this->exchange.request.headers.end() &&
          answered->second != sent->second;
 }
@@ -230,11 +207,11 @@
 {
   auto* transfer = static_cast<HttpTransfer*>(aTransfer);
   const std::size_t bytes = aSize * aCount;
-  if (transfer->answer.body.size() + bytes > transfer->maxAnswerBytes) {
+  if (transfer->body.size() + bytes > transfer->maxAnswerBytes) {
     transfer->isAnswerTooLong = true;
     return 0;
   }
-  transfer->answer.body.append(aBytes, bytes);
+  transfer->body.append(aBytes, bytes);
   return bytes;
 }
 
@@ -282,32 +259,30 @@
   if (aCode != CURLE_OK) {
     return ExchangeEnd::Incomplete;
   }
-  if (this->exchange.unframedBody == UnframedBody::Incomplete &&
-      this->HasUnframedBody()) {
-    this->detail = "the answer has neither a Content-Length nor chunks";
-    return ExchangeEnd::Incomplete;
-  }
-  return ExchangeEnd::Answered;
+  this->detail = this->FindBrokenFraming();
+  return this->detail.empty() ? ExchangeEnd::Answered : ExchangeEnd::Incomplete;
 }
 
 /**
- * Whether only the end of the connection marks the end of the answer. If such
- * an answer is truncated, it looks complete, so it cannot be forwarded as
- * complete.
+ * Finds answers that libcurl takes for complete although they may be truncated.
+ * Returns an empty text if there is no such fault.
  */
-bool
-HttpTransfer::HasUnframedBody() const
+std::string
+HttpTransfer::FindBrokenFraming() const
 {
-  long status = 0;
-  curl_easy_getinfo(this->handle.get(), CURLINFO_RESPONSE_CODE, &status);
-  const bool hasNoBody = this->exchange.request.method == "HEAD" ||
-                         status == kStatusNoContent ||
-                         status == kStatusNotModified;
-  const auto encoding = this->answer.headers.find("Transfer-Encoding");
-  const bool isChunked = encoding != this->answer.headers.end() &&
-                         strcasecmp(encoding->second.c_str(), "chunked") == 0;
-  return !hasNoBody && !isChunked &&
-         !this->answer.headers.contains("Content-Length");
+  if (!this->head.IsComplete()) {
+    return "the connection was closed within the head of the answer";
+  }
+  switch (this->head.FramingFor(this->exchange.request)) {
+    case AnswerFraming::Invalid:
+      return "the answer has no valid Content-Length";
+    case AnswerFraming::Connection:
+      return this->exchange.unframedBody == UnframedBody::Incomplete
+               ? "the answer has neither a Content-Length nor chunks"
+               : "";
+    default:
+      return "";
+  }
 }
 
 ExchangeResult
@@ -318,11 +293,13 @@
   result.end = aEnd;
   result.durationMillis = this->clock.PreciseNow() - this->startedAt;
   result.detail = std::move(this->detail);
+  result.framing = this->head.FramingFor(this->exchange.request);
+  result.announcedBytes = this->head.AnnouncedBytes().value_or(-1);
+  result.receivedBytes = static_cast<std::int64_t>(this->body.size());
   if (aEnd == ExchangeEnd::Answered) {
-    long status = 0;
-    curl_easy_getinfo(this->handle.get(), CURLINFO_RESPONSE_CODE, &status);
-    result.answer = std::move(this->answer);
-    result.answer.status = static_cast<int>(status);
+    result.answer.status = this->head.status;
+    result.answer.headers = std::move(this->head.headers);
+    result.answer.body = std::move(this->body);
     RemoveHopByHop(result.answer.headers);
   }
   return result;
--- a/src/proxy/httptransfer.h
+++ b/src/proxy/httptransfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proxy/answerhead.h"
 #include "proxy/httpclient.h"
 
 #include <curl/curl.h>
@@ -62,10 +63,9 @@
   void SetCallbacks();
   bool SetHeaders();
   bool AppendHeaderLine(const std::string& aLine);
-  void ReadHeaderLine(std::string_view aLine);
   bool IsAnswerToOtherRequest() const;
   ExchangeEnd ClassifyEnd(CURLcode aCode);
-  bool HasUnframedBody() const;
+  std::string FindBrokenFraming() const;
   ExchangeResult MakeResult(ExchangeEnd aEnd);
 
   HttpExchange exchange;
@@ -73,7 +73,8 @@
   std::size_t headerBytes = 0;
   EasyHandle handle;
   std::unique_ptr<curl_slist, ListDeleter> headerList;
-  HttpAnswer answer;
+  AnswerHead head;
+  std::string body;
   std::string detail;
   Clock clock = Clock::Steady();
   double startedAt;
--- a/standins/testkit/faultyserver.cpp
+++ b/standins/testkit/faultyserver.cpp
@@ -168,6 +168,9 @@
     case FaultyAnswer::Truncated:
       aSocket.Send(whole.substr(0, whole.size() - 4));
       return false;
+    case FaultyAnswer::TruncatedHead:
+      aSocket.Send(whole.substr(0, whole.find("Content-Length")));
+      return false;
     case FaultyAnswer::Unframed:
       aSocket.Send(unframed + "ran at " + this->id);
       return false;
--- a/standins/testkit/faultyserver.h
+++ b/standins/testkit/faultyserver.h
@@ -19,6 +19,7 @@
   NotExecuted,   // 503 with X-Not-Executed: the request did not run.
   Shed,          // 503 without X-Not-Executed: it may have run.
   Truncated,     // The last four bytes are missing.
+  TruncatedHead, // The connection is closed before the Content-Length.
   Unframed,      // No Content-Length; closing the connection ends the body.
   UnframedReset, // No Content-Length; the connection is reset in the body.
   Extra,         // An answer to another request follows.
