Take no refusal for the answer to a later try

Operators of similar systems report that an earlier refusal, written once more on a kept connection, told callers "not run" for requests that ran.

The id does not tell two tries of one request apart. Only idempotent requests use kept connections.

Change: ClientSockets finds unread bytes before a request is sent; the connection is closed and another one used. A request that was refused is tried again on a connection of its own.

--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -172,7 +172,9 @@
   exchange.unframedBody = dialect.unframedBody;
   exchange.request.body = request.body;
   exchange.timeout = std::max<Millis>(remaining, 1);
-  exchange.needsNewConnection = !request.idempotent;
+  exchange.needsNewConnection =
+    !request.idempotent ||
+    this->refusedRequests.Contains(this->RequestIdOf(aCall));
   return exchange;
 }
 
@@ -247,6 +249,9 @@
       return answer;
     }
     case ExchangeEnd::NotConnected: {
+        if (refusal->outcome == wire::CallOutcome::NOT_RUN) {
+          this->refusedRequests.Add(this->RequestIdOf(aCall));
+        }
       kLog.Decision("server-not-connected",
                     "request={} call={} detail=\"{}\"",
                     this->RequestIdOf(aCall),
--- a/src/execution/destinationcalls.h
+++ b/src/execution/destinationcalls.h
@@ -4,6 +4,7 @@
 #include "catalogue/snapshot.h"
 #include "common/clock.h"
 #include "execution/callrequest.h"
+#include "execution/refusedrequests.h"
 #include "peer/peernetwork.h"
 #include "peer_types.h"
 #include "proxy/httpclient.h"
@@ -146,6 +147,7 @@
   std::deque<std::pair<Millis, std::string>> finishedQueue;
   std::deque<std::pair<Millis, std::string>> fenceQueue;
   std::vector<CutExchange> cutExchanges;
+  RefusedRequests refusedRequests;
   std::deque<std::string> keptAnswers; // Oldest first.
   std::size_t keptBytes = 0;
   bool isStopping = false;
--- a/src/execution/destinationcalls_test.cpp
+++ b/src/execution/destinationcalls_test.cpp
@@ -6,6 +6,7 @@
 
 #include <criterion/criterion.h>
 
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,12 +24,14 @@
  */
 struct Destination
 {
-  explicit Destination(std::size_t aMaxKeptBytes = 1000)
+  explicit Destination(std::size_t aMaxKeptBytes = 1000,
+                       CallDialect aDialect = {})
   {
     DestinationCallsConfig config;
     config.host = "host-a";
     config.incarnation = kIncarnation;
     config.maxKeptBytes = aMaxKeptBytes;
+    config.dialect = std::move(aDialect);
     DestinationCallsHooks hooks;
     hooks.answer = [this](SessionId aOrigin, const wire::CallAnswer& aAnswer) {
       this->answers.emplace_back(aOrigin, aAnswer);
@@ -52,8 +55,18 @@
   }
 
   void Request(const std::string& aId, bool aIsIdempotent = false)
+  {
+    this->Request(aId, aIsIdempotent, {}, {});
+  }
+
+  void Request(const std::string& aId,
+               bool aIsIdempotent,
+               std::map<std::string, std::string> aHeaders,
+               std::string aBody)
   {
     wire::CallRequest request;
+    request.headers = std::move(aHeaders);
+    request.body = std::move(aBody);
     request.callId = aId;
     request.entry = "tills";
     request.serviceName = kService;
@@ -243,3 +256,30 @@
   cr_assert_eq(destination.serversLost, 1);
   cr_assert(destination.answers.back().second.serverLost);
 }
+
+// A copy of an earlier refusal must not be taken for the answer to a later try
+// of the same request: the caller would learn that a request did not run that
+// runs. On a connection of its own, a try cannot receive such a copy.
+Test(destinationcalls, ARefusedRequestIsTriedAgainOnANewConnection)
+{
+  CallDialect dialect;
+  dialect.requestIdHeader = "Request";
+  dialect.notExecutedHeader = "Not-Run";
+  Destination destination(1000, dialect);
+  const auto refuse = [&destination](const std::string& aId) {
+    ExchangeResult result;
+    result.id = aId;
+    result.end = ExchangeEnd::Answered;
+    result.answer.status = 503;
+    result.answer.headers = { { "Not-Run", "1" } };
+    destination.calls->HandleExchange(result);
+  };
+  destination.Request("a.1", true, { { "Request", "one" } }, {});
+  cr_expect_not(destination.runs.back().needsNewConnection);
+  refuse("a.1");
+  destination.Request("a.2", true, { { "Request", "one" } }, {});
+  cr_expect(destination.runs.back().needsNewConnection);
+  destination.End("a.2", ExchangeEnd::Answered);
+  destination.Request("b.1", true, { { "Request", "two" } }, {});
+  cr_expect_not(destination.runs.back().needsNewConnection);
+}
--- a/src/proxy/httpclient.cpp
+++ b/src/proxy/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "common/ring.h"
+#include "proxy/clientsockets.h"
 #include "proxy/httptransfer.h"
 
 #include <curl/curl.h>
@@ -71,6 +72,7 @@
 
   OnResult onResult;
   std::size_t maxAnswerBytes;
+  ClientSockets sockets; // Used by libcurl until multi is cleaned up.
   CURLM* multi;
   Ring<Command> commands;
   std::atomic<bool> isStopping{ false };
@@ -173,8 +175,10 @@
 HttpClient::Impl::Begin(HttpExchange aExchange)
 {
   const std::string id = aExchange.id;
-  auto transfer = std::make_unique<HttpTransfer>(
-    std::move(aExchange), this->maxAnswerBytes, this->AcquireHandle());
+  auto transfer = std::make_unique<HttpTransfer>(std::move(aExchange),
+                                                 this->maxAnswerBytes,
+                                                 this->AcquireHandle(),
+                                                 this->sockets);
   if (this->transfers.contains(id) || !transfer->Prepare() ||
       curl_multi_add_handle(this->multi, transfer->Handle()) != CURLM_OK) {
     kLog.Warning("cannot start exchange {}", id);
@@ -232,6 +236,14 @@
     curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
     curl_multi_remove_handle(this->multi, handle);
     auto transferNode = this->transfers.extract(transfer->Id());
+    if (transfer->FoundUnreadBytes()) {
+      // Nothing was sent, and libcurl has closed the connection.
+      HttpExchange exchange = transfer->TakeExchange();
+      kLog.Decision("unread-bytes", "call={} action=reconnect", exchange.id);
+      this->RecycleHandle(*transferNode.mapped());
+      this->Begin(std::move(exchange));
+      continue;
+    }
     this->onResult(transferNode.mapped()->Finish(code));
     this->RecycleHandle(*transferNode.mapped());
   }
--- a/src/proxy/httpclient_test.cpp
+++ b/src/proxy/httpclient_test.cpp
@@ -343,3 +343,27 @@
                  isReset ? ExchangeEnd::Incomplete : ExchangeEnd::Answered);
   }
 }
+
+// A server may send an answer a second time on the idle connection. The copy
+// must not become the answer to the next request, not even to another try of
+// the same request, whose id it has.
+Test(httpclient, BytesThatPrecedeARequestAreNotItsAnswer)
+{
+  Fixture fixture;
+  const std::string refusal =
+    "HTTP/1.1 503 Busy\r\nRequest: one\r\nContent-Length: 0\r\n\r\n";
+  cr_assert(fixture.client.Submit(MakeExchangeWithId(fixture, "one")));
+  Socket socket = fixture.listener.Accept();
+  socket.ReceiveUntil("\r\n\r\n");
+  cr_assert(socket.Send(refusal));
+  cr_expect_eq(fixture.Result().answer.status, 503);
+  cr_assert(socket.Send(refusal));
+  cr_assert(fixture.client.Submit(MakeExchangeWithId(fixture, "one")));
+  Socket second = fixture.listener.Accept();
+  second.ReceiveUntil("\r\n\r\n");
+  cr_assert(second.Send(MakeAnswerWithId("one")));
+  const ExchangeResult result = fixture.Result();
+  cr_expect_eq(result.end, ExchangeEnd::Answered);
+  cr_expect_eq(result.answer.status, 200);
+  cr_expect(socket.IsClosedByPeer());
+}
--- a/src/proxy/httptransfer.cpp
+++ b/src/proxy/httptransfer.cpp
@@ -31,9 +31,11 @@
 
 HttpTransfer::HttpTransfer(HttpExchange aExchange,
                            std::size_t aMaxAnswerBytes,
-                           EasyHandle aHandle)
+                           EasyHandle aHandle,
+                           ClientSockets& aSockets)
   : exchange(std::move(aExchange))
   , maxAnswerBytes(aMaxAnswerBytes)
+  , sockets(aSockets)
   , handle(std::move(aHandle))
   , startedAt(this->clock.PreciseNow())
 {
@@ -110,6 +112,7 @@
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, &HttpTransfer::OnRequestStart);
   curl_easy_setopt(curl, CURLOPT_PREREQDATA, this);
+  this->sockets.Track(curl);
 }
 
 bool
@@ -157,12 +160,19 @@
 
 int
 HttpTransfer::OnRequestStart(void* aTransfer,
-                             char* /*aPrimaryAddress*/,
+                             char* /*aRemoteAddress*/,
                              char* /*aLocalAddress*/,
-                             int /*aPrimaryPort*/,
-                             int /*aLocalPort*/)
+                             int aRemotePort,
+                             int aLocalPort)
 {
-  static_cast<HttpTransfer*>(aTransfer)->wasRequestStarted = true;
+  auto* transfer = static_cast<HttpTransfer*>(aTransfer);
+  // libcurl would read these bytes as the answer to the request.
+  transfer->hasUnreadBytes =
+    transfer->sockets.HasUnreadBytes(aLocalPort, aRemotePort);
+  if (transfer->hasUnreadBytes) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer->wasRequestStarted = true;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -300,11 +310,11 @@
     result.answer.status = this->head.status;
     result.answer.headers = std::move(this->head.headers);
     result.answer.body = std::move(this->body);
+    result.answer.endsWithConnection =
+      result.framing == AnswerFraming::Connection;
     RemoveHopByHop(result.answer.headers);
   }
   return result;
 }
 
 } // namespace lacewingwharf
-    result.answer.endsWithConnection =
-      result.framing == AnswerFraming::Connection;
--- a/src/proxy/httptransfer.h
+++ b/src/proxy/httptransfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/answerhead.h"
+#include "proxy/clientsockets.h"
 #include "proxy/httpclient.h"
 
 #include <curl/curl.h>
@@ -9,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace lacewingwharf {
 
@@ -24,7 +26,8 @@
 public:
   HttpTransfer(HttpExchange aExchange,
                std::size_t aMaxAnswerBytes,
-               EasyHandle aHandle);
+               EasyHandle aHandle,
+               ClientSockets& aSockets);
   ~HttpTransfer();
 
   HttpTransfer(const HttpTransfer&) = delete;
@@ -36,6 +39,15 @@
   ExchangeResult Finish(CURLcode aCode);
   ExchangeResult Cancel();
 
+  /**
+   * Whether the transfer ended before anything was sent, because its reused
+   * connection had received bytes that belong to no request.
+   */
+  bool FoundUnreadBytes() const;
+
+  /** Returns the exchange for another transfer. */
+  HttpExchange TakeExchange();
+
   /** Returns the handle for reuse after this transfer has ended. */
   EasyHandle TakeHandle();
 
@@ -70,6 +82,7 @@
 
   HttpExchange exchange;
   std::size_t maxAnswerBytes;
+  ClientSockets& sockets;
   std::size_t headerBytes = 0;
   EasyHandle handle;
   std::unique_ptr<curl_slist, ListDeleter> headerList;
@@ -78,6 +91,7 @@
   std::string detail;
   Clock clock = Clock::Steady();
   double startedAt;
+  bool hasUnreadBytes = false;
   bool wasRequestStarted = false; // A part of it may have been sent.
   bool isAnswerTooLong = false;
   bool isForOtherRequest = false; // The echoed header differs.
@@ -89,6 +103,18 @@
   return this->handle.get();
 }
 
+inline bool
+HttpTransfer::FoundUnreadBytes() const
+{
+  return this->hasUnreadBytes;
+}
+
+inline HttpExchange
+HttpTransfer::TakeExchange()
+{
+  return std::move(this->exchange);
+}
+
 inline const std::string&
 HttpTransfer::Id() const
 {
