Watch the store when the relays of a region are silent

Cause: only relays watch the store, and a relay that is lost is replaced when it is declared dead. That takes about 2 s, and never happens while more than half of the members are suspect.

Change: relays send heartbeats along the push tree while their watches work. A daemon that hears none for three eighths of the rollout time watches, pushes and sends heartbeats as a substitute (RelayFailover).

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -136,7 +136,7 @@
                Clock::Wall(),
                SystemRandom(),
                this->MemberHooks())
-  , distributor(this->DistributionConfig(),
+  , distributor(this->DistributionConfig(aIncarnation),
                 this->clock,
                 SystemRandom(),
                 this->DistributionHooks())
@@ -234,13 +234,23 @@
   // If the event is dropped here, the next gossip round repeats its content.
   this->loop.Post([this, event = std::move(aEvent)] {
     if (event.kind == PeerEventKind::Datagram) {
-      this->membership.HandleDatagram(event.remote, event.envelope);
+      this->HandleDatagram(event);
     } else if (event.kind == PeerEventKind::Message) {
       this->HandleMessage(event);
     }
   });
 }
 
+void
+ControlService::HandleDatagram(const PeerEvent& aEvent)
+{
+  if (aEvent.envelope.__isset.relayHeartbeat) {
+    this->distributor.HandleRelayHeartbeat(aEvent.envelope.relayHeartbeat);
+    return;
+  }
+  this->membership.HandleDatagram(aEvent.remote, aEvent.envelope);
+}
+
 void
 ControlService::HandleMessage(const PeerEvent& aEvent)
 {
@@ -381,7 +391,9 @@
 ControlService::SetWatches()
 {
   const bool isSettled = !this->HasDocuments() || this->directory.HasSettled();
-  this->acceptedWatch.SetActive((isSettled && this->distributor.IsRelay()) ||
+  const bool isWatcher =
+    this->distributor.IsRelay() || this->distributor.IsRelaySubstitute();
+  this->acceptedWatch.SetActive((isSettled && isWatcher) ||
                                 this->distributor.IsAcceptor());
   this->catalogueWatch.SetActive(this->distributor.IsAcceptor());
 }
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -122,10 +122,11 @@
   MemberDirectoryHooks DirectoryHooks();
   MembershipConfig MemberConfig(std::int64_t aIncarnation) const;
   MembershipHooks MemberHooks();
-  DistributorConfig DistributionConfig() const;
+  DistributorConfig DistributionConfig(std::int64_t aIncarnation) const;
   DistributorHooks DistributionHooks();
   ClaimClientHooks ClaimHooks();
   PlatformWatch::Hook WatchHook(bool aIsCatalogue);
+  void HandleDatagram(const PeerEvent& aEvent);
   void HandleMessage(const PeerEvent& aEvent);
   void HandleClaimMessage(const PeerEvent& aEvent);
   void Tick();
--- a/src/daemon/controlservicehooks.cpp
+++ b/src/daemon/controlservicehooks.cpp
@@ -80,10 +80,11 @@
 }
 
 DistributorConfig
-ControlService::DistributionConfig() const
+ControlService::DistributionConfig(std::int64_t aIncarnation) const
 {
   DistributorConfig config;
   config.host = this->settings.host;
+  config.incarnation = aIncarnation;
   config.group =
     this->HasDocuments() ? this->settings.region : this->settings.domain;
   config.region = this->settings.region;
@@ -91,6 +92,9 @@
   config.relays = this->settings.relays;
   config.fanout = this->settings.fanout;
   config.startWait = this->settings.startWait;
+  if (this->HasDocuments()) {
+    config.rolloutTime = this->protocol.bounds.versionRolloutTime;
+  }
   return config;
 }
 
@@ -104,6 +108,15 @@
       this->hooks.sendControl(*address, std::move(aEnvelope));
     }
   };
+  distribution.sendDatagram = [this](const std::string& aHost,
+                                     wire::Envelope aEnvelope) {
+    if (const auto address = this->membership.AddressOf(aHost)) {
+      this->hooks.sendDatagram(*address, std::move(aEnvelope));
+    }
+  };
+  distribution.isWatchWorking = [this] {
+    return this->acceptedWatch.IsWorking();
+  };
   distribution.reply = this->hooks.reply;
   distribution.groupMembers = [this] {
     return this->membership.LiveHosts(this->settings.domain);
--- a/src/daemon/controlservicesite.cpp
+++ b/src/daemon/controlservicesite.cpp
@@ -145,6 +145,10 @@
                   answeredAt == 0 ? -1 : this->clock.Now() - answeredAt,
                   kStoreRetryDelay);
   }
+  this->distributor.HandleStoreFailure();
+  if (!this->distributor.IsRelay()) {
+    return; // Only the choice of relays depends on what the members publish.
+  }
   this->storeLostUntil = this->clock.Now() + kStoreRetryDelay;
   this->membership.SetStoreLost(true);
   this->membership.PublishChanges();
--- a/src/daemon/controlservicestate.cpp
+++ b/src/daemon/controlservicestate.cpp
@@ -50,6 +50,7 @@
       { "contentHash", held->ContentHash() },
       { "ready", this->distributor.IsReady() },
       { "feeder", this->distributor.IsRelay() },
+      { "feederSubstitute", this->distributor.IsRelaySubstitute() },
       { "acceptor", this->distributor.IsAcceptor() },
       { "members", this->membership.LiveHosts(this->settings.domain).size() },
       { "platformAgeMs",
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -14,11 +14,6 @@
 
 constexpr Log kLog("distribution");
 
-// Comparing the member lists costs more than anything else in Tick(), so it is
-// not done on each tick. The members are ordered by hash only if they have
-// changed.
-constexpr Millis kRoleRefreshInterval = 500;
-
 // Gossip usually reports a new version while its push is still in transit. The
 // delay lets the push arrive first.
 constexpr Millis kMaxFetchJitter = 250;
@@ -33,9 +28,6 @@
 // known while the document is read.
 constexpr Millis kDocumentReadDelay = 100;
 
-// Additional relays while the store refuses some members.
-constexpr int kSpareRelays = 2;
-
 Millis
 RandomPlatformReadDelay(const Random& aRandom, Millis aStartWait)
 {
@@ -44,19 +36,6 @@
     RandomBelow(aRandom, static_cast<std::uint64_t>(bound)));
 }
 
-std::optional<int>
-RankOf(const std::vector<std::string>& aOrder,
-       const std::string& aHost,
-       int aCount)
-{
-  const auto found = std::ranges::find(aOrder, aHost);
-  const auto rank = static_cast<int>(found - aOrder.begin());
-  if (found == aOrder.end() || rank >= aCount) {
-    return std::nullopt;
-  }
-  return rank;
-}
-
 wire::Envelope
 FetchEnvelope(std::int64_t aHeld)
 {
@@ -88,6 +67,9 @@
   , fetchPlan(this->clock, this->random)
   , fetchServer(this->clock, this->config.maxWholeTransfers)
   , relayPush(this->clock)
+  , failover(
+      { this->config.host, this->RelayOrderKey(), this->config.rolloutTime },
+      this->clock)
   , startRule(this->clock,
               this->config.startWait,
               this->HasAcceptor() ? StartRule::kDefaultRequiredAnswers : 0)
@@ -96,6 +78,7 @@
       (this->HasAcceptor()
          ? RandomPlatformReadDelay(this->random, this->config.startWait)
          : kDocumentReadDelay))
+  , heldSince(this->clock.Now())
 {
 }
 
@@ -110,59 +93,10 @@
   }
   this->SendDueFetch();
   this->SendDuePushes();
+  this->SendDueHeartbeat();
   this->TickAcceptorRole();
 }
 
-void
-Distributor::RefreshRoles()
-{
-  this->roleRefreshDueAt = this->clock.Now() + kRoleRefreshInterval;
-  std::vector<std::string> live = this->hooks.groupMembers();
-  std::ranges::sort(live);
-  const bool isChanged = live != this->members;
-  this->members = std::move(live);
-  std::vector<std::string> eligibleRelays =
-    this->hooks.relayCandidates ? this->hooks.relayCandidates() : this->members;
-  if (isChanged || eligibleRelays != this->relayCandidates) {
-    this->relayCandidates = std::move(eligibleRelays);
-    this->RefreshRelayRole();
-  }
-  std::vector<std::string> eligibleAcceptors = this->hooks.acceptorCandidates();
-  if (eligibleAcceptors != this->acceptorCandidates) {
-    this->acceptorCandidates = std::move(eligibleAcceptors);
-    this->isAcceptor =
-      this->HasAcceptor() &&
-      RankOf(RendezvousOrder("acceptor", this->acceptorCandidates),
-             this->config.host,
-             1)
-        .has_value();
-  }
-}
-
-void
-Distributor::HandleMembershipChange()
-{
-  this->roleRefreshDueAt = 0;
-}
-
-void
-Distributor::RefreshRelayRole()
-{
-  // The store may refuse the next candidates too, so spare relays are added.
-  const bool isAnyRefused = this->relayCandidates.size() < this->members.size();
-  const auto rank = RankOf(
-    RendezvousOrder("feeder/" + this->config.group, this->relayCandidates),
-    this->config.host,
-    this->config.relays + (isAnyRefused ? kSpareRelays : 0));
-  if (rank.has_value() != this->relayRank.has_value()) {
-    kLog.Info("{} {} a relay of {}",
-              this->config.host,
-              rank ? "is" : "is no longer",
-              this->config.group);
-  }
-  this->relayRank = rank;
-}
-
 bool
 Distributor::IsBehind() const
 {
@@ -253,6 +187,7 @@
 OfferOutcome
 Distributor::Offer(const Delta& aDelta, std::string_view aSource)
 {
+  const std::int64_t previous = this->HeldSnapshot()->Version();
   const OfferOutcome outcome = this->holder.Offer(aDelta);
   if (outcome == OfferOutcome::Refused) {
     this->fetchPlan.RequestWhole();
@@ -264,10 +199,13 @@
                kOfferOutcomeNames.NameOf(outcome));
     return outcome;
   }
-  kLog.Info("{} holds version {} from {}",
-            this->config.host,
-            aDelta.stamp.version,
-            aSource);
+  kLog.Decision("version-taken",
+                "version={} previous={} previous_held_ms={} from={}",
+                aDelta.stamp.version,
+                previous,
+                this->clock.Now() - this->heldSince,
+                aSource);
+  this->heldSince = this->clock.Now();
   this->fetchPlan.RequestDeltas();
   this->hooks.onSnapshotChange(this->HeldSnapshot());
   return outcome;
@@ -414,8 +352,9 @@
   }
   // A full list repeats old versions; only new ones are pushed to the members.
   const bool isNew = outcome == OfferOutcome::Taken || !aIsFullList;
-  if (this->relayRank && isNew && outcome != OfferOutcome::Refused) {
-    this->relayPush.SchedulePush(ToWire(aDelta), *this->relayRank);
+  const bool isSender = this->relayRank || this->IsRelaySubstitute();
+  if (isSender && isNew && outcome != OfferOutcome::Refused) {
+    this->relayPush.SchedulePush(ToWire(aDelta), this->relayRank.value_or(0));
   }
 }
 
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -5,6 +5,7 @@
 #include "distribution/divergence.h"
 #include "distribution/fetchplan.h"
 #include "distribution/fetchserver.h"
+#include "distribution/relayfailover.h"
 #include "distribution/relaypush.h"
 #include "distribution/startrule.h"
 #include "distribution/versionholder.h"
@@ -21,6 +22,7 @@
 struct DistributorConfig
 {
   std::string host;
+  std::int64_t incarnation = 0;
   /** Name of the failure domain or region whose hosts share relays. */
   std::string group;
   std::string region;
@@ -28,6 +30,8 @@
   int relays = 2; // Number of relays in the group.
   int fanout = 8;
   Millis startWait = 2000;
+  /** Time within which a new version must be in force on every daemon. */
+  Millis rolloutTime = 12000;
   std::size_t maxKeptDeltas = 128;
   int maxWholeTransfers = 2;
 };
@@ -74,6 +78,15 @@
    * members may be relays.
    */
   std::function<std::vector<std::string>()> relayCandidates;
+
+  /**
+   * Sends a message that may be lost. If it is not set, heartbeats of relays
+   * are neither sent nor expected.
+   */
+  std::function<void(const std::string& aHost, wire::Envelope)> sendDatagram{};
+
+  /** Whether the last call of the watch for versions was answered. */
+  std::function<bool()> isWatchWorking{};
 };
 
 /**
@@ -102,6 +115,11 @@
   /** To be called with the peer's version from each gossip datagram. */
   void HandlePeerVersion(const std::string& aHost, std::int64_t aVersion);
 
+  void HandleRelayHeartbeat(const wire::RelayHeartbeat& aHeartbeat);
+
+  /** To be called when the store has refused the watch of this daemon. */
+  void HandleStoreFailure();
+
   /** To be called for each gossip datagram that contains a content hash. */
   void HandlePeerContent(const std::string& aHost,
                          std::int64_t aVersion,
@@ -131,6 +149,9 @@
    */
   bool IsRelay() const;
   bool IsAcceptor() const;
+
+  /** Whether this daemon watches the store because its relays are silent. */
+  bool IsRelaySubstitute() const;
   const SnapshotPtr& HeldSnapshot() const;
 
   /** True if the held version may be served. */
@@ -157,6 +178,9 @@
   void HandleChainRead(const PlatformResult<ChainReadResult>& aRead);
   void SendDueFetch();
   void SendDuePushes();
+  std::string RelayOrderKey() const;
+  void SendDueHeartbeat();
+  void SendHeartbeat(const wire::RelayHeartbeat& aHeartbeat);
   void TickAcceptorRole();
   void SendPush(const wire::ConfigBody& aBody, const std::string& aRoot);
   void OfferAcceptedVersion(const Delta& aDelta, bool aIsFullList);
@@ -172,12 +196,14 @@
   FetchPlan fetchPlan;
   FetchServer fetchServer;
   RelayPush relayPush;
+  RelayFailover failover;
   StartRule startRule;
   bool isStartupComplete = false;
   bool isPlatformReadStarted = false;
   bool isPlatformReadRunning = false;
   Millis platformReadDueAt = 0;
   Millis roleRefreshDueAt = 0;
+  Millis heldSince;                 // When the held version was taken.
   std::vector<std::string> members; // Of the own group, sorted.
   std::vector<std::string> relayCandidates;
   std::vector<std::string> acceptorCandidates;
@@ -199,6 +225,18 @@
   return this->isStartupComplete && this->relayRank.has_value();
 }
 
+inline bool
+Distributor::IsRelaySubstitute() const
+{
+  return this->failover.IsSubstitute();
+}
+
+inline void
+Distributor::HandleStoreFailure()
+{
+  this->failover.RecordStoreFailure();
+}
+
 inline bool
 Distributor::IsAcceptor() const
 {
--- a/src/distribution/fleetsim.h
+++ b/src/distribution/fleetsim.h
@@ -161,6 +161,15 @@
     }
   }
 
+  /** Sends a message that is not counted in messages. */
+  void SendDatagram(const std::string& aFrom,
+                    const std::string& aTo,
+                    const wire::Envelope& aEnvelope)
+  {
+    this->Send(aFrom, aTo, aEnvelope);
+    --this->messages;
+  }
+
   /**
    * Runs a platform job of a host after a random delay, and its completion
    * after another one.
--- /dev/null
+++ b/src/distribution/relayfailover.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "common/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lacewingwharf {
+
+struct RelayFailoverConfig
+{
+  std::string host;
+
+  /** Key of the order in which the members of the group become relays. */
+  std::string orderKey;
+
+  /** Time within which a new version must be in force on every daemon. */
+  Millis rolloutTime = 12000;
+};
+
+/**
+ * Decides when this daemon watches the store as a substitute for the relays of
+ * its group. Relays send heartbeats along the push tree while their watches
+ * work. If none arrives for a while, whether the relays were lost, are paused
+ * or cannot reach the store, the members take over one after the other until
+ * one of them sends heartbeats. Unlike the member list, this does not wait
+ * until the relays are declared dead, which may never happen when most of the
+ * members are lost.
+ */
+class RelayFailover
+{
+public:
+  RelayFailover(RelayFailoverConfig aConfig, Clock aClock);
+
+  /** Sets the members that may be relays, in order of preference. */
+  void SetCandidates(const std::vector<std::string>& aOrder);
+
+  /**
+   * Updates the state. aIsRelay says whether the member list makes this daemon
+   * a relay, aIsWatching whether its watch of the store works.
+   */
+  void Tick(bool aIsRelay, bool aIsWatching);
+
+  /** Keeps this daemon from being a substitute for kStoreRetryDelay. */
+  void RecordStoreFailure();
+
+  /** Whether this daemon watches the store in place of the relays. */
+  bool IsSubstitute() const;
+
+  /** Returns the number of the next heartbeat if this daemon must send one. */
+  std::optional<std::int64_t> TakeDueHeartbeat();
+
+  /**
+   * Records a heartbeat that has arrived. Returns false if it, or a later one
+   * of the same process, arrived before; it must then not be forwarded.
+   */
+  bool RecordHeartbeat(const std::string& aRelay,
+                       std::int64_t aIncarnation,
+                       std::int64_t aSequence);
+
+private:
+  Millis SilenceLimit() const;
+  bool IsPreferred(const std::string& aRelay) const;
+
+  RelayFailoverConfig config;
+  Clock clock;
+  int rank = 0; // Number of preferred candidates.
+  bool isRelay = false;
+  bool isWatching = false;
+  bool isSubstitute = false;
+  Millis heardAt; // Last heartbeat, or when this daemon was last a relay.
+  Millis storeRetryAt = 0;
+  Millis heartbeatDueAt = 0;
+  std::int64_t sequence = 0;
+  // Incarnation and sequence of the last heartbeat, by relay.
+  std::map<std::string, std::pair<std::int64_t, std::int64_t>> heartbeats;
+};
+
+inline bool
+RelayFailover::IsSubstitute() const
+{
+  return this->isSubstitute;
+}
+
+} // namespace lacewingwharf
--- a/src/distribution/simnodes.h
+++ b/src/distribution/simnodes.h
@@ -31,7 +31,7 @@
            std::vector<std::string> aCandidates)
     : sim(aSim)
     , host(aHost)
-    , distributor(MakeConfig(aHost),
+    , distributor(MakeConfig(aSim, aHost),
                   aSim.clock.View(),
                   SeededRandom(aSim.RandomNumberBelow(1U << 30U)),
                   this->MakeHooks(std::move(aCandidates)))
@@ -41,7 +41,7 @@
   void Tick() override
   {
     this->distributor.Tick();
-    if (this->distributor.IsRelay()) {
+    if (this->distributor.IsRelay() || this->distributor.IsRelaySubstitute()) {
       this->Watch("accepted/", this->acceptedSince);
     }
     if (this->distributor.IsAcceptor()) {
@@ -59,6 +59,8 @@
         SessionOf(aFrom), aFrom, aEnvelope.configFetch);
     } else if (aEnvelope.__isset.configAnswer) {
       this->distributor.HandleAnswer(aFrom, aEnvelope.configAnswer);
+    } else if (aEnvelope.__isset.relayHeartbeat) {
+      this->distributor.HandleRelayHeartbeat(aEnvelope.relayHeartbeat);
     }
   }
 
@@ -75,10 +77,12 @@
   const Distributor& Get() const { return this->distributor; }
 
 private:
-  static DistributorConfig MakeConfig(const std::string& aHost)
+  static DistributorConfig MakeConfig(const FleetSim& aSim,
+                                      const std::string& aHost)
   {
     DistributorConfig config;
     config.host = aHost;
+    config.incarnation = aSim.hosts.at(aHost).generation;
     config.group = "d";
     config.fanout = 2;        // So that a small tree has several levels.
     config.maxKeptDeltas = 8; // So that whole snapshots are needed too.
@@ -92,22 +96,30 @@
 
   DistributorHooks MakeHooks(std::vector<std::string> aCandidates)
   {
-    return { [this](const std::string& aTo, const wire::Envelope& aEnvelope) {
-              this->sim.Send(this->host, aTo, aEnvelope);
-            },
-             [this](SessionId aSession, const wire::Envelope& aEnvelope) {
-               this->sim.Send(
-                 this->host, "h" + std::to_string(aSession - 1), aEnvelope);
-             },
-             [this] { return this->sim.names; },
-             [candidates = std::move(aCandidates)] { return candidates; },
-             [this](PlatformJob aJob) {
-               this->sim.Submit(this->host, std::move(aJob));
-               return true;
-             },
-             [this](const SnapshotPtr& aHeld) {
-               this->sim.Check(this->host, aHeld->Version(), ContentOf(*aHeld));
-             } };
+    DistributorHooks hooks{
+      [this](const std::string& aTo, const wire::Envelope& aEnvelope) {
+        this->sim.Send(this->host, aTo, aEnvelope);
+      },
+      [this](SessionId aSession, const wire::Envelope& aEnvelope) {
+        this->sim.Send(
+          this->host, "h" + std::to_string(aSession - 1), aEnvelope);
+      },
+      [this] { return this->sim.names; },
+      [candidates = std::move(aCandidates)] { return candidates; },
+      [this](PlatformJob aJob) {
+        this->sim.Submit(this->host, std::move(aJob));
+        return true;
+      },
+      [this](const SnapshotPtr& aHeld) {
+        this->sim.Check(this->host, aHeld->Version(), ContentOf(*aHeld));
+      }
+    };
+    hooks.sendDatagram = [this](const std::string& aTo,
+                                const wire::Envelope& aEnvelope) {
+      this->sim.SendDatagram(this->host, aTo, aEnvelope);
+    };
+    hooks.isWatchWorking = [this] { return this->isWatchWorking; };
+    return hooks;
   }
 
   /**
@@ -141,6 +153,7 @@
                          const PlatformResult<ObjectList>& aResult,
                          bool aIsFull)
   {
+    this->isWatchWorking = aResult.has_value();
     if (aResult) {
       aSince = aResult.assume_value().revision;
       if (!aIsFull && aResult.assume_value().objects.empty()) {
@@ -158,6 +171,7 @@
   std::string host;
   std::shared_ptr<int> alive = std::make_shared<int>(0);
   std::set<std::string> activeWatches;
+  bool isWatchWorking = false;
   std::int64_t acceptedSince = 0;
   std::int64_t catalogueSince = 0;
   Distributor distributor;
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -6441,6 +6441,173 @@
 }
 
 
+RelayHeartbeat::~RelayHeartbeat() noexcept {
+}
+
+
+void RelayHeartbeat::__set_relay(const std::string& val) {
+  this->relay = val;
+}
+
+void RelayHeartbeat::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void RelayHeartbeat::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void RelayHeartbeat::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayHeartbeat::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->relay);
+          this->__isset.relay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayHeartbeat::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayHeartbeat");
+
+  xfer += oprot->writeFieldBegin("relay", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->relay);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayHeartbeat &a, RelayHeartbeat &b) {
+  using ::std::swap;
+  swap(a.relay, b.relay);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+RelayHeartbeat::RelayHeartbeat(const RelayHeartbeat& other254) {
+  relay = other254.relay;
+  incarnation = other254.incarnation;
+  sequence = other254.sequence;
+  version = other254.version;
+  __isset = other254.__isset;
+}
+RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other255) noexcept {
+  relay = std::move(other255.relay);
+  incarnation = other255.incarnation;
+  sequence = other255.sequence;
+  version = other255.version;
+  __isset = other255.__isset;
+}
+RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other256) {
+  relay = other256.relay;
+  incarnation = other256.incarnation;
+  sequence = other256.sequence;
+  version = other256.version;
+  __isset = other256.__isset;
+  return *this;
+}
+RelayHeartbeat& RelayHeartbeat::operator=(RelayHeartbeat&& other257) noexcept {
+  relay = std::move(other257.relay);
+  incarnation = other257.incarnation;
+  sequence = other257.sequence;
+  version = other257.version;
+  __isset = other257.__isset;
+  return *this;
+}
+void RelayHeartbeat::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayHeartbeat(";
+  out << "relay=" << to_string(relay);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
 Farewell::~Farewell() noexcept {
 }
 
@@ -6516,22 +6683,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Farewell::Farewell(const Farewell& other254) {
-  reason = other254.reason;
-  __isset = other254.__isset;
+Farewell::Farewell(const Farewell& other258) {
+  reason = other258.reason;
+  __isset = other258.__isset;
 }
-Farewell::Farewell(Farewell&& other255) noexcept {
-  reason = std::move(other255.reason);
-  __isset = other255.__isset;
+Farewell::Farewell(Farewell&& other259) noexcept {
+  reason = std::move(other259.reason);
+  __isset = other259.__isset;
 }
-Farewell& Farewell::operator=(const Farewell& other256) {
-  reason = other256.reason;
-  __isset = other256.__isset;
+Farewell& Farewell::operator=(const Farewell& other260) {
+  reason = other260.reason;
+  __isset = other260.__isset;
   return *this;
 }
-Farewell& Farewell::operator=(Farewell&& other257) noexcept {
-  reason = std::move(other257.reason);
-  __isset = other257.__isset;
+Farewell& Farewell::operator=(Farewell&& other261) noexcept {
+  reason = std::move(other261.reason);
+  __isset = other261.__isset;
   return *this;
 }
 void Farewell::printTo(std::ostream& out) const {
@@ -6640,6 +6807,11 @@
   this->farewell = val;
 __isset.farewell = true;
 }
+
+void Envelope::__set_relayHeartbeat(const RelayHeartbeat& val) {
+  this->relayHeartbeat = val;
+__isset.relayHeartbeat = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -6820,6 +6992,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->relayHeartbeat.read(iprot);
+          this->__isset.relayHeartbeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6932,6 +7112,11 @@
     xfer += this->farewell.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.relayHeartbeat) {
+    xfer += oprot->writeFieldBegin("relayHeartbeat", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->relayHeartbeat.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6958,97 +7143,102 @@
   swap(a.heartbeat, b.heartbeat);
   swap(a.loadReport, b.loadReport);
   swap(a.farewell, b.farewell);
+  swap(a.relayHeartbeat, b.relayHeartbeat);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other258) {
-  hello = other258.hello;
-  ping = other258.ping;
-  ack = other258.ack;
-  pingRequest = other258.pingRequest;
-  memberSync = other258.memberSync;
-  domainSummary = other258.domainSummary;
-  configPush = other258.configPush;
-  configFetch = other258.configFetch;
-  configAnswer = other258.configAnswer;
-  callRequest = other258.callRequest;
-  callAnswer = other258.callAnswer;
-  callCancel = other258.callCancel;
-  callQuery = other258.callQuery;
-  claimRequest = other258.claimRequest;
-  claimAnswer = other258.claimAnswer;
-  statusReport = other258.statusReport;
-  heartbeat = other258.heartbeat;
-  loadReport = other258.loadReport;
-  farewell = other258.farewell;
-  __isset = other258.__isset;
-}
-Envelope::Envelope(Envelope&& other259) noexcept {
-  hello = std::move(other259.hello);
-  ping = std::move(other259.ping);
-  ack = std::move(other259.ack);
-  pingRequest = std::move(other259.pingRequest);
-  memberSync = std::move(other259.memberSync);
-  domainSummary = std::move(other259.domainSummary);
-  configPush = std::move(other259.configPush);
-  configFetch = std::move(other259.configFetch);
-  configAnswer = std::move(other259.configAnswer);
-  callRequest = std::move(other259.callRequest);
-  callAnswer = std::move(other259.callAnswer);
-  callCancel = std::move(other259.callCancel);
-  callQuery = std::move(other259.callQuery);
-  claimRequest = std::move(other259.claimRequest);
-  claimAnswer = std::move(other259.claimAnswer);
-  statusReport = std::move(other259.statusReport);
-  heartbeat = std::move(other259.heartbeat);
-  loadReport = std::move(other259.loadReport);
-  farewell = std::move(other259.farewell);
-  __isset = other259.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other260) {
-  hello = other260.hello;
-  ping = other260.ping;
-  ack = other260.ack;
-  pingRequest = other260.pingRequest;
-  memberSync = other260.memberSync;
-  domainSummary = other260.domainSummary;
-  configPush = other260.configPush;
-  configFetch = other260.configFetch;
-  configAnswer = other260.configAnswer;
-  callRequest = other260.callRequest;
-  callAnswer = other260.callAnswer;
-  callCancel = other260.callCancel;
-  callQuery = other260.callQuery;
-  claimRequest = other260.claimRequest;
-  claimAnswer = other260.claimAnswer;
-  statusReport = other260.statusReport;
-  heartbeat = other260.heartbeat;
-  loadReport = other260.loadReport;
-  farewell = other260.farewell;
-  __isset = other260.__isset;
+Envelope::Envelope(const Envelope& other262) {
+  hello = other262.hello;
+  ping = other262.ping;
+  ack = other262.ack;
+  pingRequest = other262.pingRequest;
+  memberSync = other262.memberSync;
+  domainSummary = other262.domainSummary;
+  configPush = other262.configPush;
+  configFetch = other262.configFetch;
+  configAnswer = other262.configAnswer;
+  callRequest = other262.callRequest;
+  callAnswer = other262.callAnswer;
+  callCancel = other262.callCancel;
+  callQuery = other262.callQuery;
+  claimRequest = other262.claimRequest;
+  claimAnswer = other262.claimAnswer;
+  statusReport = other262.statusReport;
+  heartbeat = other262.heartbeat;
+  loadReport = other262.loadReport;
+  farewell = other262.farewell;
+  relayHeartbeat = other262.relayHeartbeat;
+  __isset = other262.__isset;
+}
+Envelope::Envelope(Envelope&& other263) noexcept {
+  hello = std::move(other263.hello);
+  ping = std::move(other263.ping);
+  ack = std::move(other263.ack);
+  pingRequest = std::move(other263.pingRequest);
+  memberSync = std::move(other263.memberSync);
+  domainSummary = std::move(other263.domainSummary);
+  configPush = std::move(other263.configPush);
+  configFetch = std::move(other263.configFetch);
+  configAnswer = std::move(other263.configAnswer);
+  callRequest = std::move(other263.callRequest);
+  callAnswer = std::move(other263.callAnswer);
+  callCancel = std::move(other263.callCancel);
+  callQuery = std::move(other263.callQuery);
+  claimRequest = std::move(other263.claimRequest);
+  claimAnswer = std::move(other263.claimAnswer);
+  statusReport = std::move(other263.statusReport);
+  heartbeat = std::move(other263.heartbeat);
+  loadReport = std::move(other263.loadReport);
+  farewell = std::move(other263.farewell);
+  relayHeartbeat = std::move(other263.relayHeartbeat);
+  __isset = other263.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other264) {
+  hello = other264.hello;
+  ping = other264.ping;
+  ack = other264.ack;
+  pingRequest = other264.pingRequest;
+  memberSync = other264.memberSync;
+  domainSummary = other264.domainSummary;
+  configPush = other264.configPush;
+  configFetch = other264.configFetch;
+  configAnswer = other264.configAnswer;
+  callRequest = other264.callRequest;
+  callAnswer = other264.callAnswer;
+  callCancel = other264.callCancel;
+  callQuery = other264.callQuery;
+  claimRequest = other264.claimRequest;
+  claimAnswer = other264.claimAnswer;
+  statusReport = other264.statusReport;
+  heartbeat = other264.heartbeat;
+  loadReport = other264.loadReport;
+  farewell = other264.farewell;
+  relayHeartbeat = other264.relayHeartbeat;
+  __isset = other264.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other261) noexcept {
-  hello = std::move(other261.hello);
-  ping = std::move(other261.ping);
-  ack = std::move(other261.ack);
-  pingRequest = std::move(other261.pingRequest);
-  memberSync = std::move(other261.memberSync);
-  domainSummary = std::move(other261.domainSummary);
-  configPush = std::move(other261.configPush);
-  configFetch = std::move(other261.configFetch);
-  configAnswer = std::move(other261.configAnswer);
-  callRequest = std::move(other261.callRequest);
-  callAnswer = std::move(other261.callAnswer);
-  callCancel = std::move(other261.callCancel);
-  callQuery = std::move(other261.callQuery);
-  claimRequest = std::move(other261.claimRequest);
-  claimAnswer = std::move(other261.claimAnswer);
-  statusReport = std::move(other261.statusReport);
-  heartbeat = std::move(other261.heartbeat);
-  loadReport = std::move(other261.loadReport);
-  farewell = std::move(other261.farewell);
-  __isset = other261.__isset;
+Envelope& Envelope::operator=(Envelope&& other265) noexcept {
+  hello = std::move(other265.hello);
+  ping = std::move(other265.ping);
+  ack = std::move(other265.ack);
+  pingRequest = std::move(other265.pingRequest);
+  memberSync = std::move(other265.memberSync);
+  domainSummary = std::move(other265.domainSummary);
+  configPush = std::move(other265.configPush);
+  configFetch = std::move(other265.configFetch);
+  configAnswer = std::move(other265.configAnswer);
+  callRequest = std::move(other265.callRequest);
+  callAnswer = std::move(other265.callAnswer);
+  callCancel = std::move(other265.callCancel);
+  callQuery = std::move(other265.callQuery);
+  claimRequest = std::move(other265.claimRequest);
+  claimAnswer = std::move(other265.claimAnswer);
+  statusReport = std::move(other265.statusReport);
+  heartbeat = std::move(other265.heartbeat);
+  loadReport = std::move(other265.loadReport);
+  farewell = std::move(other265.farewell);
+  relayHeartbeat = std::move(other265.relayHeartbeat);
+  __isset = other265.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -7073,6 +7263,7 @@
   out << ", " << "heartbeat="; (__isset.heartbeat ? (out << to_string(heartbeat)) : (out << "<null>"));
   out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
   out << ", " << "farewell="; (__isset.farewell ? (out << to_string(farewell)) : (out << "<null>"));
+  out << ", " << "relayHeartbeat="; (__isset.relayHeartbeat ? (out << to_string(relayHeartbeat)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -167,6 +167,8 @@
 
 class Heartbeat;
 
+class RelayHeartbeat;
+
 class Farewell;
 
 class Envelope;
@@ -2528,6 +2530,79 @@
 
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
+typedef struct _RelayHeartbeat__isset {
+  _RelayHeartbeat__isset() : relay(false), incarnation(false), sequence(false), version(false) {}
+  bool relay :1;
+  bool incarnation :1;
+  bool sequence :1;
+  bool version :1;
+} _RelayHeartbeat__isset;
+
+/**
+ * Sent along the push tree by a relay, or a substitute for one, while its watch
+ * of the store works.
+ */
+class RelayHeartbeat : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayHeartbeat(const RelayHeartbeat&);
+  RelayHeartbeat(RelayHeartbeat&&) noexcept;
+  RelayHeartbeat& operator=(const RelayHeartbeat&);
+  RelayHeartbeat& operator=(RelayHeartbeat&&) noexcept;
+  RelayHeartbeat() noexcept
+                 : relay(),
+                   incarnation(0),
+                   sequence(0),
+                   version(0) {
+  }
+
+  virtual ~RelayHeartbeat() noexcept;
+  std::string relay;
+  int64_t incarnation;
+  int64_t sequence;
+  /**
+   * The version that the relay holds.
+   */
+  int64_t version;
+
+  _RelayHeartbeat__isset __isset;
+
+  void __set_relay(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const RelayHeartbeat & rhs) const
+  {
+    if (!(relay == rhs.relay))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayHeartbeat &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayHeartbeat & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayHeartbeat &a, RelayHeartbeat &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj);
+
 typedef struct _Farewell__isset {
   _Farewell__isset() : reason(false) {}
   bool reason :1;
@@ -2578,7 +2653,7 @@
 std::ostream& operator<<(std::ostream& out, const Farewell& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : hello(false), ping(false), ack(false), pingRequest(false), memberSync(false), domainSummary(false), configPush(false), configFetch(false), configAnswer(false), callRequest(false), callAnswer(false), callCancel(false), callQuery(false), claimRequest(false), claimAnswer(false), statusReport(false), heartbeat(false), loadReport(false), farewell(false) {}
+  _Envelope__isset() : hello(false), ping(false), ack(false), pingRequest(false), memberSync(false), domainSummary(false), configPush(false), configFetch(false), configAnswer(false), callRequest(false), callAnswer(false), callCancel(false), callQuery(false), claimRequest(false), claimAnswer(false), statusReport(false), heartbeat(false), loadReport(false), farewell(false), relayHeartbeat(false) {}
   bool hello :1;
   bool ping :1;
   bool ack :1;
@@ -2598,6 +2673,7 @@
   bool heartbeat :1;
   bool loadReport :1;
   bool farewell :1;
+  bool relayHeartbeat :1;
 } _Envelope__isset;
 
 /**
@@ -2633,6 +2709,7 @@
   Heartbeat heartbeat;
   LoadReport loadReport;
   Farewell farewell;
+  RelayHeartbeat relayHeartbeat;
 
   _Envelope__isset __isset;
 
@@ -2674,6 +2751,8 @@
 
   void __set_farewell(const Farewell& val);
 
+  void __set_relayHeartbeat(const RelayHeartbeat& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -2752,6 +2831,10 @@
       return false;
     else if (__isset.farewell && !(farewell == rhs.farewell))
       return false;
+    if (__isset.relayHeartbeat != rhs.__isset.relayHeartbeat)
+      return false;
+    else if (__isset.relayHeartbeat && !(relayHeartbeat == rhs.relayHeartbeat))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -351,6 +351,18 @@
   1: i64 sequence
 }
 
+/**
+ * Sent along the push tree by a relay, or a substitute for one, while its watch
+ * of the store works.
+ */
+struct RelayHeartbeat {
+  1: string relay
+  2: i64 incarnation
+  3: i64 sequence
+  /** The version that the relay holds. */
+  4: i64 version
+}
+
 /**
  * The shutdown notice, the last frame of a daemon that stops. Requests on the
  * session that were not answered before it have not run and will not run.
@@ -380,4 +392,5 @@
   17: optional Heartbeat heartbeat
   18: optional LoadReport loadReport
   19: optional Farewell farewell
+  20: optional RelayHeartbeat relayHeartbeat
 }
--- a/src/store/platformwatch.cpp
+++ b/src/store/platformwatch.cpp
@@ -60,6 +60,7 @@
     }
     this->isActive = aIsActive;
     this->revision = aKnownRevision;
+    this->isWorking = false;
     ++this->activation;
   }
   this->stateChanged.notify_all();
@@ -118,6 +119,7 @@
   }
   if (aResult) {
     this->lastAnswerTime = Clock::Steady().Now();
+    this->isWorking = true;
     this->revision = aResult.value().revision;
     this->backoff.Reset();
     return true;
@@ -129,6 +131,7 @@
     kLog.Decision("history-gone", "prefix={}", this->config.prefix);
     return true;
   }
+  this->isWorking = false;
   aPause = this->backoff.NextDelay();
   kLog.Warning("watch of {} failed: {} ({}); next attempt in {} ms",
                this->config.prefix,
--- a/src/store/platformwatch.h
+++ b/src/store/platformwatch.h
@@ -72,6 +72,9 @@
 
   const CallCounts& Counts() const;
 
+  /** Whether the watch is active and its last call was answered. */
+  bool IsWorking() const;
+
   /**
    * When the platform last answered, with or without changes; 0 if it never
    * has.
@@ -111,6 +114,7 @@
   std::uint64_t activation = 0; // Results of earlier activations are dropped.
   std::optional<std::int64_t> revision; // Empty if a list is needed.
   std::atomic<Millis> lastAnswerTime = 0;
+  std::atomic<bool> isWorking = false;
   std::thread thread;
 };
 
@@ -120,6 +124,12 @@
   return *this->counts;
 }
 
+inline bool
+PlatformWatch::IsWorking() const
+{
+  return this->isWorking;
+}
+
 inline Millis
 PlatformWatch::LastAnswerTime() const
 {
