--- a/src/common/jsonvalue.h
+++ b/src/common/jsonvalue.h
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -36,7 +37,7 @@
   return FieldOr(aObject, aName, std::string());
 }
 
-/** Returns no value when the field is missing or is not an integer. */
+/** Returns no value when the field is missing or is not a 64-bit integer. */
 inline std::optional<std::int64_t>
 IntegerField(const nlohmann::json& aObject, const char* aName)
 {
@@ -44,6 +45,10 @@
   if (field == aObject.end() || !field->is_number_integer()) {
     return std::nullopt;
   }
+  constexpr std::uint64_t kMax = std::numeric_limits<std::int64_t>::max();
+  if (field->is_number_unsigned() && field->get<std::uint64_t>() > kMax) {
+    return std::nullopt;
+  }
   return field->get<std::int64_t>();
 }
 
--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -1,11 +1,14 @@
 #include "membership/memberdirectory.h"
 
+#include "common/jsonitems.h"
 #include "common/jsonvalue.h"
 #include "common/log.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -19,6 +22,9 @@
 constexpr Log kLog("membership");
 constexpr const char* kPrefix = "members/";
 
+// More than any backend server has. A higher number is not from a daemon.
+constexpr std::int64_t kMaxSlots = 100000;
+
 // A daemon that finds fewer entries than this reads a second time, when daemons
 // that started together with it have written theirs. With more entries, gossip
 // completes its members.
@@ -55,6 +61,22 @@
   return json.dump();
 }
 
+bool
+IsAddress(const std::string& aText)
+{
+  in_addr address{};
+  return inet_pton(AF_INET, aText.c_str(), &address) == 1;
+}
+
+/** Returns 0 when the field is missing or is no port. */
+int
+PortIn(const Json& aObject)
+{
+  constexpr std::int64_t kMaxPort = 65535;
+  const auto port = IntegerField(aObject, "port").value_or(0);
+  return port > 0 && port <= kMaxPort ? static_cast<int>(port) : 0;
+}
+
 std::int64_t
 NumberIn(const Json& aObject, const char* aField)
 {
@@ -64,27 +86,28 @@
 std::optional<DirectoryEntry>
 DecodeEntry(const StoredObject& aObject)
 {
-  const Json json = Json::parse(aObject.value, nullptr, false);
-  if (!json.is_object() || TextField(json, "address").empty() ||
-      NumberIn(json, "port") <= 0) {
-    kLog.Warning(
-      "object {} is not a valid member entry: {}", aObject.name, aObject.value);
+  const Json json = ParseItem(aObject.value);
+  if (!json.is_object() || !IsAddress(TextField(json, "address")) ||
+      PortIn(json) == 0) {
+    kLog.Warning("ignoring object {} of {} bytes: not a member entry",
+                 aObject.name,
+                 aObject.value.size());
     return std::nullopt;
   }
   DirectoryEntry entry;
   entry.host = aObject.name.substr(std::string_view(kPrefix).size());
-  entry.address = { TextField(json, "address"),
-                    static_cast<int>(NumberIn(json, "port")) };
+  entry.address = { TextField(json, "address"), PortIn(json) };
   entry.region = TextField(json, "region");
   entry.domain = TextField(json, "domain");
   entry.incarnation = NumberIn(json, "incarnation");
   const Json server = json.value("server", Json::object());
-  if (server.is_object() && NumberIn(server, "slots") > 0) {
+  const std::int64_t slots = NumberIn(server, "slots");
+  if (PortIn(server) != 0 && slots > 0 && slots <= kMaxSlots) {
     entry.server = ServerProcess{ TextField(server, "id"),
                                   NumberIn(server, "startedAt"),
                                   TextField(server, "service"),
-                                  static_cast<int>(NumberIn(server, "port")),
-                                  static_cast<int>(NumberIn(server, "slots")) };
+                                  PortIn(server),
+                                  static_cast<int>(slots) };
   }
   const Json leaving = json.value("leaving", Json::object());
   if (leaving.is_object() && !TextField(leaving, "id").empty()) {
--- a/src/membership/memberdirectory_test.cpp
+++ b/src/membership/memberdirectory_test.cpp
@@ -270,3 +270,37 @@
   after.Run(1000);
   cr_expect_eq(store.puts["members/a"], puts + 1);
 }
+
+// Other writers may leave entries among those of the daemons. An entry with a
+// port or an address that cannot be used names no member; a name instead of an
+// address would block the thread that looks it up.
+Test(memberdirectory, entries_that_name_no_member_are_ignored)
+{
+  FakeStore store;
+  int number = 0;
+  const std::string nested =
+    std::string(100000, '[') + std::string(100000, ']');
+  for (const std::string& value :
+       { std::string(R"({"address":"10.0.0.2","port":65536})"),
+         std::string(R"({"address":"10.0.0.2","port":4294967301})"),
+         std::string(R"({"address":"10.0.0.2","port":18446744073709551615})"),
+         std::string(R"({"address":"10.0.0.2","port":1e400})"),
+         std::string(R"({"address":"10.0.0.2","port":-1})"),
+         std::string(R"({"address":"host.example","port":5})"),
+         std::string(
+           "{\"address\":\"10.0.0.2\",\"port\":5,\"region\":\"\xff\"}"),
+         std::string("[]"),
+         nested,
+         R"({"address":"10.0.0.2","port":5,"server":)" + nested + "}" }) {
+    store.Edit(fmt::format("members/x{}", ++number), value);
+  }
+  store.Edit(
+    "members/y",
+    R"({"address":"10.0.0.3","port":6,"server":{"id":"i","port":70000,)"
+    R"("slots":4,"service":"s","startedAt":1}})");
+  Daemon daemon(store, "a", 1);
+  daemon.Run(200);
+  cr_expect_eq(daemon.FirstPeer(), "10.0.0.3:6");
+  cr_assert_eq(daemon.others.size(), 1U);
+  cr_expect_not(daemon.others[0].server.has_value());
+}
