Replace a caller's headers without regard to case

Cause: the headers of the message between daemons distinguish case; the daemon's header was added beside the caller's, and the first one won.

Change: RequestMessage() sets the daemon's headers in a map that ignores case before it copies them.

--- a/src/execution/callrequest.cpp
+++ b/src/execution/callrequest.cpp
@@ -129,19 +129,21 @@
   request.port = aCall.attempt.endpoint.port;
   request.method = aCall.http.method;
   request.target = aCall.http.target;
-  const HttpHeaders headers = EndToEndHeaders(aCall.http.headers);
-  request.headers.insert(headers.begin(), headers.end());
+  // The headers of the message distinguish upper and lower case, so the values
+  // of the daemon replace those of the caller before they are copied.
+  HttpHeaders headers = EndToEndHeaders(aCall.http.headers);
   if (aDialect.addsOwnHeaders) {
-    request.headers[kCallIdHeader] = aCall.id;
-    request.headers[kDepthHeader] = fmt::format("{}", aCall.depth + 1);
+    headers[kCallIdHeader] = aCall.id;
+    headers[kDepthHeader] = fmt::format("{}", aCall.depth + 1);
   }
   if (!aDialect.callerServiceHeader.empty()) {
-    request.headers[aDialect.callerServiceHeader] = aOrigin.service;
+    headers[aDialect.callerServiceHeader] = aOrigin.service;
   }
   if (const auto host = aCall.http.headers.find("Host");
       aDialect.forwardsHost && host != aCall.http.headers.end()) {
-    request.headers["Host"] = host->second;
+    headers["Host"] = host->second;
   }
+  request.headers.insert(headers.begin(), headers.end());
   request.body = aCall.http.body;
   request.remainingMillis = aRemaining;
   request.idempotent = aCall.isIdempotent;
--- a/src/execution/sitecalls_test.cpp
+++ b/src/execution/sitecalls_test.cpp
@@ -278,3 +278,17 @@
   alone.SetServers(1, 0);
   cr_expect_eq(alone.sent.size(), 1U);
 }
+
+// Header names are compared without regard to case. A caller's own header in
+// another spelling must not reach the server instead of the daemon's.
+Test(sitecalls, a_caller_cannot_name_its_own_service)
+{
+  for (const char* name : { "From", "FROM", "from" }) {
+    EntryDaemon daemon;
+    daemon.Begin(1, "GET", { { name, "forged" }, { "Id", "r" } });
+    const auto& headers = daemon.LastRequest().headers;
+    const HttpHeaders received(headers.begin(), headers.end());
+    cr_expect_eq(headers.size(), received.size(), "%s", name);
+    cr_expect_eq(received.at("From"), "own-service", "%s", name);
+  }
+}
