Free the bodies of finished calls

Cause: a kept call was emptied by assigning an empty message, which keeps the buffers of the bodies.

Change: the message is swapped with an empty one and destroyed.

--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -28,6 +28,19 @@
   return kWorkClassNames.NameOf(value) == "?" ? WorkClass::Batch : value;
 }
 
+/**
+ * Empties a message and frees its memory. Assigning an empty message would keep
+ * the buffers: a short string is copied into the buffer of the string that it
+ * replaces.
+ */
+template<typename Message>
+void
+Release(Message& aMessage)
+{
+  Message released;
+  std::swap(aMessage, released);
+}
+
 } // namespace
 
 DestinationCalls::DestinationCalls(DestinationCallsConfig aConfig,
@@ -236,6 +249,9 @@
     case ExchangeEnd::Answered: {
       if (auto refusal =
             ClassifyServerAnswer(this->config.dialect, id, aResult.answer)) {
+        if (refusal->outcome == wire::CallOutcome::NOT_RUN) {
+          this->refusedRequests.Add(this->RequestIdOf(aCall));
+        }
         return std::move(*refusal);
       }
       wire::CallAnswer answer;
@@ -245,13 +261,13 @@
       answer.headers.insert(aResult.answer.headers.begin(),
                             aResult.answer.headers.end());
       answer.body = std::move(aResult.answer.body);
+      if (aResult.answer.endsWithConnection) {
+        answer.__set_endsWithConnection(true);
+      }
       answer.bodyHash = BodyHash(answer.body);
       return answer;
     }
     case ExchangeEnd::NotConnected: {
-        if (refusal->outcome == wire::CallOutcome::NOT_RUN) {
-          this->refusedRequests.Add(this->RequestIdOf(aCall));
-        }
       kLog.Decision("server-not-connected",
                     "request={} call={} detail=\"{}\"",
                     this->RequestIdOf(aCall),
@@ -266,11 +282,11 @@
       kLog.Decision("answer-cut",
                     "request={} call={} framing={} announced={} received={} "
                     "detail=\"{}\"",
-      if (aResult.answer.endsWithConnection) {
-        answer.__set_endsWithConnection(true);
-      }
                     this->RequestIdOf(aCall),
                     id,
+                    kAnswerFramingNames.NameOf(aResult.framing),
+                    aResult.announcedBytes,
+                    aResult.receivedBytes,
                     aResult.detail);
       wire::CallAnswer answer = UnknownAnswer(id, "cut-answer");
       this->CheckServerLost(aCall, answer);
@@ -292,9 +308,6 @@
   return header == aCall.request.headers.end() ? sEmpty : header->second;
 }
 
-                    kAnswerFramingNames.NameOf(aResult.framing),
-                    aResult.announcedBytes,
-                    aResult.receivedBytes,
 void
 DestinationCalls::CheckServerLost(const Call& aCall, wire::CallAnswer& aAnswer)
 {
@@ -338,7 +351,7 @@
 {
   const std::string& id = aAnswer.callId;
   aCall.stage = Stage::Finished;
-  aCall.request = {};
+  Release(aCall.request);
   aCall.answer = aAnswer;
   this->finishedQueue.emplace_back(
     this->clock.Now() + this->config.answerRetention, id);
@@ -349,6 +362,7 @@
   while (this->keptBytes > this->config.maxKeptBytes) {
     Call& oldest = this->calls.at(this->keptAnswers.front());
     this->keptBytes -= oldest.answer.body.size();
+    Release(oldest.answer);
     oldest.answer = UnknownAnswer(this->keptAnswers.front(), "answer-not-kept");
     this->keptAnswers.pop_front();
   }
--- a/src/execution/destinationcalls_test.cpp
+++ b/src/execution/destinationcalls_test.cpp
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 
+#include <malloc.h>
+
 #include <map>
 #include <string>
 #include <utility>
@@ -283,3 +285,34 @@
   destination.Request("b.1", true, { { "Request", "two" } }, {});
   cr_expect_not(destination.runs.back().needsNewConnection);
 }
+
+namespace {
+
+std::size_t
+AllocatedBytes()
+{
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+} // namespace
+
+// The id of a non-idempotent call is kept long after its end. If the bodies of
+// its request and of its dropped answer were kept with it, large requests at an
+// ordinary rate would use up the memory of the host.
+Test(destinationcalls, FinishedCallsDoNotKeepTheirBodies)
+{
+  constexpr int kCalls = 100;
+  constexpr std::size_t kBodyBytes = 600000;
+  Destination destination(2 * kBodyBytes);
+  const std::size_t before = AllocatedBytes();
+  for (int index = 0; index < kCalls; ++index) {
+    const std::string id = "call" + std::to_string(index);
+    destination.Request(id, false, {}, std::string(kBodyBytes, 'x'));
+    destination.End(id, ExchangeEnd::Answered, std::string(kBodyBytes, 'y'));
+    destination.runs.clear();
+    destination.answers.clear();
+  }
+  const std::size_t kept = AllocatedBytes() - before;
+  cr_expect_lt(kept, 8 * kBodyBytes, "%zu bytes kept", kept);
+}
--- a/src/proxy/httpclient.h
+++ b/src/proxy/httpclient.h
@@ -54,7 +54,7 @@
 {
   std::string id;
   ExchangeEnd end = ExchangeEnd::NotConnected;
-  HttpAnswer answer;
+  HttpAnswer answer; // Set only if the exchange ended as Answered.
   std::string detail;
 
   // Of the part of the answer that was received, also if it was rejected.
