Answer requests with long heads and many cookies

Cause: libmicrohttpd closes the connection if the head of the answer does not fit the pool that holds the head of the request, its cookies and records.

Change: the pool has 4 instead of 2 bytes for each byte of the limit.

--- a/src/proxy/httpserver.cpp
+++ b/src/proxy/httpserver.cpp
@@ -19,9 +19,11 @@
 
 constexpr Log kLog("http");
 
-// libmicrohttpd stores the request head, its parsed form and the head of the
-// answer in one pool per connection.
-constexpr std::size_t kPoolBytesPerHeaderByte = 2;
+// libmicrohttpd stores the request head, a copy of its cookies, a record for
+// each header and cookie, and the head of the answer in one pool per
+// connection. If the answer does not fit, it closes the connection without one,
+// although the request has run.
+constexpr std::size_t kPoolBytesPerHeaderByte = 4;
 
 constexpr unsigned int kListenBacklog = 1024;
 
--- a/src/proxy/httpserver_test.cpp
+++ b/src/proxy/httpserver_test.cpp
@@ -21,12 +21,12 @@
 /** A server that stores its requests until the test answers them. */
 struct Fixture
 {
-  Fixture()
+  explicit Fixture(std::size_t aMaxHeaderBytes = 2048)
   {
     HttpServerConfig config;
     config.address = kAddress;
     config.port = loopback::FreePort(kAddress);
-    config.maxHeaderBytes = 2048;
+    config.maxHeaderBytes = aMaxHeaderBytes;
     config.maxBodyBytes = 4096;
     this->port = config.port;
     this->server = std::make_unique<HttpServer>(
@@ -316,3 +316,32 @@
   cr_expect_eq(received.substr(head.size()), answer.body);
   cr_expect(fixture.BecomesIdle());
 }
+
+// A request whose head is within the limit must be answered, however many
+// cookies it has: once it has run, its caller cannot send it again.
+Test(httpserver, LongHeadsWithCookiesAreAnswered)
+{
+  constexpr std::size_t kMaxHeaderBytes = 16384;
+  for (const std::size_t cookies : { 1UL, 40UL, 200UL }) {
+    for (std::size_t bytes = 10000; bytes <= 16000; bytes += 500) {
+      Fixture fixture(kMaxHeaderBytes);
+      std::string head = "POST /a HTTP/1.1\r\nHost: x\r\nCookie: ";
+      for (std::size_t i = 0; i < cookies; ++i) {
+        const std::size_t left = (bytes - head.size()) / (cookies - i);
+        head += (i == 0 ? "c" : "; c") + std::to_string(i) + "=" +
+                std::string(left > 10 ? left - 10 : 1, 'v');
+      }
+      Socket socket = fixture.SendRequest(
+        head + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+      const RequestId id = fixture.WaitForRequests();
+      HttpAnswer answer;
+      answer.headers["Set-Cookie"] = std::string(1200, 's');
+      answer.body = "whole";
+      fixture.server->Answer(id, answer);
+      cr_expect(socket.ReceiveAll().ends_with("whole"),
+                "%zu cookies, %zu bytes",
+                cookies,
+                bytes);
+    }
+  }
+}
