Keep the entry of a leaving server that still runs

Cause: on SIGTERM the daemon removed its entry from the store, and with it the mark that the server is leaving.

Change: the entry is removed only if the server no longer listens.

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "common/random.h"
+#include "daemon/serverprobe.h"
 #include "store/httpobjectstore.h"
 
 #include <fmt/format.h>
@@ -203,9 +204,13 @@
 {
   this->loop.Run([this] {
     this->membership.Leave();
-    if (this->HasDocuments() && this->localServer.Leaving() &&
-        this->localServer.Leaving()->id == this->localServer.Id()) {
-      // The server leaves, too, so this host is no longer in use.
+    const auto& leaving = this->localServer.Leaving();
+    const SocketAddress& server = this->settings.site.server;
+    if (this->HasDocuments() && leaving &&
+        leaving->id == this->localServer.Id() &&
+        !IsListening(server.address, server.port)) {
+      // The server has ended, so this host is no longer in use. As long as it
+      // runs, the entry shows a restarted daemon that it is leaving.
       this->directory.Remove();
     }
   });
