Try a route again on a server that was slow

After a slow spell, a route was refused for good on servers with free slots.

Cause: the mean service time, fed only by calls that ended at their deadline, exceeded the time left of every later call, so that no call ran that could correct it.

Change: while no call of the owner runs and a slot is free, one call a second starts in spite of the mean.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -187,7 +187,8 @@
   this->calls.erase(found);
   this->limits.Release(*call.running);
   LocalEndpoint& endpoint = this->endpoints.at(call.endpoint);
-  endpoint.queue.Finish(*call.running, aServiceMillis);
+  endpoint.queue.Finish(
+    *call.running, aServiceMillis, this->clock.PreciseNow());
   this->StartCalls(endpoint);
   this->RemoveIfIdle(call.endpoint);
   this->DeliverDecisions();
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -62,7 +62,9 @@
    */
   std::optional<AdmissionRequest> StartNext(double aNow);
 
-  void Finish(const AdmissionRequest& aRequest, double aServiceMillis);
+  void Finish(const AdmissionRequest& aRequest,
+              double aServiceMillis,
+              double aNow);
 
   std::optional<AdmissionRequest> CancelWaiting(std::string_view aCallId);
 
@@ -81,6 +83,13 @@
 private:
   using Iterator = std::list<WaitingCall>::iterator;
 
+  /** Mean service time of the calls of an entry. */
+  struct EntryMean
+  {
+    double millis = 0;
+    double updatedAt = 0;
+  };
+
   int MaxWaiting() const;
   int MaxSlotsPerOwner() const;
   int RunningOf(const std::string& aOwner) const;
@@ -91,6 +100,7 @@
   Iterator FindCallToDisplace(const AdmissionRequest& aRequest);
   Iterator FindNext(double aNow);
   double ExpectedServiceMillis(const AdmissionRequest& aRequest) const;
+  bool IsProbeDue(const AdmissionRequest& aRequest, double aNow) const;
   bool WouldMissTarget(const AdmissionRequest& aRequest, double aNow) const;
   std::optional<Refusal> CheckExpiry(const WaitingCall& aCall,
                                      double aNow) const;
@@ -100,7 +110,7 @@
   int running = 0;
   std::list<WaitingCall> waiting; // In order of arrival.
   double meanServiceMillis = 0;   // 0 until the first call has finished.
-  std::map<std::string, double, std::less<>> meanMillisByEntry;
+  std::map<std::string, EntryMean, std::less<>> meanByEntry;
 };
 
 inline int
