Reserve a loopback network for each test fleet

Two tests failed once each: member lists did not converge, and a daemon ended with another code than 0. Two fleets that start at the same time could draw the same network, since it was only probed, and bound later.

Change: LoopbackNetwork holds a listening socket in the network for the lifetime of the fleet.

That the two tests failed for this cause is not shown, so their entries stay.

--- a/standins/testkit/fleet.cpp
+++ b/standins/testkit/fleet.cpp
@@ -1,13 +1,8 @@
 #include "testkit/fleet.h"
 
-#include "common/random.h"
 #include "testkit/httprequest.h"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -30,37 +25,6 @@
 constexpr int kLinkPlatformPort = 9000;
 constexpr int kLinkControlPort = 9001;
 
-bool
-CanBind(const std::string& aAddress, int aPort)
-{
-  const int socketFd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
-  inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr);
-  const bool isFree =
-    bind(socketFd,
-         reinterpret_cast<const sockaddr*>(&address), // NOLINT
-         sizeof(address)) == 0;
-  close(socketFd);
-  return isFree;
-}
-
-/** A prefix 127.82.X of the loopback network that no other fleet uses. */
-std::string
-FindFreeNetwork()
-{
-  constexpr std::uint64_t kNetworks = 256;
-  const Random random = SystemRandom();
-  while (true) {
-    std::string network =
-      fmt::format("127.82.{}", RandomBelow(random, kNetworks));
-    if (CanBind(network + ".1", Fleet::kPeerPort)) {
-      return network;
-    }
-  }
-}
-
 std::string
 MakeDirectory()
 {
@@ -101,7 +65,7 @@
   if (this->config.platformRegion.empty()) {
     this->config.platformRegion = this->config.domains.front().region;
   }
-  const std::string network = FindFreeNetwork();
+  const std::string& network = this->network.Prefix();
   for (const FleetDomain& domain : this->config.domains) {
     for (std::size_t i = 0; i < domain.hosts; ++i) {
       Host host;
--- a/standins/testkit/fleet.h
+++ b/standins/testkit/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "testkit/loopbacknetwork.h"
 #include "testkit/platformstandin.h"
 #include "testkit/process.h"
 
@@ -157,6 +158,7 @@
   nlohmann::json LiveMembers(std::size_t aHost) const;
 
   FleetConfig config;
+  LoopbackNetwork network;
   std::string directory;
   std::string linkAddress;
   std::unique_ptr<PlatformStandin> platform;
