Reject answers that do not name their request

A refusal without the request's id was taken for the answer to any request.

Cause: the echoed id was compared only if the answer had one.

Change: an answer without the id is incomplete. The id is looked for when the head is complete, so that informational heads need none. The server of the tests writes late and repeated answers and refusals.

--- a/src/proxy/httpclient.h
+++ b/src/proxy/httpclient.h
@@ -42,8 +42,8 @@
 
   /**
    * Name of a header that the server copies from the request to the answer. An
-   * answer with a different value belongs to another request and is rejected.
-   * If the name is empty, nothing is compared.
+   * answer without it, or with a different value, is not known to belong to the
+   * request and is rejected. If the name is empty, nothing is compared.
    */
   std::string echoedHeader;
 
--- a/src/proxy/httpclient_test.cpp
+++ b/src/proxy/httpclient_test.cpp
@@ -321,6 +321,24 @@
   cr_expect_eq(result.answer.body, "whole");
 }
 
+// Servers copy the id of the request. Without it, nothing shows that the answer
+// belongs to the request. An informational head has no id.
+Test(httpclient, AnswerWithoutAnIdIsRejected)
+{
+  const std::string answer =
+    "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::string early = "HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\n";
+  for (const bool hasId : { false, true }) {
+    Fixture fixture;
+    cr_assert(fixture.client.Submit(MakeExchangeWithId(fixture, "one")));
+    Socket socket = fixture.listener.Accept();
+    socket.ReceiveUntil("\r\n\r\n");
+    cr_assert(socket.Send(early + (hasId ? MakeAnswerWithId("one") : answer)));
+    cr_expect_eq(fixture.Result().end,
+                 hasId ? ExchangeEnd::Answered : ExchangeEnd::Incomplete);
+  }
+}
+
 // Some servers are known to send answers without a length. With
 // UnframedBody::Complete such an answer must be accepted, unless a reset of the
 // connection may have truncated it.
--- a/src/proxy/httptransfer.cpp
+++ b/src/proxy/httptransfer.cpp
@@ -191,7 +191,7 @@
   }
   const std::string_view line = WithoutLineEnd({ aBytes, bytes });
   transfer->head.AddLine(line);
-  if (line.empty() && transfer->IsAnswerToOtherRequest()) {
+  if (transfer->head.IsComplete() && transfer->IsAnswerToOtherRequest()) {
     transfer->isForOtherRequest = true;
     return 0; // Ends the transfer and closes the connection.
   }
@@ -204,9 +204,9 @@
   const std::string& name = this->exchange.echoedHeader;
   const auto answered = this->head.headers.find(name);
   const auto sent = this->exchange.request.headers.find(name);
-  return !name.empty() && answered != this->head.headers.end() &&
-         sent != this->exchange.request.headers.end() &&
-         answered->second != sent->second;
+  return !name.empty() && sent != this->exchange.request.headers.end() &&
+         (answered == this->head.headers.end() ||
+          answered->second != sent->second);
 }
 
 std::size_t
--- a/standins/testkit/faultyserver.cpp
+++ b/standins/testkit/faultyserver.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
 #include <cstdlib>
 #include <utility>
 
@@ -43,6 +44,18 @@
                      aIsNotExecuted ? "X-Not-Executed: 1\r\n" : "");
 }
 
+/** Sends aAnswer, and aExtra when the client has long read it. */
+bool
+SendLate(loopback::Socket& aSocket,
+         const std::string& aAnswer,
+         const std::string& aExtra)
+{
+  constexpr std::chrono::milliseconds kDelay(50);
+  const bool isSent = aSocket.Send(aAnswer);
+  std::this_thread::sleep_for(kDelay);
+  return isSent && aSocket.Send(aExtra);
+}
+
 } // namespace
 
 FaultyServer::FaultyServer(const std::string& aAddress,
@@ -106,6 +119,7 @@
 FaultyServer::Serve(loopback::Socket& aSocket)
 {
   std::string received;
+  std::string lastRefusal;
   while (!this->isStopping) {
     auto end = received.find("\r\n\r\n");
     if (end == std::string::npos) {
@@ -123,7 +137,7 @@
       std::atoll(FindHeader(head, "content-length").c_str()));
     request.body = received.substr(end + 4, request.bodyBytes);
     received.erase(0, end + 4 + request.body.size());
-    if (!this->Answer(aSocket, request)) {
+    if (!this->Answer(aSocket, request, lastRefusal)) {
       break;
     }
   }
@@ -132,7 +146,9 @@
 
 /** Returns false if the connection must be closed. */
 bool
-FaultyServer::Answer(loopback::Socket& aSocket, Request& aRequest)
+FaultyServer::Answer(loopback::Socket& aSocket,
+                     Request& aRequest,
+                     std::string& aLastRefusal)
 {
   const FaultyAnswer kind = this->answer;
   if (kind == FaultyAnswer::Early) {
@@ -156,7 +172,11 @@
     case FaultyAnswer::OtherServer:
       return aSocket.Send(MakeRefusal(421, aRequest.id, false));
     case FaultyAnswer::NotExecuted:
-      return aSocket.Send(MakeRefusal(503, aRequest.id, true));
+      aLastRefusal = MakeRefusal(503, aRequest.id, true);
+      return aSocket.Send(aLastRefusal);
+    case FaultyAnswer::LateRefusal:
+      aLastRefusal = MakeRefusal(503, aRequest.id, true);
+      return SendLate(aSocket, aLastRefusal, aLastRefusal);
     case FaultyAnswer::Early:
       return true;
     default:
@@ -180,6 +200,13 @@
       return false;
     case FaultyAnswer::Extra:
       return aSocket.Send(whole + this->MakeAnswer("another", "extra"));
+    case FaultyAnswer::LateExtra:
+      return SendLate(aSocket, whole, this->MakeAnswer("another", "extra"));
+    case FaultyAnswer::NoId:
+      return aSocket.Send("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n"
+                          "Content-Length: 3\r\n\r\nran");
+    case FaultyAnswer::RepeatRefusal:
+      return aSocket.Send(aLastRefusal + whole);
     case FaultyAnswer::NoAnswer:
       return false;
     case FaultyAnswer::Garbage:
--- a/standins/testkit/faultyserver.h
+++ b/standins/testkit/faultyserver.h
@@ -17,12 +17,16 @@
   Complete,
   OtherServer,   // 421: the request is meant for another server.
   NotExecuted,   // 503 with X-Not-Executed: the request did not run.
+  LateRefusal,   // The same, and once more while the connection is idle.
+  RepeatRefusal, // The last refusal of the connection precedes the answer.
   Shed,          // 503 without X-Not-Executed: it may have run.
   Truncated,     // The last four bytes are missing.
   TruncatedHead, // The connection is closed before the Content-Length.
   Unframed,      // No Content-Length; closing the connection ends the body.
   UnframedReset, // No Content-Length; the connection is reset in the body.
   Extra,         // An answer to another request follows.
+  LateExtra,     // The same, while the connection is idle.
+  NoId,          // Without the id of the request.
   Early,         // Sent before the body of the request is read.
   NoAnswer,      // The request runs, then the connection is closed.
   Garbage        // Bytes that are not HTTP.
@@ -65,7 +69,9 @@
 
   void Accept();
   void Serve(loopback::Socket& aSocket);
-  bool Answer(loopback::Socket& aSocket, Request& aRequest);
+  bool Answer(loopback::Socket& aSocket,
+              Request& aRequest,
+              std::string& aLastRefusal);
   std::string MakeAnswer(const std::string& aRequestId,
                          const std::string& aBody) const;
   void CountRun(const Request& aRequest);
