Let only the first candidates ask a store that is down

With the store down, every daemon would have become a substitute and tried it once in 8 s: calls that grow with the fleet, at the worst moment.

Change: heartbeats say whether the sender's watch works, and are also sent by relays and first candidates that the store has refused. While any arrive, only the first ten candidates try; with none, all members do, since the first ones may be lost. On a platform of the product's own a failed watch counts, too.

Evidence: relayfailover a_store_that_is_down_is_asked_by_few: at most 20 takeovers in 16 s for 24 and for 300 members.

--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -67,9 +67,11 @@
   , fetchPlan(this->clock, this->random)
   , fetchServer(this->clock, this->config.maxWholeTransfers)
   , relayPush(this->clock)
-  , failover(
-      { this->config.host, this->RelayOrderKey(), this->config.rolloutTime },
-      this->clock)
+  , failover({ this->config.host,
+               this->config.incarnation,
+               this->RelayOrderKey(),
+               this->config.rolloutTime },
+             this->clock)
   , startRule(this->clock,
               this->config.startWait,
               this->HasAcceptor() ? StartRule::kDefaultRequiredAnswers : 0)
@@ -366,6 +368,9 @@
     kLog.Warning("cannot read accepted versions: {} {}",
                  kPlatformErrorNames.NameOf(aResult.assume_error().code),
                  aResult.assume_error().detail);
+    if (aResult.assume_error().code != PlatformErrorCode::Compacted) {
+      this->failover.RecordStoreFailure();
+    }
     return;
   }
   this->startRule.RecordPlatformAnswer();
--- a/src/distribution/distributorroles.cpp
+++ b/src/distribution/distributorroles.cpp
@@ -104,12 +104,13 @@
     return;
   }
   this->failover.Tick(this->IsRelay(), this->hooks.isWatchWorking());
-  if (const auto sequence = this->failover.TakeDueHeartbeat()) {
+  if (const auto due = this->failover.TakeDueHeartbeat()) {
     wire::RelayHeartbeat heartbeat;
-    heartbeat.relay = this->config.host;
-    heartbeat.incarnation = this->config.incarnation;
-    heartbeat.sequence = *sequence;
+    heartbeat.relay = due->relay;
+    heartbeat.incarnation = due->incarnation;
+    heartbeat.sequence = due->sequence;
     heartbeat.version = this->HeldSnapshot()->Version();
+    heartbeat.isWatching = due->isWatching;
     this->SendHeartbeat(heartbeat);
   }
 }
@@ -130,8 +131,10 @@
 void
 Distributor::HandleRelayHeartbeat(const wire::RelayHeartbeat& aHeartbeat)
 {
-  if (!this->failover.RecordHeartbeat(
-        aHeartbeat.relay, aHeartbeat.incarnation, aHeartbeat.sequence)) {
+  if (!this->failover.RecordHeartbeat({ aHeartbeat.relay,
+                                        aHeartbeat.incarnation,
+                                        aHeartbeat.sequence,
+                                        aHeartbeat.isWatching })) {
     return;
   }
   this->SendHeartbeat(aHeartbeat);
--- a/src/distribution/relayfailover.cpp
+++ b/src/distribution/relayfailover.cpp
@@ -32,6 +32,7 @@
   : config(std::move(aConfig))
   , clock(std::move(aClock))
   , heardAt(this->clock.Now())
+  , heardWatchingAt(this->heardAt)
 {
 }
 
@@ -51,6 +52,21 @@
          std::min(this->rank, kMaxDelayedRanks) * rankDelay;
 }
 
+bool
+RelayFailover::IsFirstCandidate() const
+{
+  return this->rank < kMaxDelayedRanks;
+}
+
+bool
+RelayFailover::IsTakeoverDue(Millis aNow) const
+{
+  const Millis limit = this->SilenceLimit();
+  return aNow - this->heardWatchingAt >= limit &&
+         (this->IsFirstCandidate() || aNow - this->heardAt >= limit) &&
+         aNow >= this->storeRetryAt;
+}
+
 void
 RelayFailover::Tick(bool aIsRelay, bool aIsWatching)
 {
@@ -59,17 +75,17 @@
   this->isWatching = aIsWatching;
   if (aIsRelay) {
     this->heardAt = now;
+    this->heardWatchingAt = now;
     this->isSubstitute = false;
     return;
   }
-  const Millis silence = now - this->heardAt;
-  if (this->isSubstitute || silence < this->SilenceLimit() ||
-      now < this->storeRetryAt) {
+  if (this->isSubstitute || !this->IsTakeoverDue(now)) {
     return;
   }
   kLog.Decision("relay-substitute",
-                "active=true silent_ms={} rank={}",
-                silence,
+                "active=true silent_ms={} not_watching_ms={} rank={}",
+                now - this->heardAt,
+                now - this->heardWatchingAt,
                 this->rank);
   this->isSubstitute = true;
   this->heartbeatDueAt = 0;
@@ -85,40 +101,48 @@
   }
 }
 
-std::optional<std::int64_t>
+std::optional<RelayHeartbeat>
 RelayFailover::TakeDueHeartbeat()
 {
   const Millis now = this->clock.Now();
-  const bool isSender = (this->isRelay || this->isSubstitute) &&
-                        this->isWatching && now >= this->heartbeatDueAt;
-  if (!isSender) {
+  // The first candidates that the store has refused tell the others, so that
+  // not all of them try it.
+  const bool wasRefused = this->IsFirstCandidate() && now < this->storeRetryAt;
+  const bool isSender = this->isRelay || this->isSubstitute || wasRefused;
+  if (!isSender || now < this->heartbeatDueAt) {
     return std::nullopt;
   }
   this->heartbeatDueAt = now + this->config.rolloutTime / kHeartbeatsPerRollout;
-  return ++this->sequence;
+  return RelayHeartbeat{ this->config.host,
+                         this->config.incarnation,
+                         ++this->sequence,
+                         this->isWatching };
 }
 
 bool
-RelayFailover::RecordHeartbeat(const std::string& aRelay,
-                               std::int64_t aIncarnation,
-                               std::int64_t aSequence)
+RelayFailover::RecordHeartbeat(const RelayHeartbeat& aHeartbeat)
 {
-  if (aRelay == this->config.host) {
+  const std::string& relay = aHeartbeat.relay;
+  if (relay == this->config.host) {
     return false;
   }
   if (this->heartbeats.size() >= kMaxRelays &&
-      !this->heartbeats.contains(aRelay)) {
+      !this->heartbeats.contains(relay)) {
     this->heartbeats.clear();
   }
-  auto& newest = this->heartbeats[aRelay];
-  const std::pair received(aIncarnation, aSequence);
+  auto& newest = this->heartbeats[relay];
+  const std::pair received(aHeartbeat.incarnation, aHeartbeat.sequence);
   if (received <= newest) {
     return false;
   }
   newest = received;
   this->heardAt = this->clock.Now();
-  if (this->isSubstitute && this->IsPreferred(aRelay)) {
-    kLog.Decision("relay-substitute", "active=false relay={}", aRelay);
+  if (!aHeartbeat.isWatching) {
+    return true;
+  }
+  this->heardWatchingAt = this->heardAt;
+  if (this->isSubstitute && this->IsPreferred(relay)) {
+    kLog.Decision("relay-substitute", "active=false relay={}", relay);
     this->isSubstitute = false;
   }
   return true;
--- a/src/distribution/relayfailover.h
+++ b/src/distribution/relayfailover.h
@@ -11,9 +11,19 @@
 
 namespace lacewingwharf {
 
+/** A heartbeat of a relay or a substitute. */
+struct RelayHeartbeat
+{
+  std::string relay;
+  std::int64_t incarnation = 0;
+  std::int64_t sequence = 0;
+  bool isWatching = false;
+};
+
 struct RelayFailoverConfig
 {
   std::string host;
+  std::int64_t incarnation = 0;
 
   /** Key of the order in which the members of the group become relays. */
   std::string orderKey;
@@ -24,12 +34,16 @@
 
 /**
  * Decides when this daemon watches the store as a substitute for the relays of
- * its group. Relays send heartbeats along the push tree while their watches
- * work. If none arrives for a while, whether the relays were lost, are paused
- * or cannot reach the store, the members take over one after the other until
- * one of them sends heartbeats. Unlike the member list, this does not wait
- * until the relays are declared dead, which may never happen when most of the
- * members are lost.
+ * its group. Relays send heartbeats along the push tree, which say whether
+ * their watches work. If none of a working watch arrives for a while, whether
+ * the relays were lost, are paused or cannot reach the store, the members take
+ * over one after the other until one of them succeeds. Unlike the member list,
+ * this does not wait until the relays are declared dead, which may never happen
+ * when most of the members are lost.
+ *
+ * While heartbeats without a working watch arrive, the store is probably down,
+ * and only the first members in the order try it. All members do only if they
+ * hear nothing, because then the first ones may have been lost, too.
  */
 class RelayFailover
 {
@@ -51,19 +65,19 @@
   /** Whether this daemon watches the store in place of the relays. */
   bool IsSubstitute() const;
 
-  /** Returns the number of the next heartbeat if this daemon must send one. */
-  std::optional<std::int64_t> TakeDueHeartbeat();
+  /** Returns the next heartbeat if this daemon must send one. */
+  std::optional<RelayHeartbeat> TakeDueHeartbeat();
 
   /**
    * Records a heartbeat that has arrived. Returns false if it, or a later one
    * of the same process, arrived before; it must then not be forwarded.
    */
-  bool RecordHeartbeat(const std::string& aRelay,
-                       std::int64_t aIncarnation,
-                       std::int64_t aSequence);
+  bool RecordHeartbeat(const RelayHeartbeat& aHeartbeat);
 
 private:
   Millis SilenceLimit() const;
+  bool IsFirstCandidate() const;
+  bool IsTakeoverDue(Millis aNow) const;
   bool IsPreferred(const std::string& aRelay) const;
 
   RelayFailoverConfig config;
@@ -72,7 +86,10 @@
   bool isRelay = false;
   bool isWatching = false;
   bool isSubstitute = false;
-  Millis heardAt; // Last heartbeat, or when this daemon was last a relay.
+  // The times of the last heartbeat, and of the last one of a working watch, or
+  // when this daemon was last a relay.
+  Millis heardAt;
+  Millis heardWatchingAt;
   Millis storeRetryAt = 0;
   Millis heartbeatDueAt = 0;
   std::int64_t sequence = 0;
--- a/src/distribution/relayfailover_test.cpp
+++ b/src/distribution/relayfailover_test.cpp
@@ -40,7 +40,7 @@
   void Start(const std::string& aHost)
   {
     auto failover = std::make_unique<RelayFailover>(
-      RelayFailoverConfig{ aHost, kOrderKey, kRolloutTime },
+      RelayFailoverConfig{ aHost, 1, kOrderKey, kRolloutTime },
       this->clock.View());
     failover->SetCandidates(this->order);
     this->members[aHost] = std::move(failover);
@@ -83,12 +83,12 @@
     if (aMember.IsSubstitute() && !this->isStoreWorking) {
       aMember.RecordStoreFailure();
     }
-    const auto sequence = aMember.TakeDueHeartbeat();
-    if (!sequence) {
+    const auto heartbeat = aMember.TakeDueHeartbeat();
+    if (!heartbeat) {
       return;
     }
     std::ranges::for_each(this->members, [&](auto& aOther) {
-      aOther.second->RecordHeartbeat(aHost, 1, *sequence);
+      aOther.second->RecordHeartbeat(*heartbeat);
     });
   }
 };
@@ -139,15 +139,38 @@
   cr_expect(group.Substitutes().empty());
 }
 
-// While the store is down, the members must not ask it over and over: a store
-// that comes back under load from all daemons recovers late.
-Test(relayfailover, a_store_that_is_down_is_asked_rarely)
+// While the store is down, the number of calls must not grow with the group: a
+// store that comes back, or is only slow, would get the calls of all daemons.
+Test(relayfailover, a_store_that_is_down_is_asked_by_few)
 {
-  Group group(24);
+  constexpr int kFirstCandidates = 10;
+  for (const int members : { 24, 300 }) {
+    Group group(members);
+    group.Run(1000);
+    group.isStoreWorking = false;
+    group.Run(16000); // Two retry delays.
+    cr_expect_geq(group.takeovers, 1);
+    cr_expect_leq(
+      group.takeovers, 2 * kFirstCandidates, "%d takeovers", group.takeovers);
+  }
+}
+
+// If the relay is lost while the store is down, each member may try the store
+// once, because nothing shows that others have tried it.
+Test(relayfailover,
+     without_any_relay_each_member_asks_a_store_that_is_down_once)
+{
+  constexpr int kFirstCandidates = 10;
+  constexpr int kMembers = 100;
+  Group group(kMembers);
   group.Run(1000);
   group.isStoreWorking = false;
+  group.members.erase(group.order.front());
   group.Run(16000);
-  cr_expect_leq(group.takeovers, 2 * 23, "%d takeovers", group.takeovers);
+  cr_expect_leq(group.takeovers,
+                kMembers + kFirstCandidates,
+                "%d takeovers",
+                group.takeovers);
 }
 
 // A copy of a heartbeat that arrives late must not hide that the relay is
@@ -155,11 +178,12 @@
 Test(relayfailover, a_late_copy_of_a_heartbeat_does_not_count)
 {
   ManualClock clock(1000);
-  RelayFailover member({ "h1", kOrderKey, kRolloutTime }, clock.View());
-  cr_expect(member.RecordHeartbeat("h0", 7, 1));
-  cr_expect(member.RecordHeartbeat("h0", 7, 2));
-  cr_expect_not(member.RecordHeartbeat("h0", 7, 2));
-  cr_expect_not(member.RecordHeartbeat("h0", 7, 1));
-  cr_expect_not(member.RecordHeartbeat("h0", 6, 9), "an earlier process");
-  cr_expect(member.RecordHeartbeat("h0", 8, 1), "a restarted relay");
+  RelayFailover member({ "h1", 1, kOrderKey, kRolloutTime }, clock.View());
+  cr_expect(member.RecordHeartbeat({ "h0", 7, 1, true }));
+  cr_expect(member.RecordHeartbeat({ "h0", 7, 2, true }));
+  cr_expect_not(member.RecordHeartbeat({ "h0", 7, 2, true }));
+  cr_expect_not(member.RecordHeartbeat({ "h0", 7, 1, true }));
+  cr_expect_not(member.RecordHeartbeat({ "h0", 6, 9, true }),
+                "an earlier process");
+  cr_expect(member.RecordHeartbeat({ "h0", 8, 1, true }), "a restarted relay");
 }
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -6460,6 +6460,10 @@
 void RelayHeartbeat::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void RelayHeartbeat::__set_isWatching(const bool val) {
+  this->isWatching = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -6520,6 +6524,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isWatching);
+          this->__isset.isWatching = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6553,6 +6565,10 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isWatching", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->isWatching);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6564,6 +6580,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.sequence, b.sequence);
   swap(a.version, b.version);
+  swap(a.isWatching, b.isWatching);
   swap(a.__isset, b.__isset);
 }
 
@@ -6572,6 +6589,7 @@
   incarnation = other254.incarnation;
   sequence = other254.sequence;
   version = other254.version;
+  isWatching = other254.isWatching;
   __isset = other254.__isset;
 }
 RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other255) noexcept {
@@ -6579,6 +6597,7 @@
   incarnation = other255.incarnation;
   sequence = other255.sequence;
   version = other255.version;
+  isWatching = other255.isWatching;
   __isset = other255.__isset;
 }
 RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other256) {
@@ -6586,6 +6605,7 @@
   incarnation = other256.incarnation;
   sequence = other256.sequence;
   version = other256.version;
+  isWatching = other256.isWatching;
   __isset = other256.__isset;
   return *this;
 }
@@ -6594,6 +6614,7 @@
   incarnation = other257.incarnation;
   sequence = other257.sequence;
   version = other257.version;
+  isWatching = other257.isWatching;
   __isset = other257.__isset;
   return *this;
 }
@@ -6604,6 +6625,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "isWatching=" << to_string(isWatching);
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -2531,16 +2531,16 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : relay(false), incarnation(false), sequence(false), version(false) {}
+  _RelayHeartbeat__isset() : relay(false), incarnation(false), sequence(false), version(false), isWatching(false) {}
   bool relay :1;
   bool incarnation :1;
   bool sequence :1;
   bool version :1;
+  bool isWatching :1;
 } _RelayHeartbeat__isset;
 
 /**
- * Sent along the push tree by a relay, or a substitute for one, while its watch
- * of the store works.
+ * Sent along the push tree by a relay, or a substitute for one.
  */
 class RelayHeartbeat : public virtual ::apache::thrift::TBase {
  public:
@@ -2553,7 +2553,8 @@
                  : relay(),
                    incarnation(0),
                    sequence(0),
-                   version(0) {
+                   version(0),
+                   isWatching(0) {
   }
 
   virtual ~RelayHeartbeat() noexcept;
@@ -2564,6 +2565,10 @@
    * The version that the relay holds.
    */
   int64_t version;
+  /**
+   * Whether the sender's watch of the store works.
+   */
+  bool isWatching;
 
   _RelayHeartbeat__isset __isset;
 
@@ -2575,6 +2580,8 @@
 
   void __set_version(const int64_t val);
 
+  void __set_isWatching(const bool val);
+
   bool operator == (const RelayHeartbeat & rhs) const
   {
     if (!(relay == rhs.relay))
@@ -2585,6 +2592,8 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (!(isWatching == rhs.isWatching))
+      return false;
     return true;
   }
   bool operator != (const RelayHeartbeat &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -351,16 +351,15 @@
   1: i64 sequence
 }
 
-/**
- * Sent along the push tree by a relay, or a substitute for one, while its watch
- * of the store works.
- */
+/** Sent along the push tree by a relay, or a substitute for one. */
 struct RelayHeartbeat {
   1: string relay
   2: i64 incarnation
   3: i64 sequence
   /** The version that the relay holds. */
   4: i64 version
+  /** Whether the sender's watch of the store works. */
+  5: bool isWatching
 }
 
 /**
