--- a/src/distribution/distributorroles.cpp
+++ b/src/distribution/distributorroles.cpp
@@ -100,18 +100,16 @@
 void
 Distributor::SendDueHeartbeat()
 {
-  if (!this->hooks.sendDatagram || !this->isStartupComplete) {
+  // A daemon that is leaving is no member and gets no heartbeats.
+  const bool isMember =
+    std::ranges::binary_search(this->members, this->config.host);
+  if (!this->hooks.sendDatagram || !this->isStartupComplete || !isMember) {
     return;
   }
   this->failover.Tick(this->IsRelay(), this->hooks.isWatchWorking());
-  if (const auto due = this->failover.TakeDueHeartbeat()) {
-    wire::RelayHeartbeat heartbeat;
-    heartbeat.relay = due->relay;
-    heartbeat.incarnation = due->incarnation;
-    heartbeat.sequence = due->sequence;
-    heartbeat.version = this->HeldSnapshot()->Version();
-    heartbeat.isWatching = due->isWatching;
-    this->SendHeartbeat(heartbeat);
+  if (auto heartbeat = this->failover.TakeDueHeartbeat()) {
+    heartbeat->version = this->HeldSnapshot()->Version();
+    this->SendHeartbeat(*heartbeat);
   }
 }
 
@@ -131,10 +129,7 @@
 void
 Distributor::HandleRelayHeartbeat(const wire::RelayHeartbeat& aHeartbeat)
 {
-  if (!this->failover.RecordHeartbeat({ aHeartbeat.relay,
-                                        aHeartbeat.incarnation,
-                                        aHeartbeat.sequence,
-                                        aHeartbeat.isWatching })) {
+  if (!this->failover.RecordHeartbeat(aHeartbeat)) {
     return;
   }
   this->SendHeartbeat(aHeartbeat);
--- a/src/distribution/relayfailover.cpp
+++ b/src/distribution/relayfailover.cpp
@@ -101,7 +101,7 @@
   }
 }
 
-std::optional<RelayHeartbeat>
+std::optional<wire::RelayHeartbeat>
 RelayFailover::TakeDueHeartbeat()
 {
   const Millis now = this->clock.Now();
@@ -113,14 +113,16 @@
     return std::nullopt;
   }
   this->heartbeatDueAt = now + this->config.rolloutTime / kHeartbeatsPerRollout;
-  return RelayHeartbeat{ this->config.host,
-                         this->config.incarnation,
-                         ++this->sequence,
-                         this->isWatching };
+  wire::RelayHeartbeat heartbeat;
+  heartbeat.relay = this->config.host;
+  heartbeat.incarnation = this->config.incarnation;
+  heartbeat.sequence = ++this->sequence;
+  heartbeat.isWatching = this->isWatching;
+  return heartbeat;
 }
 
 bool
-RelayFailover::RecordHeartbeat(const RelayHeartbeat& aHeartbeat)
+RelayFailover::RecordHeartbeat(const wire::RelayHeartbeat& aHeartbeat)
 {
   const std::string& relay = aHeartbeat.relay;
   if (relay == this->config.host) {
--- a/src/distribution/relayfailover.h
+++ b/src/distribution/relayfailover.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "peer_types.h"
 
 #include <cstdint>
 #include <map>
@@ -11,15 +12,6 @@
 
 namespace lacewingwharf {
 
-/** A heartbeat of a relay or a substitute. */
-struct RelayHeartbeat
-{
-  std::string relay;
-  std::int64_t incarnation = 0;
-  std::int64_t sequence = 0;
-  bool isWatching = false;
-};
-
 struct RelayFailoverConfig
 {
   std::string host;
@@ -65,14 +57,17 @@
   /** Whether this daemon watches the store in place of the relays. */
   bool IsSubstitute() const;
 
-  /** Returns the next heartbeat if this daemon must send one. */
-  std::optional<RelayHeartbeat> TakeDueHeartbeat();
+  /**
+   * Returns the next heartbeat, without the version that this daemon holds, if
+   * it must send one.
+   */
+  std::optional<wire::RelayHeartbeat> TakeDueHeartbeat();
 
   /**
    * Records a heartbeat that has arrived. Returns false if it, or a later one
    * of the same process, arrived before; it must then not be forwarded.
    */
-  bool RecordHeartbeat(const RelayHeartbeat& aHeartbeat);
+  bool RecordHeartbeat(const wire::RelayHeartbeat& aHeartbeat);
 
 private:
   Millis SilenceLimit() const;
