Revert "Try a route again on a server that was slow"

A route with few calls a second at a server was not refused early any more, as each call counted as a probe.

The pool of a connection has 3 instead of 4 bytes for each byte of the limit on heads, because memory at its peak had grown as well; LongHeadsWithCookiesAreAnswered passes with it.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -187,8 +187,7 @@
   this->calls.erase(found);
   this->limits.Release(*call.running);
   LocalEndpoint& endpoint = this->endpoints.at(call.endpoint);
-  endpoint.queue.Finish(
-    *call.running, aServiceMillis, this->clock.PreciseNow());
+  endpoint.queue.Finish(*call.running, aServiceMillis);
   this->StartCalls(endpoint);
   this->RemoveIfIdle(call.endpoint);
   this->DeliverDecisions();
--- a/src/admission/slotqueue.cpp
+++ b/src/admission/slotqueue.cpp
@@ -17,11 +17,6 @@
 
 constexpr double kMeanSampleWeight = 0.1;
 
-// How long a service time above the deadline keeps all calls of an entry from a
-// server that runs none of them. Then one call shows whether the server is
-// still slow, because nothing else would correct the mean.
-constexpr double kProbeInterval = 1000;
-
 // Catalogue versions add and remove routes. At this size, the means of all
 // entries are dropped, and with them those of removed routes.
 constexpr std::size_t kMaxEntryMeans = 1024;
@@ -109,9 +104,7 @@
 }
 
 void
-SlotQueue::Finish(const AdmissionRequest& aRequest,
-                  double aServiceMillis,
-                  double aNow)
+SlotQueue::Finish(const AdmissionRequest& aRequest, double aServiceMillis)
 {
   --this->running;
   const auto owner = this->runningByOwner.find(aRequest.owner);
@@ -120,13 +113,11 @@
   }
   const double sample = std::max(0.0, aServiceMillis);
   UpdateMean(this->meanServiceMillis, sample);
-  if (this->meanByEntry.size() >= kMaxEntryMeans &&
-      !this->meanByEntry.contains(aRequest.entry)) {
-    this->meanByEntry.clear();
+  if (this->meanMillisByEntry.size() >= kMaxEntryMeans &&
+      !this->meanMillisByEntry.contains(aRequest.entry)) {
+    this->meanMillisByEntry.clear();
   }
-  EntryMean& mean = this->meanByEntry[aRequest.entry];
-  UpdateMean(mean.millis, sample);
-  mean.updatedAt = aNow;
+  UpdateMean(this->meanMillisByEntry[aRequest.entry], sample);
 }
 
 /**
@@ -136,19 +127,9 @@
 double
 SlotQueue::ExpectedServiceMillis(const AdmissionRequest& aRequest) const
 {
-  const auto mean = this->meanByEntry.find(aRequest.entry);
-  return mean == this->meanByEntry.end() ? this->meanServiceMillis
-                                         : mean->second.millis;
-}
-
-bool
-SlotQueue::IsProbeDue(const AdmissionRequest& aRequest, double aNow) const
-{
-  const auto mean = this->meanByEntry.find(aRequest.entry);
-  const bool isOld = mean == this->meanByEntry.end() ||
-                     aNow - mean->second.updatedAt >= kProbeInterval;
-  return isOld && this->running < this->slots &&
-         this->RunningOf(aRequest.owner) == 0;
+  const auto mean = this->meanMillisByEntry.find(aRequest.entry);
+  return mean == this->meanMillisByEntry.end() ? this->meanServiceMillis
+                                               : mean->second;
 }
 
 bool
@@ -377,8 +358,7 @@
   const double waited = aNow - aCall.queuedAt;
   // The answer would come after the deadline, or after the target while other
   // calls wait.
-  const bool willMissDeadline =
-    service > -overdueMillis && !this->IsProbeDue(request, aNow);
+  const bool willMissDeadline = service > -overdueMillis;
   const bool delaysOthers =
     this->Waiting() > 1 && waited > 0 && this->WouldMissTarget(request, aNow);
   if (request.targetAt && (willMissDeadline || delaysOthers)) {
--- a/src/admission/slotqueue.h
+++ b/src/admission/slotqueue.h
@@ -62,9 +62,7 @@
    */
   std::optional<AdmissionRequest> StartNext(double aNow);
 
-  void Finish(const AdmissionRequest& aRequest,
-              double aServiceMillis,
-              double aNow);
+  void Finish(const AdmissionRequest& aRequest, double aServiceMillis);
 
   std::optional<AdmissionRequest> CancelWaiting(std::string_view aCallId);
 
@@ -83,13 +81,6 @@
 private:
   using Iterator = std::list<WaitingCall>::iterator;
 
-  /** Mean service time of the calls of an entry. */
-  struct EntryMean
-  {
-    double millis = 0;
-    double updatedAt = 0;
-  };
-
   int MaxWaiting() const;
   int MaxSlotsPerOwner() const;
   int RunningOf(const std::string& aOwner) const;
@@ -100,7 +91,6 @@
   Iterator FindCallToDisplace(const AdmissionRequest& aRequest);
   Iterator FindNext(double aNow);
   double ExpectedServiceMillis(const AdmissionRequest& aRequest) const;
-  bool IsProbeDue(const AdmissionRequest& aRequest, double aNow) const;
   bool WouldMissTarget(const AdmissionRequest& aRequest, double aNow) const;
   std::optional<Refusal> CheckExpiry(const WaitingCall& aCall,
                                      double aNow) const;
@@ -110,7 +100,7 @@
   int running = 0;
   std::list<WaitingCall> waiting; // In order of arrival.
   double meanServiceMillis = 0;   // 0 until the first call has finished.
-  std::map<std::string, EntryMean, std::less<>> meanByEntry;
+  std::map<std::string, double, std::less<>> meanMillisByEntry;
 };
 
 inline int
--- a/src/proxy/httpserver.cpp
+++ b/src/proxy/httpserver.cpp
@@ -23,7 +23,7 @@
 // each header and cookie, and the head of the answer in one pool per
 // connection. If the answer does not fit, it closes the connection without one,
 // although the request has run.
-constexpr std::size_t kPoolBytesPerHeaderByte = 4;
+constexpr std::size_t kPoolBytesPerHeaderByte = 3;
 
 constexpr unsigned int kListenBacklog = 1024;
 
