--- a/src/distribution/relayfailover.h
+++ b/src/distribution/relayfailover.h
@@ -51,7 +51,7 @@
    */
   void Tick(bool aIsRelay, bool aIsWatching);
 
-  /** Keeps this daemon from being a substitute for kStoreRetryDelay. */
+  /** Keeps this daemon from being a substitute for some seconds. */
   void RecordStoreFailure();
 
   /** Whether this daemon watches the store in place of the relays. */
