Answer the calls that a planned stop cannot finish

Callers saw (operators of similar systems): requests that came late in the grace time of a planned stop were taken, passed on and cut without an answer.

Cause: a call that a stopping daemon accepts kept the time limit of its caller, whatever was left of the stop. One with a slow server, one that waits for a slot and one between two attempts ended with their connection, and so did a late one whose limit lay in the last 150 ms. The end was counted from the moment at which the daemon had left the fleet, not from the signal, and the time of full intake was waited for even where the grace time is shorter.

Change: MakeStopSchedule() works out the steps from the time of the signal. From the signal on, attempts get no more time than the stop has, so a queue or server that cannot make it refuses them as not run.

Evidence: sitecalls/a_stop_answers_every_call_that_is_still_open fails without the change (three calls without an answer, an attempt with 2,000 ms where 1,000 are left) and passes with it.

--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -194,10 +194,15 @@
 }
 
 void
-CallsService::LimitIntake(Millis aTime)
+CallsService::LimitIntake(Millis aEnd)
 {
-  const Millis end = this->clock.Now() + aTime;
-  this->loop.Post([this, end] { this->entryCalls.SetIntakeEnd(end); });
+  this->loop.Post([this, aEnd] { this->entryCalls.SetIntakeEnd(aEnd); });
+}
+
+void
+CallsService::EndCallsBy(Millis aEnd)
+{
+  this->loop.Post([this, aEnd] { this->entryCalls.SetCallsEnd(aEnd); });
 }
 
 void
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -64,8 +64,11 @@
   /** Tells callers to use other daemons, but still serves them. */
   void AnnounceClose();
 
-  /** Refuses new calls whose deadline is later than aTime from now. */
-  void LimitIntake(Millis aTime);
+  /** Refuses new calls whose deadline is later than aEnd. */
+  void LimitIntake(Millis aEnd);
+
+  /** Answers by aEnd all calls that entered here. */
+  void EndCallsBy(Millis aEnd);
 
   /** Refuses calls from other daemons; calls in flight continue. */
   void StopPeerIntake();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -33,14 +33,6 @@
 // longer for a connection.
 constexpr Millis kSiteConnectTimeout = 300;
 
-// On a site the platform checks the readiness of a daemon once a second. It
-// sends callers to the daemon until two checks in a row have failed.
-constexpr Millis kReadinessNoticeTime = 2500;
-
-// All calls end this long before the process would be killed. Stopping the
-// threads and sending queued answers takes the rest.
-constexpr Millis kStopReserve = 700;
-
 // Time for calls that were accepted just before the end of the intake.
 constexpr Millis kLastCallsTime = 500;
 
@@ -243,10 +235,13 @@
 void
 Daemon::Stop()
 {
+  // Taken first: leaving the fleet may take long on a slow host.
+  const StopSchedule schedule =
+    MakeStopSchedule(Clock::Steady().Now(), this->protocol.bounds.stopTimeout);
   kLog.Decision("stop", "in_flight={}", this->calls.InFlight());
   this->control.Leave();
   if (this->site) {
-    this->StopOnSite();
+    this->StopOnSite(schedule);
   } else {
     this->StopWithOwnProtocol();
   }
@@ -271,27 +266,28 @@
  * have failed, so the daemon serves them until then.
  */
 void
-Daemon::StopOnSite()
+Daemon::StopOnSite(const StopSchedule& aSchedule)
 {
   const Clock clock = Clock::Steady();
-  const Millis end =
-    clock.Now() + this->protocol.bounds.stopTimeout - kStopReserve;
-  const Millis intakeEnd = clock.Now() + kReadinessNoticeTime;
+  const auto sleepUntil = [&clock](Millis aTime) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(aTime - clock.Now()));
+  };
   this->site->SetLeaving();
   this->calls.AnnounceClose();
-  std::this_thread::sleep_for(std::chrono::milliseconds(kShutdownNoticeTime));
+  this->calls.EndCallsBy(aSchedule.callsEnd);
+  sleepUntil(std::min(clock.Now() + kShutdownNoticeTime, aSchedule.intakeEnd));
   this->calls.StopPeerIntake();
-  std::this_thread::sleep_for(
-    std::chrono::milliseconds(intakeEnd - clock.Now()));
+  sleepUntil(aSchedule.intakeEnd);
   // The backend server on this host may still make short calls for the requests
   // that it runs. Calls that could not end in time are refused.
-  this->calls.LimitIntake(end - clock.Now());
+  this->calls.LimitIntake(aSchedule.callsEnd);
   this->control.CancelStoreCalls();
-  while (this->calls.InFlight() > 0 && clock.Now() < end - kLastCallsTime) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(kPollInterval));
+  while (this->calls.InFlight() > 0 &&
+         clock.Now() < aSchedule.end - kLastCallsTime) {
+    std::this_thread::sleep_for(kPollInterval);
   }
   this->calls.StopAccepting();
-  this->WaitForCalls(end - clock.Now());
+  this->WaitForCalls(aSchedule.end - clock.Now());
   this->site->Stop();
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 #include "daemon/controlservice.h"
 #include "daemon/daemonprotocol.h"
 #include "daemon/siteservice.h"
+#include "daemon/stopschedule.h"
 #include "peer/peernetwork.h"
 #include "settings/settings.h"
 #include "status/metricsregistry.h"
@@ -41,7 +42,7 @@
   void RefuseLateCalls();
   void WaitForCalls(Millis aLimit);
   void StopWithOwnProtocol();
-  void StopOnSite();
+  void StopOnSite(const StopSchedule& aSchedule);
   SiteServiceHooks SiteHooks();
 
   Settings settings;
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -332,7 +332,7 @@
 {
   const Millis now = this->clock.Now();
   if (aCall->stage == CallStage::Claiming) {
-    const Millis claimLimit = std::min(aCall->deadlineAt,
+    const Millis claimLimit = std::min(this->EndOf(*aCall),
                                        static_cast<Millis>(aCall->startedAt) +
                                          2 * this->config.claimWait);
     if (now >= claimLimit) {
@@ -341,8 +341,10 @@
     return;
   }
   const bool isQuerying = aCall->stage == CallStage::Querying;
-  const bool isOver = isQuerying ? this->queries.IsOver(*aCall)
-                                 : now >= aCall->deadlineAt + kDeadlineGrace;
+  const bool hasEnded = now >= this->EndOf(*aCall) + kDeadlineGrace;
+  const bool isStopped = this->callsEnd && hasEnded;
+  const bool isOver =
+    isQuerying ? this->queries.IsOver(*aCall) || isStopped : hasEnded;
   if (!isOver) {
     if (isQuerying) {
       this->queries.Repeat(*aCall);
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -11,6 +11,7 @@
 #include "peer_types.h"
 #include "routing/splitchooser.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -111,6 +112,12 @@
   /** Accepts only new calls whose deadline is not after aEnd. */
   void SetIntakeEnd(Millis aEnd);
 
+  /**
+   * Ends all calls by aEnd, so that each gets an answer before this daemon
+   * stops. Servers get no more time than that for attempts from now on.
+   */
+  void SetCallsEnd(Millis aEnd);
+
   void SetRetryBudget(const RetryBudgetConfig& aConfig);
 
 private:
@@ -140,6 +147,7 @@
   void End(const EntryCallPtr& aCall,
            HttpAnswer aAnswer,
            const Ending& aEnding);
+  Millis EndOf(const EntryCall& aCall) const;
   Millis Remaining(const EntryCall& aCall) const;
 
   EntryCallsConfig config;
@@ -152,6 +160,7 @@
   std::uint64_t nextCall = 1;
   bool isStopping = false;
   std::optional<Millis> intakeEnd;
+  std::optional<Millis> callsEnd;
   OpenCalls openCalls;
   CallQueries queries;
   LimitMemory limitMemory;
@@ -170,6 +179,12 @@
   this->intakeEnd = aEnd;
 }
 
+inline void
+EntryCalls::SetCallsEnd(Millis aEnd)
+{
+  this->callsEnd = aEnd;
+}
+
 inline void
 EntryCalls::SetRetryBudget(const RetryBudgetConfig& aConfig)
 {
@@ -185,7 +200,13 @@
 inline Millis
 EntryCalls::Remaining(const EntryCall& aCall) const
 {
-  return aCall.deadlineAt - this->clock.Now();
+  return this->EndOf(aCall) - this->clock.Now();
+}
+
+inline Millis
+EntryCalls::EndOf(const EntryCall& aCall) const
+{
+  return std::min(aCall.deadlineAt, this->callsEnd.value_or(aCall.deadlineAt));
 }
 
 } // namespace lacewingwharf
--- a/src/execution/sitecalls_test.cpp
+++ b/src/execution/sitecalls_test.cpp
@@ -228,6 +228,36 @@
   cr_expect_eq(entry.sent.size(), 1U);
 }
 
+// Calls that are still open when the daemon stops must get an answer, not a
+// closed connection: those whose server is slow, those whose attempt was
+// refused late, and those that wait for the state of a lost attempt.
+Test(sitecalls, a_stop_answers_every_call_that_is_still_open)
+{
+  constexpr Millis kStopTime = 1000;
+  constexpr Millis kAnswerTime = 200; // Less than the stop leaves for answers.
+  EntryDaemon entry;
+  entry.Begin(1, "POST"); // Its server is slow.
+  entry.Begin(2, "POST");
+  entry.LoseSession();
+  entry.calls->SetCallsEnd(entry.clock.View().Now() + kStopTime);
+  entry.Begin(3, "GET"); // Its attempts are refused.
+  cr_expect_leq(entry.LastRequest().remainingMillis, kStopTime);
+  entry.Wait(kStopTime - 10);
+  cr_expect_eq(entry.answerCounts.count(1), 0U);
+  entry.Answer(wire::CallOutcome::NOT_RUN, "draining");
+  cr_expect_leq(entry.LastRequest().remainingMillis, 10);
+  entry.Wait(kAnswerTime);
+  for (const RequestId request : { 1, 2, 3 }) {
+    cr_expect_eq(entry.answerCounts[request], 1, "request %lu", request);
+  }
+  cr_expect_eq(entry.answers[1].status, 504);
+  // The first attempt was refused, but nothing is known about the second.
+  cr_expect_eq(entry.answers[3].status, 504);
+  const auto attempts = entry.sent.size();
+  entry.Wait(kDeadline);
+  cr_expect_eq(entry.sent.size(), attempts);
+}
+
 // A server's refusal must not be returned as the result of the request.
 Test(sitecalls, a_refusal_of_a_server_is_reported_as_not_run)
 {
