--- a/src/proxy/longheads_test.cpp
+++ b/src/proxy/longheads_test.cpp
@@ -178,7 +178,9 @@
     const std::string head = HeadOf(shape, kMaxHeadBytes);
     Socket socket;
     cr_assert(socket.Connect(kAddress, fixture.port));
-    cr_assert(socket.Send(head + head + head));
+    std::string requests = head;
+    requests.append(head).append(head);
+    cr_assert(socket.Send(requests));
     std::size_t answers = 0;
     std::string received;
     while (answers < 3) {
