Count and log the answers that the server could not deliver

Operators saw: a request that ran and whose connection was closed without an answer left only "failed to create response header" at info, with no request id.

Change: a connection that the server closes before the whole answer is sent leaves a warning with the id of the request and counts in lacewingwharf_answers_lost. A caller that leaves counts as its own doing.

Evidence: httpserver/OnlyAnswersThatTheServerLostAreCounted fails without the counter (it does not compile) and passes with it.

--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -62,7 +62,7 @@
 }
 
 HttpServerConfig
-ServerConfig(const Settings& aSettings)
+ServerConfig(const Settings& aSettings, const CallDialect& aDialect)
 {
   HttpServerConfig config;
   config.address = aSettings.address;
@@ -74,6 +74,7 @@
     config.port = aSettings.site.calls.port;
     config.idleTimeout = kSiteIdleLimit;
   }
+  config.requestIdHeader = aDialect.requestIdHeader;
   return config;
 }
 
@@ -136,7 +137,7 @@
   , metrics(aMetrics)
   , quarantine(MakeQuarantineConfig(aSettings), this->clock)
   , stats(Clock::Wall())
-  , server(ServerConfig(aSettings),
+  , server(ServerConfig(aSettings, aProtocol.dialect),
            { [this](RequestId aRequest, HttpRequest aData) {
               this->BeginCall(aRequest, std::move(aData));
             },
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -103,6 +103,10 @@
 
   std::uint64_t Overflows() const;
 
+  /** Requests whose connection was closed before their whole answer was sent.
+   */
+  std::uint64_t AnswersLost() const;
+
 private:
   EntryCallsHooks EntryHooks();
   DestinationCallsHooks DestinationHooks();
@@ -135,6 +139,12 @@
   EventLoop loop; // Last, so that its thread ends before its data is destroyed.
 };
 
+inline std::uint64_t
+CallsService::AnswersLost() const
+{
+  return this->server.AnswersLost();
+}
+
 inline std::uint64_t
 CallsService::Overflows() const
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -363,6 +363,9 @@
   set("lacewingwharf_calls_in_flight",
       "Calls that entered or run here and have not ended",
       static_cast<double>(this->calls.InFlight()));
+  set("lacewingwharf_answers_lost",
+      "Requests whose connection was closed before their whole answer was sent",
+      static_cast<double>(this->calls.AnswersLost()));
   set("lacewingwharf_calls_overflows",
       "Items that the calls thread's ring rejected",
       static_cast<double>(this->calls.Overflows()));
--- a/src/proxy/httpconnection.cpp
+++ b/src/proxy/httpconnection.cpp
@@ -106,6 +106,7 @@
     this->mayRead = errno == EINTR;
     return -1;
   }
+  this->hasHungUp = true;
   this->Close();
   return 0;
 }
@@ -245,6 +246,7 @@
       return true;
     }
     if (errno != EAGAIN) {
+      this->hasHungUp = true;
       this->Close();
       return false;
     }
--- a/src/proxy/httpconnection.h
+++ b/src/proxy/httpconnection.h
@@ -77,7 +77,9 @@
 
   std::uint64_t Id() const;
   int Socket() const;
-  State GetState() const;
+
+  /** Whether the caller has closed the connection. */
+  bool HasHungUp() const;
 
 private:
   void Run();
@@ -127,10 +129,10 @@
   return this->socket;
 }
 
-inline HttpConnection::State
-HttpConnection::GetState() const
+inline bool
+HttpConnection::HasHungUp() const
 {
-  return this->state;
+  return this->hasHungUp;
 }
 
 } // namespace lacewingwharf
--- a/src/proxy/httpserver.cpp
+++ b/src/proxy/httpserver.cpp
@@ -131,9 +131,7 @@
     this->LimitAccepting();
   }
   this->HandleQueued(); // Sends the answers that were given before Stop().
-  const auto open = std::exchange(this->connections, {});
-  std::ranges::for_each(
-    open, [](const auto& aOpen) { aOpen.second.connection->Close(); });
+  std::ranges::for_each(this->OpenConnections(), &HttpConnection::Close);
 }
 
 void
@@ -246,15 +244,23 @@
   }
   this->timeoutsDueAt = now + kTimeoutCheckInterval;
   this->hasNoDescriptors = false; // Tries to accept again.
+  std::ranges::for_each(this->OpenConnections(),
+                        [this](const HttpConnection::Ptr& aConnection) {
+                          aConnection->CheckTimeout(this->config.idleTimeout);
+                        });
+}
+
+/** Returns a copy, because connections that close leave the table. */
+std::vector<HttpConnection::Ptr>
+HttpServer::Impl::OpenConnections() const
+{
   std::vector<HttpConnection::Ptr> open;
   open.reserve(this->connections.size());
   std::ranges::transform(
     this->connections, std::back_inserter(open), [](const auto& aOpen) {
       return aOpen.second.connection;
     });
-  std::ranges::for_each(open, [this](const HttpConnection::Ptr& aConnection) {
-    aConnection->CheckTimeout(this->config.idleTimeout);
-  });
+  return open;
 }
 
 void
@@ -292,7 +298,7 @@
 {
   const auto found = this->connections.find(aConnection.Id());
   if (found == this->connections.end()) {
-    return; // The server stops.
+    return;
   }
   const OpenConnection open = std::move(found->second);
   this->connections.erase(found);
@@ -305,8 +311,16 @@
     const std::lock_guard lock(this->mutex);
     wasUnanswered = this->unanswered.erase(open.request) > 0;
   }
+  if (!aConnection.HasHungUp()) {
+    ++this->answersLost;
+    kLog.Warning("request {} ended without its whole answer: {}",
+                 open.requestName.empty() ? "-" : open.requestName,
+                 this->isStopping ? "the server stops"
+                                  : "its connection was closed");
+    return;
+  }
   if (!wasUnanswered) {
-    return; // Answered or aborted by its handler.
+    return;
   }
   kLog.Debug("the caller of request {} has disconnected", open.request);
   if (this->handlers.onCallerDisconnected) {
@@ -393,6 +407,12 @@
   return this->inFlight;
 }
 
+std::uint64_t
+HttpServer::Impl::AnswersLost() const
+{
+  return this->answersLost;
+}
+
 HttpServer::HttpServer(HttpServerConfig aConfig, Handlers aHandlers)
   : impl(std::make_unique<Impl>(std::move(aConfig), std::move(aHandlers)))
 {
@@ -442,4 +462,10 @@
   return this->impl->InFlight();
 }
 
+std::uint64_t
+HttpServer::AnswersLost() const
+{
+  return this->impl->AnswersLost();
+}
+
 } // namespace lacewingwharf
--- a/src/proxy/httpserver.h
+++ b/src/proxy/httpserver.h
@@ -80,6 +80,12 @@
   /** Number of accepted requests whose answer was not completely sent. */
   std::size_t InFlight() const;
 
+  /**
+   * Number of requests whose connection this server closed before their answer
+   * was completely sent: a stop, or a caller that did not read its answer.
+   */
+  std::uint64_t AnswersLost() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/src/proxy/httpserver_test.cpp
+++ b/src/proxy/httpserver_test.cpp
@@ -245,6 +245,26 @@
   cr_assert_eq(fixture.server->InFlight(), 0U);
 }
 
+// Requests that this server cut must be counted, so that operators learn of
+// them; callers that leave on their own must not be.
+Test(httpserver, OnlyAnswersThatTheServerLostAreCounted)
+{
+  Fixture fixture;
+  Socket leaving = fixture.SendRequest(kGet);
+  fixture.WaitForRequests();
+  leaving.Close();
+  cr_assert(fixture.BecomesIdle());
+  Socket served = fixture.SendRequest(kGet);
+  fixture.server->Answer(fixture.WaitForRequests(2), { 200, {}, "served" });
+  cr_assert(served.ReceiveUntil("served").ends_with("served"));
+  cr_expect_eq(fixture.server->AnswersLost(), 0U);
+  Socket cut = fixture.SendRequest(kGet);
+  fixture.WaitForRequests(3);
+  fixture.server->Stop();
+  cr_expect_eq(cut.ReceiveAll(), "");
+  cr_expect_eq(fixture.server->AnswersLost(), 1U);
+}
+
 // The tests from here on check that oversized and malformed requests reach no
 // handler, so that callers cannot exhaust the daemon's memory or corrupt its
 // state.
--- a/src/proxy/httpserverimpl.h
+++ b/src/proxy/httpserverimpl.h
@@ -28,6 +28,7 @@
   void Answer(RequestId aRequest, HttpAnswer aAnswer);
   void Abort(RequestId aRequest);
   std::size_t InFlight() const;
+  std::uint64_t AnswersLost() const;
 
 private:
   struct AcceptedSocket
@@ -47,8 +48,8 @@
   struct OpenConnection
   {
     HttpConnection::Ptr connection;
-    RequestId request = 0; // 0 between two requests.
-    std::string requestName;
+    RequestId request = 0;   // 0 between two requests.
+    std::string requestName; // Its id for the log.
   };
 
   bool OpenDescriptors();
@@ -59,6 +60,7 @@
   void AddConnection(const AcceptedSocket& aAccepted);
   void LimitAccepting();
   void CheckTimeouts();
+  std::vector<HttpConnection::Ptr> OpenConnections() const;
   int WaitMillis() const;
   void HandleRequest(HttpConnection& aConnection, HttpRequest aRequest);
   void HandleAnswered(HttpConnection& aConnection);
@@ -78,6 +80,7 @@
   std::atomic<bool> hasStoppedAccepting{ false };
   std::atomic<bool> isCloseAnnounced{ false };
   std::atomic<std::size_t> inFlight{ 0 };
+  std::atomic<std::uint64_t> answersLost{ 0 };
 
   // Used by the server thread only.
   HttpConnectionContext context;
