Read the last chunk of a body only when it has fully arrived

Callers would have seen: in a build with assertions, a chunked body without data that arrives in pieces ends the daemon.

Cause: in Boost 1.74 the parser asserts that at least 5 bytes are passed when it looks at the last chunk again, but a body that consists of this chunk alone has 3 or 4 until the rest comes. Builds of type Release and RelWithDebInfo have no assertions and parse such bodies correctly.

Change: RequestParser waits until 5 bytes of a chunked body are there. Every chunked body has that many left, those of its last chunk.

Evidence: requestparser/PiecesOfAnySizeGiveTheSameRequest with such a body crashes in a build with assertions without the change and passes with it.

--- a/src/proxy/requestparser.cpp
+++ b/src/proxy/requestparser.cpp
@@ -24,6 +24,11 @@
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 
+// A chunked body always has this many bytes left: those of its last chunk.
+// Beast asserts that it gets them at once, and so would end a process that is
+// built with assertions.
+constexpr std::size_t kLastChunkBytes = 5;
+
 // A larger body is refused by its size. This only limits how much memory is
 // reserved at once for an announced body.
 constexpr std::size_t kMaxReservedBytes = 65536;
@@ -164,6 +169,10 @@
   while (aConsumed < aBytes.size() && this->state != RequestState::Complete &&
          this->state != RequestState::Refused) {
     const std::string_view rest = aBytes.substr(aConsumed);
+    if (this->state == RequestState::ReadingBody && this->grammar->chunked() &&
+        rest.size() < kLastChunkBytes) {
+      return;
+    }
     beast::error_code error;
     const std::size_t parsed = this->grammar->put(
       boost::asio::const_buffer(rest.data(), rest.size()), error);
--- a/src/proxy/requestparser_test.cpp
+++ b/src/proxy/requestparser_test.cpp
@@ -66,6 +66,7 @@
   kStart + "Transfer-Encoding: Chunked\r\n\r\n"
            "5;x=\"y\"\r\nhello\r\nA\r\n0123456789\r\n0\r\nTrailer: t\r\n\r\n",
   kStart + "Content-Length: 32\r\n\r\n" + std::string(32, 'b'),
+  kStart + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 };
 
 const std::vector<std::string> kRefused{
