--- a/src/proxy/answerwriter.cpp
+++ b/src/proxy/answerwriter.cpp
@@ -20,15 +20,6 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-std::string_view
-ReasonOf(int aStatus)
-{
-  namespace http = boost::beast::http;
-  const auto reason =
-    http::obsolete_reason(http::int_to_status(static_cast<unsigned>(aStatus)));
-  return { reason.data(), reason.size() };
-}
-
 bool
 HasBody(int aStatus)
 {
@@ -65,6 +56,15 @@
 
 } // namespace
 
+std::string_view
+ReasonOf(int aStatus)
+{
+  namespace http = boost::beast::http;
+  const auto reason =
+    http::obsolete_reason(http::int_to_status(static_cast<unsigned>(aStatus)));
+  return { reason.data(), reason.size() };
+}
+
 std::string
 FormatAnswerHead(const HttpAnswer& aAnswer, const AnswerFormat& aFormat)
 {
--- a/src/proxy/answerwriter.h
+++ b/src/proxy/answerwriter.h
@@ -3,6 +3,7 @@
 #include "proxy/httptypes.h"
 
 #include <string>
+#include <string_view>
 
 namespace lacewingwharf {
 
@@ -20,6 +21,10 @@
 std::string
 FormatAnswerHead(const HttpAnswer& aAnswer, const AnswerFormat& aFormat);
 
+/** Returns the usual reason phrase of an HTTP status. */
+std::string_view
+ReasonOf(int aStatus);
+
 /** Whether the body of an answer is sent after its head. */
 bool
 SendsBody(const HttpAnswer& aAnswer, const AnswerFormat& aFormat);
--- a/src/proxy/httpconnection.cpp
+++ b/src/proxy/httpconnection.cpp
@@ -3,8 +3,6 @@
 #include "common/log.h"
 #include "proxy/answerwriter.h"
 
-#include <boost/beast/http/status.hpp>
-
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -177,16 +175,13 @@
 void
 HttpConnection::Refuse(const RequestRefusal& aRefusal)
 {
-  namespace http = boost::beast::http;
   kLog.Info("request from {} refused with status {}: {}",
             this->callerAddress,
             aRefusal.status,
             aRefusal.reason);
-  const auto reason = http::obsolete_reason(
-    http::int_to_status(static_cast<unsigned>(aRefusal.status)));
   HttpAnswer answer;
   answer.status = aRefusal.status;
-  answer.body.assign(reason.data(), reason.size()).append("\n");
+  answer.body.assign(ReasonOf(aRefusal.status)).append("\n");
   this->parser.reset();
   this->unparsed.clear();
   this->isAnswerToHead = false;
--- a/src/proxy/httpserverimpl.h
+++ b/src/proxy/httpserverimpl.h
@@ -44,7 +44,7 @@
     std::optional<HttpAnswer> answer;
   };
 
-  /** The request that a connection waits for or whose answer it sends. */
+  /** A connection and the request that it is working on. */
   struct OpenConnection
   {
     HttpConnection::Ptr connection;
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
