Keep a server leaving that reports before its entry is read

Cause: a report of leaving names no start time. A daemon that has just been restarted knows no process yet and kept 0. When it then read its entry, the stored process seemed to have started later than the report, and so was announced as ready.

Change: Restore() gives such a report the start time of the stored process of the same id, whose entry is older than the report, and the entry is written again with it. A report that waits for its write is answered once a later start time of the same process is stored.

Evidence: localserver/a_leaving_server_is_recalled_as_draining fails without the change and passes with it.

--- a/src/daemon/controlservicesite.cpp
+++ b/src/daemon/controlservicesite.cpp
@@ -28,6 +28,9 @@
   };
   hooks.onRestored = [this](const DirectoryEntry& aOwn) {
     this->localServer.Restore(aOwn.server, aOwn.leaving);
+    if (const auto& leaving = this->localServer.Leaving()) {
+      this->directory.StoreLeaving(*leaving); // It may have a start time now.
+    }
     this->PublishServer();
   };
   hooks.onMembers = [this](const std::vector<DirectoryEntry>& aOthers) {
--- a/src/membership/leavingreports.cpp
+++ b/src/membership/leavingreports.cpp
@@ -38,7 +38,8 @@
 LeavingReports::HandleStored(const LeavingServer& aLeaving)
 {
   const auto stored = this->TakeIf([&aLeaving](const PendingReport& aReport) {
-    return aReport.leaving == aLeaving;
+    return aReport.leaving.id == aLeaving.id &&
+           aReport.leaving.startedAt <= aLeaving.startedAt;
   });
   std::ranges::for_each(stored, [](const PendingReport& aReport) {
     aReport.answer(ReportDecision::Taken);
--- a/src/membership/localserver.cpp
+++ b/src/membership/localserver.cpp
@@ -90,11 +90,16 @@
 LocalServer::Restore(const std::optional<ServerProcess>& aServer,
                      const std::optional<LeavingServer>& aLeaving)
 {
+  const bool isSameServer = aServer && aServer->service == this->service &&
+                            aServer->port == this->address.port;
+  if (this->leaving && this->leaving->startedAt == 0 && isSameServer &&
+      aServer->id == this->leaving->id) {
+    // The report came before the process was known, and names no start time.
+    this->leaving->startedAt = aServer->startedAt;
+  }
   if (aLeaving && !this->leaving) {
     this->leaving = aLeaving;
   }
-  const bool isSameServer = aServer && aServer->service == this->service &&
-                            aServer->port == this->address.port;
   if (!this->current && isSameServer) {
     this->id = aServer->id;
     this->startedAt = aServer->startedAt;
--- a/src/membership/localserver_test.cpp
+++ b/src/membership/localserver_test.cpp
@@ -157,3 +157,26 @@
   other.Restore(ServerProcess{ "a", kStart, "fonts", kPort, 6 }, std::nullopt);
   cr_expect_not(other.CurrentAnnouncement().has_value());
 }
+
+// A restarted daemon may receive a report that its server is leaving before it
+// has read its entry. The report has no start time, so the start time of the
+// stored process must not make that process look newer than the report.
+Test(localserver, a_leaving_server_is_recalled_as_draining)
+{
+  LocalServer server = Server();
+  cr_expect_eq(server.HandleReport(Leaving("a")), ReportDecision::Taken);
+  server.Restore(ServerProcess{ "a", kStart, "orders", kPort, 6 },
+                 std::nullopt);
+  cr_assert(server.CurrentAnnouncement().has_value());
+  cr_expect_eq(server.CurrentAnnouncement()->state,
+               wire::EndpointState::DRAINING);
+  const auto leaving = server.Leaving();
+  cr_assert(leaving.has_value());
+  cr_expect_eq(leaving->startedAt, kStart);
+  // A late heartbeat of that process, and a new process under the same id.
+  server.HandleReport(Heartbeat("a", 3));
+  cr_expect_eq(server.CurrentAnnouncement()->state,
+               wire::EndpointState::DRAINING);
+  server.HandleReport(Heartbeat("a", 1, kStart + 1));
+  cr_expect_eq(server.CurrentAnnouncement()->state, wire::EndpointState::READY);
+}
