Close refused callers that go on sending slowly

Found by reading the diff: a refused caller that sends a byte now and then kept its connection until the limit of the body, for hours.

Cause: each byte that is discarded renewed the time of the last activity.

Change: bytes that are only discarded renew nothing. Two comments explain the time for last answers and the comparison of leaving reports.

--- a/src/daemon/stopschedule.cpp
+++ b/src/daemon/stopschedule.cpp
@@ -14,7 +14,8 @@
 // host. Nothing may be left when the process is killed.
 constexpr Millis kStopReserve = 700;
 
-// Time for answers to the calls that are still open.
+// Time for answers to the calls that are still open. It includes the wait of
+// EntryCalls for an answer that arrives just after the end of a call.
 constexpr Millis kLastAnswersTime = 300;
 
 } // namespace
--- a/src/membership/leavingreports.cpp
+++ b/src/membership/leavingreports.cpp
@@ -38,6 +38,7 @@
 LeavingReports::HandleStored(const LeavingServer& aLeaving)
 {
   const auto stored = this->TakeIf([&aLeaving](const PendingReport& aReport) {
+    // The start time of a report may have been filled in since it arrived.
     return aReport.leaving.id == aLeaving.id &&
            aReport.leaving.startedAt <= aLeaving.startedAt;
   });
--- a/src/proxy/httpconnection.cpp
+++ b/src/proxy/httpconnection.cpp
@@ -93,7 +93,9 @@
   auto& buffer = this->context.readBuffer;
   const ssize_t count = recv(this->socket, buffer.data(), buffer.size(), 0);
   if (count > 0) {
-    this->lastActivity = this->context.clock.Now();
+    if (this->state != State::Lingering) {
+      this->lastActivity = this->context.clock.Now();
+    }
     // A short read has emptied the socket. The next bytes raise a new event,
     // but the end of the stream, if it was reported already, does not.
     this->mayRead =
@@ -308,7 +310,7 @@
   }
   if (this->isEndOfBodyTheClose) {
     // The close would make the rest of the body look complete.
-    const linger reset{ 1, 0 };
+    const linger reset{ 1, 0 }; // Closes with a TCP reset.
     setsockopt(this->socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
   }
   close(std::exchange(this->socket, -1));
--- a/src/proxy/httpserver_test.cpp
+++ b/src/proxy/httpserver_test.cpp
@@ -245,6 +245,22 @@
   cr_assert_eq(fixture.server->InFlight(), 0U);
 }
 
+// A refused caller that goes on sending, however slowly, must not keep its
+// connection: it counts towards the limit of the server.
+Test(httpserver, ARefusedCallerCannotKeepItsConnection)
+{
+  constexpr int kMostBytes = 150; // One each 100 ms.
+  Fixture fixture;
+  Socket socket = fixture.SendRequest(
+    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n");
+  int sent = 0;
+  while (sent < kMostBytes && socket.Send("x")) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    ++sent;
+  }
+  cr_expect_lt(sent, kMostBytes);
+}
+
 // Requests that this server cut must be counted, so that operators learn of
 // them; callers that leave on their own must not be.
 Test(httpserver, OnlyAnswersThatTheServerLostAreCounted)
