Apply the limits of the configuration to callers

Callers saw: with max_header_bytes 65,536 a head of 40 KB got status 431, and with 8,192 it passed. Idle connections were closed after 90 s, whatever the configuration allowed.

Cause: the adapter read routes and services only, and the daemon had limits of its own for heads, bodies and idle connections.

What has arrived is read before a connection is ended, so that a paused daemon does not blame its callers. Until a daemon knows a configuration it reads longer heads, because their requests are to be refused as not run.

--- a/src/catalogue/entry.cpp
+++ b/src/catalogue/entry.cpp
@@ -18,14 +18,14 @@
 constexpr std::size_t kMaxNameLength = 128;
 constexpr std::size_t kMaxPathLength = 1024;
 constexpr std::int64_t kMaxLimit = 1000000000;
-constexpr Millis kMaxDeadline = 3600000;
 constexpr std::int64_t kMaxRetries = 10;
 constexpr std::int64_t kMaxWeight = 1000000;
 constexpr std::size_t kMaxHostLength = 253;
 constexpr std::int64_t kMaxChangeSetSize = 1000;
 
-// The body and the headers of a call are sent in one frame of at most 8 MB.
-constexpr std::int64_t kMaxBodyBytes = 7 << 20;
+// The head and the body of a call are sent in one frame, whose head may take
+// several times as many bytes as that of the request.
+static_assert(kMaxEntryBodyBytes + 3 * kMaxListenerHeadBytes < 8 << 20);
 
 bool
 IsNameCharacter(char aCharacter)
@@ -164,15 +164,15 @@
 ReadRouteLimits(JsonFields& aFields, Limits& aLimits)
 {
   aLimits.deadline =
-    aFields.ReadInteger("deadline_ms", aLimits.deadline, { 1, kMaxDeadline });
+    aFields.ReadInteger("deadline_ms", aLimits.deadline, { 1, kMaxEntryTime });
   aLimits.target =
-    aFields.ReadInteger("target_ms", aLimits.target, { 0, kMaxDeadline });
+    aFields.ReadInteger("target_ms", aLimits.target, { 0, kMaxEntryTime });
   // A target bounds the wait better than a fixed default does.
   const Millis queueDefault = aLimits.target > 0 ? 0 : aLimits.queueWait;
   aLimits.queueWait =
-    aFields.ReadInteger("queue_ms", queueDefault, { 0, kMaxDeadline });
-  aLimits.bodyBytes =
-    aFields.ReadInteger("body_bytes", aLimits.bodyBytes, { 0, kMaxBodyBytes });
+    aFields.ReadInteger("queue_ms", queueDefault, { 0, kMaxEntryTime });
+  aLimits.bodyBytes = aFields.ReadInteger(
+    "body_bytes", aLimits.bodyBytes, { 0, kMaxEntryBodyBytes });
   aLimits.retries = static_cast<int>(
     aFields.ReadInteger("retries", aLimits.retries, { 0, kMaxRetries }));
 }
@@ -203,6 +203,24 @@
   aFields.Merge(fields);
 }
 
+void
+ReadListenerLimits(JsonFields& aFields, ListenerLimits& aLimits)
+{
+  const json* const object = aFields.FindField("limits", Presence::Required);
+  if (object == nullptr) {
+    return;
+  }
+  JsonFields fields(*object, "limits");
+  fields.AllowOnly({ "head_bytes", "body_bytes", "head_ms", "idle_ms" });
+  aLimits.headBytes =
+    fields.ReadInteger("head_bytes", 0, { 0, kMaxListenerHeadBytes });
+  aLimits.bodyBytes =
+    fields.ReadInteger("body_bytes", 0, { 0, kMaxEntryBodyBytes });
+  aLimits.headTime = fields.ReadInteger("head_ms", 0, { 0, kMaxEntryTime });
+  aLimits.idleTime = fields.ReadInteger("idle_ms", 0, { 0, kMaxEntryTime });
+  aFields.Merge(fields);
+}
+
 void
 ReadChangeSet(JsonFields& aFields, Entry& aEntry)
 {
@@ -291,6 +309,10 @@
       aFields.AllowOnly({ "kind", "owner", "limits", "change" });
       ReadLimits(aFields, aEntry);
       return;
+    case EntryKind::Listener:
+      aFields.AllowOnly({ "kind", "owner", "limits", "change" });
+      ReadListenerLimits(aFields, aEntry.listenerLimits);
+      return;
   }
 }
 
@@ -343,7 +365,7 @@
   const auto kind =
     kEntryKindNames.ValueOf(fields.ReadString("kind", Presence::Required));
   if (!kind) {
-    fields.AddProblem("kind", "must be service, route or owner");
+    fields.AddProblem("kind", "must be service, route, owner or listener");
     return MakeError(
       CatalogueErrorCode::BadField, aName, fields.FirstProblem());
   }
--- a/src/catalogue/entry.h
+++ b/src/catalogue/entry.h
@@ -16,7 +16,8 @@
 {
   Service,
   Route,
-  Owner
+  Owner,
+  Listener
 };
 
 /** Classes of work, most important first. */
@@ -42,7 +43,8 @@
 inline constexpr auto kEntryKindNames =
   MakeNameTable<EntryKind>({ { EntryKind::Service, "service" },
                              { EntryKind::Route, "route" },
-                             { EntryKind::Owner, "owner" } });
+                             { EntryKind::Owner, "owner" },
+                             { EntryKind::Listener, "listener" } });
 
 inline constexpr auto kWorkClassNames =
   MakeNameTable<WorkClass>({ { WorkClass::Critical, "critical" },
@@ -109,6 +111,29 @@
   int retries = 1;
 };
 
+/** The longest head of a request that a listener entry can allow. */
+inline constexpr std::int64_t kMaxListenerHeadBytes = 256 << 10;
+
+/** The longest body of a request that an entry can allow. */
+inline constexpr std::int64_t kMaxEntryBodyBytes = 7 << 20;
+
+/** The longest time that an entry can set. */
+inline constexpr Millis kMaxEntryTime = 3600000;
+
+/**
+ * What callers may send on their connections, and how long they may take; 0
+ * leaves the daemon's own limit in force.
+ */
+struct ListenerLimits
+{
+  std::int64_t headBytes = 0;
+  std::int64_t bodyBytes = 0;
+  Millis headTime = 0; // From the first byte of a head to its last.
+  Millis idleTime = 0; // Between two requests.
+
+  bool operator==(const ListenerLimits&) const = default;
+};
+
 /** Which requests a route entry matches: those of a path or of a prefix. */
 struct RouteMatch
 {
@@ -152,6 +177,7 @@
   RouteMatch match; // Routes only.
   std::optional<bool> idempotent;
   Limits limits;
+  ListenerLimits listenerLimits; // Listeners only.
   std::optional<ChangeSet> changeSet;
 
   /** Without an explicit setting, only GET, HEAD and OPTIONS are idempotent. */
--- a/src/catalogue/snapshot.cpp
+++ b/src/catalogue/snapshot.cpp
@@ -71,6 +71,8 @@
       this->IndexRoute(accepted->entry);
     } else if (accepted->entry.kind == EntryKind::Owner) {
       this->ownerLimits.emplace(accepted->entry.owner, &accepted->entry);
+    } else if (accepted->entry.kind == EntryKind::Listener) {
+      this->listener = &accepted->entry;
     }
   }
 }
@@ -161,6 +163,13 @@
   return found == this->ownerLimits.end() ? nullptr : found->second;
 }
 
+ListenerLimits
+Snapshot::CallerLimits() const
+{
+  return this->listener == nullptr ? ListenerLimits{}
+                                   : this->listener->listenerLimits;
+}
+
 std::int64_t
 Snapshot::HighestRevision() const
 {
--- a/src/catalogue/snapshot.h
+++ b/src/catalogue/snapshot.h
@@ -77,6 +77,9 @@
   /** The owner entry that limits aOwner, or null. */
   const Entry* OwnerLimits(std::string_view aOwner) const;
 
+  /** What callers may send; the defaults without a listener entry. */
+  ListenerLimits CallerLimits() const;
+
   /** Highest platform revision of any entry; 0 without entries. */
   std::int64_t HighestRevision() const;
 
@@ -117,6 +120,7 @@
   AcceptedEntries entries;
   StringMap<RouteTable> routesByHost;
   StringMap<const Entry*> ownerLimits;
+  const Entry* listener = nullptr;
 };
 
 inline std::int64_t
--- a/src/catalogue/validation.cpp
+++ b/src/catalogue/validation.cpp
@@ -93,6 +93,25 @@
   }
 }
 
+/** aListener is the listener entry that was found before, or null. */
+void
+CheckListener(const Entry*& aListener,
+              const Entry& aEntry,
+              std::vector<Conflict>& aConflicts)
+{
+  if (aListener == nullptr) {
+    aListener = &aEntry;
+    return;
+  }
+  aConflicts.push_back(
+    { CatalogueErrorCode::DuplicateMatch,
+      aEntry.name,
+      aListener->name,
+      fmt::format("entries '{}' and '{}' both limit all callers",
+                  aListener->name,
+                  aEntry.name) });
+}
+
 } // namespace
 
 std::vector<Conflict>
@@ -101,6 +120,7 @@
   std::vector<Conflict> conflicts;
   Routes routes;
   Owners owners;
+  const Entry* listener = nullptr;
   for (const auto& [name, accepted] : aEntries) {
     const Entry& entry = accepted->entry;
     if (entry.kind == EntryKind::Route) {
@@ -108,6 +128,8 @@
       CheckMatch(routes, entry, conflicts);
     } else if (entry.kind == EntryKind::Owner) {
       CheckOwner(owners, entry, conflicts);
+    } else if (entry.kind == EntryKind::Listener) {
+      CheckListener(listener, entry, conflicts);
     }
   }
   return conflicts;
--- a/src/daemon/adminservice.cpp
+++ b/src/daemon/adminservice.cpp
@@ -115,7 +115,7 @@
   HttpServerConfig config;
   config.address = aSettings.address;
   config.port = aSettings.adminPort;
-  config.limits.bodyBytes = kMaxBodyBytes;
+  config.limits.request.bodyBytes = kMaxBodyBytes;
   config.maxConnections = kMaxConnections;
   return config;
 }
--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "common/random.h"
+#include "daemon/callerlimits.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,10 +18,12 @@
 constexpr std::size_t kMaxCrashReportsPerMessage = 8;
 constexpr std::size_t kMaxAnswerBytes = 7U << 20U; // Fits a peer frame.
 
-// Callers of a site reuse an idle connection for up to four fifths of the idle
-// limit in the configuration, which is at most one minute. The daemon closes
-// idle connections later than that, so that no caller reuses a closed one.
-constexpr Millis kSiteIdleLimit = 90000;
+// Until the configuration of a site is known, connections stay open for longer
+// than callers reuse them under usual configurations.
+constexpr Millis kSiteIdleTimeout = 90000;
+
+// A cut link delivers the rest of a body or takes the rest of an answer later.
+constexpr Millis kSiteStallTimeout = 90000;
 
 // Time limit of a call status query. It is short because the caller waits for
 // the result.
@@ -61,18 +64,33 @@
   return ids;
 }
 
+/** The limits that hold where the catalogue sets none. */
+ConnectionLimits
+OwnCallerLimits(const Settings& aSettings)
+{
+  ConnectionLimits limits;
+  limits.request.bodyBytes = static_cast<std::size_t>(aSettings.maxBodyBytes);
+  if (aSettings.site.protocol != ProtocolKind::Own) {
+    // A request that comes before the configuration must be refused as not run,
+    // so that its caller repeats it, and not for the length of its head.
+    limits.request.headBytes = kMaxListenerHeadBytes;
+    limits.idleTimeout = kSiteIdleTimeout;
+    limits.stallTimeout = kSiteStallTimeout;
+  }
+  return limits;
+}
+
 HttpServerConfig
 ServerConfig(const Settings& aSettings, const CallDialect& aDialect)
 {
   HttpServerConfig config;
   config.address = aSettings.address;
   config.port = aSettings.callPort;
-  config.limits.bodyBytes = static_cast<std::size_t>(aSettings.maxBodyBytes);
+  config.limits = OwnCallerLimits(aSettings);
   config.maxConnections = static_cast<std::size_t>(aSettings.maxConnections);
   if (aSettings.site.protocol != ProtocolKind::Own) {
     config.address = aSettings.site.calls.address;
     config.port = aSettings.site.calls.port;
-    config.idleTimeout = kSiteIdleLimit;
   }
   config.requestIdHeader = aDialect.requestIdHeader;
   return config;
@@ -305,6 +323,9 @@
 {
   this->loop.Post(
     [this, snapshot = std::move(aSnapshot), view = std::move(aView)] {
+      if (snapshot) { // Null until a version is in force.
+        this->SetCallerLimits(*snapshot);
+      }
       this->SetRetryBudget(*view);
       this->entryCalls.SetSnapshot(snapshot);
       this->entryCalls.SetView(view);
@@ -340,6 +361,24 @@
     [=, this] { this->destinationCalls.SetServerId(aPort, aId); });
 }
 
+void
+CallsService::SetCallerLimits(const Snapshot& aSnapshot)
+{
+  const ListenerLimits limits = aSnapshot.CallerLimits();
+  if (limits == this->listenerLimits) {
+    return;
+  }
+  this->listenerLimits = limits;
+  this->server.SetLimits(CallerLimits(OwnCallerLimits(this->settings), limits));
+  kLog.Decision("caller-limits",
+                "version={} head_bytes={} body_bytes={} head_ms={} idle_ms={}",
+                aSnapshot.Version(),
+                limits.headBytes,
+                limits.bodyBytes,
+                limits.headTime,
+                limits.idleTime);
+}
+
 /**
  * Gives this daemon its share of the site's retry budget. The servers are
  * counted, because each of them has one daemon.
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -111,6 +111,7 @@
   EntryCallsHooks EntryHooks();
   DestinationCallsHooks DestinationHooks();
   void Tick();
+  void SetCallerLimits(const Snapshot& aSnapshot);
   void SetRetryBudget(const EndpointView& aView);
   void HandleMessage(SessionId aSession, wire::Envelope aEnvelope);
   void AnswerOrigin(SessionId aOrigin, wire::CallAnswer aAnswer);
@@ -128,6 +129,7 @@
   EntryStats stats;
   std::map<std::string, LatencyRecorder> latencies; // By entry.
   Millis reportDueAt = 0;
+  ListenerLimits listenerLimits;
   HttpServer server;
   HttpClient client;
   EntryCalls entryCalls;
--- a/src/daemon/siteservice.cpp
+++ b/src/daemon/siteservice.cpp
@@ -23,7 +23,7 @@
   HttpServerConfig config;
   config.address = aAddress.address;
   config.port = aAddress.port;
-  config.limits.bodyBytes = kMaxBodyBytes;
+  config.limits.request.bodyBytes = kMaxBodyBytes;
   config.maxConnections = kMaxConnections;
   return config;
 }
--- a/src/proxy/httpconnection.cpp
+++ b/src/proxy/httpconnection.cpp
@@ -19,10 +19,7 @@
 
 constexpr Log kLog("http");
 
-// Closing a socket that has unread bytes resets the connection, and the reset
-// can destroy an answer that the caller has not read yet. So the rest is read
-// for this long.
-constexpr Millis kLingerTime = 2000;
+constexpr int kRequestTimeout = 408;
 
 } // namespace
 
@@ -34,8 +31,8 @@
   , id(aId)
   , socket(aSocket)
   , callerAddress(std::move(aCallerAddress))
-  , lastActivity(aContext.clock.Now())
 {
+  this->UpdateTimer();
 }
 
 HttpConnection::~HttpConnection()
@@ -94,7 +91,7 @@
   const ssize_t count = recv(this->socket, buffer.data(), buffer.size(), 0);
   if (count > 0) {
     if (this->state != State::Lingering) {
-      this->lastActivity = this->context.clock.Now();
+      this->timer.RecordActivity(this->context.clock.Now());
     }
     // A short read has emptied the socket. The next bytes raise a new event,
     // but the end of the stream, if it was reported already, does not.
@@ -139,11 +136,13 @@
 HttpConnection::Parse(std::string_view aBytes)
 {
   if (!this->parser) {
-    this->parser = std::make_unique<RequestParser>(this->context.limits);
+    this->parser =
+      std::make_unique<RequestParser>(this->context.limits.request);
     this->wasContinueSent = false;
   }
   this->unparsed = aBytes.substr(this->parser->Feed(aBytes));
   this->HandleParsed();
+  this->UpdateTimer();
 }
 
 void
@@ -251,7 +250,7 @@
     this->context.onWriteBlocked(*this);
     return false;
   }
-  this->lastActivity = this->context.clock.Now();
+  this->timer.RecordActivity(this->context.clock.Now());
   this->sentBytes += static_cast<std::size_t>(sent);
   if (this->sentBytes < this->outgoingHead.size() + this->outgoingBody.size()) {
     return true;
@@ -283,7 +282,7 @@
   const long count = this->Receive();
   if (count > 0) {
     this->discardedBytes += static_cast<std::size_t>(count);
-    if (this->discardedBytes > this->context.limits.bodyBytes) {
+    if (this->discardedBytes > this->context.limits.request.bodyBytes) {
       this->Close();
     }
   }
@@ -291,15 +290,30 @@
 }
 
 void
-HttpConnection::CheckTimeout(Millis aIdleTimeout)
+HttpConnection::CheckTimeout()
 {
   const Ptr keepAlive = this->shared_from_this();
-  const bool isLingering = this->state == State::Lingering;
-  const Millis limit = isLingering ? kLingerTime : aIdleTimeout;
-  if (this->state != State::Suspended &&
-      this->context.clock.Now() - this->lastActivity > limit) {
-    this->Close();
+  if (!this->IsExpired()) {
+    return;
+  }
+  // A host that was paused has not read what its callers sent in time.
+  this->mayRead = true;
+  this->Run();
+  if (this->state == State::Closed || !this->IsExpired()) {
+    return;
   }
+  if (this->timer.Wait() == CallerWait::Head) {
+    this->Refuse({ kRequestTimeout, "the head took too long" });
+    this->Run();
+    return;
+  }
+  this->Close();
+}
+
+bool
+HttpConnection::IsExpired() const
+{
+  return this->timer.IsExpired(this->context.limits, this->context.clock.Now());
 }
 
 void
@@ -322,7 +336,39 @@
 HttpConnection::SetState(State aState)
 {
   this->state = aState;
-  this->lastActivity = this->context.clock.Now();
+  this->UpdateTimer();
+}
+
+CallerWait
+HttpConnection::CurrentWait() const
+{
+  switch (this->state) {
+    case State::Reading:
+      break;
+    case State::Answering:
+      return CallerWait::Transfer;
+    case State::Lingering:
+      return CallerWait::Close;
+    case State::Suspended:
+    case State::Closed:
+      return CallerWait::None;
+  }
+  if (!this->parser || !this->parser->HasStarted()) {
+    return CallerWait::Request;
+  }
+  return this->parser->State() == RequestState::ReadingHead
+           ? CallerWait::Head
+           : CallerWait::Transfer;
+}
+
+/** Starts the time of the current wait when it begins. */
+void
+HttpConnection::UpdateTimer()
+{
+  const CallerWait wait = this->CurrentWait();
+  if (wait != this->timer.Wait()) {
+    this->timer.Start(wait, this->context.limits, this->context.clock.Now());
+  }
 }
 
 } // namespace lacewingwharf
--- a/src/proxy/httpconnection.h
+++ b/src/proxy/httpconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "proxy/connectiontimer.h"
 #include "proxy/requestparser.h"
 
 #include <cstdint>
@@ -16,7 +17,7 @@
 /** What all connections of one server share. It outlives them. */
 struct HttpConnectionContext
 {
-  RequestLimits limits;
+  ConnectionLimits limits; // Of requests that begin from now on.
   Clock clock = Clock::Steady();
   std::vector<char> readBuffer; // Holds no data between reads.
   std::function<void(HttpConnection&, HttpRequest)> onRequest;
@@ -71,8 +72,8 @@
   /** Answers the request of a suspended connection. */
   void Answer(HttpAnswer aAnswer);
 
-  /** Closes the connection if it was silent for longer than allowed. */
-  void CheckTimeout(Millis aIdleTimeout);
+  /** Ends the connection if its caller has taken longer than allowed. */
+  void CheckTimeout();
   void Close();
 
   std::uint64_t Id() const;
@@ -94,6 +95,9 @@
   void StartAnswer(HttpAnswer aAnswer, bool aCloses);
   bool FinishAnswer();
   void SetState(State aState);
+  CallerWait CurrentWait() const;
+  void UpdateTimer();
+  bool IsExpired() const;
 
   HttpConnectionContext& context;
   std::uint64_t id;
@@ -108,7 +112,7 @@
   bool keepsConnection = true;
   bool closesAfterAnswer = false;
   bool isEndOfBodyTheClose = false;
-  Millis lastActivity;
+  ConnectionTimer timer;
   std::size_t discardedBytes = 0;
   std::string unparsed;
   std::unique_ptr<RequestParser> parser; // Null between two requests.
--- a/src/proxy/httpserver.cpp
+++ b/src/proxy/httpserver.cpp
@@ -25,6 +25,12 @@
   this->impl->AnnounceClose();
 }
 
+void
+HttpServer::SetLimits(const ConnectionLimits& aLimits)
+{
+  this->impl->SetLimits(aLimits);
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/src/proxy/httpserver.h
+++ b/src/proxy/httpserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "proxy/connectionlimits.h"
 #include "proxy/httptypes.h"
-#include "proxy/requestparser.h"
 
 #include <cstdint>
 #include <functional>
@@ -17,10 +17,7 @@
 {
   std::string address;
   int port = 0;
-  RequestLimits limits;
-
-  /** Closes connections without a request on which nothing moves for longer. */
-  Millis idleTimeout = 30000;
+  ConnectionLimits limits;
   std::size_t maxConnections = 2000;
 
   /** Names the request in the log; empty if requests have no ids. */
@@ -64,6 +61,9 @@
    */
   void AnnounceClose();
 
+  /** Holds for all connections, from the next request on. */
+  void SetLimits(const ConnectionLimits& aLimits);
+
   /** Accepts no new connections. Requests in flight continue. */
   void StopAccepting();
   void Stop();
--- a/src/proxy/httpserver_test.cpp
+++ b/src/proxy/httpserver_test.cpp
@@ -26,8 +26,8 @@
     HttpServerConfig config;
     config.address = kAddress;
     config.port = loopback::FreePort(kAddress);
-    config.limits.headBytes = aMaxHeadBytes;
-    config.limits.bodyBytes = 4096;
+    config.limits.request.headBytes = aMaxHeadBytes;
+    config.limits.request.bodyBytes = 4096;
     this->port = config.port;
     this->server = std::make_unique<HttpServer>(
       config,
@@ -261,6 +261,59 @@
   cr_expect_lt(sent, kMostBytes);
 }
 
+// Limits that change while connections are open hold from the next request on.
+Test(httpserver, ChangedLimitsHoldForOpenConnections)
+{
+  Fixture fixture;
+  const std::string head =
+    "GET /a HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(4000, 'a') +
+    "\r\n\r\n";
+  Socket socket = fixture.SendRequest(kGet);
+  fixture.server->Answer(fixture.WaitForRequests(), { 200, {}, "first" });
+  cr_assert(socket.ReceiveUntil("first").ends_with("first"));
+  ConnectionLimits limits;
+  limits.request.headBytes = 8192;
+  fixture.server->SetLimits(limits);
+  cr_assert(socket.Send(head));
+  fixture.server->Answer(fixture.WaitForRequests(2), { 200, {}, "second" });
+  cr_assert(socket.ReceiveUntil("second").ends_with("second"));
+  limits.request.headBytes = 2048;
+  fixture.server->SetLimits(limits);
+  cr_assert(socket.Send(head));
+  cr_expect(socket.ReceiveAll().starts_with("HTTP/1.1 431"));
+}
+
+// A head that never ends must not hold its connection. The answer says that
+// nothing ran, so that a caller on a slow link can send the request again.
+Test(httpserver, ASlowHeadIsRefusedAsNotRun)
+{
+  Fixture fixture;
+  ConnectionLimits limits;
+  limits.headTimeout = 100;
+  fixture.server->SetLimits(limits);
+  Socket idle;
+  cr_assert(idle.Connect(kAddress, fixture.port));
+  Socket slow = fixture.SendRequest("GET /a HTTP/1.1\r\nHost:");
+  cr_expect(slow.ReceiveAll().starts_with("HTTP/1.1 408 Request Timeout"));
+  cr_assert(idle.Send(kGet));
+  fixture.server->Answer(fixture.WaitForRequests(), { 200, {}, "served" });
+  cr_expect(idle.ReceiveUntil("served").ends_with("served"));
+}
+
+// A caller that stays idle beyond the limit must not hold its connection.
+Test(httpserver, AnIdleConnectionIsClosed)
+{
+  Fixture fixture;
+  ConnectionLimits limits;
+  limits.idleTimeout = 100;
+  fixture.server->SetLimits(limits);
+  Socket socket = fixture.SendRequest(kGet);
+  fixture.server->Answer(fixture.WaitForRequests(), { 200, {}, "served" });
+  cr_assert(socket.ReceiveUntil("served").ends_with("served"));
+  cr_expect_eq(socket.ReceiveAll(), "");
+  cr_expect_eq(fixture.server->AnswersLost(), 0U);
+}
+
 // Requests that this server cut must be counted, so that operators learn of
 // them; callers that leave on their own must not be.
 Test(httpserver, OnlyAnswersThatTheServerLostAreCounted)
--- a/src/proxy/httpserverimpl.cpp
+++ b/src/proxy/httpserverimpl.cpp
@@ -166,6 +166,8 @@
   {
     const std::lock_guard lock(this->mutex);
     this->isWakePending = false;
+    this->context.limits = this->newLimits.value_or(this->context.limits);
+    this->newLimits.reset();
     requests.swap(this->finished);
     sockets.swap(this->accepted);
   }
@@ -243,10 +245,7 @@
   }
   this->timeoutsDueAt = now + kTimeoutCheckInterval;
   this->hasNoDescriptors = false; // Tries to accept again.
-  std::ranges::for_each(this->OpenConnections(),
-                        [this](const HttpConnection::Ptr& aConnection) {
-                          aConnection->CheckTimeout(this->config.idleTimeout);
-                        });
+  std::ranges::for_each(this->OpenConnections(), &HttpConnection::CheckTimeout);
 }
 
 /** Returns a copy, because connections that close leave the table. */
@@ -371,6 +370,14 @@
   this->isCloseAnnounced = true;
 }
 
+void
+HttpServer::Impl::SetLimits(const ConnectionLimits& aLimits)
+{
+  const std::lock_guard lock(this->mutex);
+  this->newLimits = aLimits;
+  this->Wake();
+}
+
 void
 HttpServer::Impl::StopAccepting()
 {
--- a/src/proxy/httpserverimpl.h
+++ b/src/proxy/httpserverimpl.h
@@ -23,6 +23,7 @@
 
   bool Start();
   void AnnounceClose();
+  void SetLimits(const ConnectionLimits& aLimits);
   void StopAccepting();
   void Stop();
   void Answer(RequestId aRequest, HttpAnswer aAnswer);
@@ -95,6 +96,7 @@
   std::mutex mutex; // Protects the members below.
   bool isWakePending = false;
   std::unordered_map<RequestId, std::uint64_t> unanswered; // To connections.
+  std::optional<ConnectionLimits> newLimits;
   std::vector<FinishedRequest> finished;
   std::vector<AcceptedSocket> accepted;
 };
--- a/src/proxy/requestparser.cpp
+++ b/src/proxy/requestparser.cpp
@@ -285,6 +285,12 @@
   return this->state;
 }
 
+bool
+RequestParser::HasStarted() const
+{
+  return this->grammar->got_some();
+}
+
 const RequestRefusal&
 RequestParser::Refusal() const
 {
--- a/src/proxy/requestparser.h
+++ b/src/proxy/requestparser.h
@@ -15,6 +15,8 @@
   /** The whole head, with the request line and all line ends. */
   std::size_t headBytes = 16384;
   std::size_t bodyBytes = 4U << 20U;
+
+  bool operator==(const RequestLimits&) const = default;
 };
 
 struct RequestRefusal
@@ -53,6 +55,10 @@
 
   RequestState State() const;
 
+  /** Whether bytes of the request were parsed; an empty line before it is none.
+   */
+  bool HasStarted() const;
+
   /** Why a request was refused. */
   const RequestRefusal& Refusal() const;
 
