Join repeated cookie lines of a request with semicolons

Callers would have seen: a request with two Cookie lines reaches its server with one cookie that holds both, and one with two Set-Cookie lines is never sent.

Cause: repeated headers of requests were joined like those of answers: Cookie with commas, which are part of a cookie, and Set-Cookie with a line feed, which no header may contain.

Change: requests and answers have rules of their own.

Evidence: requestparser/RepeatedHeadersAreJoined fails with the old rule and passes with the change; all of requestparser and httpclient pass.

--- a/src/proxy/answerhead.cpp
+++ b/src/proxy/answerhead.cpp
@@ -39,7 +39,7 @@
   }
   std::string_view value = aLine.substr(colon + 1);
   value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-  AddHeader(
+  AddAnswerHeader(
     this->headers, std::string(aLine.substr(0, colon)), std::string(value));
 }
 
@@ -77,7 +77,7 @@
 std::optional<std::int64_t>
 AnswerHead::AnnouncedBytes() const
 {
-  // AddHeader() joins repeated headers with commas, so they do not parse.
+  // AddAnswerHeader() joins repeated headers with commas, so they do not parse.
   const auto length = this->headers.find("Content-Length");
   if (length == this->headers.end()) {
     return std::nullopt;
--- a/src/proxy/answerwriter.cpp
+++ b/src/proxy/answerwriter.cpp
@@ -39,7 +39,7 @@
              const std::string& aName,
              std::string_view aValue)
 {
-  // AddHeader() puts line feeds between Set-Cookie lines, and only there.
+  // AddAnswerHeader() puts line feeds between Set-Cookie lines, and only there.
   if (strcasecmp(aName.c_str(), "Set-Cookie") != 0) {
     AppendLine(aHead, aName, aValue);
     return;
--- a/src/proxy/httpheaders.cpp
+++ b/src/proxy/httpheaders.cpp
@@ -44,18 +44,35 @@
   }
 }
 
-} // namespace
-
+/** Repeated lines of aSpecialName are joined with aSeparator. */
 void
-AddHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue)
+AddHeader(HttpHeaders& aHeaders,
+          std::string aName,
+          const std::string& aValue,
+          const char* aSpecialName,
+          const char* aSeparator)
 {
   const auto [header, isNew] = aHeaders.try_emplace(std::move(aName), aValue);
   if (!isNew) {
-    const bool isCookie = strcasecmp(header->first.c_str(), "Set-Cookie") == 0;
-    header->second += (isCookie ? "\n" : ", ") + aValue;
+    const bool isSpecial = strcasecmp(header->first.c_str(), aSpecialName) == 0;
+    header->second += (isSpecial ? aSeparator : ", ") + aValue;
   }
 }
 
+} // namespace
+
+void
+AddRequestHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue)
+{
+  AddHeader(aHeaders, std::move(aName), aValue, "Cookie", "; ");
+}
+
+void
+AddAnswerHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue)
+{
+  AddHeader(aHeaders, std::move(aName), aValue, "Set-Cookie", "\n");
+}
+
 void
 RemoveHopByHop(HttpHeaders& aHeaders)
 {
--- a/src/proxy/httpheaders.h
+++ b/src/proxy/httpheaders.h
@@ -8,11 +8,19 @@
 namespace lacewingwharf {
 
 /**
- * Adds a header line. Repeated lines are joined with commas, as HTTP allows.
- * Set-Cookie lines cannot be joined that way and are separated by a line feed.
+ * Adds a header line of a request. Repeated lines are joined with commas, as
+ * HTTP allows. Cookie lines are joined with semicolons, because a comma is part
+ * of a cookie.
  */
 void
-AddHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue);
+AddRequestHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue);
+
+/**
+ * Adds a header line of an answer. Repeated lines are joined with commas, too.
+ * Set-Cookie lines cannot be joined and are separated by a line feed.
+ */
+void
+AddAnswerHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue);
 
 /** Removes the hop-by-hop headers and the framing headers. */
 void
--- a/src/proxy/requestparser.cpp
+++ b/src/proxy/requestparser.cpp
@@ -86,7 +86,8 @@
                      beast::error_code& /*aError*/) override
   {
     if (!this->isHeadComplete) { // Trailers are dropped.
-      AddHeader(this->request.headers, ToString(aName), ToString(aValue));
+      AddRequestHeader(
+        this->request.headers, ToString(aName), ToString(aValue));
     }
   }
 
--- a/src/proxy/requestparser_test.cpp
+++ b/src/proxy/requestparser_test.cpp
@@ -121,6 +121,20 @@
   }
 }
 
+// Repeated lines must keep their meaning when they become one. Cookies are
+// separated by semicolons, and line feeds cannot be sent on.
+Test(requestparser, RepeatedHeadersAreJoined)
+{
+  RequestParser parser({ 1024, 0 });
+  parser.Feed("GET / HTTP/1.1\r\nHost: x\r\nCookie: a=1\r\nX: 1\r\n"
+              "cookie: b=2\r\nX: 2\r\nSet-Cookie: c\r\nSet-Cookie: d\r\n\r\n");
+  cr_assert(parser.State() == RequestState::Complete);
+  const HttpHeaders headers = parser.TakeRequest().headers;
+  cr_expect_eq(headers.at("Cookie"), "a=1; b=2");
+  cr_expect_eq(headers.at("X"), "1, 2");
+  cr_expect_eq(headers.at("Set-Cookie"), "c, d");
+}
+
 // Lines that end without a carriage return are no lines to others, so a head
 // of them must never become a request.
 Test(requestparser, BareLineFeedsEndNoHead)
