--- a/src/membership/leavingreports_test.cpp
+++ b/src/membership/leavingreports_test.cpp
@@ -64,3 +64,20 @@
   harness.reports.Tick();
   cr_expect_eq(harness.answers.size(), 1U);
 }
+
+// A report that came before the process was known names no start time. It must
+// be acknowledged when the entry is stored with one, or the server would be
+// refused until it ends.
+Test(leavingreports, a_report_without_a_start_time_is_acknowledged)
+{
+  Harness harness;
+  std::vector<ReportDecision> answers;
+  harness.reports.Handle({ "i-1", 0 }, [&answers](ReportDecision aDecision) {
+    answers.push_back(aDecision);
+  });
+  harness.reports.HandleStored({ "i-2", 77 }); // Another process.
+  cr_assert_eq(answers.size(), 0U);
+  harness.reports.HandleStored({ "i-1", 77 });
+  cr_assert_eq(answers.size(), 1U);
+  cr_expect(answers[0] == ReportDecision::Taken);
+}
