--- a/src/proxy/longheads_test.cpp
+++ b/src/proxy/longheads_test.cpp
@@ -1,14 +1,15 @@
 #include "proxy/httpserver.h"
 
 #include "common/testsocket.h"
+#include "proxy/headshapes.h"
 
 #include <criterion/criterion.h>
 
 #include <memory>
 #include <string>
-#include <vector>
 
 using namespace lacewingwharf;
+using namespace lacewingwharf::headshapes;
 using loopback::Socket;
 
 namespace {
@@ -18,60 +19,6 @@
 // The default of the server, with the request line and all line ends.
 constexpr std::size_t kMaxHeadBytes = 16384;
 
-struct HeadShape
-{
-  const char* name;
-  std::string start;
-  std::string element; // Repeated; # stands for a number.
-  std::string end;
-};
-
-const std::vector<HeadShape> kShapes{
-  { "one long header", "GET /a HTTP/1.1\r\nHost: x\r\nA: ", "v", "\r\n\r\n" },
-  { "one long target", "GET /", "a", " HTTP/1.1\r\nHost: x\r\n\r\n" },
-  { "shortest arguments", "GET /a?", "a&", " HTTP/1.1\r\nHost: x\r\n\r\n" },
-  { "empty arguments", "GET /a?", "&", " HTTP/1.1\r\nHost: x\r\n\r\n" },
-  { "short arguments", "GET /a?", "k#=v&", " HTTP/1.1\r\nHost: x\r\n\r\n" },
-  { "shortest cookies",
-    "GET /a HTTP/1.1\r\nHost: x\r\nCookie: ",
-    "a;",
-    "\r\n\r\n" },
-  { "short cookies",
-    "GET /a HTTP/1.1\r\nHost: x\r\nCookie: ",
-    "k#=v; ",
-    "\r\n\r\n" },
-  { "many cookie lines",
-    "GET /a HTTP/1.1\r\nHost: x\r\n",
-    "Cookie: k#=v\r\n",
-    "\r\n" },
-  { "shortest headers", "GET /a HTTP/1.1\r\nHost: x\r\n", "a:\r\n", "\r\n" },
-  { "headers with names of their own",
-    "GET /a HTTP/1.1\r\nHost: x\r\n",
-    "H#:\r\n",
-    "\r\n" },
-  { "headers of 20 bytes",
-    "GET /a HTTP/1.1\r\nHost: x\r\n",
-    "Header-#: value\r\n",
-    "\r\n" },
-};
-
-/** Returns a head of at most aBytes that is filled up with elements. */
-std::string
-HeadOf(const HeadShape& aShape, std::size_t aBytes)
-{
-  std::string head = aShape.start;
-  for (int number = 100;; ++number) {
-    std::string element = aShape.element;
-    if (const auto at = element.find('#'); at != std::string::npos) {
-      element.replace(at, 1, std::to_string(number));
-    }
-    if (head.size() + element.size() + aShape.end.size() > aBytes) {
-      return head + aShape.end;
-    }
-    head += element;
-  }
-}
-
 /** A server that answers every request with a head of a given length. */
 struct Fixture
 {
