Send the answers that a stand-in has given before it stops

Cause: a stand-in server that stops has counted the run as ended once its answer is given, waits 20 ms and stops libmicrohttpd, which cuts the answers that its thread has not sent yet. On a busy machine the thread needs longer.

Change: Stop() waits up to 3 s until the exchanges that the handler has received have ended.

--- a/standins/backend/standins_test.cpp
+++ b/standins/backend/standins_test.cpp
@@ -11,6 +11,8 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <future>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
@@ -220,6 +222,30 @@
   cr_assert_eq(backend.process.Wait(30000).value_or(-1), 0);
 }
 
+// A stand-in that stops must send the answers that it has given, or tests take
+// the cut for a fault of the daemon.
+Test(standins, StopSendsTheAnswersThatWereGiven)
+{
+  constexpr std::size_t kBodyBytes = 8U << 20U;
+  std::promise<std::shared_ptr<StandinExchange>> received;
+  const auto port = FreePort();
+  StandinServer server({ .port = port }, [&](const auto& aExchange) {
+    received.set_value(aExchange);
+  });
+  cr_assert(server.Start());
+  TestAnswer answer;
+  std::jthread caller([&] {
+    answer = SendTestRequest("GET", fmt::format("http://127.0.0.1:{}/a", port));
+  });
+  StandinAnswer given;
+  given.body.assign(kBodyBytes, 'b');
+  cr_assert(received.get_future().get()->Answer(given));
+  server.Stop();
+  caller.join();
+  cr_expect_eq(answer.status, 200);
+  cr_expect_eq(answer.body.size(), kBodyBytes);
+}
+
 // A request that contains the crash text has to end the process.
 Test(standins, BackendExitsOnCrashText)
 {
--- a/standins/httpserver/standinexchange.h
+++ b/standins/httpserver/standinexchange.h
@@ -70,6 +70,8 @@
 private:
   friend class StandinServer;
 
+  bool wasDispatched = false; // Used by the server's thread only.
+
   enum class State
   {
     Reading,
--- a/standins/httpserver/standinserver.cpp
+++ b/standins/httpserver/standinserver.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
+#include <thread>
 
 namespace lacewingwharf {
 
@@ -115,12 +117,16 @@
     return static_cast<MHD_Result>(server.OnRequest(aConnection, aContext));
   }
 
-  static void OnCompleted(void*,
+  static void OnCompleted(void* aServer,
                           MHD_Connection*,
                           void** aContext,
                           MHD_RequestTerminationCode)
   {
-    delete static_cast<ExchangePointer*>(*aContext);
+    auto* const exchange = static_cast<ExchangePointer*>(*aContext);
+    if (exchange != nullptr && (*exchange)->wasDispatched) {
+      --static_cast<StandinServer*>(aServer)->openExchanges;
+    }
+    delete exchange;
     *aContext = nullptr;
   }
 
@@ -178,7 +184,7 @@
                      kBacklog,
                      MHD_OPTION_NOTIFY_COMPLETED,
                      &Callbacks::OnCompleted,
-                     nullptr,
+                     this,
                      MHD_OPTION_NOTIFY_CONNECTION,
                      &Callbacks::OnConnection,
                      nullptr,
@@ -207,6 +213,9 @@
       exchange->Abort();
     }
   }
+  if (this->daemon != nullptr) {
+    this->WaitForOpenExchanges();
+  }
   this->timer.Stop();
   if (this->daemon != nullptr) {
     MHD_stop_daemon(this->daemon);
@@ -214,6 +223,20 @@
   }
 }
 
+/**
+ * MHD_stop_daemon() would cut answers that its thread has not sent yet. A
+ * caller that does not read its answer is not waited for.
+ */
+void
+StandinServer::WaitForOpenExchanges() const
+{
+  constexpr std::chrono::milliseconds kPollInterval(2);
+  constexpr int kMaxPolls = 1500;
+  for (int i = 0; i<kMaxPolls&& this->openExchanges> 0; ++i) {
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
 bool
 StandinServer::RunAfter(Millis aDelay, std::function<void()> aTask)
 {
@@ -283,6 +306,8 @@
 StandinServer::DispatchRequest(const ExchangePointer& aExchange)
 {
   aExchange->Suspend();
+  aExchange->wasDispatched = true;
+  ++this->openExchanges;
   bool isRefused = false;
   {
     const std::lock_guard lock(this->mutex);
--- a/standins/httpserver/standinserver.h
+++ b/standins/httpserver/standinserver.h
@@ -3,6 +3,7 @@
 #include "httpserver/standinexchange.h"
 #include "httpserver/timerthread.h"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -53,6 +54,7 @@
   MHD_Response* MakeResponse(StandinExchange& aExchange);
   void DispatchRequest(const std::shared_ptr<StandinExchange>& aExchange);
   void FindDisconnectedCallers();
+  void WaitForOpenExchanges() const;
 
   StandinServerConfig config;
   Handler handler;
@@ -61,6 +63,9 @@
   std::mutex mutex;
   std::list<std::weak_ptr<StandinExchange>> pending;
   bool isStopping = false;
+
+  /** Exchanges that the handler has received and that have not ended. */
+  std::atomic<int> openExchanges{ 0 };
 };
 
 } // namespace lacewingwharf
