Give the stand-in server of a load test a slot for every call

Cause: the load sends 97 calls in 500 ms to 50 slots. A server that is paused for more than 250 ms has more calls than that and sheds the rest, as it should.

Change: the server has 200 slots. The test checks what it did before: every call is answered with 200, and exactly three answers are cut. Shedding has a test of its own.

--- a/standins/backend/standins_test.cpp
+++ b/standins/backend/standins_test.cpp
@@ -137,7 +137,8 @@
 // as an error and not as a success.
 Test(standins, CallerReportsTruncatedAnswers)
 {
-  const Backend backend({ "--slots", "50" });
+  // More slots than the load has calls, so that none is shed after a pause.
+  const Backend backend({ "--slots", "200" });
   const std::vector<std::string> load{ "--rate",   "200",  "--time-ms", "500",
                                        "--method", "POST", "--keys" };
   const Json good = RunLoad(backend.port, load);
