--- a/src/catalogue/catalogue_test.cpp
+++ b/src/catalogue/catalogue_test.cpp
@@ -150,6 +150,26 @@
   cr_assert_eq(twice.assume_error().code, CatalogueErrorCode::DuplicateMatch);
 }
 
+// Two entries with limits on all callers would let the order of names decide
+// which of them hold.
+Test(catalogue, OnlyOneListenerEntryIsValid)
+{
+  const std::string listener =
+    R"({"kind":"listener","owner":"o","limits":{"head_bytes":4096,)"
+    R"("body_bytes":1024,"head_ms":3000,"idle_ms":15000}})";
+  const auto one = BuildFrom({ { "a", 1, listener } });
+  cr_assert(one.has_value());
+  const ListenerLimits expected{ 4096, 1024, 3000, 15000 };
+  cr_expect(one.assume_value()->CallerLimits() == expected);
+  cr_expect(Snapshot::Empty()->CallerLimits() == ListenerLimits());
+  const auto two = BuildFrom({ { "a", 1, listener }, { "b", 2, listener } });
+  cr_assert_eq(two.assume_error().code, CatalogueErrorCode::DuplicateMatch);
+  AssertRefused(
+    R"({"kind":"listener","owner":"o","limits":{"head_bytes":262145}})",
+    "limits.head_bytes is 262145");
+  AssertRefused(R"({"kind":"listener","owner":"o"})", "limits is missing");
+}
+
 // A delta in which an entry was lost or changed on the way is refused
 // (requirement R3).
 Test(catalogue, ApplyChecksBaseAndHash)
--- a/src/catalogue/entry.cpp
+++ b/src/catalogue/entry.cpp
@@ -23,8 +23,8 @@
 constexpr std::size_t kMaxHostLength = 253;
 constexpr std::int64_t kMaxChangeSetSize = 1000;
 
-// The head and the body of a call are sent in one frame, whose head may take
-// several times as many bytes as that of the request.
+// The head and the body of a call are sent in one frame of at most 8 MB. A
+// header has at least 4 bytes in a request and up to 8 more in the frame.
 static_assert(kMaxEntryBodyBytes + 3 * kMaxListenerHeadBytes < 8 << 20);
 
 bool
