--- a/src/daemon/callsservice.cpp
+++ b/src/daemon/callsservice.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "common/random.h"
 #include "daemon/callerlimits.h"
+#include "daemon/callsserviceconfig.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,39 +19,6 @@
 constexpr std::size_t kMaxCrashReportsPerMessage = 8;
 constexpr std::size_t kMaxAnswerBytes = 7U << 20U; // Fits a peer frame.
 
-// Until the configuration of a site is known, connections stay open for longer
-// than callers reuse them under usual configurations.
-constexpr Millis kSiteIdleTimeout = 90000;
-
-// A cut link delivers the rest of a body or takes the rest of an answer later.
-constexpr Millis kSiteStallTimeout = 90000;
-
-// Time limit of a call status query. It is short because the caller waits for
-// the result.
-constexpr Millis kSiteQueryWait = 600;
-
-// Share of a site's retry budget for the retries that daemons send themselves.
-// The rest covers the calls that a backend server makes again when a request is
-// repeated at it.
-constexpr double kDaemonRetryShare = 0.5;
-
-RetryBudgetConfig
-SiteRetryBudget(const SiteBounds& aBounds, std::size_t aDaemons)
-{
-  constexpr double kMillisPerSecond = 1000;
-  const double daemons = std::max<double>(1, static_cast<double>(aDaemons));
-  const double window =
-    static_cast<double>(aBounds.retryWindow) / kMillisPerSecond;
-  RetryBudgetConfig config;
-  config.perSuccess = aBounds.retryRatio * kDaemonRetryShare;
-  config.perSecond =
-    aBounds.extraRetries * kDaemonRetryShare / window / daemons;
-  // Half of the retries of a window, so that a burst after a period without
-  // retries stays within the budget.
-  config.burst = std::max(1.0, config.perSecond * window / 2);
-  return config;
-}
-
 /** Returns the ids of a lost session's calls that certainly did not run. */
 std::vector<std::string>
 NotRunCallIds(const PeerEvent& aEvent)
@@ -64,83 +32,6 @@
   return ids;
 }
 
-/** The limits that hold where the catalogue sets none. */
-ConnectionLimits
-OwnCallerLimits(const Settings& aSettings)
-{
-  ConnectionLimits limits;
-  limits.request.bodyBytes = static_cast<std::size_t>(aSettings.maxBodyBytes);
-  if (aSettings.site.protocol != ProtocolKind::Own) {
-    // A request that comes before the configuration must be refused as not run,
-    // so that its caller repeats it, and not for the length of its head.
-    limits.request.headBytes = kMaxListenerHeadBytes;
-    limits.idleTimeout = kSiteIdleTimeout;
-    limits.stallTimeout = kSiteStallTimeout;
-  }
-  return limits;
-}
-
-HttpServerConfig
-ServerConfig(const Settings& aSettings, const CallDialect& aDialect)
-{
-  HttpServerConfig config;
-  config.address = aSettings.address;
-  config.port = aSettings.callPort;
-  config.limits = OwnCallerLimits(aSettings);
-  config.maxConnections = static_cast<std::size_t>(aSettings.maxConnections);
-  if (aSettings.site.protocol != ProtocolKind::Own) {
-    config.address = aSettings.site.calls.address;
-    config.port = aSettings.site.calls.port;
-  }
-  config.requestIdHeader = aDialect.requestIdHeader;
-  return config;
-}
-
-QuarantineConfig
-MakeQuarantineConfig(const Settings& aSettings)
-{
-  QuarantineConfig config;
-  config.host = aSettings.host;
-  return config;
-}
-
-EntryCallsConfig
-EntryConfig(const Settings& aSettings,
-            const DaemonProtocol& aProtocol,
-            std::int64_t aIncarnation)
-{
-  EntryCallsConfig config;
-  config.host = aSettings.host;
-  config.incarnation = aIncarnation;
-  config.claimWait = aSettings.claimWait;
-  config.dialect = aProtocol.dialect;
-  config.service = aSettings.site.service;
-  if (aSettings.site.protocol != ProtocolKind::Own) {
-    config.queryWait = kSiteQueryWait;
-    config.retryBudget = SiteRetryBudget(aProtocol.bounds, 1);
-    config.retriesServerErrors = true;
-    config.retriesCapacityRefusals = true;
-  }
-  return config;
-}
-
-DestinationCallsConfig
-DestinationConfig(const Settings& aSettings,
-                  const DaemonProtocol& aProtocol,
-                  std::int64_t aIncarnation)
-{
-  DestinationCallsConfig config;
-  config.host = aSettings.host;
-  config.address = aSettings.address;
-  config.incarnation = aIncarnation;
-  config.dialect = aProtocol.dialect;
-  config.acceptsUnknownEntries = aProtocol.documents.has_value();
-  if (aSettings.site.protocol != ProtocolKind::Own) {
-    config.address = aSettings.site.server.address;
-  }
-  return config;
-}
-
 } // namespace
 
 CallsService::CallsService(const Settings& aSettings,
@@ -155,7 +46,7 @@
   , metrics(aMetrics)
   , quarantine(MakeQuarantineConfig(aSettings), this->clock)
   , stats(Clock::Wall())
-  , server(ServerConfig(aSettings, aProtocol.dialect),
+  , server(CallServerConfig(aSettings, aProtocol.dialect),
            { [this](RequestId aRequest, HttpRequest aData) {
               this->BeginCall(aRequest, std::move(aData));
             },
