--- a/src/proxy/httpheaders.cpp
+++ b/src/proxy/httpheaders.cpp
@@ -62,13 +62,17 @@
 } // namespace
 
 void
-AddRequestHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue)
+AddRequestHeader(HttpHeaders& aHeaders,
+                 std::string aName,
+                 const std::string& aValue)
 {
   AddHeader(aHeaders, std::move(aName), aValue, "Cookie", "; ");
 }
 
 void
-AddAnswerHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue)
+AddAnswerHeader(HttpHeaders& aHeaders,
+                std::string aName,
+                const std::string& aValue)
 {
   AddHeader(aHeaders, std::move(aName), aValue, "Set-Cookie", "\n");
 }
--- a/src/proxy/httpheaders.h
+++ b/src/proxy/httpheaders.h
@@ -13,14 +13,18 @@
  * of a cookie.
  */
 void
-AddRequestHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue);
+AddRequestHeader(HttpHeaders& aHeaders,
+                 std::string aName,
+                 const std::string& aValue);
 
 /**
  * Adds a header line of an answer. Repeated lines are joined with commas, too.
  * Set-Cookie lines cannot be joined and are separated by a line feed.
  */
 void
-AddAnswerHeader(HttpHeaders& aHeaders, std::string aName, std::string aValue);
+AddAnswerHeader(HttpHeaders& aHeaders,
+                std::string aName,
+                const std::string& aValue);
 
 /** Removes the hop-by-hop headers and the framing headers. */
 void
