--- a/src/membership/memberdirectory.cpp
+++ b/src/membership/memberdirectory.cpp
@@ -1,14 +1,7 @@
 #include "membership/memberdirectory.h"
 
-#include "common/jsonitems.h"
-#include "common/jsonvalue.h"
 #include "common/log.h"
 
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
-
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -17,13 +10,7 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr Log kLog("membership");
-constexpr const char* kPrefix = "members/";
-
-// More than any backend server has. A higher number is not from a daemon.
-constexpr std::int64_t kMaxSlots = 100000;
 
 // A daemon that finds fewer entries than this reads a second time, when daemons
 // that started together with it have written theirs. With more entries, gossip
@@ -39,87 +26,16 @@
 constexpr Millis kAloneInterval = 1000;
 constexpr Millis kRetryInterval = 500;
 
-std::string
-EncodeEntry(const DirectoryEntry& aEntry)
-{
-  Json json = { { "address", aEntry.address.address },
-                { "port", aEntry.address.port },
-                { "region", aEntry.region },
-                { "domain", aEntry.domain },
-                { "incarnation", aEntry.incarnation } };
-  if (aEntry.server) {
-    json["server"] = { { "id", aEntry.server->id },
-                       { "startedAt", aEntry.server->startedAt },
-                       { "service", aEntry.server->service },
-                       { "port", aEntry.server->port },
-                       { "slots", aEntry.server->slots } };
-  }
-  if (aEntry.leaving) {
-    json["leaving"] = { { "id", aEntry.leaving->id },
-                        { "startedAt", aEntry.leaving->startedAt } };
-  }
-  return json.dump();
-}
-
-bool
-IsAddress(const std::string& aText)
-{
-  in_addr address{};
-  return inet_pton(AF_INET, aText.c_str(), &address) == 1;
-}
-
-/** Returns 0 when the field is missing or is no port. */
-int
-PortIn(const Json& aObject)
-{
-  constexpr std::int64_t kMaxPort = 65535;
-  const auto port = IntegerField(aObject, "port").value_or(0);
-  return port > 0 && port <= kMaxPort ? static_cast<int>(port) : 0;
-}
-
-std::int64_t
-NumberIn(const Json& aObject, const char* aField)
-{
-  return IntegerField(aObject, aField).value_or(0);
-}
-
-std::optional<DirectoryEntry>
-DecodeEntry(const StoredObject& aObject)
-{
-  const Json json = ParseItem(aObject.value);
-  if (!json.is_object() || !IsAddress(TextField(json, "address")) ||
-      PortIn(json) == 0) {
-    kLog.Warning("ignoring object {} of {} bytes: not a member entry",
-                 aObject.name,
-                 aObject.value.size());
-    return std::nullopt;
-  }
-  DirectoryEntry entry;
-  entry.host = aObject.name.substr(std::string_view(kPrefix).size());
-  entry.address = { TextField(json, "address"), PortIn(json) };
-  entry.region = TextField(json, "region");
-  entry.domain = TextField(json, "domain");
-  entry.incarnation = NumberIn(json, "incarnation");
-  const Json server = json.value("server", Json::object());
-  const std::int64_t slots = NumberIn(server, "slots");
-  if (PortIn(server) != 0 && slots > 0 && slots <= kMaxSlots) {
-    entry.server = ServerProcess{ TextField(server, "id"),
-                                  NumberIn(server, "startedAt"),
-                                  TextField(server, "service"),
-                                  PortIn(server),
-                                  static_cast<int>(slots) };
-  }
-  const Json leaving = json.value("leaving", Json::object());
-  if (leaving.is_object() && !TextField(leaving, "id").empty()) {
-    entry.leaving =
-      LeavingServer{ TextField(leaving, "id"), NumberIn(leaving, "startedAt") };
-  }
-  return entry;
-}
+// Interval between reads of the own object after a restore. It must be back
+// within 2 s of the store's return, so the first one that fails is repeated
+// sooner than other calls.
+constexpr Millis kCheckRetryInterval = 200;
 
 /**
  * Replaces the own object on condition of its revision. A write whose answer
- * was lost may take effect late and must not undo a newer one.
+ * was lost may take effect late and must not undo a newer one. After a conflict
+ * the object is compared: a lost write may have taken effect, and a store that
+ * was restored from a copy issues revisions again.
  */
 PlatformResult<std::int64_t>
 Replace(const ObjectStore& aStore,
@@ -135,36 +51,21 @@
     return written;
   }
   const auto present = aStore.get(aName);
-  return aStore.put(
-    aName, aText, present ? present.value().revision : kCreateOnly);
+  if (!present) {
+    return present.error().code == PlatformErrorCode::NotFound
+             ? aStore.put(aName, aText, kCreateOnly)
+             : PlatformResult<std::int64_t>(failure(present.error()));
+  }
+  if (present.value().value != aText) {
+    return aStore.put(aName, aText, present.value().revision);
+  }
+  PlatformResult<std::int64_t> unchanged = present.value().revision;
+  unchanged.era = present.era;
+  return unchanged;
 }
 
 } // namespace
 
-wire::MemberRecord
-RecordOf(const DirectoryEntry& aEntry)
-{
-  wire::MemberRecord record;
-  record.host = aEntry.host;
-  record.address = aEntry.address.address;
-  record.peerPort = aEntry.address.port;
-  record.region = aEntry.region;
-  record.domain = aEntry.domain;
-  record.incarnation = aEntry.incarnation;
-  record.state = wire::MemberState::ALIVE;
-  const bool isLeaving =
-    aEntry.server && aEntry.leaving && aEntry.leaving->id == aEntry.server->id;
-  if (aEntry.server && !isLeaving) {
-    wire::Endpoint endpoint;
-    endpoint.serviceName = aEntry.server->service;
-    endpoint.port = aEntry.server->port;
-    endpoint.slots = aEntry.server->slots;
-    endpoint.state = wire::EndpointState::READY;
-    record.endpoints.push_back(endpoint);
-  }
-  return record;
-}
-
 MemberDirectory::MemberDirectory(DirectoryEntry aSelf,
                                  Clock aClock,
                                  MemberDirectoryHooks aHooks)
@@ -189,7 +90,14 @@
     return;
   }
   // The entry of an earlier process is read before it is overwritten.
-  if (this->hasRead && !this->isWritten && now >= this->writeDueAt) {
+  if (!this->hasRead || this->isRemoved) {
+    return;
+  }
+  if (this->MayBeLost()) {
+    if (now >= this->checkDueAt) {
+      this->CheckOwn();
+    }
+  } else if (!this->isWritten && now >= this->writeDueAt) {
     this->Write();
   }
 }
@@ -201,7 +109,7 @@
   const std::weak_ptr<bool> guard = this->lifetime;
   const bool isSubmitted =
     this->hooks.submit([this, guard](const ObjectStore& aStore) {
-      auto list = aStore.list(kPrefix);
+      auto list = aStore.list(kMemberPrefix);
       return Completion([this, guard, result = std::move(list)] {
         if (guard.expired()) {
           return;
@@ -214,8 +122,11 @@
           this->readDueAt = this->clock.Now() + kRetryInterval;
           return;
         }
+        if (!this->hasRead) {
+          this->RecordEra(result.era);
+        }
         std::vector<DirectoryEntry> entries;
-        const std::string own = kPrefix + this->self.host;
+        const std::string own = kMemberPrefix + this->self.host;
         for (const StoredObject& object : result.assume_value().objects) {
           if (object.name == own) {
             this->revision = object.revision;
@@ -272,17 +183,103 @@
   if (this->hasRead) {
     return;
   }
-  this->storedLeaving = aOwn.leaving;
   // Reports that this process has received meanwhile are newer.
   this->self.leaving = this->self.leaving ? this->self.leaving : aOwn.leaving;
   this->self.server = this->self.server ? this->self.server : aOwn.server;
+  this->SetOwn(aOwn);
+  if (this->hooks.onRestored) {
+    this->hooks.onRestored(aOwn);
+  }
+}
+
+/** Compares what the store has for the own object with the own state. */
+void
+MemberDirectory::SetOwn(const std::optional<DirectoryEntry>& aStored)
+{
+  if (!aStored) {
+    this->storedLeaving.reset();
+    this->isWritten = false;
+    return;
+  }
+  this->storedLeaving = this->MayBeLost() ? std::nullopt : aStored->leaving;
   // Other daemons take the incarnation from gossip, so an entry that differs
   // only in it need not be written.
-  DirectoryEntry present = aOwn;
+  DirectoryEntry present = *aStored;
   present.incarnation = this->self.incarnation;
   this->isWritten = EncodeEntry(present) == EncodeEntry(this->self);
-  if (this->hooks.onRestored) {
-    this->hooks.onRestored(aOwn);
+}
+
+void
+MemberDirectory::HandleRestore(std::int64_t aEra, Millis aDelay)
+{
+  this->requiredEra = aEra;
+  if (!this->MayBeLost()) {
+    return;
+  }
+  this->storedLeaving.reset();
+  this->checkDueAt = this->clock.Now() + aDelay;
+  if (this->isRemoved) {
+    this->Remove();
+  }
+}
+
+/** A response without an era is taken for one of the era that is known. */
+void
+MemberDirectory::RecordEra(std::optional<std::int64_t> aEra)
+{
+  this->knownEra = aEra ? aEra : this->requiredEra;
+}
+
+void
+MemberDirectory::CheckOwn()
+{
+  this->isBusy = true;
+  this->checkDueAt = this->clock.Now() + kCheckRetryInterval;
+  const std::weak_ptr<bool> guard = this->lifetime;
+  const std::string name = kMemberPrefix + this->self.host;
+  const bool isSubmitted =
+    this->hooks.submit([this, guard, name](const ObjectStore& aStore) {
+      return Completion([this, guard, result = aStore.get(name)] {
+        if (!guard.expired()) {
+          this->isBusy = false;
+          this->HandleOwnRead(result);
+        }
+      });
+    });
+  if (!isSubmitted) {
+    this->isBusy = false;
+  }
+}
+
+void
+MemberDirectory::HandleOwnRead(const PlatformResult<StoredObject>& aRead)
+{
+  const bool isMissing =
+    !aRead && aRead.error().code == PlatformErrorCode::NotFound;
+  if (!aRead && !isMissing) {
+    kLog.Warning("cannot read the own member entry: {} {}",
+                 kPlatformErrorNames.NameOf(aRead.error().code),
+                 aRead.error().detail);
+    return; // Tick() repeats it.
+  }
+  this->RecordEra(aRead.era);
+  if (this->MayBeLost()) {
+    return; // The store was restored once more meanwhile.
+  }
+  this->revision = aRead ? aRead.value().revision : kCreateOnly;
+  this->SetOwn(aRead ? DecodeEntry(aRead.value()) : std::nullopt);
+  kLog.Decision("entry-checked-after-restore",
+                "era={} revision={} leaving={} result={}",
+                this->knownEra.value_or(0),
+                this->revision,
+                this->self.leaving ? this->self.leaving->id : "-",
+                this->isWritten ? "present"
+                : isMissing     ? "missing"
+                                : "different");
+  if (!this->isWritten) {
+    this->Write();
+  } else if (this->storedLeaving && this->hooks.onLeavingStored) {
+    this->hooks.onLeavingStored(*this->storedLeaving);
   }
 }
 
@@ -299,7 +296,8 @@
 void
 MemberDirectory::Remove()
 {
-  const std::string name = kPrefix + this->self.host;
+  const std::string name = kMemberPrefix + this->self.host;
+  this->isRemoved = true;
   this->hooks.submit([name](const ObjectStore& aStore) {
     const auto removed = aStore.remove(name, kAnyRevision);
     if (!removed) {
@@ -316,12 +314,17 @@
   if (this->storedLeaving == aLeaving) {
     return true;
   }
-  if (this->self.leaving == aLeaving) {
-    return false; // A write is running, or Tick() repeats it.
+  const bool isNew = this->self.leaving != aLeaving;
+  if (isNew) {
+    this->self.leaving = aLeaving;
+    this->isWritten = false;
   }
-  this->self.leaving = aLeaving;
-  this->isWritten = false;
-  if (this->hasRead && !this->isBusy) {
+  if (!this->hasRead || this->isBusy) {
+    return false; // Tick() writes it.
+  }
+  if (this->MayBeLost()) {
+    this->CheckOwn();
+  } else if (isNew) {
     this->Write();
   }
   return this->storedLeaving == aLeaving;
@@ -333,7 +336,7 @@
   this->isBusy = true;
   this->writeDueAt = this->clock.Now() + kRetryInterval;
   const std::weak_ptr<bool> guard = this->lifetime;
-  const std::string name = kPrefix + this->self.host;
+  const std::string name = kMemberPrefix + this->self.host;
   const bool isSubmitted = this->hooks.submit(
     [this,
      guard,
@@ -354,7 +357,11 @@
                          result.error().detail);
             return;
           }
+          this->RecordEra(result.era);
           this->revision = result.value();
+          if (this->MayBeLost()) {
+            return; // Acknowledged before a restore. Tick() compares it.
+          }
           this->isWritten = text == EncodeEntry(this->self);
           this->HandleWritten(leaving);
         });
--- a/src/membership/memberdirectory.h
+++ b/src/membership/memberdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "membership/directoryentry.h"
 #include "membership/localserver.h"
 #include "peer/peernetwork.h"
 #include "store/platformjob.h"
@@ -14,32 +15,6 @@
 
 namespace lacewingwharf {
 
-/** The store's entry for a daemon and the backend server on its host. */
-struct DirectoryEntry
-{
-  std::string host;
-  PeerAddress address;
-  std::string region;
-  std::string domain;
-  std::int64_t incarnation = 0;
-
-  /** The server process that sent the last accepted heartbeat. */
-  std::optional<ServerProcess> server;
-
-  /**
-   * The server process that is leaving. It is stored so that the server gets no
-   * new calls after a restart of the daemon.
-   */
-  std::optional<LeavingServer> leaving;
-};
-
-/**
- * The member record of an entry. It has sequence 0, so every record that the
- * member itself publishes supersedes it.
- */
-wire::MemberRecord
-RecordOf(const DirectoryEntry& aEntry);
-
 struct MemberDirectoryHooks
 {
   SubmitPlatformJob submit;
@@ -58,7 +33,8 @@
  * The store objects members/HOST, through which daemons find each other. Each
  * daemon writes its own object when the stored one differs: at its first start
  * and when its server changes or leaves. It reads all objects at startup, again
- * if it found few, and while no other member is known.
+ * if it found few, and while no other member is known. After a restore of the
+ * store from a copy, it reads its own object and writes it again if it differs.
  */
 class MemberDirectory
 {
@@ -88,6 +64,13 @@
    */
   bool StoreLeaving(const LeavingServer& aLeaving);
 
+  /**
+   * To be called when the store was restored and is in the era aEra. Until the
+   * own object was read in that era, nothing counts as stored. It is read after
+   * aDelay, or at once for a leaving that has to be acknowledged.
+   */
+  void HandleRestore(std::int64_t aEra, Millis aDelay);
+
   /** Schedules a write if the server differs from the one in the entry. */
   void StoreServer(const ServerProcess& aServer);
 
@@ -97,6 +80,11 @@
 private:
   void Read();
   void Write();
+  void CheckOwn();
+  void HandleOwnRead(const PlatformResult<StoredObject>& aRead);
+  void SetOwn(const std::optional<DirectoryEntry>& aStored);
+  void RecordEra(std::optional<std::int64_t> aEra);
+  bool MayBeLost() const;
   void HandleWritten(const std::optional<LeavingServer>& aLeaving);
   void RestoreOwn(const DirectoryEntry& aOwn);
   void HandleEntries(const std::vector<DirectoryEntry>& aEntries);
@@ -109,6 +97,7 @@
   bool isBusy = false;
   bool hasRead = false;
   bool isWritten = false;
+  bool isRemoved = false;
   std::int64_t revision = kCreateOnly; // Of the own object.
   int requiredReads = 0; // At startup; known after the first read.
   int reads = 0;
@@ -118,6 +107,12 @@
 
   /** The leaving server in the last entry that the store accepted. */
   std::optional<LeavingServer> storedLeaving;
+
+  // The era of the last response about the own object, and the one that such a
+  // response must have at least. Both are empty if the store reports no era.
+  std::optional<std::int64_t> knownEra;
+  std::optional<std::int64_t> requiredEra;
+  Millis checkDueAt = 0;
 };
 
 inline const std::vector<PeerAddress>&
@@ -126,6 +121,12 @@
   return this->peers;
 }
 
+inline bool
+MemberDirectory::MayBeLost() const
+{
+  return this->knownEra < this->requiredEra;
+}
+
 inline bool
 MemberDirectory::HasRead() const
 {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -13,9 +13,14 @@
 
 constexpr Log kLog("membership");
 
-// How long records of dead and left members are kept. A member that returns
-// later is treated as new.
-constexpr Millis kDeadRetention = 600000;
+// A dead member may be one that is cut off and still serves its share of the
+// usage caps, so it counts as a member for longer than partitions last.
+constexpr Millis kDeadRetention = 86400000;
+
+// Records of members that left are kept for longer than those of dead ones, so
+// that daemons which were cut off and hold such a member as dead learn of it. A
+// member that returns later is treated as new.
+constexpr Millis kLeftRetention = kDeadRetention + 3600000;
 constexpr Millis kPruneInterval = 10000;
 
 // A daemon that has not synced after this time takes part in the exchange of
@@ -23,6 +28,11 @@
 // with.
 constexpr Millis kAssumeAloneAfter = 10000;
 
+// Each daemon that learns of a rise of the store's era sends it to this many
+// others, so that about 2 of 100 have to wait for a ping. With pings alone, the
+// last of 296 daemons knew it after 1.8 s.
+constexpr std::size_t kEraReceivers = 4;
+
 wire::MemberRecord
 MakeSelf(const MembershipConfig& aConfig, const Clock& aWall)
 {
@@ -64,6 +74,7 @@
   : config(std::move(aConfig))
   , hooks(std::move(aHooks))
   , clock(std::move(aClock))
+  , wall(aWall)
   , random(std::move(aRandom))
   , self(MakeSelf(this->config, aWall))
   , registry(this->config.endpointTimeout)
@@ -126,6 +137,21 @@
   }
 }
 
+void
+Membership::SpreadStoreEra()
+{
+  const std::vector<std::string>& hosts = this->table.LiveHosts();
+  if (hosts.size() <= 1 || this->hasLeft) {
+    return;
+  }
+  for (std::size_t sent = 0; sent < kEraReceivers; ++sent) {
+    const std::string& host = hosts[RandomBelow(this->random, hosts.size())];
+    if (host != this->config.host) {
+      this->gossip.SendStoreEra(host);
+    }
+  }
+}
+
 void
 Membership::PublishChanges()
 {
@@ -163,6 +189,9 @@
     this->gossip.FlushPushes();
   }
   this->StartSyncs(now);
+  if (!this->isComplete && this->KnowsAllMembers(now)) {
+    this->SetComplete("start");
+  }
   if (!this->syncer.HasSynced() && now - this->startedAt < kAssumeAloneAfter) {
     this->exchange.PostponeUpdates(now);
   }
@@ -171,7 +200,7 @@
   }
   if (now - this->prunedAt >= kPruneInterval) {
     this->prunedAt = now;
-    this->table.Prune(now - kDeadRetention);
+    this->table.Prune(now - kLeftRetention, now - kDeadRetention);
   }
 }
 
@@ -182,6 +211,9 @@
   ++this->self.sequence;
   this->self.state = aState;
   this->self.endpoints = this->OwnEndpoints();
+  if (aState == wire::MemberState::LEFT) {
+    this->self.__set_endedAt(this->wall.Now());
+  }
   const Millis now = this->clock.Now();
   this->table.Merge(this->self, now);
   this->gossip.HandleRecordChange(this->self, Propagation::Tree, now);
@@ -205,7 +237,9 @@
 void
 Membership::AddStoredMember(const wire::MemberRecord& aRecord)
 {
-  if (aRecord.host != this->config.host &&
+  // Entries of hosts that were replaced stay in the store. A member that knows
+  // all others has told this daemon which ones there are.
+  if (aRecord.host != this->config.host && !this->hasMembersBySync &&
       this->table.Find(aRecord.host) == nullptr) {
     this->MergeRecord(aRecord, Propagation::None);
   }
@@ -229,8 +263,26 @@
     return;
   }
   const Millis now = this->clock.Now();
-  if (this->table.Merge(aRecord, now)) {
-    this->gossip.HandleRecordChange(aRecord, aPropagation, now);
+  if (IsLive(aRecord)) {
+    if (this->table.Merge(aRecord, now)) {
+      this->gossip.HandleRecordChange(aRecord, aPropagation, now);
+    }
+    return;
+  }
+  const Millis wallNow = this->wall.Now();
+  wire::MemberRecord ended = aRecord;
+  ended.__set_endedAt(aRecord.__isset.endedAt
+                        ? std::min<Millis>(aRecord.endedAt, wallNow)
+                        : wallNow);
+  const Millis age = wallNow - ended.endedAt;
+  const Millis retention =
+    aRecord.state == wire::MemberState::LEFT ? kLeftRetention : kDeadRetention;
+  // Another member that has not removed such a record yet must not return it.
+  if (age >= retention && this->table.Find(aRecord.host) == nullptr) {
+    return;
+  }
+  if (this->table.Merge(ended, now - age)) {
+    this->gossip.HandleRecordChange(ended, aPropagation, now);
   }
 }
 
@@ -373,15 +425,19 @@
 EndpointViewPtr
 Membership::View()
 {
+  const StartProgress progress{ this->isComplete, this->syncer.HasSynced() };
   const bool isCurrent =
-    this->view && this->viewTableVersion == this->table.Version() &&
+    this->view && this->view->isComplete == progress.isComplete &&
+    this->view->hasContact == progress.hasContact &&
+    this->viewTableVersion == this->table.Version() &&
     this->viewSummariesVersion == this->Summaries().Version();
   if (!isCurrent) {
     this->viewTableVersion = this->table.Version();
     this->viewSummariesVersion = this->Summaries().Version();
     this->view = BuildView(this->table,
                            this->Summaries(),
-                           { this->config.region, this->config.domain });
+                           { this->config.region, this->config.domain },
+                           progress);
   }
   return this->view;
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -51,6 +51,13 @@
    */
   void SetStoreLost(bool aIsStoreLost);
 
+  /**
+   * Sends the era of the store to some random members at once; for use when
+   * this daemon has learned of a higher one. The others get it with the next
+   * pings.
+   */
+  void SpreadStoreEra();
+
   /** Publishes changed announcements at once instead of on the next tick. */
   void PublishChanges();
 
@@ -127,10 +134,14 @@
   void HandleSync(SessionId aSession, const wire::MemberSync& aSync);
   void AnswerSync(SessionId aSession, const wire::MemberSync& aRequest);
   void CompleteSync(SessionId aSession, const wire::MemberSync& aAnswer);
+  bool KnowsAllMembers(Millis aNow);
+  void SetComplete(const char* aEvidence);
+  void RemoveReplacedMembers(const wire::MemberSync& aAnswer);
 
   MembershipConfig config;
   MembershipHooks hooks;
   Clock clock;
+  Clock wall;
   Random random;
   wire::MemberRecord self;
   EndpointRegistry registry;
@@ -141,6 +152,10 @@
   SummaryExchange exchange;
   Millis startedAt = 0;
   Millis prunedAt = 0;
+  bool isComplete = false;       // All members of the own group are known.
+  bool hasMembersBySync = false; // A complete member has told them.
+  std::size_t knownMembers = 0;  // While it is not complete.
+  Millis grownAt = 0;            // When the last of them was added.
   bool isSelfDirty = true;
   bool isServing = true;
   bool hasLeft = false;
--- a/src/membership/membershipconfig.h
+++ b/src/membership/membershipconfig.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,11 +67,23 @@
   /** Returns the hash of the content of ownVersion(), or 0. Optional. */
   std::function<std::int32_t()> ownContentHash;
 
+  /** Returns the highest era of the store that is known, if any. Optional. */
+  std::function<std::optional<std::int64_t>()> ownStoreEra;
+
+  /** Called with the era of the store that a peer knows. Optional. */
+  std::function<void(std::int64_t aEra)> onPeerStoreEra;
+
   /** Returns the crash reports to send with the next datagram. Optional. */
   std::function<std::vector<wire::QuarantineMark>()> takeCrashReports;
   std::function<void(const std::vector<wire::QuarantineMark>&)>
     mergeCrashReports;
 
+  /**
+   * Whether the store has told all members. Without it, they count as known
+   * some time after the start. Optional.
+   */
+  std::function<bool()> hasStoredMembers;
+
   /** Returns initial peers from sources other than the settings. Optional. */
   std::function<std::vector<PeerAddress>()> seedPeers;
 };
--- a/src/membership/membershipsync.cpp
+++ b/src/membership/membershipsync.cpp
@@ -2,15 +2,30 @@
 
 #include "membership/membership.h"
 
+#include "common/log.h"
 #include "membership/wiresize.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace lacewingwharf {
 
 namespace {
 
+constexpr Log kLog("membership");
+
+// In a new fleet, no member knows all others at first. A daemon that has heard
+// of no new one for this time knows all: its second sync is sent within 2.3 s
+// of its start. The time since the start alone is no evidence: after 3 s, one
+// of 80 daemons knew only 71.
+constexpr Millis kNewFleetTime = 3000;
+
+// A daemon without any seed is the first of its fleet after this time. One that
+// synced, but lacks seeds, takes those for removed hosts.
+constexpr Millis kMissingSeedTime = 10000;
+
 // One of this many syncs chooses among the members of all regions.
 constexpr std::uint64_t kOtherRegionSyncs = 8;
 
@@ -141,7 +156,8 @@
                       ToEnvelope(this->syncer.BusyAnswer(this->table)));
     return;
   }
-  const wire::MemberSync answer = MemberSyncer::AnswerTo(aRequest, this->table);
+  wire::MemberSync answer = MemberSyncer::AnswerTo(aRequest, this->table);
+  answer.__set_isComplete(this->isComplete);
   this->syncBudget.Spend(EncodedSize(answer));
   this->hooks.reply(aSession, ToEnvelope(answer));
   if (isFirstSync) {
@@ -166,6 +182,72 @@
     // Publishes the own record again, now to the members that were just added.
     this->isSelfDirty = true;
   }
+  if (!aAnswer.isComplete || aAnswer.retryAfterMillis > 0) {
+    return;
+  }
+  if (isFirst) {
+    this->RemoveReplacedMembers(aAnswer);
+  }
+  if (!this->isComplete) {
+    this->SetComplete("sync");
+  }
+}
+
+/**
+ * The first answer contains all records. Members from the store that are not
+ * among them were replaced long ago; a record of another daemon always has a
+ * sequence.
+ */
+void
+Membership::RemoveReplacedMembers(const wire::MemberSync& aAnswer)
+{
+  this->hasMembersBySync = true;
+  std::set<std::string> stored;
+  this->table.ForEach([&stored](const wire::MemberRecord& aRecord) {
+    if (aRecord.sequence == 0) {
+      stored.insert(aRecord.host);
+    }
+  });
+  for (const wire::MemberRecord& record : aAnswer.records) {
+    stored.erase(record.host);
+  }
+  stored.erase(this->config.host);
+  for (const std::string& host : stored) {
+    this->table.Remove(host);
+  }
+}
+
+/**
+ * Whether the members are known without an answer of a member that knows them.
+ * On a site, only the list in the store proves it, because daemons that are cut
+ * off and restart together know nobody else either.
+ */
+bool
+Membership::KnowsAllMembers(Millis aNow)
+{
+  if (this->hooks.hasStoredMembers) {
+    return this->hooks.hasStoredMembers();
+  }
+  if (std::exchange(this->knownMembers, this->table.Size()) !=
+      this->table.Size()) {
+    this->grownAt = aNow;
+  }
+  if (aNow - this->grownAt < kNewFleetTime) {
+    return false;
+  }
+  const Millis age = aNow - this->startedAt;
+  if (!this->syncer.HasSynced()) {
+    return age >= kMissingSeedTime && this->Seeds().empty();
+  }
+  return age >= kMissingSeedTime || this->UnknownSeeds().empty();
+}
+
+void
+Membership::SetComplete(const char* aEvidence)
+{
+  this->isComplete = true;
+  kLog.Decision(
+    "members-known", "count={} evidence={}", this->table.Size(), aEvidence);
 }
 
 } // namespace lacewingwharf
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -64,7 +64,7 @@
 }
 
 bool
-MemberTable::Merge(const wire::MemberRecord& aRecord, Millis aNow)
+MemberTable::Merge(const wire::MemberRecord& aRecord, Millis aChangedAt)
 {
   if (!this->domain.empty() && aRecord.domain != this->domain) {
     return false;
@@ -85,7 +85,7 @@
   const bool wasLive = !isNew && IsLive(member.record);
   this->liveVersion += wasLive == IsLive(aRecord) ? 0U : 1U;
   member.record = aRecord;
-  member.changedAt = aNow;
+  member.changedAt = aChangedAt;
   ++this->version;
   return true;
 }
@@ -150,14 +150,31 @@
 }
 
 void
-MemberTable::Prune(Millis aBefore)
+MemberTable::Prune(Millis aLeftBefore, Millis aDeadBefore)
 {
-  const auto removed = std::erase_if(this->members, [aBefore](auto& aItem) {
-    return !IsLive(aItem.second.record) && aItem.second.changedAt < aBefore;
+  const auto removed = std::erase_if(this->members, [=](const auto& aItem) {
+    const Member& member = aItem.second;
+    const bool hasLeft = member.record.state == wire::MemberState::LEFT;
+    return !IsLive(member.record) &&
+           member.changedAt < (hasLeft ? aLeftBefore : aDeadBefore);
   });
   this->version += removed > 0 ? 1U : 0U;
 }
 
+void
+MemberTable::Remove(const std::string& aHost)
+{
+  const auto member = this->members.find(aHost);
+  if (member == this->members.end()) {
+    return;
+  }
+  const wire::MemberRecord& record = member->second.record;
+  this->suspectCount -= record.state == wire::MemberState::SUSPECT ? 1U : 0U;
+  this->liveVersion += IsLive(record) ? 1U : 0U;
+  this->members.erase(member);
+  ++this->version;
+}
+
 std::vector<std::int64_t>
 MemberTable::Digests() const
 {
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -36,8 +36,11 @@
   /** Accepts records of aDomain only, or of all domains if it is empty. */
   explicit MemberTable(std::string aDomain);
 
-  /** True when the record is new or replaced the present one. */
-  bool Merge(const wire::MemberRecord& aRecord, Millis aNow);
+  /**
+   * True when the record is new or replaced the present one. aChangedAt is the
+   * time for Prune().
+   */
+  bool Merge(const wire::MemberRecord& aRecord, Millis aChangedAt);
 
   const wire::MemberRecord* Find(const std::string& aHost) const;
 
@@ -54,8 +57,13 @@
   void ForEach(
     const std::function<void(const wire::MemberRecord&)>& aVisit) const;
 
-  /** Removes dead and left members whose last change is before aBefore. */
-  void Prune(Millis aBefore);
+  /**
+   * Removes members that left before aLeftBefore and those that are dead since
+   * before aDeadBefore.
+   */
+  void Prune(Millis aLeftBefore, Millis aDeadBefore);
+
+  void Remove(const std::string& aHost);
 
   /** One hash per bucket; the host name selects the bucket of a record. */
   std::vector<std::int64_t> Digests() const;
--- a/src/membership/summaryexchange.cpp
+++ b/src/membership/summaryexchange.cpp
@@ -17,8 +17,6 @@
 
 constexpr Log kLog("membership");
 
-constexpr std::size_t kMaxContacts = 8;
-
 // Members forward summaries as soon as they arrive, so a deep tree is fast
 // enough. A low fanout limits the bytes that the busiest member sends.
 constexpr std::size_t kSummaryFanout = 2;
@@ -397,62 +395,4 @@
   }
 }
 
-const std::vector<std::string>&
-SummaryExchange::Relays() const
-{
-  if (this->contactsVersion != this->table.LiveVersion()) {
-    this->contactsVersion = this->table.LiveVersion();
-    this->contacts =
-      RendezvousOrder(this->config.domain, this->table.LiveHosts());
-    this->contacts.resize(std::min(this->contacts.size(), kMaxContacts));
-    const std::size_t count =
-      std::min(this->contacts.size(), this->config.relays);
-    this->relays.assign(this->contacts.begin(),
-                        this->contacts.begin() +
-                          static_cast<std::ptrdiff_t>(count));
-  }
-  return this->relays;
-}
-
-bool
-SummaryExchange::IsRelay() const
-{
-  return std::ranges::find(this->Relays(), this->config.host) !=
-         this->Relays().end();
-}
-
-std::size_t
-SummaryExchange::OwnRank() const
-{
-  const auto& order = this->Relays();
-  const auto own = std::ranges::find(order, this->config.host);
-  return static_cast<std::size_t>(own - order.begin());
-}
-
-std::vector<wire::MemberRecord>
-SummaryExchange::OwnContacts() const
-{
-  this->Relays();
-  std::vector<wire::MemberRecord> records;
-  for (const std::string& host : this->contacts) {
-    records.push_back(*this->table.Find(host));
-    // Contacts carry only what is needed to reach the member; the other fields
-    // change too often.
-    records.back().endpoints.clear();
-    records.back().sequence = 0;
-    records.back().state = wire::MemberState::ALIVE;
-  }
-  return records;
-}
-
-std::optional<PeerAddress>
-SummaryExchange::AddressOfMember(const std::string& aHost) const
-{
-  const wire::MemberRecord* const record = this->table.Find(aHost);
-  if (record == nullptr) {
-    return std::nullopt;
-  }
-  return PeerAddress{ record->address, record->peerPort };
-}
-
 } // namespace lacewingwharf
--- a/src/membership/viewbuilder.cpp
+++ b/src/membership/viewbuilder.cpp
@@ -55,7 +55,8 @@
                                   endpoint.port,
                                   endpoint.slots,
                                   EndpointState::Ready,
-                                  isSuspect });
+                                  isSuspect,
+                                  endpoint.serverVersion });
     DomainLoad& load = LoadOf(service, aRecord.domain, distance);
     ++load.ready;
     load.slots += endpoint.slots;
@@ -63,6 +64,17 @@
   }
 }
 
+void
+AddMember(EndpointView& aView, const wire::MemberRecord& aRecord)
+{
+  aView.members.push_back({ aRecord.host,
+                            aRecord.address,
+                            aRecord.peerPort,
+                            aRecord.region,
+                            aRecord.incarnation,
+                            aRecord.state != wire::MemberState::DEAD });
+}
+
 void
 AddSample(ServiceView& aService,
           const wire::SampledEndpoint& aSample,
@@ -78,7 +90,8 @@
                                  aSample.port,
                                  aSample.slots,
                                  EndpointState::Ready,
-                                 false });
+                                 false,
+                                 {} });
 }
 
 void
@@ -120,14 +133,22 @@
 EndpointViewPtr
 BuildView(const MemberTable& aTable,
           const DomainSummaries& aSummaries,
-          const Location& aFrom)
+          const Location& aFrom,
+          const StartProgress& aProgress)
 {
   auto view = std::make_shared<EndpointView>();
+  view->isComplete = aProgress.isComplete;
+  view->hasContact = aProgress.hasContact;
   aTable.ForEach([&view, &aFrom](const wire::MemberRecord& aRecord) {
     if (IsLive(aRecord)) {
       AddRecord(*view, aRecord, aFrom);
     }
+    if (aRecord.state != wire::MemberState::LEFT) {
+      AddMember(*view, aRecord);
+    }
   });
+  std::ranges::sort(view->members, {}, &FleetMember::host);
+  view->groups = 1 + static_cast<int>(aSummaries.Others().size());
   for (const auto& [domain, summary] : aSummaries.Others()) {
     AddSummary(
       *view, summary, DistanceOf(summary.domain, summary.region, aFrom));
--- a/src/membership/viewbuilder.h
+++ b/src/membership/viewbuilder.h
@@ -16,6 +16,13 @@
   std::string domain;
 };
 
+/** How far a daemon that started has got. See EndpointView. */
+struct StartProgress
+{
+  bool isComplete = false;
+  bool hasContact = false;
+};
+
 /**
  * Builds the view of a daemon at aFrom from the records of members and the
  * summaries of other domains.
@@ -23,6 +30,7 @@
 EndpointViewPtr
 BuildView(const MemberTable& aTable,
           const DomainSummaries& aSummaries,
-          const Location& aFrom);
+          const Location& aFrom,
+          const StartProgress& aProgress);
 
 } // namespace lacewingwharf
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -78,12 +78,13 @@
 CountSetFields(const wire::Envelope& aEnvelope)
 {
   const auto& set = aEnvelope.__isset;
-  const std::array<bool, 20> fields{
-    set.hello,        set.ping,          set.ack,         set.pingRequest,
-    set.memberSync,   set.domainSummary, set.configPush,  set.configFetch,
-    set.configAnswer, set.callRequest,   set.callAnswer,  set.callCancel,
-    set.callQuery,    set.claimRequest,  set.claimAnswer, set.statusReport,
-    set.heartbeat,    set.loadReport,    set.farewell,    set.relayHeartbeat
+  const std::array fields{
+    set.hello,        set.ping,          set.ack,           set.pingRequest,
+    set.memberSync,   set.domainSummary, set.configPush,    set.configFetch,
+    set.configAnswer, set.callRequest,   set.callAnswer,    set.callCancel,
+    set.callQuery,    set.claimRequest,  set.claimAnswer,   set.statusReport,
+    set.heartbeat,    set.loadReport,    set.farewell,      set.relayHeartbeat,
+    set.usageRequest, set.usageGrant,    set.rolloutReport, set.rolloutShare
   };
   return static_cast<int>(std::ranges::count(fields, true));
 }
--- a/src/peer/enumcheck.cpp
+++ b/src/peer/enumcheck.cpp
@@ -62,6 +62,18 @@
   return std::nullopt;
 }
 
+std::optional<std::string>
+UnknownValueInRollout(const wire::Envelope& aEnvelope)
+{
+  const auto& set = aEnvelope.__isset;
+  const auto state = set.rolloutReport ? aEnvelope.rolloutReport.state
+                                       : aEnvelope.rolloutShare.state;
+  if (!IsKnown(state, wire::_RolloutState_VALUES_TO_NAMES)) {
+    return DescribeUnknown("RolloutState", state);
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 std::optional<std::string>
@@ -80,6 +92,9 @@
   if (set.domainSummary) {
     return UnknownValueInRecords(aEnvelope.domainSummary.contacts);
   }
+  if (set.rolloutReport || set.rolloutShare) {
+    return UnknownValueInRollout(aEnvelope);
+  }
   const auto outcome = aEnvelope.callAnswer.outcome;
   if (set.callAnswer && !IsKnown(outcome, wire::_CallOutcome_VALUES_TO_NAMES)) {
     return DescribeUnknown("CallOutcome", outcome);
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -199,6 +199,45 @@
   }
 }
 
+int _kRolloutStateValues[] = {
+  /**
+   * There was no order for the service.
+   */
+  RolloutState::NONE,
+  RolloutState::RUNNING,
+  RolloutState::SUCCEEDED,
+  RolloutState::ROLLED_BACK
+};
+const char* _kRolloutStateNames[] = {
+  /**
+   * There was no order for the service.
+   */
+  "NONE",
+  "RUNNING",
+  "SUCCEEDED",
+  "ROLLED_BACK"
+};
+const std::map<int, const char*> _RolloutState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kRolloutStateValues, _kRolloutStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RolloutState::type& val) {
+  std::map<int, const char*>::const_iterator it = _RolloutState_VALUES_TO_NAMES.find(val);
+  if (it != _RolloutState_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RolloutState::type& val) {
+  std::map<int, const char*>::const_iterator it = _RolloutState_VALUES_TO_NAMES.find(val);
+  if (it != _RolloutState_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Hello::~Hello() noexcept {
 }
@@ -436,6 +475,11 @@
 void Endpoint::__set_state(const EndpointState::type val) {
   this->state = val;
 }
+
+void Endpoint::__set_serverVersion(const std::string& val) {
+  this->serverVersion = val;
+__isset.serverVersion = true;
+}
 std::ostream& operator<<(std::ostream& out, const Endpoint& obj)
 {
   obj.printTo(out);
@@ -506,6 +550,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serverVersion);
+          this->__isset.serverVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -543,6 +595,11 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->state));
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.serverVersion) {
+    xfer += oprot->writeFieldBegin("serverVersion", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->serverVersion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -555,6 +612,7 @@
   swap(a.slots, b.slots);
   swap(a.connections, b.connections);
   swap(a.state, b.state);
+  swap(a.serverVersion, b.serverVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -564,6 +622,7 @@
   slots = other6.slots;
   connections = other6.connections;
   state = other6.state;
+  serverVersion = other6.serverVersion;
   __isset = other6.__isset;
 }
 Endpoint::Endpoint(Endpoint&& other7) noexcept {
@@ -572,6 +631,7 @@
   slots = other7.slots;
   connections = other7.connections;
   state = other7.state;
+  serverVersion = std::move(other7.serverVersion);
   __isset = other7.__isset;
 }
 Endpoint& Endpoint::operator=(const Endpoint& other8) {
@@ -580,6 +640,7 @@
   slots = other8.slots;
   connections = other8.connections;
   state = other8.state;
+  serverVersion = other8.serverVersion;
   __isset = other8.__isset;
   return *this;
 }
@@ -589,6 +650,7 @@
   slots = other9.slots;
   connections = other9.connections;
   state = other9.state;
+  serverVersion = std::move(other9.serverVersion);
   __isset = other9.__isset;
   return *this;
 }
@@ -600,6 +662,7 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "connections=" << to_string(connections);
   out << ", " << "state=" << to_string(state);
+  out << ", " << "serverVersion="; (__isset.serverVersion ? (out << to_string(serverVersion)) : (out << "<null>"));
   out << ")";
 }
 
@@ -648,6 +711,11 @@
   this->isStoreLost = val;
 __isset.isStoreLost = true;
 }
+
+void MemberRecord::__set_endedAt(const int64_t val) {
+  this->endedAt = val;
+__isset.endedAt = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
 {
   obj.printTo(out);
@@ -770,6 +838,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endedAt);
+          this->__isset.endedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -836,6 +912,11 @@
     xfer += oprot->writeBool(this->isStoreLost);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.endedAt) {
+    xfer += oprot->writeFieldBegin("endedAt", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->endedAt);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -853,6 +934,7 @@
   swap(a.state, b.state);
   swap(a.endpoints, b.endpoints);
   swap(a.isStoreLost, b.isStoreLost);
+  swap(a.endedAt, b.endedAt);
   swap(a.__isset, b.__isset);
 }
 
@@ -867,6 +949,7 @@
   state = other17.state;
   endpoints = other17.endpoints;
   isStoreLost = other17.isStoreLost;
+  endedAt = other17.endedAt;
   __isset = other17.__isset;
 }
 MemberRecord::MemberRecord(MemberRecord&& other18) noexcept {
@@ -880,6 +963,7 @@
   state = other18.state;
   endpoints = std::move(other18.endpoints);
   isStoreLost = other18.isStoreLost;
+  endedAt = other18.endedAt;
   __isset = other18.__isset;
 }
 MemberRecord& MemberRecord::operator=(const MemberRecord& other19) {
@@ -893,6 +977,7 @@
   state = other19.state;
   endpoints = other19.endpoints;
   isStoreLost = other19.isStoreLost;
+  endedAt = other19.endedAt;
   __isset = other19.__isset;
   return *this;
 }
@@ -907,6 +992,7 @@
   state = other20.state;
   endpoints = std::move(other20.endpoints);
   isStoreLost = other20.isStoreLost;
+  endedAt = other20.endedAt;
   __isset = other20.__isset;
   return *this;
 }
@@ -923,6 +1009,7 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "endpoints=" << to_string(endpoints);
   out << ", " << "isStoreLost="; (__isset.isStoreLost ? (out << to_string(isStoreLost)) : (out << "<null>"));
+  out << ", " << "endedAt="; (__isset.endedAt ? (out << to_string(endedAt)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1126,6 +1213,11 @@
 void Ping::__set_contentHash(const int32_t val) {
   this->contentHash = val;
 }
+
+void Ping::__set_storeEra(const int64_t val) {
+  this->storeEra = val;
+__isset.storeEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const Ping& obj)
 {
   obj.printTo(out);
@@ -1234,6 +1326,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeEra);
+          this->__isset.storeEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1296,6 +1396,11 @@
   xfer += oprot->writeI32(this->contentHash);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.storeEra) {
+    xfer += oprot->writeFieldBegin("storeEra", ::apache::thrift::protocol::T_I64, 31);
+    xfer += oprot->writeI64(this->storeEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1310,6 +1415,7 @@
   swap(a.marks, b.marks);
   swap(a.onBehalfOf, b.onBehalfOf);
   swap(a.contentHash, b.contentHash);
+  swap(a.storeEra, b.storeEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -1321,6 +1427,7 @@
   marks = other37.marks;
   onBehalfOf = other37.onBehalfOf;
   contentHash = other37.contentHash;
+  storeEra = other37.storeEra;
   __isset = other37.__isset;
 }
 Ping::Ping(Ping&& other38) noexcept {
@@ -1331,6 +1438,7 @@
   marks = std::move(other38.marks);
   onBehalfOf = std::move(other38.onBehalfOf);
   contentHash = other38.contentHash;
+  storeEra = other38.storeEra;
   __isset = other38.__isset;
 }
 Ping& Ping::operator=(const Ping& other39) {
@@ -1341,6 +1449,7 @@
   marks = other39.marks;
   onBehalfOf = other39.onBehalfOf;
   contentHash = other39.contentHash;
+  storeEra = other39.storeEra;
   __isset = other39.__isset;
   return *this;
 }
@@ -1352,6 +1461,7 @@
   marks = std::move(other40.marks);
   onBehalfOf = std::move(other40.onBehalfOf);
   contentHash = other40.contentHash;
+  storeEra = other40.storeEra;
   __isset = other40.__isset;
   return *this;
 }
@@ -1365,6 +1475,7 @@
   out << ", " << "marks=" << to_string(marks);
   out << ", " << "onBehalfOf="; (__isset.onBehalfOf ? (out << to_string(onBehalfOf)) : (out << "<null>"));
   out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1396,6 +1507,11 @@
 void Ack::__set_contentHash(const int32_t val) {
   this->contentHash = val;
 }
+
+void Ack::__set_storeEra(const int64_t val) {
+  this->storeEra = val;
+__isset.storeEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const Ack& obj)
 {
   obj.printTo(out);
@@ -1496,6 +1612,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeEra);
+          this->__isset.storeEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1553,6 +1677,11 @@
   xfer += oprot->writeI32(this->contentHash);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.storeEra) {
+    xfer += oprot->writeFieldBegin("storeEra", ::apache::thrift::protocol::T_I64, 31);
+    xfer += oprot->writeI64(this->storeEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1566,6 +1695,7 @@
   swap(a.updates, b.updates);
   swap(a.marks, b.marks);
   swap(a.contentHash, b.contentHash);
+  swap(a.storeEra, b.storeEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -1576,6 +1706,7 @@
   updates = other53.updates;
   marks = other53.marks;
   contentHash = other53.contentHash;
+  storeEra = other53.storeEra;
   __isset = other53.__isset;
 }
 Ack::Ack(Ack&& other54) noexcept {
@@ -1585,6 +1716,7 @@
   updates = std::move(other54.updates);
   marks = std::move(other54.marks);
   contentHash = other54.contentHash;
+  storeEra = other54.storeEra;
   __isset = other54.__isset;
 }
 Ack& Ack::operator=(const Ack& other55) {
@@ -1594,6 +1726,7 @@
   updates = other55.updates;
   marks = other55.marks;
   contentHash = other55.contentHash;
+  storeEra = other55.storeEra;
   __isset = other55.__isset;
   return *this;
 }
@@ -1604,6 +1737,7 @@
   updates = std::move(other56.updates);
   marks = std::move(other56.marks);
   contentHash = other56.contentHash;
+  storeEra = other56.storeEra;
   __isset = other56.__isset;
   return *this;
 }
@@ -1616,6 +1750,7 @@
   out << ", " << "updates=" << to_string(updates);
   out << ", " << "marks=" << to_string(marks);
   out << ", " << "contentHash=" << to_string(contentHash);
+  out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1788,6 +1923,11 @@
 void MemberSync::__set_retryAfterMillis(const int32_t val) {
   this->retryAfterMillis = val;
 }
+
+void MemberSync::__set_isComplete(const bool val) {
+  this->isComplete = val;
+__isset.isComplete = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj)
 {
   obj.printTo(out);
@@ -1892,6 +2032,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isComplete);
+          this->__isset.isComplete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1953,6 +2101,11 @@
   xfer += oprot->writeI32(this->retryAfterMillis);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.isComplete) {
+    xfer += oprot->writeFieldBegin("isComplete", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->isComplete);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1965,6 +2118,7 @@
   swap(a.buckets, b.buckets);
   swap(a.differing, b.differing);
   swap(a.retryAfterMillis, b.retryAfterMillis);
+  swap(a.isComplete, b.isComplete);
   swap(a.__isset, b.__isset);
 }
 
@@ -1974,6 +2128,7 @@
   buckets = other79.buckets;
   differing = other79.differing;
   retryAfterMillis = other79.retryAfterMillis;
+  isComplete = other79.isComplete;
   __isset = other79.__isset;
 }
 MemberSync::MemberSync(MemberSync&& other80) noexcept {
@@ -1982,6 +2137,7 @@
   buckets = std::move(other80.buckets);
   differing = std::move(other80.differing);
   retryAfterMillis = other80.retryAfterMillis;
+  isComplete = other80.isComplete;
   __isset = other80.__isset;
 }
 MemberSync& MemberSync::operator=(const MemberSync& other81) {
@@ -1990,6 +2146,7 @@
   buckets = other81.buckets;
   differing = other81.differing;
   retryAfterMillis = other81.retryAfterMillis;
+  isComplete = other81.isComplete;
   __isset = other81.__isset;
   return *this;
 }
@@ -1999,6 +2156,7 @@
   buckets = std::move(other82.buckets);
   differing = std::move(other82.differing);
   retryAfterMillis = other82.retryAfterMillis;
+  isComplete = other82.isComplete;
   __isset = other82.__isset;
   return *this;
 }
@@ -2010,6 +2168,7 @@
   out << ", " << "buckets=" << to_string(buckets);
   out << ", " << "differing=" << to_string(differing);
   out << ", " << "retryAfterMillis=" << to_string(retryAfterMillis);
+  out << ", " << "isComplete="; (__isset.isComplete ? (out << to_string(isComplete)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3782,6 +3941,11 @@
 void ConfigAnswer::__set_retryAfterMillis(const int32_t val) {
   this->retryAfterMillis = val;
 }
+
+void ConfigAnswer::__set_confirmedMillis(const int64_t val) {
+  this->confirmedMillis = val;
+__isset.confirmedMillis = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigAnswer& obj)
 {
   obj.printTo(out);
@@ -3846,6 +4010,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirmedMillis);
+          this->__isset.confirmedMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3883,6 +4055,11 @@
   xfer += oprot->writeI32(this->retryAfterMillis);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.confirmedMillis) {
+    xfer += oprot->writeFieldBegin("confirmedMillis", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->confirmedMillis);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3893,6 +4070,7 @@
   swap(a.held, b.held);
   swap(a.bodies, b.bodies);
   swap(a.retryAfterMillis, b.retryAfterMillis);
+  swap(a.confirmedMillis, b.confirmedMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -3900,18 +4078,21 @@
   held = other167.held;
   bodies = other167.bodies;
   retryAfterMillis = other167.retryAfterMillis;
+  confirmedMillis = other167.confirmedMillis;
   __isset = other167.__isset;
 }
 ConfigAnswer::ConfigAnswer(ConfigAnswer&& other168) noexcept {
   held = other168.held;
   bodies = std::move(other168.bodies);
   retryAfterMillis = other168.retryAfterMillis;
+  confirmedMillis = other168.confirmedMillis;
   __isset = other168.__isset;
 }
 ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other169) {
   held = other169.held;
   bodies = other169.bodies;
   retryAfterMillis = other169.retryAfterMillis;
+  confirmedMillis = other169.confirmedMillis;
   __isset = other169.__isset;
   return *this;
 }
@@ -3919,6 +4100,7 @@
   held = other170.held;
   bodies = std::move(other170.bodies);
   retryAfterMillis = other170.retryAfterMillis;
+  confirmedMillis = other170.confirmedMillis;
   __isset = other170.__isset;
   return *this;
 }
@@ -3928,6 +4110,7 @@
   out << "held=" << to_string(held);
   out << ", " << "bodies=" << to_string(bodies);
   out << ", " << "retryAfterMillis=" << to_string(retryAfterMillis);
+  out << ", " << "confirmedMillis="; (__isset.confirmedMillis ? (out << to_string(confirmedMillis)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6464,6 +6647,16 @@
 void RelayHeartbeat::__set_isWatching(const bool val) {
   this->isWatching = val;
 }
+
+void RelayHeartbeat::__set_confirmedMillis(const int64_t val) {
+  this->confirmedMillis = val;
+__isset.confirmedMillis = true;
+}
+
+void RelayHeartbeat::__set_storeEra(const int64_t val) {
+  this->storeEra = val;
+__isset.storeEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -6532,6 +6725,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirmedMillis);
+          this->__isset.confirmedMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeEra);
+          this->__isset.storeEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6569,6 +6778,16 @@
   xfer += oprot->writeBool(this->isWatching);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.confirmedMillis) {
+    xfer += oprot->writeFieldBegin("confirmedMillis", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->confirmedMillis);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.storeEra) {
+    xfer += oprot->writeFieldBegin("storeEra", ::apache::thrift::protocol::T_I64, 31);
+    xfer += oprot->writeI64(this->storeEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6581,6 +6800,8 @@
   swap(a.sequence, b.sequence);
   swap(a.version, b.version);
   swap(a.isWatching, b.isWatching);
+  swap(a.confirmedMillis, b.confirmedMillis);
+  swap(a.storeEra, b.storeEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -6590,6 +6811,8 @@
   sequence = other254.sequence;
   version = other254.version;
   isWatching = other254.isWatching;
+  confirmedMillis = other254.confirmedMillis;
+  storeEra = other254.storeEra;
   __isset = other254.__isset;
 }
 RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other255) noexcept {
@@ -6598,6 +6821,8 @@
   sequence = other255.sequence;
   version = other255.version;
   isWatching = other255.isWatching;
+  confirmedMillis = other255.confirmedMillis;
+  storeEra = other255.storeEra;
   __isset = other255.__isset;
 }
 RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other256) {
@@ -6606,6 +6831,8 @@
   sequence = other256.sequence;
   version = other256.version;
   isWatching = other256.isWatching;
+  confirmedMillis = other256.confirmedMillis;
+  storeEra = other256.storeEra;
   __isset = other256.__isset;
   return *this;
 }
@@ -6615,6 +6842,8 @@
   sequence = other257.sequence;
   version = other257.version;
   isWatching = other257.isWatching;
+  confirmedMillis = other257.confirmedMillis;
+  storeEra = other257.storeEra;
   __isset = other257.__isset;
   return *this;
 }
@@ -6626,6 +6855,8 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "version=" << to_string(version);
   out << ", " << "isWatching=" << to_string(isWatching);
+  out << ", " << "confirmedMillis="; (__isset.confirmedMillis ? (out << to_string(confirmedMillis)) : (out << "<null>"));
+  out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6731,117 +6962,174 @@
 }
 
 
-Envelope::~Envelope() noexcept {
+UsageNeed::~UsageNeed() noexcept {
 }
 
 
-void Envelope::__set_hello(const Hello& val) {
-  this->hello = val;
-__isset.hello = true;
+void UsageNeed::__set_team(const std::string& val) {
+  this->team = val;
 }
 
-void Envelope::__set_ping(const Ping& val) {
-  this->ping = val;
-__isset.ping = true;
+void UsageNeed::__set_wanted(const int32_t val) {
+  this->wanted = val;
 }
 
-void Envelope::__set_ack(const Ack& val) {
-  this->ack = val;
-__isset.ack = true;
+void UsageNeed::__set_waiting(const int32_t val) {
+  this->waiting = val;
 }
-
-void Envelope::__set_pingRequest(const PingRequest& val) {
-  this->pingRequest = val;
-__isset.pingRequest = true;
+std::ostream& operator<<(std::ostream& out, const UsageNeed& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void Envelope::__set_memberSync(const MemberSync& val) {
-  this->memberSync = val;
-__isset.memberSync = true;
-}
 
-void Envelope::__set_domainSummary(const DomainSummary& val) {
-  this->domainSummary = val;
-__isset.domainSummary = true;
-}
+uint32_t UsageNeed::read(::apache::thrift::protocol::TProtocol* iprot) {
 
-void Envelope::__set_configPush(const ConfigPush& val) {
-  this->configPush = val;
-__isset.configPush = true;
-}
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
 
-void Envelope::__set_configFetch(const ConfigFetch& val) {
-  this->configFetch = val;
-__isset.configFetch = true;
-}
+  xfer += iprot->readStructBegin(fname);
 
-void Envelope::__set_configAnswer(const ConfigAnswer& val) {
-  this->configAnswer = val;
-__isset.configAnswer = true;
-}
+  using ::apache::thrift::protocol::TProtocolException;
 
-void Envelope::__set_callRequest(const CallRequest& val) {
-  this->callRequest = val;
-__isset.callRequest = true;
-}
 
-void Envelope::__set_callAnswer(const CallAnswer& val) {
-  this->callAnswer = val;
-__isset.callAnswer = true;
-}
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
 
-void Envelope::__set_callCancel(const CallCancel& val) {
-  this->callCancel = val;
-__isset.callCancel = true;
-}
+  xfer += iprot->readStructEnd();
 
-void Envelope::__set_callQuery(const CallQuery& val) {
-  this->callQuery = val;
-__isset.callQuery = true;
+  return xfer;
 }
 
-void Envelope::__set_claimRequest(const ClaimRequest& val) {
-  this->claimRequest = val;
-__isset.claimRequest = true;
+uint32_t UsageNeed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageNeed");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void Envelope::__set_claimAnswer(const ClaimAnswer& val) {
-  this->claimAnswer = val;
-__isset.claimAnswer = true;
+void swap(UsageNeed &a, UsageNeed &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.wanted, b.wanted);
+  swap(a.waiting, b.waiting);
+  swap(a.__isset, b.__isset);
 }
 
-void Envelope::__set_statusReport(const StatusReport& val) {
-  this->statusReport = val;
-__isset.statusReport = true;
+UsageNeed::UsageNeed(const UsageNeed& other262) {
+  team = other262.team;
+  wanted = other262.wanted;
+  waiting = other262.waiting;
+  __isset = other262.__isset;
+}
+UsageNeed::UsageNeed(UsageNeed&& other263) noexcept {
+  team = std::move(other263.team);
+  wanted = other263.wanted;
+  waiting = other263.waiting;
+  __isset = other263.__isset;
+}
+UsageNeed& UsageNeed::operator=(const UsageNeed& other264) {
+  team = other264.team;
+  wanted = other264.wanted;
+  waiting = other264.waiting;
+  __isset = other264.__isset;
+  return *this;
+}
+UsageNeed& UsageNeed::operator=(UsageNeed&& other265) noexcept {
+  team = std::move(other265.team);
+  wanted = other265.wanted;
+  waiting = other265.waiting;
+  __isset = other265.__isset;
+  return *this;
+}
+void UsageNeed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageNeed(";
+  out << "team=" << to_string(team);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ")";
 }
 
-void Envelope::__set_heartbeat(const Heartbeat& val) {
-  this->heartbeat = val;
-__isset.heartbeat = true;
+
+UsageReturn::~UsageReturn() noexcept {
 }
 
-void Envelope::__set_loadReport(const LoadReport& val) {
-  this->loadReport = val;
-__isset.loadReport = true;
+
+void UsageReturn::__set_team(const std::string& val) {
+  this->team = val;
 }
 
-void Envelope::__set_farewell(const Farewell& val) {
-  this->farewell = val;
-__isset.farewell = true;
+void UsageReturn::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
-void Envelope::__set_relayHeartbeat(const RelayHeartbeat& val) {
-  this->relayHeartbeat = val;
-__isset.relayHeartbeat = true;
+void UsageReturn::__set_count(const int32_t val) {
+  this->count = val;
 }
-std::ostream& operator<<(std::ostream& out, const Envelope& obj)
+std::ostream& operator<<(std::ostream& out, const UsageReturn& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Envelope::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t UsageReturn::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6863,18 +7151,1927 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->hello.read(iprot);
-          this->__isset.hello = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->ping.read(iprot);
-          this->__isset.ping = true;
-        } else {
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UsageReturn::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageReturn");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UsageReturn &a, UsageReturn &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.sequence, b.sequence);
+  swap(a.count, b.count);
+  swap(a.__isset, b.__isset);
+}
+
+UsageReturn::UsageReturn(const UsageReturn& other266) {
+  team = other266.team;
+  sequence = other266.sequence;
+  count = other266.count;
+  __isset = other266.__isset;
+}
+UsageReturn::UsageReturn(UsageReturn&& other267) noexcept {
+  team = std::move(other267.team);
+  sequence = other267.sequence;
+  count = other267.count;
+  __isset = other267.__isset;
+}
+UsageReturn& UsageReturn::operator=(const UsageReturn& other268) {
+  team = other268.team;
+  sequence = other268.sequence;
+  count = other268.count;
+  __isset = other268.__isset;
+  return *this;
+}
+UsageReturn& UsageReturn::operator=(UsageReturn&& other269) noexcept {
+  team = std::move(other269.team);
+  sequence = other269.sequence;
+  count = other269.count;
+  __isset = other269.__isset;
+  return *this;
+}
+void UsageReturn::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageReturn(";
+  out << "team=" << to_string(team);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "count=" << to_string(count);
+  out << ")";
+}
+
+
+UsageRequest::~UsageRequest() noexcept {
+}
+
+
+void UsageRequest::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void UsageRequest::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void UsageRequest::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void UsageRequest::__set_echo(const int64_t val) {
+  this->echo = val;
+}
+
+void UsageRequest::__set_echoIncarnation(const int64_t val) {
+  this->echoIncarnation = val;
+}
+
+void UsageRequest::__set_members(const int32_t val) {
+  this->members = val;
+}
+
+void UsageRequest::__set_lent(const int32_t val) {
+  this->lent = val;
+}
+
+void UsageRequest::__set_needs(const std::vector<UsageNeed> & val) {
+  this->needs = val;
+}
+
+void UsageRequest::__set_returns(const std::vector<UsageReturn> & val) {
+  this->returns = val;
+}
+std::ostream& operator<<(std::ostream& out, const UsageRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UsageRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echo);
+          this->__isset.echo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echoIncarnation);
+          this->__isset.echoIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->members);
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lent);
+          this->__isset.lent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->needs.clear();
+            uint32_t _size270;
+            ::apache::thrift::protocol::TType _etype273;
+            xfer += iprot->readListBegin(_etype273, _size270);
+            this->needs.resize(_size270);
+            uint32_t _i274;
+            for (_i274 = 0; _i274 < _size270; ++_i274)
+            {
+              xfer += this->needs[_i274].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.needs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->returns.clear();
+            uint32_t _size275;
+            ::apache::thrift::protocol::TType _etype278;
+            xfer += iprot->readListBegin(_etype278, _size275);
+            this->returns.resize(_size275);
+            uint32_t _i279;
+            for (_i279 = 0; _i279 < _size275; ++_i279)
+            {
+              xfer += this->returns[_i279].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.returns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UsageRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageRequest");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echo", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->echo);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echoIncarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->echoIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->members);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lent", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->lent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needs", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->needs.size()));
+    std::vector<UsageNeed> ::const_iterator _iter280;
+    for (_iter280 = this->needs.begin(); _iter280 != this->needs.end(); ++_iter280)
+    {
+      xfer += (*_iter280).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returns", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->returns.size()));
+    std::vector<UsageReturn> ::const_iterator _iter281;
+    for (_iter281 = this->returns.begin(); _iter281 != this->returns.end(); ++_iter281)
+    {
+      xfer += (*_iter281).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UsageRequest &a, UsageRequest &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.echo, b.echo);
+  swap(a.echoIncarnation, b.echoIncarnation);
+  swap(a.members, b.members);
+  swap(a.lent, b.lent);
+  swap(a.needs, b.needs);
+  swap(a.returns, b.returns);
+  swap(a.__isset, b.__isset);
+}
+
+UsageRequest::UsageRequest(const UsageRequest& other282) {
+  host = other282.host;
+  incarnation = other282.incarnation;
+  sequence = other282.sequence;
+  echo = other282.echo;
+  echoIncarnation = other282.echoIncarnation;
+  members = other282.members;
+  lent = other282.lent;
+  needs = other282.needs;
+  returns = other282.returns;
+  __isset = other282.__isset;
+}
+UsageRequest::UsageRequest(UsageRequest&& other283) noexcept {
+  host = std::move(other283.host);
+  incarnation = other283.incarnation;
+  sequence = other283.sequence;
+  echo = other283.echo;
+  echoIncarnation = other283.echoIncarnation;
+  members = other283.members;
+  lent = other283.lent;
+  needs = std::move(other283.needs);
+  returns = std::move(other283.returns);
+  __isset = other283.__isset;
+}
+UsageRequest& UsageRequest::operator=(const UsageRequest& other284) {
+  host = other284.host;
+  incarnation = other284.incarnation;
+  sequence = other284.sequence;
+  echo = other284.echo;
+  echoIncarnation = other284.echoIncarnation;
+  members = other284.members;
+  lent = other284.lent;
+  needs = other284.needs;
+  returns = other284.returns;
+  __isset = other284.__isset;
+  return *this;
+}
+UsageRequest& UsageRequest::operator=(UsageRequest&& other285) noexcept {
+  host = std::move(other285.host);
+  incarnation = other285.incarnation;
+  sequence = other285.sequence;
+  echo = other285.echo;
+  echoIncarnation = other285.echoIncarnation;
+  members = other285.members;
+  lent = other285.lent;
+  needs = std::move(other285.needs);
+  returns = std::move(other285.returns);
+  __isset = other285.__isset;
+  return *this;
+}
+void UsageRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageRequest(";
+  out << "host=" << to_string(host);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "echo=" << to_string(echo);
+  out << ", " << "echoIncarnation=" << to_string(echoIncarnation);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "lent=" << to_string(lent);
+  out << ", " << "needs=" << to_string(needs);
+  out << ", " << "returns=" << to_string(returns);
+  out << ")";
+}
+
+
+UsageAnswer::~UsageAnswer() noexcept {
+}
+
+
+void UsageAnswer::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void UsageAnswer::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void UsageAnswer::__set_retryAfterMillis(const int32_t val) {
+  this->retryAfterMillis = val;
+}
+
+void UsageAnswer::__set_left(const int32_t val) {
+  this->left = val;
+}
+std::ostream& operator<<(std::ostream& out, const UsageAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UsageAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterMillis);
+          this->__isset.retryAfterMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->left);
+          this->__isset.left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UsageAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageAnswer");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMillis", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->retryAfterMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->left);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UsageAnswer &a, UsageAnswer &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.granted, b.granted);
+  swap(a.retryAfterMillis, b.retryAfterMillis);
+  swap(a.left, b.left);
+  swap(a.__isset, b.__isset);
+}
+
+UsageAnswer::UsageAnswer(const UsageAnswer& other286) {
+  team = other286.team;
+  granted = other286.granted;
+  retryAfterMillis = other286.retryAfterMillis;
+  left = other286.left;
+  __isset = other286.__isset;
+}
+UsageAnswer::UsageAnswer(UsageAnswer&& other287) noexcept {
+  team = std::move(other287.team);
+  granted = other287.granted;
+  retryAfterMillis = other287.retryAfterMillis;
+  left = other287.left;
+  __isset = other287.__isset;
+}
+UsageAnswer& UsageAnswer::operator=(const UsageAnswer& other288) {
+  team = other288.team;
+  granted = other288.granted;
+  retryAfterMillis = other288.retryAfterMillis;
+  left = other288.left;
+  __isset = other288.__isset;
+  return *this;
+}
+UsageAnswer& UsageAnswer::operator=(UsageAnswer&& other289) noexcept {
+  team = std::move(other289.team);
+  granted = other289.granted;
+  retryAfterMillis = other289.retryAfterMillis;
+  left = other289.left;
+  __isset = other289.__isset;
+  return *this;
+}
+void UsageAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageAnswer(";
+  out << "team=" << to_string(team);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "retryAfterMillis=" << to_string(retryAfterMillis);
+  out << ", " << "left=" << to_string(left);
+  out << ")";
+}
+
+
+UsageGrant::~UsageGrant() noexcept {
+}
+
+
+void UsageGrant::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void UsageGrant::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void UsageGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void UsageGrant::__set_stamp(const int64_t val) {
+  this->stamp = val;
+}
+
+void UsageGrant::__set_answers(const std::vector<UsageAnswer> & val) {
+  this->answers = val;
+}
+std::ostream& operator<<(std::ostream& out, const UsageGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UsageGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stamp);
+          this->__isset.stamp = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->answers.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
+            {
+              xfer += this->answers[_i294].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UsageGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageGrant");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stamp", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->stamp);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<UsageAnswer> ::const_iterator _iter295;
+    for (_iter295 = this->answers.begin(); _iter295 != this->answers.end(); ++_iter295)
+    {
+      xfer += (*_iter295).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UsageGrant &a, UsageGrant &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.stamp, b.stamp);
+  swap(a.answers, b.answers);
+  swap(a.__isset, b.__isset);
+}
+
+UsageGrant::UsageGrant(const UsageGrant& other296) {
+  host = other296.host;
+  incarnation = other296.incarnation;
+  sequence = other296.sequence;
+  stamp = other296.stamp;
+  answers = other296.answers;
+  __isset = other296.__isset;
+}
+UsageGrant::UsageGrant(UsageGrant&& other297) noexcept {
+  host = std::move(other297.host);
+  incarnation = other297.incarnation;
+  sequence = other297.sequence;
+  stamp = other297.stamp;
+  answers = std::move(other297.answers);
+  __isset = other297.__isset;
+}
+UsageGrant& UsageGrant::operator=(const UsageGrant& other298) {
+  host = other298.host;
+  incarnation = other298.incarnation;
+  sequence = other298.sequence;
+  stamp = other298.stamp;
+  answers = other298.answers;
+  __isset = other298.__isset;
+  return *this;
+}
+UsageGrant& UsageGrant::operator=(UsageGrant&& other299) noexcept {
+  host = std::move(other299.host);
+  incarnation = other299.incarnation;
+  sequence = other299.sequence;
+  stamp = other299.stamp;
+  answers = std::move(other299.answers);
+  __isset = other299.__isset;
+  return *this;
+}
+void UsageGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageGrant(";
+  out << "host=" << to_string(host);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "stamp=" << to_string(stamp);
+  out << ", " << "answers=" << to_string(answers);
+  out << ")";
+}
+
+
+RolloutCounts::~RolloutCounts() noexcept {
+}
+
+
+void RolloutCounts::__set_route(const std::string& val) {
+  this->route = val;
+}
+
+void RolloutCounts::__set_isTarget(const bool val) {
+  this->isTarget = val;
+}
+
+void RolloutCounts::__set_answers(const int32_t val) {
+  this->answers = val;
+}
+
+void RolloutCounts::__set_failures(const int32_t val) {
+  this->failures = val;
+}
+
+void RolloutCounts::__set_times(const std::vector<int32_t> & val) {
+  this->times = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutCounts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutCounts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isTarget);
+          this->__isset.isTarget = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answers);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->times.clear();
+            uint32_t _size300;
+            ::apache::thrift::protocol::TType _etype303;
+            xfer += iprot->readListBegin(_etype303, _size300);
+            this->times.resize(_size300);
+            uint32_t _i304;
+            for (_i304 = 0; _i304 < _size300; ++_i304)
+            {
+              xfer += iprot->readI32(this->times[_i304]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.times = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutCounts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutCounts");
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isTarget", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isTarget);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("times", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->times.size()));
+    std::vector<int32_t> ::const_iterator _iter305;
+    for (_iter305 = this->times.begin(); _iter305 != this->times.end(); ++_iter305)
+    {
+      xfer += oprot->writeI32((*_iter305));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutCounts &a, RolloutCounts &b) {
+  using ::std::swap;
+  swap(a.route, b.route);
+  swap(a.isTarget, b.isTarget);
+  swap(a.answers, b.answers);
+  swap(a.failures, b.failures);
+  swap(a.times, b.times);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutCounts::RolloutCounts(const RolloutCounts& other306) {
+  route = other306.route;
+  isTarget = other306.isTarget;
+  answers = other306.answers;
+  failures = other306.failures;
+  times = other306.times;
+  __isset = other306.__isset;
+}
+RolloutCounts::RolloutCounts(RolloutCounts&& other307) noexcept {
+  route = std::move(other307.route);
+  isTarget = other307.isTarget;
+  answers = other307.answers;
+  failures = other307.failures;
+  times = std::move(other307.times);
+  __isset = other307.__isset;
+}
+RolloutCounts& RolloutCounts::operator=(const RolloutCounts& other308) {
+  route = other308.route;
+  isTarget = other308.isTarget;
+  answers = other308.answers;
+  failures = other308.failures;
+  times = other308.times;
+  __isset = other308.__isset;
+  return *this;
+}
+RolloutCounts& RolloutCounts::operator=(RolloutCounts&& other309) noexcept {
+  route = std::move(other309.route);
+  isTarget = other309.isTarget;
+  answers = other309.answers;
+  failures = other309.failures;
+  times = std::move(other309.times);
+  __isset = other309.__isset;
+  return *this;
+}
+void RolloutCounts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutCounts(";
+  out << "route=" << to_string(route);
+  out << ", " << "isTarget=" << to_string(isTarget);
+  out << ", " << "answers=" << to_string(answers);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "times=" << to_string(times);
+  out << ")";
+}
+
+
+RolloutReport::~RolloutReport() noexcept {
+}
+
+
+void RolloutReport::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void RolloutReport::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void RolloutReport::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void RolloutReport::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void RolloutReport::__set_state(const RolloutState::type val) {
+  this->state = val;
+}
+
+void RolloutReport::__set_stamp(const int64_t val) {
+  this->stamp = val;
+}
+
+void RolloutReport::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void RolloutReport::__set_requests(const int64_t val) {
+  this->requests = val;
+}
+
+void RolloutReport::__set_exposed(const int64_t val) {
+  this->exposed = val;
+}
+
+void RolloutReport::__set_othersRunning(const int32_t val) {
+  this->othersRunning = val;
+}
+
+void RolloutReport::__set_counts(const std::vector<RolloutCounts> & val) {
+  this->counts = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast310;
+          xfer += iprot->readI32(ecast310);
+          this->state = static_cast<RolloutState::type>(ecast310);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stamp);
+          this->__isset.stamp = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->exposed);
+          this->__isset.exposed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->othersRunning);
+          this->__isset.othersRunning = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->counts.clear();
+            uint32_t _size311;
+            ::apache::thrift::protocol::TType _etype314;
+            xfer += iprot->readListBegin(_etype314, _size311);
+            this->counts.resize(_size311);
+            uint32_t _i315;
+            for (_i315 = 0; _i315 < _size311; ++_i315)
+            {
+              xfer += this->counts[_i315].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutReport");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stamp", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->stamp);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("exposed", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->exposed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("othersRunning", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->othersRunning);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
+    std::vector<RolloutCounts> ::const_iterator _iter316;
+    for (_iter316 = this->counts.begin(); _iter316 != this->counts.end(); ++_iter316)
+    {
+      xfer += (*_iter316).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutReport &a, RolloutReport &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.incarnation, b.incarnation);
+  swap(a.serviceName, b.serviceName);
+  swap(a.order, b.order);
+  swap(a.state, b.state);
+  swap(a.stamp, b.stamp);
+  swap(a.sequence, b.sequence);
+  swap(a.requests, b.requests);
+  swap(a.exposed, b.exposed);
+  swap(a.othersRunning, b.othersRunning);
+  swap(a.counts, b.counts);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutReport::RolloutReport(const RolloutReport& other317) {
+  host = other317.host;
+  incarnation = other317.incarnation;
+  serviceName = other317.serviceName;
+  order = other317.order;
+  state = other317.state;
+  stamp = other317.stamp;
+  sequence = other317.sequence;
+  requests = other317.requests;
+  exposed = other317.exposed;
+  othersRunning = other317.othersRunning;
+  counts = other317.counts;
+  __isset = other317.__isset;
+}
+RolloutReport::RolloutReport(RolloutReport&& other318) noexcept {
+  host = std::move(other318.host);
+  incarnation = other318.incarnation;
+  serviceName = std::move(other318.serviceName);
+  order = other318.order;
+  state = other318.state;
+  stamp = other318.stamp;
+  sequence = other318.sequence;
+  requests = other318.requests;
+  exposed = other318.exposed;
+  othersRunning = other318.othersRunning;
+  counts = std::move(other318.counts);
+  __isset = other318.__isset;
+}
+RolloutReport& RolloutReport::operator=(const RolloutReport& other319) {
+  host = other319.host;
+  incarnation = other319.incarnation;
+  serviceName = other319.serviceName;
+  order = other319.order;
+  state = other319.state;
+  stamp = other319.stamp;
+  sequence = other319.sequence;
+  requests = other319.requests;
+  exposed = other319.exposed;
+  othersRunning = other319.othersRunning;
+  counts = other319.counts;
+  __isset = other319.__isset;
+  return *this;
+}
+RolloutReport& RolloutReport::operator=(RolloutReport&& other320) noexcept {
+  host = std::move(other320.host);
+  incarnation = other320.incarnation;
+  serviceName = std::move(other320.serviceName);
+  order = other320.order;
+  state = other320.state;
+  stamp = other320.stamp;
+  sequence = other320.sequence;
+  requests = other320.requests;
+  exposed = other320.exposed;
+  othersRunning = other320.othersRunning;
+  counts = std::move(other320.counts);
+  __isset = other320.__isset;
+  return *this;
+}
+void RolloutReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutReport(";
+  out << "host=" << to_string(host);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "stamp=" << to_string(stamp);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "exposed=" << to_string(exposed);
+  out << ", " << "othersRunning=" << to_string(othersRunning);
+  out << ", " << "counts=" << to_string(counts);
+  out << ")";
+}
+
+
+RolloutShare::~RolloutShare() noexcept {
+}
+
+
+void RolloutShare::__set_decider(const std::string& val) {
+  this->decider = val;
+}
+
+void RolloutShare::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void RolloutShare::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void RolloutShare::__set_state(const RolloutState::type val) {
+  this->state = val;
+}
+
+void RolloutShare::__set_targetVersion(const std::string& val) {
+  this->targetVersion = val;
+}
+
+void RolloutShare::__set_baseVersion(const std::string& val) {
+  this->baseVersion = val;
+}
+
+void RolloutShare::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void RolloutShare::__set_limit(const int64_t val) {
+  this->limit = val;
+}
+
+void RolloutShare::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void RolloutShare::__set_echo(const int64_t val) {
+  this->echo = val;
+}
+
+void RolloutShare::__set_validMillis(const int32_t val) {
+  this->validMillis = val;
+}
+
+void RolloutShare::__set_isStretch(const bool val) {
+  this->isStretch = val;
+}
+
+void RolloutShare::__set_servers(const int32_t val) {
+  this->servers = val;
+}
+
+void RolloutShare::__set_storeEra(const int64_t val) {
+  this->storeEra = val;
+}
+
+void RolloutShare::__set_deciderIncarnation(const int64_t val) {
+  this->deciderIncarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutShare& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutShare::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->decider);
+          this->__isset.decider = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast321;
+          xfer += iprot->readI32(ecast321);
+          this->state = static_cast<RolloutState::type>(ecast321);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetVersion);
+          this->__isset.targetVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echo);
+          this->__isset.echo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->validMillis);
+          this->__isset.validMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isStretch);
+          this->__isset.isStretch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->servers);
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeEra);
+          this->__isset.storeEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deciderIncarnation);
+          this->__isset.deciderIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutShare::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutShare");
+
+  xfer += oprot->writeFieldBegin("decider", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->decider);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetVersion", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->targetVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->limit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echo", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->echo);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("validMillis", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->validMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isStretch", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->isStretch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("storeEra", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->storeEra);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deciderIncarnation", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->deciderIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutShare &a, RolloutShare &b) {
+  using ::std::swap;
+  swap(a.decider, b.decider);
+  swap(a.serviceName, b.serviceName);
+  swap(a.order, b.order);
+  swap(a.state, b.state);
+  swap(a.targetVersion, b.targetVersion);
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.sequence, b.sequence);
+  swap(a.limit, b.limit);
+  swap(a.incarnation, b.incarnation);
+  swap(a.echo, b.echo);
+  swap(a.validMillis, b.validMillis);
+  swap(a.isStretch, b.isStretch);
+  swap(a.servers, b.servers);
+  swap(a.storeEra, b.storeEra);
+  swap(a.deciderIncarnation, b.deciderIncarnation);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutShare::RolloutShare(const RolloutShare& other322) {
+  decider = other322.decider;
+  serviceName = other322.serviceName;
+  order = other322.order;
+  state = other322.state;
+  targetVersion = other322.targetVersion;
+  baseVersion = other322.baseVersion;
+  sequence = other322.sequence;
+  limit = other322.limit;
+  incarnation = other322.incarnation;
+  echo = other322.echo;
+  validMillis = other322.validMillis;
+  isStretch = other322.isStretch;
+  servers = other322.servers;
+  storeEra = other322.storeEra;
+  deciderIncarnation = other322.deciderIncarnation;
+  __isset = other322.__isset;
+}
+RolloutShare::RolloutShare(RolloutShare&& other323) noexcept {
+  decider = std::move(other323.decider);
+  serviceName = std::move(other323.serviceName);
+  order = other323.order;
+  state = other323.state;
+  targetVersion = std::move(other323.targetVersion);
+  baseVersion = std::move(other323.baseVersion);
+  sequence = other323.sequence;
+  limit = other323.limit;
+  incarnation = other323.incarnation;
+  echo = other323.echo;
+  validMillis = other323.validMillis;
+  isStretch = other323.isStretch;
+  servers = other323.servers;
+  storeEra = other323.storeEra;
+  deciderIncarnation = other323.deciderIncarnation;
+  __isset = other323.__isset;
+}
+RolloutShare& RolloutShare::operator=(const RolloutShare& other324) {
+  decider = other324.decider;
+  serviceName = other324.serviceName;
+  order = other324.order;
+  state = other324.state;
+  targetVersion = other324.targetVersion;
+  baseVersion = other324.baseVersion;
+  sequence = other324.sequence;
+  limit = other324.limit;
+  incarnation = other324.incarnation;
+  echo = other324.echo;
+  validMillis = other324.validMillis;
+  isStretch = other324.isStretch;
+  servers = other324.servers;
+  storeEra = other324.storeEra;
+  deciderIncarnation = other324.deciderIncarnation;
+  __isset = other324.__isset;
+  return *this;
+}
+RolloutShare& RolloutShare::operator=(RolloutShare&& other325) noexcept {
+  decider = std::move(other325.decider);
+  serviceName = std::move(other325.serviceName);
+  order = other325.order;
+  state = other325.state;
+  targetVersion = std::move(other325.targetVersion);
+  baseVersion = std::move(other325.baseVersion);
+  sequence = other325.sequence;
+  limit = other325.limit;
+  incarnation = other325.incarnation;
+  echo = other325.echo;
+  validMillis = other325.validMillis;
+  isStretch = other325.isStretch;
+  servers = other325.servers;
+  storeEra = other325.storeEra;
+  deciderIncarnation = other325.deciderIncarnation;
+  __isset = other325.__isset;
+  return *this;
+}
+void RolloutShare::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutShare(";
+  out << "decider=" << to_string(decider);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "targetVersion=" << to_string(targetVersion);
+  out << ", " << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "limit=" << to_string(limit);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "echo=" << to_string(echo);
+  out << ", " << "validMillis=" << to_string(validMillis);
+  out << ", " << "isStretch=" << to_string(isStretch);
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "storeEra=" << to_string(storeEra);
+  out << ", " << "deciderIncarnation=" << to_string(deciderIncarnation);
+  out << ")";
+}
+
+
+Envelope::~Envelope() noexcept {
+}
+
+
+void Envelope::__set_hello(const Hello& val) {
+  this->hello = val;
+__isset.hello = true;
+}
+
+void Envelope::__set_ping(const Ping& val) {
+  this->ping = val;
+__isset.ping = true;
+}
+
+void Envelope::__set_ack(const Ack& val) {
+  this->ack = val;
+__isset.ack = true;
+}
+
+void Envelope::__set_pingRequest(const PingRequest& val) {
+  this->pingRequest = val;
+__isset.pingRequest = true;
+}
+
+void Envelope::__set_memberSync(const MemberSync& val) {
+  this->memberSync = val;
+__isset.memberSync = true;
+}
+
+void Envelope::__set_domainSummary(const DomainSummary& val) {
+  this->domainSummary = val;
+__isset.domainSummary = true;
+}
+
+void Envelope::__set_configPush(const ConfigPush& val) {
+  this->configPush = val;
+__isset.configPush = true;
+}
+
+void Envelope::__set_configFetch(const ConfigFetch& val) {
+  this->configFetch = val;
+__isset.configFetch = true;
+}
+
+void Envelope::__set_configAnswer(const ConfigAnswer& val) {
+  this->configAnswer = val;
+__isset.configAnswer = true;
+}
+
+void Envelope::__set_callRequest(const CallRequest& val) {
+  this->callRequest = val;
+__isset.callRequest = true;
+}
+
+void Envelope::__set_callAnswer(const CallAnswer& val) {
+  this->callAnswer = val;
+__isset.callAnswer = true;
+}
+
+void Envelope::__set_callCancel(const CallCancel& val) {
+  this->callCancel = val;
+__isset.callCancel = true;
+}
+
+void Envelope::__set_callQuery(const CallQuery& val) {
+  this->callQuery = val;
+__isset.callQuery = true;
+}
+
+void Envelope::__set_claimRequest(const ClaimRequest& val) {
+  this->claimRequest = val;
+__isset.claimRequest = true;
+}
+
+void Envelope::__set_claimAnswer(const ClaimAnswer& val) {
+  this->claimAnswer = val;
+__isset.claimAnswer = true;
+}
+
+void Envelope::__set_statusReport(const StatusReport& val) {
+  this->statusReport = val;
+__isset.statusReport = true;
+}
+
+void Envelope::__set_heartbeat(const Heartbeat& val) {
+  this->heartbeat = val;
+__isset.heartbeat = true;
+}
+
+void Envelope::__set_loadReport(const LoadReport& val) {
+  this->loadReport = val;
+__isset.loadReport = true;
+}
+
+void Envelope::__set_farewell(const Farewell& val) {
+  this->farewell = val;
+__isset.farewell = true;
+}
+
+void Envelope::__set_relayHeartbeat(const RelayHeartbeat& val) {
+  this->relayHeartbeat = val;
+__isset.relayHeartbeat = true;
+}
+
+void Envelope::__set_usageRequest(const UsageRequest& val) {
+  this->usageRequest = val;
+__isset.usageRequest = true;
+}
+
+void Envelope::__set_usageGrant(const UsageGrant& val) {
+  this->usageGrant = val;
+__isset.usageGrant = true;
+}
+
+void Envelope::__set_rolloutReport(const RolloutReport& val) {
+  this->rolloutReport = val;
+__isset.rolloutReport = true;
+}
+
+void Envelope::__set_rolloutShare(const RolloutShare& val) {
+  this->rolloutShare = val;
+__isset.rolloutShare = true;
+}
+std::ostream& operator<<(std::ostream& out, const Envelope& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Envelope::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hello.read(iprot);
+          this->__isset.hello = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ping.read(iprot);
+          this->__isset.ping = true;
+        } else {
           xfer += iprot->skip(ftype);
         }
         break;
@@ -7022,6 +9219,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->usageRequest.read(iprot);
+          this->__isset.usageRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->usageGrant.read(iprot);
+          this->__isset.usageGrant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rolloutReport.read(iprot);
+          this->__isset.rolloutReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rolloutShare.read(iprot);
+          this->__isset.rolloutShare = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7139,6 +9368,26 @@
     xfer += this->relayHeartbeat.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.usageRequest) {
+    xfer += oprot->writeFieldBegin("usageRequest", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->usageRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usageGrant) {
+    xfer += oprot->writeFieldBegin("usageGrant", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->usageGrant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rolloutReport) {
+    xfer += oprot->writeFieldBegin("rolloutReport", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->rolloutReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rolloutShare) {
+    xfer += oprot->writeFieldBegin("rolloutShare", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->rolloutShare.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7166,101 +9415,121 @@
   swap(a.loadReport, b.loadReport);
   swap(a.farewell, b.farewell);
   swap(a.relayHeartbeat, b.relayHeartbeat);
+  swap(a.usageRequest, b.usageRequest);
+  swap(a.usageGrant, b.usageGrant);
+  swap(a.rolloutReport, b.rolloutReport);
+  swap(a.rolloutShare, b.rolloutShare);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other262) {
-  hello = other262.hello;
-  ping = other262.ping;
-  ack = other262.ack;
-  pingRequest = other262.pingRequest;
-  memberSync = other262.memberSync;
-  domainSummary = other262.domainSummary;
-  configPush = other262.configPush;
-  configFetch = other262.configFetch;
-  configAnswer = other262.configAnswer;
-  callRequest = other262.callRequest;
-  callAnswer = other262.callAnswer;
-  callCancel = other262.callCancel;
-  callQuery = other262.callQuery;
-  claimRequest = other262.claimRequest;
-  claimAnswer = other262.claimAnswer;
-  statusReport = other262.statusReport;
-  heartbeat = other262.heartbeat;
-  loadReport = other262.loadReport;
-  farewell = other262.farewell;
-  relayHeartbeat = other262.relayHeartbeat;
-  __isset = other262.__isset;
-}
-Envelope::Envelope(Envelope&& other263) noexcept {
-  hello = std::move(other263.hello);
-  ping = std::move(other263.ping);
-  ack = std::move(other263.ack);
-  pingRequest = std::move(other263.pingRequest);
-  memberSync = std::move(other263.memberSync);
-  domainSummary = std::move(other263.domainSummary);
-  configPush = std::move(other263.configPush);
-  configFetch = std::move(other263.configFetch);
-  configAnswer = std::move(other263.configAnswer);
-  callRequest = std::move(other263.callRequest);
-  callAnswer = std::move(other263.callAnswer);
-  callCancel = std::move(other263.callCancel);
-  callQuery = std::move(other263.callQuery);
-  claimRequest = std::move(other263.claimRequest);
-  claimAnswer = std::move(other263.claimAnswer);
-  statusReport = std::move(other263.statusReport);
-  heartbeat = std::move(other263.heartbeat);
-  loadReport = std::move(other263.loadReport);
-  farewell = std::move(other263.farewell);
-  relayHeartbeat = std::move(other263.relayHeartbeat);
-  __isset = other263.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other264) {
-  hello = other264.hello;
-  ping = other264.ping;
-  ack = other264.ack;
-  pingRequest = other264.pingRequest;
-  memberSync = other264.memberSync;
-  domainSummary = other264.domainSummary;
-  configPush = other264.configPush;
-  configFetch = other264.configFetch;
-  configAnswer = other264.configAnswer;
-  callRequest = other264.callRequest;
-  callAnswer = other264.callAnswer;
-  callCancel = other264.callCancel;
-  callQuery = other264.callQuery;
-  claimRequest = other264.claimRequest;
-  claimAnswer = other264.claimAnswer;
-  statusReport = other264.statusReport;
-  heartbeat = other264.heartbeat;
-  loadReport = other264.loadReport;
-  farewell = other264.farewell;
-  relayHeartbeat = other264.relayHeartbeat;
-  __isset = other264.__isset;
+Envelope::Envelope(const Envelope& other326) {
+  hello = other326.hello;
+  ping = other326.ping;
+  ack = other326.ack;
+  pingRequest = other326.pingRequest;
+  memberSync = other326.memberSync;
+  domainSummary = other326.domainSummary;
+  configPush = other326.configPush;
+  configFetch = other326.configFetch;
+  configAnswer = other326.configAnswer;
+  callRequest = other326.callRequest;
+  callAnswer = other326.callAnswer;
+  callCancel = other326.callCancel;
+  callQuery = other326.callQuery;
+  claimRequest = other326.claimRequest;
+  claimAnswer = other326.claimAnswer;
+  statusReport = other326.statusReport;
+  heartbeat = other326.heartbeat;
+  loadReport = other326.loadReport;
+  farewell = other326.farewell;
+  relayHeartbeat = other326.relayHeartbeat;
+  usageRequest = other326.usageRequest;
+  usageGrant = other326.usageGrant;
+  rolloutReport = other326.rolloutReport;
+  rolloutShare = other326.rolloutShare;
+  __isset = other326.__isset;
+}
+Envelope::Envelope(Envelope&& other327) noexcept {
+  hello = std::move(other327.hello);
+  ping = std::move(other327.ping);
+  ack = std::move(other327.ack);
+  pingRequest = std::move(other327.pingRequest);
+  memberSync = std::move(other327.memberSync);
+  domainSummary = std::move(other327.domainSummary);
+  configPush = std::move(other327.configPush);
+  configFetch = std::move(other327.configFetch);
+  configAnswer = std::move(other327.configAnswer);
+  callRequest = std::move(other327.callRequest);
+  callAnswer = std::move(other327.callAnswer);
+  callCancel = std::move(other327.callCancel);
+  callQuery = std::move(other327.callQuery);
+  claimRequest = std::move(other327.claimRequest);
+  claimAnswer = std::move(other327.claimAnswer);
+  statusReport = std::move(other327.statusReport);
+  heartbeat = std::move(other327.heartbeat);
+  loadReport = std::move(other327.loadReport);
+  farewell = std::move(other327.farewell);
+  relayHeartbeat = std::move(other327.relayHeartbeat);
+  usageRequest = std::move(other327.usageRequest);
+  usageGrant = std::move(other327.usageGrant);
+  rolloutReport = std::move(other327.rolloutReport);
+  rolloutShare = std::move(other327.rolloutShare);
+  __isset = other327.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other328) {
+  hello = other328.hello;
+  ping = other328.ping;
+  ack = other328.ack;
+  pingRequest = other328.pingRequest;
+  memberSync = other328.memberSync;
+  domainSummary = other328.domainSummary;
+  configPush = other328.configPush;
+  configFetch = other328.configFetch;
+  configAnswer = other328.configAnswer;
+  callRequest = other328.callRequest;
+  callAnswer = other328.callAnswer;
+  callCancel = other328.callCancel;
+  callQuery = other328.callQuery;
+  claimRequest = other328.claimRequest;
+  claimAnswer = other328.claimAnswer;
+  statusReport = other328.statusReport;
+  heartbeat = other328.heartbeat;
+  loadReport = other328.loadReport;
+  farewell = other328.farewell;
+  relayHeartbeat = other328.relayHeartbeat;
+  usageRequest = other328.usageRequest;
+  usageGrant = other328.usageGrant;
+  rolloutReport = other328.rolloutReport;
+  rolloutShare = other328.rolloutShare;
+  __isset = other328.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other265) noexcept {
-  hello = std::move(other265.hello);
-  ping = std::move(other265.ping);
-  ack = std::move(other265.ack);
-  pingRequest = std::move(other265.pingRequest);
-  memberSync = std::move(other265.memberSync);
-  domainSummary = std::move(other265.domainSummary);
-  configPush = std::move(other265.configPush);
-  configFetch = std::move(other265.configFetch);
-  configAnswer = std::move(other265.configAnswer);
-  callRequest = std::move(other265.callRequest);
-  callAnswer = std::move(other265.callAnswer);
-  callCancel = std::move(other265.callCancel);
-  callQuery = std::move(other265.callQuery);
-  claimRequest = std::move(other265.claimRequest);
-  claimAnswer = std::move(other265.claimAnswer);
-  statusReport = std::move(other265.statusReport);
-  heartbeat = std::move(other265.heartbeat);
-  loadReport = std::move(other265.loadReport);
-  farewell = std::move(other265.farewell);
-  relayHeartbeat = std::move(other265.relayHeartbeat);
-  __isset = other265.__isset;
+Envelope& Envelope::operator=(Envelope&& other329) noexcept {
+  hello = std::move(other329.hello);
+  ping = std::move(other329.ping);
+  ack = std::move(other329.ack);
+  pingRequest = std::move(other329.pingRequest);
+  memberSync = std::move(other329.memberSync);
+  domainSummary = std::move(other329.domainSummary);
+  configPush = std::move(other329.configPush);
+  configFetch = std::move(other329.configFetch);
+  configAnswer = std::move(other329.configAnswer);
+  callRequest = std::move(other329.callRequest);
+  callAnswer = std::move(other329.callAnswer);
+  callCancel = std::move(other329.callCancel);
+  callQuery = std::move(other329.callQuery);
+  claimRequest = std::move(other329.claimRequest);
+  claimAnswer = std::move(other329.claimAnswer);
+  statusReport = std::move(other329.statusReport);
+  heartbeat = std::move(other329.heartbeat);
+  loadReport = std::move(other329.loadReport);
+  farewell = std::move(other329.farewell);
+  relayHeartbeat = std::move(other329.relayHeartbeat);
+  usageRequest = std::move(other329.usageRequest);
+  usageGrant = std::move(other329.usageGrant);
+  rolloutReport = std::move(other329.rolloutReport);
+  rolloutShare = std::move(other329.rolloutShare);
+  __isset = other329.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -7286,6 +9555,10 @@
   out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
   out << ", " << "farewell="; (__isset.farewell ? (out << to_string(farewell)) : (out << "<null>"));
   out << ", " << "relayHeartbeat="; (__isset.relayHeartbeat ? (out << to_string(relayHeartbeat)) : (out << "<null>"));
+  out << ", " << "usageRequest="; (__isset.usageRequest ? (out << to_string(usageRequest)) : (out << "<null>"));
+  out << ", " << "usageGrant="; (__isset.usageGrant ? (out << to_string(usageGrant)) : (out << "<null>"));
+  out << ", " << "rolloutReport="; (__isset.rolloutReport ? (out << to_string(rolloutReport)) : (out << "<null>"));
+  out << ", " << "rolloutShare="; (__isset.rolloutShare ? (out << to_string(rolloutShare)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -109,6 +109,24 @@
 
 std::string to_string(const ClaimResult::type& val);
 
+struct RolloutState {
+  enum type {
+    /**
+     * There was no order for the service.
+     */
+    NONE = 1,
+    RUNNING = 2,
+    SUCCEEDED = 3,
+    ROLLED_BACK = 4
+  };
+};
+
+extern const std::map<int, const char*> _RolloutState_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RolloutState::type& val);
+
+std::string to_string(const RolloutState::type& val);
+
 class Hello;
 
 class Endpoint;
@@ -171,6 +189,22 @@
 
 class Farewell;
 
+class UsageNeed;
+
+class UsageReturn;
+
+class UsageRequest;
+
+class UsageAnswer;
+
+class UsageGrant;
+
+class RolloutCounts;
+
+class RolloutReport;
+
+class RolloutShare;
+
 class Envelope;
 
 typedef struct _Hello__isset {
@@ -258,12 +292,13 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _Endpoint__isset {
-  _Endpoint__isset() : serviceName(false), port(false), slots(false), connections(false), state(false) {}
+  _Endpoint__isset() : serviceName(false), port(false), slots(false), connections(false), state(false), serverVersion(false) {}
   bool serviceName :1;
   bool port :1;
   bool slots :1;
   bool connections :1;
   bool state :1;
+  bool serverVersion :1;
 } _Endpoint__isset;
 
 class Endpoint : public virtual ::apache::thrift::TBase {
@@ -278,7 +313,8 @@
              port(0),
              slots(0),
              connections(0),
-             state(static_cast<EndpointState::type>(0)) {
+             state(static_cast<EndpointState::type>(0)),
+             serverVersion() {
   }
 
   virtual ~Endpoint() noexcept;
@@ -291,6 +327,10 @@
    * @see EndpointState
    */
   EndpointState::type state;
+  /**
+   * As the server reports it; only where rollouts are enabled.
+   */
+  std::string serverVersion;
 
   _Endpoint__isset __isset;
 
@@ -304,6 +344,8 @@
 
   void __set_state(const EndpointState::type val);
 
+  void __set_serverVersion(const std::string& val);
+
   bool operator == (const Endpoint & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -316,6 +358,10 @@
       return false;
     if (!(state == rhs.state))
       return false;
+    if (__isset.serverVersion != rhs.__isset.serverVersion)
+      return false;
+    else if (__isset.serverVersion && !(serverVersion == rhs.serverVersion))
+      return false;
     return true;
   }
   bool operator != (const Endpoint &rhs) const {
@@ -335,7 +381,7 @@
 std::ostream& operator<<(std::ostream& out, const Endpoint& obj);
 
 typedef struct _MemberRecord__isset {
-  _MemberRecord__isset() : host(false), address(false), peerPort(false), region(false), domain(false), incarnation(false), sequence(false), state(false), endpoints(false), isStoreLost(false) {}
+  _MemberRecord__isset() : host(false), address(false), peerPort(false), region(false), domain(false), incarnation(false), sequence(false), state(false), endpoints(false), isStoreLost(false), endedAt(false) {}
   bool host :1;
   bool address :1;
   bool peerPort :1;
@@ -346,6 +392,7 @@
   bool state :1;
   bool endpoints :1;
   bool isStoreLost :1;
+  bool endedAt :1;
 } _MemberRecord__isset;
 
 class MemberRecord : public virtual ::apache::thrift::TBase {
@@ -364,7 +411,8 @@
                  incarnation(0),
                  sequence(0),
                  state(static_cast<MemberState::type>(0)),
-                 isStoreLost(0) {
+                 isStoreLost(0),
+                 endedAt(0) {
   }
 
   virtual ~MemberRecord() noexcept;
@@ -385,6 +433,11 @@
    * The store refused this member recently, so it cannot be a relay.
    */
   bool isStoreLost;
+  /**
+   * Wall clock in milliseconds when the member was declared dead or left, so
+   * that all members forget the record at the same time.
+   */
+  int64_t endedAt;
 
   _MemberRecord__isset __isset;
 
@@ -408,6 +461,8 @@
 
   void __set_isStoreLost(const bool val);
 
+  void __set_endedAt(const int64_t val);
+
   bool operator == (const MemberRecord & rhs) const
   {
     if (!(host == rhs.host))
@@ -432,6 +487,10 @@
       return false;
     else if (__isset.isStoreLost && !(isStoreLost == rhs.isStoreLost))
       return false;
+    if (__isset.endedAt != rhs.__isset.endedAt)
+      return false;
+    else if (__isset.endedAt && !(endedAt == rhs.endedAt))
+      return false;
     return true;
   }
   bool operator != (const MemberRecord &rhs) const {
@@ -524,7 +583,7 @@
 std::ostream& operator<<(std::ostream& out, const QuarantineMark& obj);
 
 typedef struct _Ping__isset {
-  _Ping__isset() : sequence(false), host(false), version(false), updates(false), marks(false), onBehalfOf(false), contentHash(false) {}
+  _Ping__isset() : sequence(false), host(false), version(false), updates(false), marks(false), onBehalfOf(false), contentHash(false), storeEra(false) {}
   bool sequence :1;
   bool host :1;
   bool version :1;
@@ -532,6 +591,7 @@
   bool marks :1;
   bool onBehalfOf :1;
   bool contentHash :1;
+  bool storeEra :1;
 } _Ping__isset;
 
 class Ping : public virtual ::apache::thrift::TBase {
@@ -546,7 +606,8 @@
          host(),
          version(0),
          onBehalfOf(),
-         contentHash(0) {
+         contentHash(0),
+         storeEra(0) {
   }
 
   virtual ~Ping() noexcept;
@@ -563,6 +624,10 @@
    * Low half of the content hash of version; 0 when not stated.
    */
   int32_t contentHash;
+  /**
+   * Highest era of the store that the sender knows.
+   */
+  int64_t storeEra;
 
   _Ping__isset __isset;
 
@@ -580,6 +645,8 @@
 
   void __set_contentHash(const int32_t val);
 
+  void __set_storeEra(const int64_t val);
+
   bool operator == (const Ping & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -598,6 +665,10 @@
       return false;
     if (!(contentHash == rhs.contentHash))
       return false;
+    if (__isset.storeEra != rhs.__isset.storeEra)
+      return false;
+    else if (__isset.storeEra && !(storeEra == rhs.storeEra))
+      return false;
     return true;
   }
   bool operator != (const Ping &rhs) const {
@@ -617,13 +688,14 @@
 std::ostream& operator<<(std::ostream& out, const Ping& obj);
 
 typedef struct _Ack__isset {
-  _Ack__isset() : sequence(false), host(false), version(false), updates(false), marks(false), contentHash(false) {}
+  _Ack__isset() : sequence(false), host(false), version(false), updates(false), marks(false), contentHash(false), storeEra(false) {}
   bool sequence :1;
   bool host :1;
   bool version :1;
   bool updates :1;
   bool marks :1;
   bool contentHash :1;
+  bool storeEra :1;
 } _Ack__isset;
 
 class Ack : public virtual ::apache::thrift::TBase {
@@ -637,7 +709,8 @@
       : sequence(0),
         host(),
         version(0),
-        contentHash(0) {
+        contentHash(0),
+        storeEra(0) {
   }
 
   virtual ~Ack() noexcept;
@@ -653,6 +726,10 @@
    * Low half of the content hash of version; 0 when not stated.
    */
   int32_t contentHash;
+  /**
+   * Highest era of the store that the sender knows.
+   */
+  int64_t storeEra;
 
   _Ack__isset __isset;
 
@@ -668,6 +745,8 @@
 
   void __set_contentHash(const int32_t val);
 
+  void __set_storeEra(const int64_t val);
+
   bool operator == (const Ack & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -682,6 +761,10 @@
       return false;
     if (!(contentHash == rhs.contentHash))
       return false;
+    if (__isset.storeEra != rhs.__isset.storeEra)
+      return false;
+    else if (__isset.storeEra && !(storeEra == rhs.storeEra))
+      return false;
     return true;
   }
   bool operator != (const Ack &rhs) const {
@@ -760,12 +843,13 @@
 std::ostream& operator<<(std::ostream& out, const PingRequest& obj);
 
 typedef struct _MemberSync__isset {
-  _MemberSync__isset() : records(false), isReply(false), buckets(false), differing(false), retryAfterMillis(false) {}
+  _MemberSync__isset() : records(false), isReply(false), buckets(false), differing(false), retryAfterMillis(false), isComplete(false) {}
   bool records :1;
   bool isReply :1;
   bool buckets :1;
   bool differing :1;
   bool retryAfterMillis :1;
+  bool isComplete :1;
 } _MemberSync__isset;
 
 class MemberSync : public virtual ::apache::thrift::TBase {
@@ -777,7 +861,8 @@
   MemberSync& operator=(MemberSync&&) noexcept;
   MemberSync() noexcept
              : isReply(0),
-               retryAfterMillis(0) {
+               retryAfterMillis(0),
+               isComplete(0) {
   }
 
   virtual ~MemberSync() noexcept;
@@ -795,6 +880,10 @@
    * Positive when the peer is busy: repeat the request after this time.
    */
   int32_t retryAfterMillis;
+  /**
+   * In a reply: whether the sender knows all members of its group.
+   */
+  bool isComplete;
 
   _MemberSync__isset __isset;
 
@@ -808,6 +897,8 @@
 
   void __set_retryAfterMillis(const int32_t val);
 
+  void __set_isComplete(const bool val);
+
   bool operator == (const MemberSync & rhs) const
   {
     if (!(records == rhs.records))
@@ -820,6 +911,10 @@
       return false;
     if (!(retryAfterMillis == rhs.retryAfterMillis))
       return false;
+    if (__isset.isComplete != rhs.__isset.isComplete)
+      return false;
+    else if (__isset.isComplete && !(isComplete == rhs.isComplete))
+      return false;
     return true;
   }
   bool operator != (const MemberSync &rhs) const {
@@ -1507,10 +1602,11 @@
 std::ostream& operator<<(std::ostream& out, const ConfigFetch& obj);
 
 typedef struct _ConfigAnswer__isset {
-  _ConfigAnswer__isset() : held(false), bodies(false), retryAfterMillis(false) {}
+  _ConfigAnswer__isset() : held(false), bodies(false), retryAfterMillis(false), confirmedMillis(false) {}
   bool held :1;
   bool bodies :1;
   bool retryAfterMillis :1;
+  bool confirmedMillis :1;
 } _ConfigAnswer__isset;
 
 class ConfigAnswer : public virtual ::apache::thrift::TBase {
@@ -1522,7 +1618,8 @@
   ConfigAnswer& operator=(ConfigAnswer&&) noexcept;
   ConfigAnswer() noexcept
                : held(0),
-                 retryAfterMillis(0) {
+                 retryAfterMillis(0),
+                 confirmedMillis(0) {
   }
 
   virtual ~ConfigAnswer() noexcept;
@@ -1535,6 +1632,11 @@
    * Positive when the peer is busy: repeat the request after this time.
    */
   int32_t retryAfterMillis;
+  /**
+   * Milliseconds since the sender knew that the store had no version above
+   * `held`; missing if it does not know.
+   */
+  int64_t confirmedMillis;
 
   _ConfigAnswer__isset __isset;
 
@@ -1544,6 +1646,8 @@
 
   void __set_retryAfterMillis(const int32_t val);
 
+  void __set_confirmedMillis(const int64_t val);
+
   bool operator == (const ConfigAnswer & rhs) const
   {
     if (!(held == rhs.held))
@@ -1552,6 +1656,10 @@
       return false;
     if (!(retryAfterMillis == rhs.retryAfterMillis))
       return false;
+    if (__isset.confirmedMillis != rhs.__isset.confirmedMillis)
+      return false;
+    else if (__isset.confirmedMillis && !(confirmedMillis == rhs.confirmedMillis))
+      return false;
     return true;
   }
   bool operator != (const ConfigAnswer &rhs) const {
@@ -2531,12 +2639,14 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : relay(false), incarnation(false), sequence(false), version(false), isWatching(false) {}
+  _RelayHeartbeat__isset() : relay(false), incarnation(false), sequence(false), version(false), isWatching(false), confirmedMillis(false), storeEra(false) {}
   bool relay :1;
   bool incarnation :1;
   bool sequence :1;
   bool version :1;
   bool isWatching :1;
+  bool confirmedMillis :1;
+  bool storeEra :1;
 } _RelayHeartbeat__isset;
 
 /**
@@ -2554,7 +2664,9 @@
                    incarnation(0),
                    sequence(0),
                    version(0),
-                   isWatching(0) {
+                   isWatching(0),
+                   confirmedMillis(0),
+                   storeEra(0) {
   }
 
   virtual ~RelayHeartbeat() noexcept;
@@ -2569,6 +2681,15 @@
    * Whether the sender's watch of the store works.
    */
   bool isWatching;
+  /**
+   * Milliseconds since the sender knew that the store had no version above
+   * `version`; missing if it does not know.
+   */
+  int64_t confirmedMillis;
+  /**
+   * Highest era of the store that the sender knows.
+   */
+  int64_t storeEra;
 
   _RelayHeartbeat__isset __isset;
 
@@ -2582,6 +2703,10 @@
 
   void __set_isWatching(const bool val);
 
+  void __set_confirmedMillis(const int64_t val);
+
+  void __set_storeEra(const int64_t val);
+
   bool operator == (const RelayHeartbeat & rhs) const
   {
     if (!(relay == rhs.relay))
@@ -2594,6 +2719,14 @@
       return false;
     if (!(isWatching == rhs.isWatching))
       return false;
+    if (__isset.confirmedMillis != rhs.__isset.confirmedMillis)
+      return false;
+    else if (__isset.confirmedMillis && !(confirmedMillis == rhs.confirmedMillis))
+      return false;
+    if (__isset.storeEra != rhs.__isset.storeEra)
+      return false;
+    else if (__isset.storeEra && !(storeEra == rhs.storeEra))
+      return false;
     return true;
   }
   bool operator != (const RelayHeartbeat &rhs) const {
@@ -2661,160 +2794,970 @@
 
 std::ostream& operator<<(std::ostream& out, const Farewell& obj);
 
-typedef struct _Envelope__isset {
-  _Envelope__isset() : hello(false), ping(false), ack(false), pingRequest(false), memberSync(false), domainSummary(false), configPush(false), configFetch(false), configAnswer(false), callRequest(false), callAnswer(false), callCancel(false), callQuery(false), claimRequest(false), claimAnswer(false), statusReport(false), heartbeat(false), loadReport(false), farewell(false), relayHeartbeat(false) {}
-  bool hello :1;
-  bool ping :1;
-  bool ack :1;
-  bool pingRequest :1;
-  bool memberSync :1;
-  bool domainSummary :1;
-  bool configPush :1;
-  bool configFetch :1;
-  bool configAnswer :1;
-  bool callRequest :1;
-  bool callAnswer :1;
-  bool callCancel :1;
-  bool callQuery :1;
-  bool claimRequest :1;
-  bool claimAnswer :1;
-  bool statusReport :1;
-  bool heartbeat :1;
-  bool loadReport :1;
-  bool farewell :1;
-  bool relayHeartbeat :1;
-} _Envelope__isset;
+typedef struct _UsageNeed__isset {
+  _UsageNeed__isset() : team(false), wanted(false), waiting(false) {}
+  bool team :1;
+  bool wanted :1;
+  bool waiting :1;
+} _UsageNeed__isset;
 
 /**
- * Exactly one field is set.
+ * Tokens of one team that an entry daemon needs.
  */
-class Envelope : public virtual ::apache::thrift::TBase {
+class UsageNeed : public virtual ::apache::thrift::TBase {
  public:
 
-  Envelope(const Envelope&);
-  Envelope(Envelope&&) noexcept;
-  Envelope& operator=(const Envelope&);
-  Envelope& operator=(Envelope&&) noexcept;
-  Envelope() noexcept {
+  UsageNeed(const UsageNeed&);
+  UsageNeed(UsageNeed&&) noexcept;
+  UsageNeed& operator=(const UsageNeed&);
+  UsageNeed& operator=(UsageNeed&&) noexcept;
+  UsageNeed() noexcept
+            : team(),
+              wanted(0),
+              waiting(0) {
   }
 
-  virtual ~Envelope() noexcept;
-  Hello hello;
-  Ping ping;
-  Ack ack;
-  PingRequest pingRequest;
-  MemberSync memberSync;
-  DomainSummary domainSummary;
-  ConfigPush configPush;
-  ConfigFetch configFetch;
-  ConfigAnswer configAnswer;
-  CallRequest callRequest;
-  CallAnswer callAnswer;
-  CallCancel callCancel;
-  CallQuery callQuery;
-  ClaimRequest claimRequest;
-  ClaimAnswer claimAnswer;
-  StatusReport statusReport;
-  Heartbeat heartbeat;
-  LoadReport loadReport;
-  Farewell farewell;
-  RelayHeartbeat relayHeartbeat;
-
-  _Envelope__isset __isset;
-
-  void __set_hello(const Hello& val);
-
-  void __set_ping(const Ping& val);
+  virtual ~UsageNeed() noexcept;
+  std::string team;
+  int32_t wanted;
+  /**
+   * Calls that wait, and those refused without a request since the last.
+   */
+  int32_t waiting;
 
-  void __set_ack(const Ack& val);
+  _UsageNeed__isset __isset;
 
-  void __set_pingRequest(const PingRequest& val);
+  void __set_team(const std::string& val);
 
-  void __set_memberSync(const MemberSync& val);
+  void __set_wanted(const int32_t val);
 
-  void __set_domainSummary(const DomainSummary& val);
+  void __set_waiting(const int32_t val);
 
-  void __set_configPush(const ConfigPush& val);
+  bool operator == (const UsageNeed & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    return true;
+  }
+  bool operator != (const UsageNeed &rhs) const {
+    return !(*this == rhs);
+  }
 
-  void __set_configFetch(const ConfigFetch& val);
+  bool operator < (const UsageNeed & ) const;
 
-  void __set_configAnswer(const ConfigAnswer& val);
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  void __set_callRequest(const CallRequest& val);
+  virtual void printTo(std::ostream& out) const;
+};
 
-  void __set_callAnswer(const CallAnswer& val);
+void swap(UsageNeed &a, UsageNeed &b);
 
-  void __set_callCancel(const CallCancel& val);
+std::ostream& operator<<(std::ostream& out, const UsageNeed& obj);
 
-  void __set_callQuery(const CallQuery& val);
+typedef struct _UsageReturn__isset {
+  _UsageReturn__isset() : team(false), sequence(false), count(false) {}
+  bool team :1;
+  bool sequence :1;
+  bool count :1;
+} _UsageReturn__isset;
 
-  void __set_claimRequest(const ClaimRequest& val);
+/**
+ * Unspent tokens that the sender can no longer spend.
+ */
+class UsageReturn : public virtual ::apache::thrift::TBase {
+ public:
 
-  void __set_claimAnswer(const ClaimAnswer& val);
+  UsageReturn(const UsageReturn&);
+  UsageReturn(UsageReturn&&) noexcept;
+  UsageReturn& operator=(const UsageReturn&);
+  UsageReturn& operator=(UsageReturn&&) noexcept;
+  UsageReturn() noexcept
+              : team(),
+                sequence(0),
+                count(0) {
+  }
 
-  void __set_statusReport(const StatusReport& val);
+  virtual ~UsageReturn() noexcept;
+  std::string team;
+  /**
+   * Of the request for which the tokens were granted.
+   */
+  int64_t sequence;
+  int32_t count;
 
-  void __set_heartbeat(const Heartbeat& val);
+  _UsageReturn__isset __isset;
 
-  void __set_loadReport(const LoadReport& val);
+  void __set_team(const std::string& val);
 
-  void __set_farewell(const Farewell& val);
+  void __set_sequence(const int64_t val);
 
-  void __set_relayHeartbeat(const RelayHeartbeat& val);
+  void __set_count(const int32_t val);
 
-  bool operator == (const Envelope & rhs) const
+  bool operator == (const UsageReturn & rhs) const
   {
-    if (__isset.hello != rhs.__isset.hello)
-      return false;
-    else if (__isset.hello && !(hello == rhs.hello))
-      return false;
-    if (__isset.ping != rhs.__isset.ping)
-      return false;
-    else if (__isset.ping && !(ping == rhs.ping))
-      return false;
-    if (__isset.ack != rhs.__isset.ack)
-      return false;
-    else if (__isset.ack && !(ack == rhs.ack))
-      return false;
-    if (__isset.pingRequest != rhs.__isset.pingRequest)
-      return false;
-    else if (__isset.pingRequest && !(pingRequest == rhs.pingRequest))
-      return false;
-    if (__isset.memberSync != rhs.__isset.memberSync)
-      return false;
-    else if (__isset.memberSync && !(memberSync == rhs.memberSync))
-      return false;
-    if (__isset.domainSummary != rhs.__isset.domainSummary)
-      return false;
-    else if (__isset.domainSummary && !(domainSummary == rhs.domainSummary))
-      return false;
-    if (__isset.configPush != rhs.__isset.configPush)
-      return false;
-    else if (__isset.configPush && !(configPush == rhs.configPush))
+    if (!(team == rhs.team))
       return false;
-    if (__isset.configFetch != rhs.__isset.configFetch)
+    if (!(sequence == rhs.sequence))
       return false;
-    else if (__isset.configFetch && !(configFetch == rhs.configFetch))
+    if (!(count == rhs.count))
       return false;
-    if (__isset.configAnswer != rhs.__isset.configAnswer)
+    return true;
+  }
+  bool operator != (const UsageReturn &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UsageReturn & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UsageReturn &a, UsageReturn &b);
+
+std::ostream& operator<<(std::ostream& out, const UsageReturn& obj);
+
+typedef struct _UsageRequest__isset {
+  _UsageRequest__isset() : host(false), incarnation(false), sequence(false), echo(false), echoIncarnation(false), members(false), lent(false), needs(false), returns(false) {}
+  bool host :1;
+  bool incarnation :1;
+  bool sequence :1;
+  bool echo :1;
+  bool echoIncarnation :1;
+  bool members :1;
+  bool lent :1;
+  bool needs :1;
+  bool returns :1;
+} _UsageRequest__isset;
+
+/**
+ * From a daemon to an accountant: loans, needs and unspent tokens.
+ */
+class UsageRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  UsageRequest(const UsageRequest&);
+  UsageRequest(UsageRequest&&) noexcept;
+  UsageRequest& operator=(const UsageRequest&);
+  UsageRequest& operator=(UsageRequest&&) noexcept;
+  UsageRequest() noexcept
+               : host(),
+                 incarnation(0),
+                 sequence(0),
+                 echo(0),
+                 echoIncarnation(0),
+                 members(0),
+                 lent(0) {
+  }
+
+  virtual ~UsageRequest() noexcept;
+  std::string host;
+  int64_t incarnation;
+  int64_t sequence;
+  /**
+   * Newest stamp seen from this accountant; 0 lends nothing.
+   */
+  int64_t echo;
+  /**
+   * Incarnation of the accountant that sent the stamp.
+   */
+  int64_t echoIncarnation;
+  /**
+   * Number of members by which the sender divides caps.
+   */
+  int32_t members;
+  /**
+   * The halves that are lent: bit 2 x group + half.
+   */
+  int32_t lent;
+  std::vector<UsageNeed>  needs;
+  std::vector<UsageReturn>  returns;
+
+  _UsageRequest__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_echo(const int64_t val);
+
+  void __set_echoIncarnation(const int64_t val);
+
+  void __set_members(const int32_t val);
+
+  void __set_lent(const int32_t val);
+
+  void __set_needs(const std::vector<UsageNeed> & val);
+
+  void __set_returns(const std::vector<UsageReturn> & val);
+
+  bool operator == (const UsageRequest & rhs) const
+  {
+    if (!(host == rhs.host))
       return false;
-    else if (__isset.configAnswer && !(configAnswer == rhs.configAnswer))
+    if (!(incarnation == rhs.incarnation))
       return false;
-    if (__isset.callRequest != rhs.__isset.callRequest)
+    if (!(sequence == rhs.sequence))
       return false;
-    else if (__isset.callRequest && !(callRequest == rhs.callRequest))
+    if (!(echo == rhs.echo))
       return false;
-    if (__isset.callAnswer != rhs.__isset.callAnswer)
+    if (!(echoIncarnation == rhs.echoIncarnation))
       return false;
-    else if (__isset.callAnswer && !(callAnswer == rhs.callAnswer))
+    if (!(members == rhs.members))
       return false;
-    if (__isset.callCancel != rhs.__isset.callCancel)
+    if (!(lent == rhs.lent))
       return false;
-    else if (__isset.callCancel && !(callCancel == rhs.callCancel))
+    if (!(needs == rhs.needs))
       return false;
-    if (__isset.callQuery != rhs.__isset.callQuery)
+    if (!(returns == rhs.returns))
       return false;
-    else if (__isset.callQuery && !(callQuery == rhs.callQuery))
+    return true;
+  }
+  bool operator != (const UsageRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UsageRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UsageRequest &a, UsageRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const UsageRequest& obj);
+
+typedef struct _UsageAnswer__isset {
+  _UsageAnswer__isset() : team(false), granted(false), retryAfterMillis(false), left(false) {}
+  bool team :1;
+  bool granted :1;
+  bool retryAfterMillis :1;
+  bool left :1;
+} _UsageAnswer__isset;
+
+class UsageAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  UsageAnswer(const UsageAnswer&);
+  UsageAnswer(UsageAnswer&&) noexcept;
+  UsageAnswer& operator=(const UsageAnswer&);
+  UsageAnswer& operator=(UsageAnswer&&) noexcept;
+  UsageAnswer() noexcept
+              : team(),
+                granted(0),
+                retryAfterMillis(0),
+                left(0) {
+  }
+
+  virtual ~UsageAnswer() noexcept;
+  std::string team;
+  int32_t granted;
+  /**
+   * When tokens are lacking: time until one is free; otherwise 0.
+   */
+  int32_t retryAfterMillis;
+  /**
+   * Tokens left in the pool; -1 when no half is lent to it.
+   */
+  int32_t left;
+
+  _UsageAnswer__isset __isset;
+
+  void __set_team(const std::string& val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_retryAfterMillis(const int32_t val);
+
+  void __set_left(const int32_t val);
+
+  bool operator == (const UsageAnswer & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(retryAfterMillis == rhs.retryAfterMillis))
+      return false;
+    if (!(left == rhs.left))
+      return false;
+    return true;
+  }
+  bool operator != (const UsageAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UsageAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UsageAnswer &a, UsageAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const UsageAnswer& obj);
+
+typedef struct _UsageGrant__isset {
+  _UsageGrant__isset() : host(false), incarnation(false), sequence(false), stamp(false), answers(false) {}
+  bool host :1;
+  bool incarnation :1;
+  bool sequence :1;
+  bool stamp :1;
+  bool answers :1;
+} _UsageGrant__isset;
+
+/**
+ * The reply of an accountant to a UsageRequest.
+ */
+class UsageGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  UsageGrant(const UsageGrant&);
+  UsageGrant(UsageGrant&&) noexcept;
+  UsageGrant& operator=(const UsageGrant&);
+  UsageGrant& operator=(UsageGrant&&) noexcept;
+  UsageGrant() noexcept
+             : host(),
+               incarnation(0),
+               sequence(0),
+               stamp(0) {
+  }
+
+  virtual ~UsageGrant() noexcept;
+  std::string host;
+  int64_t incarnation;
+  /**
+   * Of the request.
+   */
+  int64_t sequence;
+  /**
+   * Milliseconds of the accountant's clock, for UsageRequest.echo.
+   */
+  int64_t stamp;
+  std::vector<UsageAnswer>  answers;
+
+  _UsageGrant__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_stamp(const int64_t val);
+
+  void __set_answers(const std::vector<UsageAnswer> & val);
+
+  bool operator == (const UsageGrant & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(stamp == rhs.stamp))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    return true;
+  }
+  bool operator != (const UsageGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UsageGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UsageGrant &a, UsageGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const UsageGrant& obj);
+
+typedef struct _RolloutCounts__isset {
+  _RolloutCounts__isset() : route(false), isTarget(false), answers(false), failures(false), times(false) {}
+  bool route :1;
+  bool isTarget :1;
+  bool answers :1;
+  bool failures :1;
+  bool times :1;
+} _RolloutCounts__isset;
+
+/**
+ * What a daemon saw of one route since the order; cumulative.
+ */
+class RolloutCounts : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutCounts(const RolloutCounts&);
+  RolloutCounts(RolloutCounts&&) noexcept;
+  RolloutCounts& operator=(const RolloutCounts&);
+  RolloutCounts& operator=(RolloutCounts&&) noexcept;
+  RolloutCounts() noexcept
+                : route(),
+                  isTarget(0),
+                  answers(0),
+                  failures(0) {
+  }
+
+  virtual ~RolloutCounts() noexcept;
+  std::string route;
+  /**
+   * Whether these are answers of the target version.
+   */
+  bool isTarget;
+  int32_t answers;
+  int32_t failures;
+  /**
+   * Answers per range of service times, without trailing zeros.
+   */
+  std::vector<int32_t>  times;
+
+  _RolloutCounts__isset __isset;
+
+  void __set_route(const std::string& val);
+
+  void __set_isTarget(const bool val);
+
+  void __set_answers(const int32_t val);
+
+  void __set_failures(const int32_t val);
+
+  void __set_times(const std::vector<int32_t> & val);
+
+  bool operator == (const RolloutCounts & rhs) const
+  {
+    if (!(route == rhs.route))
+      return false;
+    if (!(isTarget == rhs.isTarget))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(times == rhs.times))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutCounts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutCounts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutCounts &a, RolloutCounts &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutCounts& obj);
+
+typedef struct _RolloutReport__isset {
+  _RolloutReport__isset() : host(false), incarnation(false), serviceName(false), order(false), state(false), stamp(false), sequence(false), requests(false), exposed(false), othersRunning(false), counts(false) {}
+  bool host :1;
+  bool incarnation :1;
+  bool serviceName :1;
+  bool order :1;
+  bool state :1;
+  bool stamp :1;
+  bool sequence :1;
+  bool requests :1;
+  bool exposed :1;
+  bool othersRunning :1;
+  bool counts :1;
+} _RolloutReport__isset;
+
+/**
+ * Sent by an entry daemon to the daemon that decides a rollout.
+ */
+class RolloutReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutReport(const RolloutReport&);
+  RolloutReport(RolloutReport&&) noexcept;
+  RolloutReport& operator=(const RolloutReport&);
+  RolloutReport& operator=(RolloutReport&&) noexcept;
+  RolloutReport() noexcept
+                : host(),
+                  incarnation(0),
+                  serviceName(),
+                  order(0),
+                  state(static_cast<RolloutState::type>(0)),
+                  stamp(0),
+                  sequence(0),
+                  requests(0),
+                  exposed(0),
+                  othersRunning(0) {
+  }
+
+  virtual ~RolloutReport() noexcept;
+  std::string host;
+  int64_t incarnation;
+  std::string serviceName;
+  /**
+   * Number of the order; higher for a later order of the service.
+   */
+  int64_t order;
+  /**
+   * 
+   * @see RolloutState
+   */
+  RolloutState::type state;
+  /**
+   * Monotonic milliseconds of the sender.
+   */
+  int64_t stamp;
+  /**
+   * Sequence of the newest share that the sender obeys.
+   */
+  int64_t sequence;
+  /**
+   * Requests sent to servers of the service since the order.
+   */
+  int64_t requests;
+  /**
+   * Those of them that were sent to the target version.
+   */
+  int64_t exposed;
+  /**
+   * Requests that run now on servers of other versions.
+   */
+  int32_t othersRunning;
+  /**
+   * Routes with changes; a report may omit any of them.
+   */
+  std::vector<RolloutCounts>  counts;
+
+  _RolloutReport__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_order(const int64_t val);
+
+  void __set_state(const RolloutState::type val);
+
+  void __set_stamp(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_requests(const int64_t val);
+
+  void __set_exposed(const int64_t val);
+
+  void __set_othersRunning(const int32_t val);
+
+  void __set_counts(const std::vector<RolloutCounts> & val);
+
+  bool operator == (const RolloutReport & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(stamp == rhs.stamp))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(exposed == rhs.exposed))
+      return false;
+    if (!(othersRunning == rhs.othersRunning))
+      return false;
+    if (!(counts == rhs.counts))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutReport &a, RolloutReport &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutReport& obj);
+
+typedef struct _RolloutShare__isset {
+  _RolloutShare__isset() : decider(false), serviceName(false), order(false), state(false), targetVersion(false), baseVersion(false), sequence(false), limit(false), incarnation(false), echo(false), validMillis(false), isStretch(false), servers(false), storeEra(false), deciderIncarnation(false) {}
+  bool decider :1;
+  bool serviceName :1;
+  bool order :1;
+  bool state :1;
+  bool targetVersion :1;
+  bool baseVersion :1;
+  bool sequence :1;
+  bool limit :1;
+  bool incarnation :1;
+  bool echo :1;
+  bool validMillis :1;
+  bool isStretch :1;
+  bool servers :1;
+  bool storeEra :1;
+  bool deciderIncarnation :1;
+} _RolloutShare__isset;
+
+/**
+ * The state of a rollout and what one entry daemon may send.
+ */
+class RolloutShare : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutShare(const RolloutShare&);
+  RolloutShare(RolloutShare&&) noexcept;
+  RolloutShare& operator=(const RolloutShare&);
+  RolloutShare& operator=(RolloutShare&&) noexcept;
+  RolloutShare() noexcept
+               : decider(),
+                 serviceName(),
+                 order(0),
+                 state(static_cast<RolloutState::type>(0)),
+                 targetVersion(),
+                 baseVersion(),
+                 sequence(0),
+                 limit(0),
+                 incarnation(0),
+                 echo(0),
+                 validMillis(0),
+                 isStretch(0),
+                 servers(0),
+                 storeEra(0),
+                 deciderIncarnation(0) {
+  }
+
+  virtual ~RolloutShare() noexcept;
+  std::string decider;
+  std::string serviceName;
+  int64_t order;
+  /**
+   * 
+   * @see RolloutState
+   */
+  RolloutState::type state;
+  std::string targetVersion;
+  std::string baseVersion;
+  /**
+   * Higher for a later share; a new decider continues above the old one.
+   */
+  int64_t sequence;
+  /**
+   * Requests since the order that may be sent to the target version.
+   */
+  int64_t limit;
+  /**
+   * Incarnation and newest stamp of the receiver; 0 before its first report.
+   */
+  int64_t incarnation;
+  int64_t echo;
+  /**
+   * The limit is valid until echo plus this time by the receiver's clock.
+   */
+  int32_t validMillis;
+  /**
+   * All requests go to the target version, so that the others become idle.
+   */
+  bool isStretch;
+  /**
+   * Servers of the target version that get requests; 0 for all.
+   */
+  int32_t servers;
+  /**
+   * Era of the store in which it had this state; 0 if it reports none.
+   */
+  int64_t storeEra;
+  /**
+   * Incarnation of the decider; 0 if another daemon tells of an end.
+   */
+  int64_t deciderIncarnation;
+
+  _RolloutShare__isset __isset;
+
+  void __set_decider(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_order(const int64_t val);
+
+  void __set_state(const RolloutState::type val);
+
+  void __set_targetVersion(const std::string& val);
+
+  void __set_baseVersion(const std::string& val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_limit(const int64_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_echo(const int64_t val);
+
+  void __set_validMillis(const int32_t val);
+
+  void __set_isStretch(const bool val);
+
+  void __set_servers(const int32_t val);
+
+  void __set_storeEra(const int64_t val);
+
+  void __set_deciderIncarnation(const int64_t val);
+
+  bool operator == (const RolloutShare & rhs) const
+  {
+    if (!(decider == rhs.decider))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(targetVersion == rhs.targetVersion))
+      return false;
+    if (!(baseVersion == rhs.baseVersion))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(limit == rhs.limit))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(echo == rhs.echo))
+      return false;
+    if (!(validMillis == rhs.validMillis))
+      return false;
+    if (!(isStretch == rhs.isStretch))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(storeEra == rhs.storeEra))
+      return false;
+    if (!(deciderIncarnation == rhs.deciderIncarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutShare &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutShare & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutShare &a, RolloutShare &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutShare& obj);
+
+typedef struct _Envelope__isset {
+  _Envelope__isset() : hello(false), ping(false), ack(false), pingRequest(false), memberSync(false), domainSummary(false), configPush(false), configFetch(false), configAnswer(false), callRequest(false), callAnswer(false), callCancel(false), callQuery(false), claimRequest(false), claimAnswer(false), statusReport(false), heartbeat(false), loadReport(false), farewell(false), relayHeartbeat(false), usageRequest(false), usageGrant(false), rolloutReport(false), rolloutShare(false) {}
+  bool hello :1;
+  bool ping :1;
+  bool ack :1;
+  bool pingRequest :1;
+  bool memberSync :1;
+  bool domainSummary :1;
+  bool configPush :1;
+  bool configFetch :1;
+  bool configAnswer :1;
+  bool callRequest :1;
+  bool callAnswer :1;
+  bool callCancel :1;
+  bool callQuery :1;
+  bool claimRequest :1;
+  bool claimAnswer :1;
+  bool statusReport :1;
+  bool heartbeat :1;
+  bool loadReport :1;
+  bool farewell :1;
+  bool relayHeartbeat :1;
+  bool usageRequest :1;
+  bool usageGrant :1;
+  bool rolloutReport :1;
+  bool rolloutShare :1;
+} _Envelope__isset;
+
+/**
+ * Exactly one field is set.
+ */
+class Envelope : public virtual ::apache::thrift::TBase {
+ public:
+
+  Envelope(const Envelope&);
+  Envelope(Envelope&&) noexcept;
+  Envelope& operator=(const Envelope&);
+  Envelope& operator=(Envelope&&) noexcept;
+  Envelope() noexcept {
+  }
+
+  virtual ~Envelope() noexcept;
+  Hello hello;
+  Ping ping;
+  Ack ack;
+  PingRequest pingRequest;
+  MemberSync memberSync;
+  DomainSummary domainSummary;
+  ConfigPush configPush;
+  ConfigFetch configFetch;
+  ConfigAnswer configAnswer;
+  CallRequest callRequest;
+  CallAnswer callAnswer;
+  CallCancel callCancel;
+  CallQuery callQuery;
+  ClaimRequest claimRequest;
+  ClaimAnswer claimAnswer;
+  StatusReport statusReport;
+  Heartbeat heartbeat;
+  LoadReport loadReport;
+  Farewell farewell;
+  RelayHeartbeat relayHeartbeat;
+  UsageRequest usageRequest;
+  UsageGrant usageGrant;
+  RolloutReport rolloutReport;
+  RolloutShare rolloutShare;
+
+  _Envelope__isset __isset;
+
+  void __set_hello(const Hello& val);
+
+  void __set_ping(const Ping& val);
+
+  void __set_ack(const Ack& val);
+
+  void __set_pingRequest(const PingRequest& val);
+
+  void __set_memberSync(const MemberSync& val);
+
+  void __set_domainSummary(const DomainSummary& val);
+
+  void __set_configPush(const ConfigPush& val);
+
+  void __set_configFetch(const ConfigFetch& val);
+
+  void __set_configAnswer(const ConfigAnswer& val);
+
+  void __set_callRequest(const CallRequest& val);
+
+  void __set_callAnswer(const CallAnswer& val);
+
+  void __set_callCancel(const CallCancel& val);
+
+  void __set_callQuery(const CallQuery& val);
+
+  void __set_claimRequest(const ClaimRequest& val);
+
+  void __set_claimAnswer(const ClaimAnswer& val);
+
+  void __set_statusReport(const StatusReport& val);
+
+  void __set_heartbeat(const Heartbeat& val);
+
+  void __set_loadReport(const LoadReport& val);
+
+  void __set_farewell(const Farewell& val);
+
+  void __set_relayHeartbeat(const RelayHeartbeat& val);
+
+  void __set_usageRequest(const UsageRequest& val);
+
+  void __set_usageGrant(const UsageGrant& val);
+
+  void __set_rolloutReport(const RolloutReport& val);
+
+  void __set_rolloutShare(const RolloutShare& val);
+
+  bool operator == (const Envelope & rhs) const
+  {
+    if (__isset.hello != rhs.__isset.hello)
+      return false;
+    else if (__isset.hello && !(hello == rhs.hello))
+      return false;
+    if (__isset.ping != rhs.__isset.ping)
+      return false;
+    else if (__isset.ping && !(ping == rhs.ping))
+      return false;
+    if (__isset.ack != rhs.__isset.ack)
+      return false;
+    else if (__isset.ack && !(ack == rhs.ack))
+      return false;
+    if (__isset.pingRequest != rhs.__isset.pingRequest)
+      return false;
+    else if (__isset.pingRequest && !(pingRequest == rhs.pingRequest))
+      return false;
+    if (__isset.memberSync != rhs.__isset.memberSync)
+      return false;
+    else if (__isset.memberSync && !(memberSync == rhs.memberSync))
+      return false;
+    if (__isset.domainSummary != rhs.__isset.domainSummary)
+      return false;
+    else if (__isset.domainSummary && !(domainSummary == rhs.domainSummary))
+      return false;
+    if (__isset.configPush != rhs.__isset.configPush)
+      return false;
+    else if (__isset.configPush && !(configPush == rhs.configPush))
+      return false;
+    if (__isset.configFetch != rhs.__isset.configFetch)
+      return false;
+    else if (__isset.configFetch && !(configFetch == rhs.configFetch))
+      return false;
+    if (__isset.configAnswer != rhs.__isset.configAnswer)
+      return false;
+    else if (__isset.configAnswer && !(configAnswer == rhs.configAnswer))
+      return false;
+    if (__isset.callRequest != rhs.__isset.callRequest)
+      return false;
+    else if (__isset.callRequest && !(callRequest == rhs.callRequest))
+      return false;
+    if (__isset.callAnswer != rhs.__isset.callAnswer)
+      return false;
+    else if (__isset.callAnswer && !(callAnswer == rhs.callAnswer))
+      return false;
+    if (__isset.callCancel != rhs.__isset.callCancel)
+      return false;
+    else if (__isset.callCancel && !(callCancel == rhs.callCancel))
+      return false;
+    if (__isset.callQuery != rhs.__isset.callQuery)
+      return false;
+    else if (__isset.callQuery && !(callQuery == rhs.callQuery))
       return false;
     if (__isset.claimRequest != rhs.__isset.claimRequest)
       return false;
@@ -2844,6 +3787,22 @@
       return false;
     else if (__isset.relayHeartbeat && !(relayHeartbeat == rhs.relayHeartbeat))
       return false;
+    if (__isset.usageRequest != rhs.__isset.usageRequest)
+      return false;
+    else if (__isset.usageRequest && !(usageRequest == rhs.usageRequest))
+      return false;
+    if (__isset.usageGrant != rhs.__isset.usageGrant)
+      return false;
+    else if (__isset.usageGrant && !(usageGrant == rhs.usageGrant))
+      return false;
+    if (__isset.rolloutReport != rhs.__isset.rolloutReport)
+      return false;
+    else if (__isset.rolloutReport && !(rolloutReport == rhs.rolloutReport))
+      return false;
+    if (__isset.rolloutShare != rhs.__isset.rolloutShare)
+      return false;
+    else if (__isset.rolloutShare && !(rolloutShare == rhs.rolloutShare))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -50,6 +50,8 @@
   3: i32 slots
   4: i32 connections
   5: EndpointState state
+  /** As the server reports it; only where rollouts are enabled. */
+  6: optional string serverVersion
 }
 
 struct MemberRecord {
@@ -64,6 +66,11 @@
   9: list<Endpoint> endpoints
   /** The store refused this member recently, so it cannot be a relay. */
   10: optional bool isStoreLost
+  /**
+   * Wall clock in milliseconds when the member was declared dead or left, so
+   * that all members forget the record at the same time.
+   */
+  11: optional i64 endedAt
 }
 
 /**
@@ -88,6 +95,8 @@
   6: optional string onBehalfOf
   /** Low half of the content hash of version; 0 when not stated. */
   7: i32 contentHash
+  /** Highest era of the store that the sender knows. */
+  31: optional i64 storeEra
 }
 
 struct Ack {
@@ -99,6 +108,8 @@
   5: list<QuarantineMark> marks
   /** Low half of the content hash of version; 0 when not stated. */
   6: i32 contentHash
+  /** Highest era of the store that the sender knows. */
+  31: optional i64 storeEra
 }
 
 struct PingRequest {
@@ -116,6 +127,8 @@
   4: list<i32> differing
   /** Positive when the peer is busy: repeat the request after this time. */
   5: i32 retryAfterMillis
+  /** In a reply: whether the sender knows all members of its group. */
+  6: optional bool isComplete
 }
 
 struct SampledEndpoint {
@@ -221,6 +234,11 @@
   2: list<ConfigBody> bodies
   /** Positive when the peer is busy: repeat the request after this time. */
   3: i32 retryAfterMillis
+  /**
+   * Milliseconds since the sender knew that the store had no version above
+   * `held`; missing if it does not know.
+   */
+  4: optional i64 confirmedMillis
 }
 
 struct CallRequest {
@@ -360,6 +378,13 @@
   4: i64 version
   /** Whether the sender's watch of the store works. */
   5: bool isWatching
+  /**
+   * Milliseconds since the sender knew that the store had no version above
+   * `version`; missing if it does not know.
+   */
+  6: optional i64 confirmedMillis
+  /** Highest era of the store that the sender knows. */
+  31: optional i64 storeEra
 }
 
 /**
@@ -370,6 +395,127 @@
   1: string reason
 }
 
+/** Tokens of one team that an entry daemon needs. */
+struct UsageNeed {
+  1: string team
+  2: i32 wanted
+  /** Calls that wait, and those refused without a request since the last. */
+  3: i32 waiting
+}
+
+/** Unspent tokens that the sender can no longer spend. */
+struct UsageReturn {
+  1: string team
+  /** Of the request for which the tokens were granted. */
+  2: i64 sequence
+  3: i32 count
+}
+
+/** From a daemon to an accountant: loans, needs and unspent tokens. */
+struct UsageRequest {
+  1: string host
+  2: i64 incarnation
+  3: i64 sequence
+  /** Newest stamp seen from this accountant; 0 lends nothing. */
+  4: i64 echo
+  /** Incarnation of the accountant that sent the stamp. */
+  5: i64 echoIncarnation
+  /** Number of members by which the sender divides caps. */
+  6: i32 members
+  /** The halves that are lent: bit 2 x group + half. */
+  7: i32 lent
+  8: list<UsageNeed> needs
+  9: list<UsageReturn> returns
+}
+
+struct UsageAnswer {
+  1: string team
+  2: i32 granted
+  /** When tokens are lacking: time until one is free; otherwise 0. */
+  3: i32 retryAfterMillis
+  /** Tokens left in the pool; -1 when no half is lent to it. */
+  4: i32 left
+}
+
+/** The reply of an accountant to a UsageRequest. */
+struct UsageGrant {
+  1: string host
+  2: i64 incarnation
+  /** Of the request. */
+  3: i64 sequence
+  /** Milliseconds of the accountant's clock, for UsageRequest.echo. */
+  4: i64 stamp
+  5: list<UsageAnswer> answers
+}
+
+enum RolloutState {
+  /** There was no order for the service. */
+  NONE = 1
+  RUNNING = 2
+  SUCCEEDED = 3
+  ROLLED_BACK = 4
+}
+
+/** What a daemon saw of one route since the order; cumulative. */
+struct RolloutCounts {
+  1: string route
+  /** Whether these are answers of the target version. */
+  2: bool isTarget
+  3: i32 answers
+  4: i32 failures
+  /** Answers per range of service times, without trailing zeros. */
+  5: list<i32> times
+}
+
+/** Sent by an entry daemon to the daemon that decides a rollout. */
+struct RolloutReport {
+  1: string host
+  2: i64 incarnation
+  3: string serviceName
+  /** Number of the order; higher for a later order of the service. */
+  4: i64 order
+  5: RolloutState state
+  /** Monotonic milliseconds of the sender. */
+  6: i64 stamp
+  /** Sequence of the newest share that the sender obeys. */
+  7: i64 sequence
+  /** Requests sent to servers of the service since the order. */
+  8: i64 requests
+  /** Those of them that were sent to the target version. */
+  9: i64 exposed
+  /** Requests that run now on servers of other versions. */
+  10: i32 othersRunning
+  /** Routes with changes; a report may omit any of them. */
+  11: list<RolloutCounts> counts
+}
+
+/** The state of a rollout and what one entry daemon may send. */
+struct RolloutShare {
+  1: string decider
+  2: string serviceName
+  3: i64 order
+  4: RolloutState state
+  5: string targetVersion
+  6: string baseVersion
+  /** Higher for a later share; a new decider continues above the old one. */
+  7: i64 sequence
+  /** Requests since the order that may be sent to the target version. */
+  8: i64 limit
+  /** Incarnation and newest stamp of the receiver; 0 before its first report. */
+  9: i64 incarnation
+  10: i64 echo
+  /** The limit is valid until echo plus this time by the receiver's clock. */
+  11: i32 validMillis
+  /** All requests go to the target version, so that the others become idle. */
+  12: bool isStretch
+  /** Servers of the target version that get requests; 0 for all. */
+  13: i32 servers
+  /** Era of the store in which it had this state; 0 if it reports none. */
+  14: i64 storeEra
+  /** Incarnation of the decider; 0 if another daemon tells of an end. */
+  15: i64 deciderIncarnation
+}
+
 /** Exactly one field is set. */
 struct Envelope {
   1: optional Hello hello
@@ -392,4 +538,8 @@
   18: optional LoadReport loadReport
   19: optional Farewell farewell
   20: optional RelayHeartbeat relayHeartbeat
+  21: optional UsageRequest usageRequest
+  22: optional UsageGrant usageGrant
+  23: optional RolloutReport rolloutReport
+  24: optional RolloutShare rolloutShare
 }
--- a/src/proxy/answerhead.cpp
+++ b/src/proxy/answerhead.cpp
@@ -1,5 +1,6 @@
 #include "proxy/answerhead.h"
 
+#include "common/httpstatus.h"
 #include "proxy/httpheaders.h"
 
 #include <strings.h>
@@ -21,15 +22,16 @@
 void
 AnswerHead::AddLine(std::string_view aLine)
 {
-  if (this->isComplete) {
-    return; // A trailer.
+  if (this->isComplete || this->isInvalid) {
+    return; // A trailer, or part of an answer that is not used.
   }
-  if (aLine.starts_with("HTTP/")) {
+  if (IsStatusLine(aLine)) {
     this->headers.clear();
     this->ReadStatusLine(aLine);
     return;
   }
   if (aLine.empty()) {
+    this->isWithinHead = false;
     this->isComplete = this->status >= kFirstFinalStatus;
     return;
   }
@@ -46,12 +48,10 @@
 void
 AnswerHead::ReadStatusLine(std::string_view aLine)
 {
-  this->status = 0;
-  const auto space = aLine.find(' ');
-  if (space != std::string_view::npos) {
-    std::from_chars(
-      aLine.data() + space + 1, aLine.data() + aLine.size(), this->status);
-  }
+  const int read = ParseStatusLine(aLine).value_or(0);
+  this->isInvalid = this->isWithinHead || !IsAnswerStatus(read);
+  this->status = this->isInvalid ? 0 : read;
+  this->isWithinHead = true;
 }
 
 AnswerFraming
--- a/src/proxy/answerhead.h
+++ b/src/proxy/answerhead.h
@@ -28,7 +28,8 @@
 
 /**
  * Reads the head of an answer line by line. Informational (1xx) heads before
- * the final one and trailers after it are left out.
+ * the final one and trailers after it are left out. A head whose status line is
+ * not valid is never complete.
  */
 class AnswerHead
 {
@@ -43,6 +44,9 @@
    */
   bool IsComplete() const;
 
+  /** Whether a status line was not valid, or came within a head. */
+  bool IsInvalid() const;
+
   AnswerFraming FramingFor(const HttpRequest& aRequest) const;
 
   /** The Content-Length in bytes, if there is a valid one. */
@@ -55,8 +59,16 @@
   void ReadStatusLine(std::string_view aLine);
 
   bool isComplete = false;
+  bool isInvalid = false;
+  bool isWithinHead = false; // After a status line, before the empty line.
 };
 
+inline bool
+AnswerHead::IsInvalid() const
+{
+  return this->isInvalid;
+}
+
 inline bool
 AnswerHead::IsComplete() const
 {
--- a/src/proxy/answerhead_test.cpp
+++ b/src/proxy/answerhead_test.cpp
@@ -96,3 +96,25 @@
                  length);
   }
 }
+
+// Only 100 to 599 is a status, written with three digits. Anything else must
+// not make a final head, and not an interim one that is skipped.
+Test(answerhead, an_invalid_status_line_makes_no_head)
+{
+  for (const char* line : { "HTTP/1.1 600 X",
+                            "HTTP/1.1 1000 X",
+                            "HTTP/1.1 099 X",
+                            "HTTP/1.1 000 X",
+                            "HTTP/1.1 +200 OK",
+                            "HTTP/1.1  200 OK",
+                            "HTTP/1.1 200x OK",
+                            "HTTP/1.1 20 OK",
+                            "HTTP/1.1",
+                            "HTTP/1.1 101 X" }) {
+    const AnswerHead head = HeadOf({ line, "", "HTTP/1.1 200 OK", "" });
+    cr_expect_not(head.IsComplete(), "%s", line);
+    cr_expect(head.IsInvalid(), "%s", line);
+  }
+  cr_expect(
+    HeadOf({ "HTTP/1.1 100 Continue", "", "HTTP/1.1 599", "" }).IsComplete());
+}
