--- a/src/proxy/httpconnection.cpp
+++ b/src/proxy/httpconnection.cpp
@@ -20,6 +20,10 @@
 constexpr Log kLog("http");
 
 constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
+
+// Capacity of a string that has allocated nothing.
+const std::size_t kInlineBytes = std::string().capacity();
 
 } // namespace
 
@@ -31,8 +35,10 @@
   , id(aId)
   , socket(aSocket)
   , callerAddress(std::move(aCallerAddress))
+  , memoryShare(aContext.memory, aId, this->callerAddress)
+  , pipeline(aContext.pipelineBudget, aContext.clock)
 {
-  this->UpdateTimer();
+  this->UpdateTimers();
 }
 
 HttpConnection::~HttpConnection()
@@ -59,6 +65,8 @@
 {
   while (this->Step()) {
   }
+  this->UpdateTimers();
+  this->CountMemory();
 }
 
 /** Returns false when the connection waits for an event. */
@@ -66,155 +74,91 @@
 HttpConnection::Step()
 {
   switch (this->state) {
-    case State::Reading:
-      return this->ReadOnce();
-    case State::Suspended:
-      if (this->hasHungUp) {
-        this->Close();
-      }
-      return false;
-    case State::Answering:
-      return this->Flush();
+    case State::Open:
+      break;
     case State::Lingering:
       return this->Discard();
     case State::Closed:
       return false;
   }
-  return false;
-}
-
-/** Returns the number of bytes received, or -1 if there are none yet. */
-long
-HttpConnection::Receive()
-{
-  auto& buffer = this->context.readBuffer;
-  const ssize_t count = recv(this->socket, buffer.data(), buffer.size(), 0);
-  if (count > 0) {
-    if (this->state != State::Lingering) {
-      this->timer.RecordActivity(this->context.clock.Now());
-    }
-    // A short read has emptied the socket. The next bytes raise a new event,
-    // but the end of the stream, if it was reported already, does not.
-    this->mayRead =
-      this->hasHungUp || static_cast<std::size_t>(count) == buffer.size();
-    return count;
-  }
-  if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-    this->mayRead = errno == EINTR;
-    return -1;
-  }
-  this->hasHungUp = true;
-  this->Close();
-  return 0;
-}
-
-bool
-HttpConnection::ReadOnce()
-{
-  if (!this->parser && !this->unparsed.empty()) {
-    this->Parse(std::exchange(this->unparsed, {}));
-    return true;
-  }
-  if (!this->mayRead) {
+  if (this->hasHungUp && this->pipeline.HasUnanswered()) {
+    this->Close();
     return false;
   }
-  const long count = this->Receive();
-  if (count <= 0) {
-    return this->mayRead && this->state != State::Closed;
+  if (this->isSending) {
+    return this->Flush();
   }
-  const std::string_view bytes(this->context.readBuffer.data(),
-                               static_cast<std::size_t>(count));
-  if (this->unparsed.empty()) {
-    this->Parse(bytes);
-  } else {
-    this->Parse(std::exchange(this->unparsed, {}).append(bytes));
+  if (this->PassOn() || this->StartAnswer()) {
+    return true;
   }
-  return true;
+  return this->SendContinue() || (this->pipeline.MayRead() && this->ReadOnce());
 }
 
 void
-HttpConnection::Parse(std::string_view aBytes)
+HttpConnection::Answer(RequestId aRequest, HttpAnswer aAnswer)
 {
-  if (!this->parser) {
-    this->parser =
-      std::make_unique<RequestParser>(this->context.limits.request);
-    this->wasContinueSent = false;
-  }
-  this->unparsed = aBytes.substr(this->parser->Feed(aBytes));
-  this->HandleParsed();
-  this->UpdateTimer();
+  const Ptr keepAlive = this->shared_from_this();
+  if (this->pipeline.SetAnswer(aRequest, std::move(aAnswer))) {
+    this->Run();
+  }
 }
 
 void
-HttpConnection::HandleParsed()
+HttpConnection::Abort(RequestId aRequest)
 {
-  if (this->parser->State() == RequestState::Refused) {
-    this->Refuse(this->parser->Refusal());
-    return;
-  }
-  if (this->parser->State() == RequestState::Complete) {
-    this->keepsConnection = this->parser->KeepsConnection();
-    HttpRequest request = this->parser->TakeRequest();
-    this->parser.reset();
-    request.callerAddress = this->callerAddress;
-    this->isAnswerToHead = request.method == "HEAD";
-    this->SetState(State::Suspended);
-    this->context.onRequest(*this, std::move(request));
-    return;
-  }
-  if (this->parser->ExpectsContinue() && !this->wasContinueSent) {
-    // The send buffer is empty, because no answer is being sent.
-    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    this->wasContinueSent = true;
-    if (send(this->socket, kContinue.data(), kContinue.size(), MSG_NOSIGNAL) <
-        0) {
-      this->Close();
-    }
+  const Ptr keepAlive = this->shared_from_this();
+  if (this->pipeline.Abort(aRequest)) {
+    this->Run();
   }
 }
 
-void
-HttpConnection::Refuse(const RequestRefusal& aRefusal)
+/** Returns whether the answer that is due next is there. */
+bool
+HttpConnection::StartAnswer()
 {
-  kLog.Info("request from {} refused with status {}: {}",
-            this->callerAddress,
-            aRefusal.status,
-            aRefusal.reason);
-  HttpAnswer answer;
-  answer.status = aRefusal.status;
-  answer.body.assign(ReasonOf(aRefusal.status)).append("\n");
-  this->parser.reset();
-  this->unparsed.clear();
-  this->isAnswerToHead = false;
-  this->StartAnswer(std::move(answer), true);
+  if (this->pipeline.IsEmpty()) {
+    return false;
+  }
+  if (this->pipeline.First().state == PipelinedRequest::State::Aborted) {
+    this->Close();
+    return true;
+  }
+  if (this->pipeline.First().state != PipelinedRequest::State::Answered) {
+    return false;
+  }
+  AnswerFormat format;
+  format.announcesClose =
+    this->pipeline.ClosesAfterFirst(this->context.announcesClose());
+  PipelinedRequest& first = this->pipeline.First();
+  format.isAnswerToHead = first.isHead;
+  this->RecordWait(first);
+  this->closesAfterAnswer = format.announcesClose;
+  this->isEndOfBodyTheClose = first.answer.endsWithConnection;
+  this->outgoingHead = FormatAnswerHead(first.answer, format);
+  this->outgoingBody = SendsBody(first.answer, format)
+                         ? std::move(first.answer.body)
+                         : std::string();
+  this->sentBytes = 0;
+  this->isSending = true;
+  return true;
 }
 
 void
-HttpConnection::Answer(HttpAnswer aAnswer)
+HttpConnection::RecordWait(const PipelinedRequest& aRequest)
 {
-  const Ptr keepAlive = this->shared_from_this();
-  if (this->state != State::Suspended) {
+  if (aRequest.answeredAt == 0) {
     return;
   }
-  this->StartAnswer(std::move(aAnswer), false);
-  this->Run();
-}
-
-void
-HttpConnection::StartAnswer(HttpAnswer aAnswer, bool aCloses)
-{
-  AnswerFormat format;
-  format.isAnswerToHead = this->isAnswerToHead;
-  format.announcesClose = aCloses || aAnswer.endsWithConnection ||
-                          !this->keepsConnection ||
-                          this->context.announcesClose();
-  this->closesAfterAnswer = format.announcesClose;
-  this->isEndOfBodyTheClose = aAnswer.endsWithConnection;
-  this->outgoingHead = FormatAnswerHead(aAnswer, format);
-  this->outgoingBody =
-    SendsBody(aAnswer, format) ? std::move(aAnswer.body) : std::string();
-  this->sentBytes = 0;
-  this->SetState(State::Answering);
+  const Millis waited = this->pipeline.FirstWaited();
+  this->context.pipelineBudget.CountWait(waited);
+  if (waited > 0) {
+    kLog.Decision("answer-waited",
+                  "request={} status={} waited_ms={} outstanding={}",
+                  aRequest.name.empty() ? "-" : aRequest.name,
+                  aRequest.answer.status,
+                  waited,
+                  this->pipeline.Requests().size());
+  }
 }
 
 bool
@@ -250,7 +194,11 @@
     this->context.onWriteBlocked(*this);
     return false;
   }
-  this->timer.RecordActivity(this->context.clock.Now());
+  if (this->sendTimer.Wait() != CallerWait::None) {
+    const Millis now = this->context.clock.Now();
+    this->sendTimer.RecordActivity(now);
+    this->memoryShare.RecordProgress(static_cast<std::size_t>(sent), now);
+  }
   this->sentBytes += static_cast<std::size_t>(sent);
   if (this->sentBytes < this->outgoingHead.size() + this->outgoingBody.size()) {
     return true;
@@ -263,36 +211,27 @@
 {
   this->outgoingHead = {};
   this->outgoingBody = {};
+  this->isSending = false;
   this->isEndOfBodyTheClose = false;
-  this->SetState(this->closesAfterAnswer ? State::Lingering : State::Reading);
   this->context.onAnswered(*this);
-  if (this->state == State::Lingering) {
+  this->pipeline.RemoveFirst();
+  if (this->closesAfterAnswer) {
+    this->state = State::Lingering;
+    this->DiscardUnread();
     shutdown(this->socket, SHUT_WR);
   }
   return true;
 }
 
-/** Discards a limited amount, as a caller may send without end. */
-bool
-HttpConnection::Discard()
-{
-  if (!this->mayRead) {
-    return false;
-  }
-  const long count = this->Receive();
-  if (count > 0) {
-    this->discardedBytes += static_cast<std::size_t>(count);
-    if (this->discardedBytes > this->context.limits.request.bodyBytes) {
-      this->Close();
-    }
-  }
-  return this->mayRead && this->state != State::Closed;
-}
-
 void
 HttpConnection::CheckTimeout()
 {
   const Ptr keepAlive = this->shared_from_this();
+  if (!this->pipeline.IsEmpty() && this->state == State::Open) {
+    // Another connection may have released memory since this one stopped
+    // reading, and nothing else makes it read what has arrived.
+    this->Run();
+  }
   if (!this->IsExpired()) {
     return;
   }
@@ -302,18 +241,62 @@
   if (this->state == State::Closed || !this->IsExpired()) {
     return;
   }
-  if (this->timer.Wait() == CallerWait::Head) {
+  const bool isSendExpired =
+    this->sendTimer.IsExpired(this->context.limits, this->context.clock.Now());
+  if (!isSendExpired && this->timer.Wait() == CallerWait::Head) {
     this->Refuse({ kRequestTimeout, "the head took too long" });
     this->Run();
     return;
   }
+  if (!isSendExpired && !this->pipeline.IsEmpty()) {
+    // The requests before the one whose body stopped arriving are answered.
+    this->DiscardUnread();
+    this->pipeline.EndReading();
+    this->Run();
+    return;
+  }
   this->Close();
 }
 
 bool
 HttpConnection::IsExpired() const
 {
-  return this->timer.IsExpired(this->context.limits, this->context.clock.Now());
+  const Millis now = this->context.clock.Now();
+  return this->timer.IsExpired(this->context.limits, now) ||
+         this->sendTimer.IsExpired(this->context.limits, now);
+}
+
+void
+HttpConnection::End(const CallerToEnd& aEnd)
+{
+  const Ptr keepAlive = this->shared_from_this();
+  const bool isRefusal =
+    this->state == State::Open && this->parser && this->parser->HasStarted() &&
+    aEnd.limit != CallerLimit::Connections && aEnd.held.answers == 0;
+  const bool hasName =
+    !this->pipeline.IsEmpty() && !this->pipeline.First().name.empty();
+  kLog.Decision(
+    "caller-ended",
+    "request={} caller={} limit={} bound={} seen={} outcome={} reading={} "
+    "requests={} answers={} late_ms={}",
+    hasName ? this->pipeline.First().name : "-",
+    this->callerAddress,
+    kCallerLimitNames.NameOf(aEnd.limit),
+    aEnd.bound,
+    aEnd.seen,
+    isRefusal ? "refused" : "closed",
+    aEnd.held.reading,
+    aEnd.held.requests,
+    aEnd.held.answers,
+    aEnd.late);
+  if (!isRefusal) {
+    this->context.memory.CountClosed(aEnd.limit);
+    this->Close();
+    return;
+  }
+  this->context.memory.CountRefused(aEnd.limit);
+  this->Refuse({ kServiceUnavailable, "no memory for the request" });
+  this->Run();
 }
 
 void
@@ -330,45 +313,64 @@
   close(std::exchange(this->socket, -1));
   this->context.onClosed(*this);
   this->state = State::Closed;
+  this->memoryShare.Set({}, false);
 }
 
-void
-HttpConnection::SetState(State aState)
-{
-  this->state = aState;
-  this->UpdateTimer();
-}
-
+/** What is waited for to be read. */
 CallerWait
 HttpConnection::CurrentWait() const
 {
-  switch (this->state) {
-    case State::Reading:
-      break;
-    case State::Answering:
-      return CallerWait::Transfer;
-    case State::Lingering:
-      return CallerWait::Close;
-    case State::Suspended:
-    case State::Closed:
-      return CallerWait::None;
+  if (this->state == State::Closed) {
+    return CallerWait::None;
+  }
+  if (this->state == State::Lingering) {
+    return CallerWait::Close;
   }
   if (!this->parser || !this->parser->HasStarted()) {
-    return CallerWait::Request;
+    return this->pipeline.IsEmpty() ? CallerWait::Request : CallerWait::None;
+  }
+  // A caller is not late while nothing is read from it, or while it waits to be
+  // told to continue.
+  const bool waitsToContinue = !this->pipeline.IsEmpty() &&
+                               !this->wasContinueSent &&
+                               this->parser->ExpectsContinue();
+  if (this->isSending || !this->pipeline.MayRead() || waitsToContinue) {
+    return CallerWait::None;
   }
   return this->parser->State() == RequestState::ReadingHead
            ? CallerWait::Head
            : CallerWait::Transfer;
 }
 
-/** Starts the time of the current wait when it begins. */
+/** Starts the time of the current waits when they begin. */
 void
-HttpConnection::UpdateTimer()
+HttpConnection::UpdateTimers()
 {
   const CallerWait wait = this->CurrentWait();
   if (wait != this->timer.Wait()) {
     this->timer.Start(wait, this->context.limits, this->context.clock.Now());
   }
+  const CallerWait sendWait = this->isSending && this->state == State::Open
+                                ? CallerWait::Transfer
+                                : CallerWait::None;
+  if (sendWait != this->sendTimer.Wait()) {
+    this->sendTimer.Start(
+      sendWait, this->context.limits, this->context.clock.Now());
+  }
+}
+
+void
+HttpConnection::CountMemory()
+{
+  if (this->state == State::Closed) {
+    return;
+  }
+  HeldBytes held = this->pipeline.Held();
+  held.reading =
+    this->unparsed.capacity() > kInlineBytes ? this->unparsed.capacity() : 0;
+  held.reading += this->parser ? this->parser->HeldBytes() : 0;
+  held.answers += this->outgoingBody.size();
+  this->memoryShare.Set(held, this->pipeline.HasUnanswered());
 }
 
 } // namespace lacewingwharf
--- a/src/proxy/httpconnection.h
+++ b/src/proxy/httpconnection.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "common/clock.h"
+#include "proxy/callermemory.h"
 #include "proxy/connectiontimer.h"
+#include "proxy/pipelinebudget.h"
 #include "proxy/requestparser.h"
+#include "proxy/requestpipeline.h"
 
 #include <cstdint>
 #include <functional>
@@ -17,18 +20,35 @@
 /** What all connections of one server share. It outlives them. */
 struct HttpConnectionContext
 {
+  HttpConnectionContext(const PipelineLimits& aLimits,
+                        const CallerMemoryLimits& aMemoryLimits)
+    : pipelineBudget(aLimits)
+    , memory(aMemoryLimits, this->clock)
+  {
+  }
+
   ConnectionLimits limits; // Of requests that begin from now on.
+
+  /** Applies limits that another thread has set since the last call. */
+  std::function<void()> refreshLimits;
   Clock clock = Clock::Steady();
   std::vector<char> readBuffer; // Holds no data between reads.
-  std::function<void(HttpConnection&, HttpRequest)> onRequest;
+  PipelineBudget pipelineBudget;
+  CallerMemory memory;
+  RequestId lastRequestId = 0;
+  std::string requestIdHeader; // Names requests in the log; may be empty.
 
-  /** The answer to the current request was completely sent. */
+  /** Whether a request may run beside others of its connection; may be null. */
+  std::function<bool(const HttpRequest&)> mayRunBeside;
+  std::function<void(HttpConnection&, RequestId, HttpRequest)> onRequest;
+
+  /** The answer to the first request was completely sent. */
   std::function<void(HttpConnection&)> onAnswered;
 
   /** The socket accepts no more bytes: EPOLLOUT events are needed from now. */
   std::function<void(HttpConnection&)> onWriteBlocked;
 
-  /** The connection closed, whatever its current request was waiting for. */
+  /** The connection closed, whatever its requests were waiting for. */
   std::function<void(HttpConnection&)> onClosed;
 
   /** Whether answers announce that their connection is closed after them. */
@@ -36,8 +56,9 @@
 };
 
 /**
- * A caller's connection. It reads one request, waits for its answer, sends it
- * and goes on with the next request. Only the server's thread may use it.
+ * A caller's connection. It reads requests, passes them on and sends their
+ * answers in order, as its RequestPipeline decides. Only the server's thread
+ * may use it.
  *
  * The socket is registered for edge-triggered events, so that no event has to
  * be enabled or disabled between the steps of a request.
@@ -49,9 +70,7 @@
 
   enum class State
   {
-    Reading,
-    Suspended, // The request was passed on and is not answered yet.
-    Answering,
+    Open,
     Lingering, // Discards what arrives until the caller closes.
     Closed
   };
@@ -69,11 +88,20 @@
   /** aEvents are those of epoll. */
   void HandleEvents(std::uint32_t aEvents);
 
-  /** Answers the request of a suspended connection. */
-  void Answer(HttpAnswer aAnswer);
+  /** Answers a request once those before it are answered. */
+  void Answer(RequestId aRequest, HttpAnswer aAnswer);
+
+  /** Closes the connection once the requests before this one are answered. */
+  void Abort(RequestId aRequest);
 
   /** Ends the connection if its caller has taken longer than allowed. */
   void CheckTimeout();
+
+  /**
+   * Ends the connection because of a limit: refuses the request that is being
+   * read, which did not run, or closes.
+   */
+  void End(const CallerToEnd& aEnd);
   void Close();
 
   std::uint64_t Id() const;
@@ -82,6 +110,9 @@
   /** Whether the caller has closed the connection. */
   bool HasHungUp() const;
 
+  /** The requests that are not answered yet or whose answer is being sent. */
+  const std::vector<PipelinedRequest>& Requests() const;
+
 private:
   void Run();
   bool Step();
@@ -90,31 +121,41 @@
   bool Flush();
   long Receive();
   void Parse(std::string_view aBytes);
+  void ParseStored();
+  std::size_t Feed(std::string_view aBytes);
   void HandleParsed();
+  void AddRequest();
+  bool PassOn();
+  bool SendContinue();
   void Refuse(const RequestRefusal& aRefusal);
-  void StartAnswer(HttpAnswer aAnswer, bool aCloses);
+  void DiscardUnread();
+  bool StartAnswer();
+  void RecordWait(const PipelinedRequest& aRequest);
   bool FinishAnswer();
-  void SetState(State aState);
   CallerWait CurrentWait() const;
-  void UpdateTimer();
+  void UpdateTimers();
+  void CountMemory();
   bool IsExpired() const;
 
   HttpConnectionContext& context;
   std::uint64_t id;
   int socket;
   std::string callerAddress;
-  State state = State::Reading;
+  State state = State::Open;
   bool mayRead = false;
   bool mayWrite = true;
   bool hasHungUp = false;
   bool wasContinueSent = false;
-  bool isAnswerToHead = false;
-  bool keepsConnection = true;
+  bool isSending = false; // The first answer of the pipeline.
   bool closesAfterAnswer = false;
   bool isEndOfBodyTheClose = false;
-  ConnectionTimer timer;
+  CallerMemory::Share memoryShare;
+  RequestPipeline pipeline;
+  ConnectionTimer timer; // What is read.
+  ConnectionTimer sendTimer;
   std::size_t discardedBytes = 0;
   std::string unparsed;
+  std::size_t parsedBytes = 0;           // Of the above; not removed yet.
   std::unique_ptr<RequestParser> parser; // Null between two requests.
   std::string outgoingHead;
   std::string outgoingBody;
@@ -139,4 +180,10 @@
   return this->hasHungUp;
 }
 
+inline const std::vector<PipelinedRequest>&
+HttpConnection::Requests() const
+{
+  return this->pipeline.Requests();
+}
+
 } // namespace lacewingwharf
--- a/src/proxy/httpserver.cpp
+++ b/src/proxy/httpserver.cpp
@@ -67,4 +67,16 @@
   return this->impl->AnswersLost();
 }
 
+PipelineCounts
+HttpServer::Pipelining() const
+{
+  return this->impl->Pipelining();
+}
+
+CallerMemoryCounts
+HttpServer::Memory() const
+{
+  return this->impl->Memory();
+}
+
 } // namespace lacewingwharf
--- a/src/proxy/httpserver.h
+++ b/src/proxy/httpserver.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "proxy/callermemory.h"
 #include "proxy/connectionlimits.h"
 #include "proxy/httptypes.h"
+#include "proxy/pipelinebudget.h"
 
 #include <cstdint>
 #include <functional>
@@ -10,15 +12,14 @@
 
 namespace lacewingwharf {
 
-/** Identifies a request within a server. Ids are never reused. */
-using RequestId = std::uint64_t;
-
 struct HttpServerConfig
 {
   std::string address;
   int port = 0;
   ConnectionLimits limits;
   std::size_t maxConnections = 2000;
+  PipelineLimits pipeline;
+  CallerMemoryLimits memory;
 
   /** Names the request in the log; empty if requests have no ids. */
   std::string requestIdHeader;
@@ -26,8 +27,8 @@
 
 /**
  * Receives HTTP requests on a thread of its own. Each request is passed to a
- * handler once it is complete. Its connection is suspended until any thread
- * calls Answer() or Abort().
+ * handler once it is complete and may run. Any thread ends it with Answer() or
+ * Abort(). Answers are sent in the order of the requests of their connection.
  *
  * An answer needs no memory that the request could have used up: whatever the
  * shape of a head within the limits, its request can be answered.
@@ -45,6 +46,13 @@
      * closes its connection.
      */
     std::function<void(RequestId)> onCallerDisconnected;
+
+    /**
+     * Called on the server thread. Whether a request may run beside others of
+     * its connection. Without it, requests are neither read ahead nor run
+     * beside one another.
+     */
+    std::function<bool(const HttpRequest&)> mayRunBeside = {};
   };
 
   HttpServer(HttpServerConfig aConfig, Handlers aHandlers);
@@ -86,6 +94,9 @@
    */
   std::uint64_t AnswersLost() const;
 
+  PipelineCounts Pipelining() const;
+  CallerMemoryCounts Memory() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/src/proxy/httpserverimpl.cpp
+++ b/src/proxy/httpserverimpl.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <iterator>
 #include <utility>
 
 namespace lacewingwharf {
@@ -31,6 +32,16 @@
 // Timeouts are checked this often, so a connection can exceed its own by this.
 constexpr Millis kTimeoutCheckInterval = 2000;
 
+/** Without the hook no two requests run at once, so none is read ahead. */
+PipelineLimits
+PipelineLimitsOf(const HttpServerConfig& aConfig,
+                 const HttpServer::Handlers& aHandlers)
+{
+  PipelineLimits limits = aConfig.pipeline;
+  limits.requests = aHandlers.mayRunBeside ? limits.requests : 0;
+  return limits;
+}
+
 } // namespace
 
 HttpServer::Impl::Impl(HttpServerConfig aConfig, Handlers aHandlers)
@@ -40,14 +51,18 @@
     const std::lock_guard lock(this->mutex);
     this->accepted.push_back({ aSocket, std::move(aCallerAddress) });
   })
+  , context(PipelineLimitsOf(this->config, this->handlers), this->config.memory)
   , lastConnectionId(kWakeToken)
 {
-  this->context.limits = this->config.limits;
+  this->context.requestIdHeader = this->config.requestIdHeader;
+  this->context.mayRunBeside = this->handlers.mayRunBeside;
+  this->context.limits = this->BoundedLimits(this->config.limits);
   this->context.readBuffer.resize(kReadBufferBytes);
-  this->context.onRequest = [this](HttpConnection& aConnection,
-                                   HttpRequest aRequest) {
-    this->HandleRequest(aConnection, std::move(aRequest));
-  };
+  this->context.refreshLimits = [this] { this->ApplyNewLimits(); };
+  this->context.onRequest =
+    [this](HttpConnection& aConnection, RequestId aId, HttpRequest aRequest) {
+      this->HandleRequest(aConnection, aId, std::move(aRequest));
+    };
   this->context.onAnswered = [this](HttpConnection& aConnection) {
     this->HandleAnswered(aConnection);
   };
@@ -151,8 +166,9 @@
   }
   if (const auto found = this->connections.find(aToken);
       found != this->connections.end()) {
-    const HttpConnection::Ptr connection = found->second.connection;
+    const HttpConnection::Ptr connection = found->second;
     connection->HandleEvents(aEvents);
+    this->EndOverLimits();
   }
 }
 
@@ -161,13 +177,12 @@
 HttpServer::Impl::HandleQueued()
 {
   this->hasOwnWork = false;
+  this->ApplyNewLimits();
   std::vector<FinishedRequest> requests;
   std::vector<AcceptedSocket> sockets;
   {
     const std::lock_guard lock(this->mutex);
     this->isWakePending = false;
-    this->context.limits = this->newLimits.value_or(this->context.limits);
-    this->newLimits.reset();
     requests.swap(this->finished);
     sockets.swap(this->accepted);
   }
@@ -179,18 +194,41 @@
     if (found == this->connections.end()) {
       continue;
     }
-    const HttpConnection::Ptr connection = found->second.connection;
+    const HttpConnection::Ptr connection = found->second;
     if (request.answer) {
-      connection->Answer(std::move(*request.answer));
+      connection->Answer(request.request, std::move(*request.answer));
     } else {
-      connection->Close();
+      connection->Abort(request.request);
     }
+    this->EndOverLimits();
+  }
+}
+
+void
+HttpServer::Impl::ApplyNewLimits()
+{
+  if (!this->hasNewLimits.exchange(false)) {
+    return;
+  }
+  const std::lock_guard lock(this->mutex);
+  if (this->newLimits) {
+    this->context.limits = this->BoundedLimits(*this->newLimits);
   }
+  this->newLimits.reset();
 }
 
 void
 HttpServer::Impl::AddConnection(const AcceptedSocket& aAccepted)
 {
+  if (!this->context.memory.MayOpen(aAccepted.callerAddress)) {
+    kLog.Decision("caller-ended",
+                  "caller={} limit=address-connections bound={} outcome=closed",
+                  aAccepted.callerAddress,
+                  this->config.memory.addressConnections);
+    this->context.memory.CountClosed(CallerLimit::AddressConnections);
+    close(aAccepted.socket);
+    return;
+  }
   const auto connection =
     std::make_shared<HttpConnection>(this->context,
                                      ++this->lastConnectionId,
@@ -207,13 +245,14 @@
   if (this->connections.empty()) {
     this->timeoutsDueAt = this->clock.Now() + kTimeoutCheckInterval;
   }
-  this->connections[connection->Id()].connection = connection;
+  this->connections[connection->Id()] = connection;
 }
 
 /** Leaves connections above the limit in the listen queue. */
 void
 HttpServer::Impl::LimitAccepting()
 {
+  this->MakeRoom();
   const bool mayAccept =
     this->connections.size() < this->config.maxConnections &&
     !this->hasNoDescriptors;
@@ -254,93 +293,12 @@
 {
   std::vector<HttpConnection::Ptr> open;
   open.reserve(this->connections.size());
-  std::ranges::transform(
-    this->connections, std::back_inserter(open), [](const auto& aOpen) {
-      return aOpen.second.connection;
-    });
+  std::ranges::transform(this->connections,
+                         std::back_inserter(open),
+                         [](const auto& aOpen) { return aOpen.second; });
   return open;
 }
 
-void
-HttpServer::Impl::HandleRequest(HttpConnection& aConnection,
-                                HttpRequest aRequest)
-{
-  const RequestId id = ++this->lastRequestId;
-  OpenConnection& open = this->connections.at(aConnection.Id());
-  open.request = id;
-  if (const auto name = aRequest.headers.find(this->config.requestIdHeader);
-      name != aRequest.headers.end()) {
-    open.requestName = name->second;
-  }
-  ++this->inFlight;
-  {
-    const std::lock_guard lock(this->mutex);
-    this->unanswered.emplace(id, aConnection.Id());
-  }
-  this->handlers.onRequest(id, std::move(aRequest));
-}
-
-void
-HttpServer::Impl::HandleAnswered(HttpConnection& aConnection)
-{
-  OpenConnection& open = this->connections.at(aConnection.Id());
-  if (open.request != 0) {
-    open.request = 0;
-    open.requestName.clear();
-    --this->inFlight;
-  }
-}
-
-void
-HttpServer::Impl::HandleClosed(HttpConnection& aConnection)
-{
-  const auto found = this->connections.find(aConnection.Id());
-  if (found == this->connections.end()) {
-    return;
-  }
-  const OpenConnection open = std::move(found->second);
-  this->connections.erase(found);
-  if (open.request == 0) {
-    return;
-  }
-  --this->inFlight;
-  bool wasUnanswered = false;
-  {
-    const std::lock_guard lock(this->mutex);
-    wasUnanswered = this->unanswered.erase(open.request) > 0;
-  }
-  if (!aConnection.HasHungUp()) {
-    ++this->answersLost;
-    kLog.Warning("request {} ended without its whole answer: {}",
-                 open.requestName.empty() ? "-" : open.requestName,
-                 this->isStopping ? "the server stops"
-                                  : "its connection was closed");
-    return;
-  }
-  if (!wasUnanswered) {
-    return;
-  }
-  kLog.Debug("the caller of request {} has disconnected", open.request);
-  if (this->handlers.onCallerDisconnected) {
-    this->handlers.onCallerDisconnected(open.request);
-  }
-}
-
-/** Only the first answer of a request finds it in the table. */
-void
-HttpServer::Impl::Finish(RequestId aRequest, std::optional<HttpAnswer> aAnswer)
-{
-  const std::lock_guard lock(this->mutex);
-  const auto found = this->unanswered.find(aRequest);
-  if (found == this->unanswered.end()) {
-    kLog.Debug("dropped an answer: request {} has ended already", aRequest);
-    return;
-  }
-  this->finished.push_back({ found->second, std::move(aAnswer) });
-  this->unanswered.erase(found);
-  this->Wake();
-}
-
 /** The mutex must be locked. */
 void
 HttpServer::Impl::Wake()
@@ -352,18 +310,6 @@
   }
 }
 
-void
-HttpServer::Impl::Answer(RequestId aRequest, HttpAnswer aAnswer)
-{
-  this->Finish(aRequest, std::move(aAnswer));
-}
-
-void
-HttpServer::Impl::Abort(RequestId aRequest)
-{
-  this->Finish(aRequest, std::nullopt);
-}
-
 void
 HttpServer::Impl::AnnounceClose()
 {
@@ -375,6 +321,7 @@
 {
   const std::lock_guard lock(this->mutex);
   this->newLimits = aLimits;
+  this->hasNewLimits = true;
   this->Wake();
 }
 
@@ -419,4 +366,10 @@
   return this->answersLost;
 }
 
+PipelineCounts
+HttpServer::Impl::Pipelining() const
+{
+  return this->context.pipelineBudget.Counts();
+}
+
 } // namespace lacewingwharf
--- a/src/proxy/httpserverimpl.h
+++ b/src/proxy/httpserverimpl.h
@@ -30,6 +30,8 @@
   void Abort(RequestId aRequest);
   std::size_t InFlight() const;
   std::uint64_t AnswersLost() const;
+  PipelineCounts Pipelining() const;
+  CallerMemoryCounts Memory() const;
 
 private:
   struct AcceptedSocket
@@ -42,30 +44,31 @@
   struct FinishedRequest
   {
     std::uint64_t connection = 0;
+    RequestId request = 0;
     std::optional<HttpAnswer> answer;
   };
 
-  /** A connection and the request that it is working on. */
-  struct OpenConnection
-  {
-    HttpConnection::Ptr connection;
-    RequestId request = 0;   // 0 between two requests.
-    std::string requestName; // Its id for the log.
-  };
-
   bool OpenDescriptors();
   void CloseDescriptors();
   void Run();
   void HandleEvent(std::uint64_t aToken, std::uint32_t aEvents);
   void HandleQueued();
+  void ApplyNewLimits();
   void AddConnection(const AcceptedSocket& aAccepted);
   void LimitAccepting();
+  void MakeRoom();
+  void EndOverLimits();
+  void End(const CallerToEnd& aEnd);
+  ConnectionLimits BoundedLimits(const ConnectionLimits& aLimits) const;
   void CheckTimeouts();
   std::vector<HttpConnection::Ptr> OpenConnections() const;
   int WaitMillis() const;
-  void HandleRequest(HttpConnection& aConnection, HttpRequest aRequest);
+  void HandleRequest(HttpConnection& aConnection,
+                     RequestId aId,
+                     HttpRequest aRequest);
   void HandleAnswered(HttpConnection& aConnection);
   void HandleClosed(HttpConnection& aConnection);
+  void HandleUnfinished(const PipelinedRequest& aRequest, bool aHasHungUp);
   void Finish(RequestId aRequest, std::optional<HttpAnswer> aAnswer);
   void Wake();
 
@@ -80,14 +83,14 @@
   std::atomic<bool> isStopping{ false };
   std::atomic<bool> hasStoppedAccepting{ false };
   std::atomic<bool> isCloseAnnounced{ false };
+  std::atomic<bool> hasNewLimits{ false };
   std::atomic<std::size_t> inFlight{ 0 };
   std::atomic<std::uint64_t> answersLost{ 0 };
 
   // Used by the server thread only.
   HttpConnectionContext context;
-  std::unordered_map<std::uint64_t, OpenConnection> connections;
+  std::unordered_map<std::uint64_t, HttpConnection::Ptr> connections;
   std::uint64_t lastConnectionId;
-  RequestId lastRequestId = 0;
   bool isAccepting = true;
   bool hasNoDescriptors = false;
   bool hasOwnWork = false; // Queued by handlers that run on this thread.
--- a/src/proxy/httptransfer.cpp
+++ b/src/proxy/httptransfer.cpp
@@ -193,6 +193,9 @@
   }
   const std::string_view line = WithoutLineEnd({ aBytes, bytes });
   transfer->head.AddLine(line);
+  if (transfer->head.IsInvalid()) {
+    return 0; // Ends the transfer and closes the connection.
+  }
   if (transfer->head.IsComplete() && transfer->IsAnswerToOtherRequest()) {
     transfer->isForOtherRequest = true;
     return 0; // Ends the transfer and closes the connection.
@@ -264,6 +267,10 @@
     this->detail = "the answer is too long";
     return ExchangeEnd::Incomplete;
   }
+  if (this->head.IsInvalid()) {
+    this->detail = "the answer has no valid status";
+    return ExchangeEnd::Incomplete;
+  }
   if (this->isForOtherRequest) {
     this->detail = "the answer belongs to another request";
     return ExchangeEnd::Incomplete;
--- a/src/proxy/httptypes.h
+++ b/src/proxy/httptypes.h
@@ -17,6 +17,9 @@
 
 using HttpHeaders = std::map<std::string, std::string, HeaderLess>;
 
+/** Identifies a request within a server. Ids are never reused. */
+using RequestId = std::uint64_t;
+
 /** A complete request from a caller or an operator's tool. */
 struct HttpRequest
 {
@@ -26,6 +29,9 @@
   HttpHeaders headers;
   std::string body;
   std::string callerAddress;
+
+  /** How long it waited behind other requests of its connection. */
+  Millis waited = 0;
 };
 
 /** A complete HTTP answer. */
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -93,6 +94,14 @@
   epoll_ctl(this->epollDescriptor, EPOLL_CTL_MOD, this->socket, &event);
 }
 
+bool
+Listener::HasPending()
+{
+  const std::lock_guard lock(this->mutex);
+  pollfd waiting{ this->socket, POLLIN, 0 };
+  return this->socket >= 0 && poll(&waiting, 1, 0) > 0;
+}
+
 bool
 Listener::AcceptPending(std::size_t aMost)
 {
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -27,6 +27,9 @@
   bool Register(int aEpollDescriptor, std::uint64_t aToken);
   void SetEnabled(bool aIsEnabled);
 
+  /** Whether a connection waits to be accepted. */
+  bool HasPending();
+
   /**
    * Accepts up to aMost pending connections. Returns false when the process
    * has no descriptors left.
--- a/src/proxy/requestparser.cpp
+++ b/src/proxy/requestparser.cpp
@@ -29,10 +29,18 @@
 // built with assertions.
 constexpr std::size_t kLastChunkBytes = 5;
 
+// Memory of a header besides its texts: a node of the table and two strings. A
+// head of 16 KiB of empty headers takes 300 KiB.
+constexpr std::size_t kHeaderBytes = 128;
+
 // A larger body is refused by its size. This only limits how much memory is
 // reserved at once for an announced body.
 constexpr std::size_t kMaxReservedBytes = 65536;
 
+// A body that grows reserves up to twice its size. A complete one that has
+// reserved more than this gives it back; smaller ones are not copied for it.
+constexpr std::size_t kMaxBodyReserve = 1U << 20U;
+
 std::string
 ToString(beast::string_view aText)
 {
@@ -58,6 +66,7 @@
   HttpRequest request;
   bool isVersion11 = false;
   bool isBodyTooLong = false;
+  std::size_t headerBytes = 0; // Of the table of headers.
 
 private:
   void on_request_impl(http::verb /*aVerb*/,
@@ -86,6 +95,7 @@
                      beast::error_code& /*aError*/) override
   {
     if (!this->isHeadComplete) { // Trailers are dropped.
+      this->headerBytes += kHeaderBytes + aName.size() + aValue.size();
       AddRequestHeader(
         this->request.headers, ToString(aName), ToString(aValue));
     }
@@ -133,7 +143,13 @@
     return this->on_body_impl(aBytes, aError);
   }
 
-  void on_finish_impl(beast::error_code& /*aError*/) override {}
+  void on_finish_impl(beast::error_code& /*aError*/) override
+  {
+    std::string& body = this->request.body;
+    if (body.capacity() - body.size() >= kMaxBodyReserve) {
+      body.shrink_to_fit();
+    }
+  }
 
   std::size_t maxBodyBytes;
   bool isHeadComplete = false;
@@ -314,6 +330,19 @@
   return this->grammar->isVersion11 && this->grammar->keep_alive();
 }
 
+std::size_t
+RequestParser::StoredBytes() const
+{
+  return this->headBytes + this->grammar->request.body.size();
+}
+
+std::size_t
+RequestParser::HeldBytes() const
+{
+  const HttpRequest& request = this->grammar->request;
+  return this->headBytes + this->grammar->headerBytes + request.body.capacity();
+}
+
 HttpRequest
 RequestParser::TakeRequest()
 {
--- a/src/proxy/requestparser.h
+++ b/src/proxy/requestparser.h
@@ -68,6 +68,15 @@
   /** Whether the caller reuses the connection after this request. */
   bool KeepsConnection() const;
 
+  /** Bytes of the request that are stored so far. */
+  std::size_t StoredBytes() const;
+
+  /**
+   * Memory that the request takes so far, with that of its headers besides
+   * their texts and the reserve of its body.
+   */
+  std::size_t HeldBytes() const;
+
   HttpRequest TakeRequest();
 
 private:
--- a/src/routing/ejectionpolicy.cpp
+++ b/src/routing/ejectionpolicy.cpp
@@ -26,7 +26,8 @@
 void
 EjectionPolicy::RecordAttemptEnd(CallEnd aEnd, double aNow)
 {
-  if (aEnd == CallEnd::Refused) {
+  if (aEnd == CallEnd::Refused || aEnd == CallEnd::Unused ||
+      aEnd == CallEnd::Slow) {
     return;
   }
   this->Decay(aNow);
--- a/src/routing/endpointstats.cpp
+++ b/src/routing/endpointstats.cpp
@@ -9,6 +9,11 @@
 
 constexpr double kLatencyDecayMillis = 5000;
 constexpr double kSlowStartMillis = 5000;
+
+// An endpoint whose attempts are all given up is assumed to take up to 16 times
+// as long as they were waited for. With the time that they were waited for, a
+// slow endpoint got more calls than without second attempts, and p99 rose.
+constexpr int kMaxSlowInARow = 4;
 constexpr double kMinSlowStartWeight = 0.1;
 
 // A load report loses most of its weight in the time in which the queue of a
@@ -36,6 +41,9 @@
                         aObservation.end == CallEnd::Failed;
   if (isAnswer) {
     this->AddLatency(aObservation.latencyMillis, aNow);
+    this->slowInARow = 0;
+  } else if (aObservation.end == CallEnd::Slow) {
+    this->AddLowerBound(aObservation.latencyMillis, aNow);
   }
   if (aObservation.running >= 0 && aObservation.slots > 0) {
     const int calls = aObservation.running + std::max(0, aObservation.waiting);
@@ -95,6 +103,21 @@
   return weight * std::min(kMaxReportedLoad, this->reported);
 }
 
+/**
+ * The latency of an attempt that was given up is at least aMillis. The longer
+ * the endpoint gives no answer, the higher it is assumed to be. It only raises
+ * the average.
+ */
+void
+EndpointStats::AddLowerBound(double aMillis, double aNow)
+{
+  this->slowInARow = std::min(this->slowInARow + 1, kMaxSlowInARow);
+  const double assumed = std::ldexp(aMillis, this->slowInARow);
+  if (assumed > this->Latency(aNow)) {
+    this->AddLatency(assumed, aNow);
+  }
+}
+
 void
 EndpointStats::AddLatency(double aMillis, double aNow)
 {
--- a/src/routing/endpointstats.h
+++ b/src/routing/endpointstats.h
@@ -36,6 +36,7 @@
   double SlowStartWeight(double aNow) const;
   double ReportedLoad(double aNow) const;
   void AddLatency(double aMillis, double aNow);
+  void AddLowerBound(double aMillis, double aNow);
 
   int outstanding = 0;
   double latency = 0;
@@ -43,6 +44,7 @@
   double slowStartAt = -1; // Negative before the first slow start.
   double reported = 0;     // Running and waiting calls per slot.
   double reportedAt = -1;
+  int slowInARow = 0; // Attempts given up since the last answer.
 };
 
 inline int
--- a/src/routing/serverchooser.h
+++ b/src/routing/serverchooser.h
@@ -53,6 +53,8 @@
   Succeeded,
   Failed,  // 5xx answer of the backend server, answer cut off or timeout.
   Refused, // By the destination for lack of capacity; no sign of a fault.
+  Unused,  // Another attempt was answered first.
+  Slow,    // A later attempt was answered first; latency is a lower bound.
   Lost     // No session, no connection, or the backend server died.
 };
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -38,6 +38,9 @@
 
   /** Bounds as NAME=VALUE, with the names that the platform uses. */
   std::vector<std::string> bounds;
+
+  /** Optional parts of the site's rules that are in use, such as "rollout". */
+  std::vector<std::string> contracts;
 };
 
 /** A peer that is reached through a port forwarder. */
@@ -57,6 +60,7 @@
   std::string domain;
   LogLevel logLevel = LogLevel::Info;
   Millis stopLimit = 30000;
+  double linkRate = 0; // Mbit/s; 0 means not known.
 
   // [peer]
   int peerPort = 7100;
@@ -67,6 +71,16 @@
   int adminPort = 8081;
   int maxBodyBytes = 4194304;
   int maxConnections = 2000;
+  int pipelineRequests = 32;
+  int pipelineBytes = 1048576;
+  int pipelineTotalBytes = 16777216;
+  int callerBytes = 67108864;
+  int callerConnectionBytes = 33554432;
+  int callerAddressBytes = 0;       // 0 means as callerBytes.
+  int callerAddressConnections = 0; // 0 means as maxConnections.
+
+  // [calls]
+  double hedgeShare = 0; // Of a service's calls; 0 means no second attempts.
 
   // [platform]
   SocketAddress platform;
--- a/src/settings/settingskeys.cpp
+++ b/src/settings/settingskeys.cpp
@@ -44,6 +44,17 @@
   return value;
 }
 
+std::optional<double>
+ParseReal(std::string_view aText, double aLow, double aHigh)
+{
+  double value = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, value);
+  const bool isValid = parsed.ec == std::errc() && parsed.ptr == end &&
+                       value >= aLow && value <= aHigh;
+  return isValid ? std::optional(value) : std::nullopt;
+}
+
 bool
 IsIpAddress(const std::string& aText)
 {
@@ -128,6 +139,32 @@
            } };
 }
 
+/**
+ * A platform that does not know the rate leaves the value empty or the
+ * placeholder of the template as it is.
+ */
+bool
+AssignLinkRate(Settings& aSettings, std::string_view aText)
+{
+  constexpr double kMaxLinkRate = 1000000;
+  if (aText.empty() || (aText.starts_with("{{") && aText.ends_with("}}"))) {
+    aSettings.linkRate = 0;
+    return true;
+  }
+  const auto value = ParseReal(aText, 0, kMaxLinkRate);
+  aSettings.linkRate = value.value_or(aSettings.linkRate);
+  return value.has_value();
+}
+
+bool
+AssignHedgeShare(Settings& aSettings, std::string_view aText)
+{
+  constexpr double kMaxHedgeShare = 0.2;
+  const auto value = ParseReal(aText, 0, kMaxHedgeShare);
+  aSettings.hedgeShare = value.value_or(aSettings.hedgeShare);
+  return value.has_value();
+}
+
 bool
 AssignAddress(Settings& aSettings, std::string_view aText)
 {
@@ -241,6 +278,18 @@
         return aText.find('=') != std::string_view::npos;
       },
       true },
+    { "site",
+      "contracts",
+      false,
+      "a comma-separated list of names",
+      [](Settings& aSettings, std::string_view aText) {
+        const auto parts = SplitList(aText);
+        std::ranges::copy_if(parts,
+                             std::back_inserter(aSettings.site.contracts),
+                             [](const auto& aPart) { return !aPart.empty(); });
+        return true;
+      },
+      true },
   };
 }
 
@@ -260,6 +309,11 @@
         return Log::ParseLevel(aText, aSettings.logLevel);
       } },
     NumberKey("daemon", "stoplimit", &Settings::stopLimit, 100, kHourMillis),
+    { "daemon",
+      "linkrate",
+      false,
+      "a rate, which may be empty, from 0 to 1000000 Mbit/s",
+      AssignLinkRate },
     NumberKey("peer", "port", &Settings::peerPort, 1, kMaxPort),
     { "peer",
       "forwards",
@@ -271,6 +325,31 @@
     NumberKey("http", "adminport", &Settings::adminPort, 1, kMaxPort),
     NumberKey("http", "maxbodybytes", &Settings::maxBodyBytes, 1024, 8 << 20),
     NumberKey("http", "maxconnections", &Settings::maxConnections, 1, 60000),
+    NumberKey("http", "pipelinerequests", &Settings::pipelineRequests, 0, 1000),
+    NumberKey("http", "pipelinebytes", &Settings::pipelineBytes, 1024, 1 << 28),
+    NumberKey("http",
+              "pipelinetotalbytes",
+              &Settings::pipelineTotalBytes,
+              1024,
+              1 << 30),
+    NumberKey("http", "callerbytes", &Settings::callerBytes, 1 << 20, 1 << 30),
+    NumberKey("http",
+              "callerconnectionbytes",
+              &Settings::callerConnectionBytes,
+              65536,
+              1 << 30),
+    NumberKey(
+      "http", "calleraddressbytes", &Settings::callerAddressBytes, 0, 1 << 30),
+    NumberKey("http",
+              "calleraddressconnections",
+              &Settings::callerAddressConnections,
+              0,
+              60000),
+    { "calls",
+      "hedgeshare",
+      false,
+      "a fraction from 0 to 0.2",
+      AssignHedgeShare },
     { "platform", "address", true, "IPV4:PORT", AssignPlatformAddress },
     NameKey("platform", "region", &Settings::platformRegion),
     NumberKey("platform", "timeout", &Settings::platformTimeout, 50, 60000),
--- a/src/settings/settingsreader_test.cpp
+++ b/src/settings/settingsreader_test.cpp
@@ -82,3 +82,44 @@
                                     "[peer]\nforwards = 127.0.1.1:7100\n");
   cr_assert(broken.has_error());
 }
+
+// A platform may not tell the rate of the link. The daemon must start then, but
+// not with a rate that is no number.
+Test(settingsreader, TheRateOfTheLinkMayBeMissing)
+{
+  const auto read = [](const char* aLine) {
+    return ParseSettings(std::string(kRequiredSettings) + "[daemon]\n" + aLine +
+                         "\n");
+  };
+  cr_expect_eq(read("linkrate = 10.5").value().linkRate, 10.5);
+  for (const char* line : { "", "linkrate =", "linkrate = {{a.b}}" }) {
+    const auto settings = read(line);
+    cr_assert(settings.has_value(), "%s", line);
+    cr_expect_eq(settings.value().linkRate, 0);
+  }
+  for (const char* line :
+       { "linkrate = -1", "linkrate = fast", "linkrate = nan" }) {
+    cr_expect_not(read(line).has_value(), "%s", line);
+  }
+}
+
+// A share above a fifth is more work than second attempts are meant for, and a
+// text that is no fraction must not silently turn them on or off.
+Test(settingsreader, TheShareOfSecondAttemptsIsAFractionOrOff)
+{
+  const auto read = [](const char* aLine) {
+    return ParseSettings(std::string(kRequiredSettings) + "[calls]\n" + aLine +
+                         "\n");
+  };
+  cr_expect_eq(read("").value().hedgeShare, 0);
+  cr_expect_eq(read("hedgeshare = 0").value().hedgeShare, 0);
+  cr_expect_eq(read("hedgeshare = 0.05").value().hedgeShare, 0.05);
+  cr_expect_eq(read("hedgeshare = 0.2").value().hedgeShare, 0.2);
+  for (const char* line : { "hedgeshare =",
+                            "hedgeshare = 0.21",
+                            "hedgeshare = -0.01",
+                            "hedgeshare = 5%",
+                            "hedgeshare = nan" }) {
+    cr_expect_not(read(line).has_value(), "%s", line);
+  }
+}
--- a/src/store/callcounts.cpp
+++ b/src/store/callcounts.cpp
@@ -19,7 +19,9 @@
     return result->error();
   });
   if (error) {
-    return failure(std::move(*error));
+    PlatformResult<Value> failed = failure(std::move(*error));
+    failed.era = result ? result->era : std::nullopt;
+    return failed;
   }
   return std::move(*result);
 }
@@ -82,6 +84,16 @@
       return store->watch(aPrefix, aSince, aTimeout);
     });
   };
+  if (!store->putStatus) {
+    return wrapped;
+  }
+  wrapped.putStatus = [store, wrapper](const std::string& aName,
+                                       const std::string& aStatus,
+                                       std::int64_t aExpected) {
+    return RunWrapped<std::int64_t>(*wrapper, CallKind::Put, [&] {
+      return store->putStatus(aName, aStatus, aExpected);
+    });
+  };
   return wrapped;
 }
 
--- a/src/store/httpobjectstore.cpp
+++ b/src/store/httpobjectstore.cpp
@@ -96,7 +96,7 @@
       return failure(MalformedError("the answer has no revision"));
     }
     return StoredObject{
-      aName, answer.value().objectRevision, answer.value().body, false
+      aName, answer.value().objectRevision, answer.value().body, false, {}
     };
   }
 
--- a/src/store/objectstore.h
+++ b/src/store/objectstore.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,7 +22,8 @@
   TooLarge,
   Throttled,
   Compacted,
-  Malformed
+  Malformed,
+  Stale // From before a restore of the store that is already known.
 };
 
 inline constexpr auto kPlatformErrorNames = MakeNameTable<PlatformErrorCode>(
@@ -32,11 +34,12 @@
     { PlatformErrorCode::TooLarge, "too-large" },
     { PlatformErrorCode::Throttled, "throttled" },
     { PlatformErrorCode::Compacted, "compacted" },
-    { PlatformErrorCode::Malformed, "malformed" } });
+    { PlatformErrorCode::Malformed, "malformed" },
+    { PlatformErrorCode::Stale, "stale" } });
 
 /**
- * Unreachable means that the request was never sent. After TimedOut it is
- * unknown whether a write has taken effect.
+ * Unreachable means that the request was never sent. After TimedOut and Stale
+ * it is unknown whether a write has taken effect.
  */
 struct PlatformError
 {
@@ -44,8 +47,19 @@
   std::string detail;
 };
 
+/** The value or the error of a call, and the era of the store's response. */
 template<typename Value>
-using PlatformResult = Result<Value, PlatformError>;
+class PlatformResult : public Result<Value, PlatformError>
+{
+public:
+  using Result<Value, PlatformError>::Result;
+
+  /**
+   * Rises each time the store is restored from a copy. Empty if the store does
+   * not report it, or if there was no response.
+   */
+  std::optional<std::int64_t> era;
+};
 
 /**
  * An object and the revision of its last write. Revisions count the writes of
@@ -57,6 +71,12 @@
   std::int64_t revision = 0;
   std::string value;
   bool isDeleted = false; // Only watches return deleted objects.
+
+  /** JSON of the part that only the system writes; empty if there is none. */
+  std::string status;
+
+  /** An operator has deleted the object, which waits for a finalizer. */
+  bool isDeletionRequested = false;
 };
 
 /** The objects under a prefix and the store's revision when it was read. */
@@ -105,6 +125,16 @@
                                            std::int64_t aSince,
                                            Millis aTimeout)>
     watch;
+
+  /**
+   * Replaces the status of an object and keeps its value. Returns the new
+   * revision, or Conflict if the object's revision is not aExpected. Empty in
+   * stores whose objects have no status.
+   */
+  std::function<PlatformResult<std::int64_t>(const std::string& aName,
+                                             const std::string& aStatus,
+                                             std::int64_t aExpected)>
+    putStatus;
 };
 
 } // namespace lacewingwharf
--- a/src/store/platformwatch.cpp
+++ b/src/store/platformwatch.cpp
@@ -22,6 +22,7 @@
   , config(std::move(aConfig))
   , hook(std::move(aHook))
   , backoff(this->config.backoff, std::move(aRandom))
+  , watchTimeout(this->config.watchTimeout)
 {
 }
 
@@ -60,6 +61,7 @@
     }
     this->isActive = aIsActive;
     this->revision = aKnownRevision;
+    this->era.reset();
     this->isWorking = false;
     ++this->activation;
   }
@@ -81,28 +83,63 @@
   std::unique_lock lock(this->mutex);
   this->stateChanged.wait(
     lock, [this] { return this->isStopping || this->isActive; });
-  aPosition = { this->activation, this->revision };
+  aPosition = { this->activation, this->revision, this->era };
   return !this->isStopping;
 }
 
+bool
+PlatformWatch::HasLostPosition(const Position& aPosition,
+                               const PlatformResult<ObjectList>& aResult) const
+{
+  if (!aResult || !aResult.era || !aPosition.revision) {
+    return false;
+  }
+  // Revisions are issued again after a restore, so those of two eras cannot be
+  // compared. A response without changes is no exception: the revision may be
+  // one that the store has not issued again yet.
+  return (aPosition.era && *aPosition.era != *aResult.era) ||
+         aResult.value().revision < *aPosition.revision;
+}
+
 void
 PlatformWatch::RunStep(const Position& aPosition)
 {
   const bool isFullList = !aPosition.revision;
+  const Millis timeout = this->watchTimeout;
   const Millis start = Clock::Steady().Now();
-  auto result = isFullList ? this->store.list(this->config.prefix)
-                           : this->store.watch(this->config.prefix,
-                                               *aPosition.revision,
-                                               this->config.watchTimeout);
+  auto result =
+    isFullList
+      ? this->store.list(this->config.prefix)
+      : this->store.watch(this->config.prefix, *aPosition.revision, timeout);
+  // An answer that is read late, because this process was paused or the link
+  // delivered nothing, says nothing about the time after the platform sent it.
+  const Millis coveredUntil =
+    isFullList ? start : std::min(start + timeout, Clock::Steady().Now());
+  if (this->HasLostPosition(aPosition, result)) {
+    kLog.Decision("watch-restarted",
+                  "prefix={} era_before={} era={} revision_before={} "
+                  "revision={}",
+                  this->config.prefix,
+                  aPosition.era.value_or(0),
+                  result.era.value_or(0),
+                  aPosition.revision.value_or(0),
+                  result.value().revision);
+    result = failure(
+      PlatformError{ PlatformErrorCode::Compacted, "the store was restored" });
+  }
   Millis pause = 0;
   if (!this->ApplyResult(aPosition, result, pause)) {
     return;
   }
+  const bool isAnswered = result.has_value();
   const bool hasNothingNew =
     result && !isFullList && result.value().objects.empty();
   if (!hasNothingNew) {
     this->hook(std::move(result), isFullList);
   }
+  if (isAnswered && this->config.onAnswered) {
+    this->config.onAnswered(coveredUntil);
+  }
   const Millis elapsed = Clock::Steady().Now() - start;
   this->Pause(std::max(pause, this->config.minInterval - elapsed),
               aPosition.activation);
@@ -121,6 +158,7 @@
     this->lastAnswerTime = Clock::Steady().Now();
     this->isWorking = true;
     this->revision = aResult.value().revision;
+    this->era = aResult.era;
     this->backoff.Reset();
     return true;
   }
--- a/src/store/platformwatch.h
+++ b/src/store/platformwatch.h
@@ -28,12 +28,18 @@
    */
   Millis minInterval = 20;
   BackoffConfig backoff;
+
+  /**
+   * Called on the watch thread after each answer, once the hook has its
+   * changes. The platform had no later change at aTime. May be empty.
+   */
+  std::function<void(Millis aTime)> onAnswered{};
 };
 
 /**
  * A thread that, while active, lists a prefix and then watches it for changes.
  * It lists the prefix again if the platform has discarded the changes since
- * the last known revision.
+ * the last known revision, or was restored from a copy.
  */
 class PlatformWatch
 {
@@ -70,6 +76,9 @@
   void SetActive(bool aIsActive,
                  std::optional<std::int64_t> aKnownRevision = std::nullopt);
 
+  /** Changes PlatformWatchConfig::watchTimeout for the next calls. */
+  void SetWatchTimeout(Millis aTimeout);
+
   const CallCounts& Counts() const;
 
   /** Whether the watch is active and its last call was answered. */
@@ -87,10 +96,15 @@
   {
     std::uint64_t activation = 0;
     std::optional<std::int64_t> revision;
+    std::optional<std::int64_t> era; // Of the response with the revision.
   };
 
   void Run();
   bool WaitUntilActive(Position& aPosition);
+
+  /** Whether the watch that got aResult started from a state that is lost. */
+  bool HasLostPosition(const Position& aPosition,
+                       const PlatformResult<ObjectList>& aResult) const;
   void RunStep(const Position& aPosition);
 
   /**
@@ -113,11 +127,19 @@
   bool isActive = false;
   std::uint64_t activation = 0; // Results of earlier activations are dropped.
   std::optional<std::int64_t> revision; // Empty if a list is needed.
+  std::atomic<Millis> watchTimeout;
+  std::optional<std::int64_t> era; // Of the response with the revision.
   std::atomic<Millis> lastAnswerTime = 0;
   std::atomic<bool> isWorking = false;
   std::thread thread;
 };
 
+inline void
+PlatformWatch::SetWatchTimeout(Millis aTimeout)
+{
+  this->watchTimeout = aTimeout;
+}
+
 inline const CallCounts&
 PlatformWatch::Counts() const
 {
--- a/src/store/platformworker.cpp
+++ b/src/store/platformworker.cpp
@@ -84,6 +84,9 @@
 PlatformWorker::RunWithinBudget(
   const std::function<std::optional<PlatformError>()>& aCall)
 {
+  if (this->mustEndBackoff.exchange(false)) {
+    this->budget.RecordResult(std::nullopt);
+  }
   if (auto backoffError = this->budget.BackoffError()) {
     return backoffError;
   }
--- a/src/store/platformworker.h
+++ b/src/store/platformworker.h
@@ -5,6 +5,7 @@
 #include "store/callcounts.h"
 #include "store/platformjob.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -41,6 +42,12 @@
   /** Returns false if the queue is full or the worker has stopped. */
   bool Submit(PlatformJob aJob);
 
+  /**
+   * Lets the next call be sent without waiting for the end of a backoff; for
+   * use when there is other evidence that the platform works again.
+   */
+  void EndBackoff();
+
   const CallCounts& Counts() const;
   std::uint64_t Overflows() const;
 
@@ -62,6 +69,7 @@
   ObjectStore store;
   Post post;
   CallBudget budget;
+  std::atomic<bool> mustEndBackoff = false;
   Ring<PlatformJob> jobs;
   std::mutex mutex;
   std::condition_variable stopped;
@@ -75,6 +83,12 @@
   return *this->counts;
 }
 
+inline void
+PlatformWorker::EndBackoff()
+{
+  this->mustEndBackoff = true;
+}
+
 inline std::uint64_t
 PlatformWorker::Overflows() const
 {
--- a/src/store/storetransfer.cpp
+++ b/src/store/storetransfer.cpp
@@ -1,7 +1,10 @@
 #include "store/storetransfer.h"
 
+#include "common/httpstatus.h"
+
 #include <curl/curl.h>
 #include <fmt/format.h>
+#include <strings.h>
 
 #include <algorithm>
 #include <array>
@@ -13,7 +16,7 @@
 
 namespace {
 
-constexpr std::string_view kRevisionHeader = "object-revision:";
+constexpr std::string_view kRevisionHeader = "Object-Revision";
 
 struct TransferState
 {
@@ -21,6 +24,7 @@
   TransferAnswer answer;
   std::size_t sentBytes = 0;
   bool isTooLarge = false;
+  bool hasInvalidStatus = false;
 };
 
 std::size_t
@@ -36,23 +40,47 @@
   return bytes;
 }
 
+/** The number in a header line, if the line is the named header. */
+std::optional<std::int64_t>
+NumberInHeader(std::string_view aLine, std::string_view aName)
+{
+  if (aName.empty() || aLine.size() <= aName.size() ||
+      aLine[aName.size()] != ':' ||
+      strncasecmp(aLine.data(), aName.data(), aName.size()) != 0) {
+    return std::nullopt;
+  }
+  std::string_view text = aLine.substr(aName.size() + 1);
+  text.remove_prefix(std::min(text.find_first_not_of(" \t"), text.size()));
+  text = text.substr(0, text.find_last_not_of(" \t\r\n") + 1);
+  std::int64_t number = 0;
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool isNumber =
+    error == std::errc() && end == text.data() + text.size() && number >= 0;
+  return isNumber ? std::optional(number) : std::nullopt;
+}
+
 std::size_t
 OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aState)
 {
   auto& state = *static_cast<TransferState*>(aState);
   const std::size_t bytes = aSize * aCount;
-  std::string line(aData, bytes);
-  std::ranges::transform(line, line.begin(), [](unsigned char aCharacter) {
-    return static_cast<char>(std::tolower(aCharacter));
-  });
-  if (line.starts_with(kRevisionHeader)) {
-    const auto begin = line.find_first_not_of(' ', kRevisionHeader.size());
-    if (begin != std::string::npos) {
-      std::from_chars(line.data() + begin,
-                      line.data() + line.size(),
-                      state.answer.objectRevision);
+  std::string_view line(aData, bytes);
+  line = line.substr(0, line.find_last_not_of("\r\n") + 1);
+  if (IsStatusLine(line)) {
+    // A head with an interim status may precede the answer.
+    state.answer.era.reset();
+    state.hasInvalidStatus = !IsAnswerStatus(ParseStatusLine(line).value_or(0));
+    if (state.hasInvalidStatus) {
+      return 0; // Ends the transfer and closes the connection.
     }
   }
+  if (const auto revision = NumberInHeader(line, kRevisionHeader)) {
+    state.answer.objectRevision = *revision;
+  }
+  if (const auto era = NumberInHeader(line, state.request->eraHeader)) {
+    state.answer.era = *era;
+  }
   return bytes;
 }
 
@@ -187,6 +215,12 @@
       return { PlatformErrorCode::TooLarge,
                "the answer exceeds the size limit" };
     }
+    if (aState.hasInvalidStatus) {
+      // A write may have taken effect.
+      return { PlatformErrorCode::TimedOut,
+               fmt::format("{}: the answer has no valid status",
+                           aState.request->url) };
+    }
     long sentBytes = 0;
     curl_easy_getinfo(this->handle, CURLINFO_REQUEST_SIZE, &sentBytes);
     const auto code = sentBytes == 0 ? PlatformErrorCode::Unreachable
--- a/src/store/storetransfer.h
+++ b/src/store/storetransfer.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
   std::string url;
   std::string body;
   std::vector<std::string> headers;
+
+  /** Name of the header with the era of the store; empty if it has none. */
+  std::string eraHeader;
   Millis connectTimeout = 0;
   Millis timeout = 0;
   std::size_t maxAnswerBytes = 0;
@@ -34,6 +38,7 @@
 {
   long status = 0;
   std::int64_t objectRevision = -1; // -1 if the header is absent.
+  std::optional<std::int64_t> era;  // Empty if the header is absent.
   std::string body;
 };
 
--- a/standins/backend/backendservice.h
+++ b/standins/backend/backendservice.h
@@ -42,12 +42,19 @@
 private:
   using Exchange = std::shared_ptr<StandinExchange>;
 
+  /** A request that holds a slot until it has ended. */
+  struct RunState
+  {
+    bool hasEnded = false;
+  };
+  using RunPointer = std::shared_ptr<RunState>;
+
   bool HandleTestRequest(const Exchange& aExchange);
   void HandleBehaviour(const Exchange& aExchange);
   void StartRun(const Exchange& aExchange);
   void CountRun(const StandinRequest& aRequest);
-  void Finish(const Exchange& aExchange);
-  void EndRun(bool aIsCancelled);
+  void Finish(const Exchange& aExchange, const RunPointer& aRun);
+  void EndRun(const RunPointer& aRun, bool aIsCancelled);
   StandinAnswer MakeAnswer(const StandinRequest& aRequest);
   std::string RunsAsJson() const;
 
@@ -59,6 +66,7 @@
   bool isReady = false;
   bool isDraining = false;
   int running = 0;
+  int answering = 0; // Runs whose answer is not handed over yet.
   int maxRunning = 0;
   std::uint64_t total = 0;
   std::uint64_t shed = 0;
--- a/standins/backend/standins_test.cpp
+++ b/standins/backend/standins_test.cpp
@@ -1,3 +1,4 @@
+#include "common/testsocket.h"
 #include "httpserver/standinserver.h"
 #include "testkit/httprequest.h"
 #include "testkit/process.h"
@@ -131,6 +132,17 @@
   return Json::parse(text, nullptr, false);
 }
 
+/** Receives an answer whose body is one line. */
+bool
+ReceiveLine(loopback::Socket& aSocket)
+{
+  std::string received = aSocket.ReceiveUntil("\r\n\r\n");
+  while (!received.empty() && received.ends_with("\r\n")) {
+    received += aSocket.ReceiveSome();
+  }
+  return received.ends_with("\n");
+}
+
 } // namespace
 
 // lww-caller has to report a truncated answer, or the answer to another call,
@@ -180,6 +192,23 @@
   cr_assert_eq(backend.Runs("max_concurrent"), 1);
 }
 
+// Whoever gets an answer may use the slot of its request at once. If the slot
+// is freed after the answer is sent, such a request is shed now and then, and a
+// test takes the status 503 for a fault of the daemon.
+Test(standins, BackendFreesASlotBeforeItAnswers)
+{
+  constexpr int kRequests = 3000;
+  const Backend backend({ "--slots", "1", "--service-ms", "0" });
+  loopback::Socket caller;
+  cr_assert(caller.Connect("127.0.0.1", backend.port));
+  for (int i = 0; i < kRequests; ++i) {
+    cr_assert(caller.Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n"));
+    cr_assert(ReceiveLine(caller), "request %d", i);
+  }
+  cr_expect_eq(backend.Runs("shed"), 0);
+  cr_expect_eq(backend.Runs("total"), kRequests);
+}
+
 // On SIGTERM the backend server has to announce that it drains, and it must not
 // exit while a request is in flight.
 Test(standins, BackendAnnouncesAndDrains)
--- a/standins/httpserver/standinserver.cpp
+++ b/standins/httpserver/standinserver.cpp
@@ -9,7 +9,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <chrono>
+#include <cstring>
 #include <thread>
 
 namespace lacewingwharf {
@@ -190,8 +192,10 @@
                      nullptr,
                      MHD_OPTION_END);
   if (this->daemon == nullptr) {
-    kLog.Error(
-      "cannot listen on {}:{}", this->config.address, this->config.port);
+    kLog.Error("cannot listen on {}:{}: {}",
+               this->config.address,
+               this->config.port,
+               std::strerror(errno));
     return false;
   }
   this->RunAfter(kDisconnectCheckInterval,
--- a/standins/platform/objecttable.cpp
+++ b/standins/platform/objecttable.cpp
@@ -24,7 +24,7 @@
   if (auto conflict = this->CheckExpected(aName, aExpected)) {
     return *conflict;
   }
-  StoredObject object{ aName, ++this->state.revision, aValue, false };
+  StoredObject object{ aName, ++this->state.revision, aValue, false, {} };
   this->state.objects[aName] = object;
   this->AppendToHistory(std::move(object));
   return { std::nullopt, this->state.revision };
@@ -40,7 +40,7 @@
     return *conflict;
   }
   this->state.objects.erase(aName);
-  this->AppendToHistory({ aName, ++this->state.revision, {}, true });
+  this->AppendToHistory({ aName, ++this->state.revision, {}, true, {} });
   return { std::nullopt, this->state.revision };
 }
 
--- a/standins/platform/platformservice.h
+++ b/standins/platform/platformservice.h
@@ -44,6 +44,8 @@
   void HandleList(const Exchange& aExchange);
   void HandleWatch(const Exchange& aExchange);
   void HandleObjectsRequest(const Exchange& aExchange);
+  void AnswerObjectsRequest(const Exchange& aExchange, StandinAnswer aAnswer);
+  void AnswerWatch(const PendingWatch& aWatch, const ObjectList& aChanges);
   void AddWatch(PendingWatch aWatch, Millis aTimeout);
   void HandleSwitch(const Exchange& aExchange);
 
--- a/standins/platform/switches.cpp
+++ b/standins/platform/switches.cpp
@@ -35,6 +35,7 @@
       [&](const Json& aValue) { aSwitches.writesPerSecond = aValue; } },
     { "reads_per_s",
       [&](const Json& aValue) { aSwitches.readsPerSecond = aValue; } },
+    { "era", [&](const Json& aValue) { aSwitches.era = aValue; } },
     { "compact", [&](const Json& aValue) { aActions.mustCompact = aValue; } },
     { "save", [&](const Json& aValue) { aActions.saveAs = aValue; } },
     { "restore", [&](const Json& aValue) { aActions.restoreFrom = aValue; } },
--- a/standins/platform/switches.h
+++ b/standins/platform/switches.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -21,6 +22,9 @@
   double readsPerSecond = 2000;
   std::size_t maxValueBytes = 1U << 20U;
   std::size_t pageItems = 500; // Per page of a list under /api/objects/.
+
+  /** Sent with answers under /api/objects/ if positive; restores add 1. */
+  std::int64_t era = 0;
 };
 
 /** One-time actions of a switch request. */
--- a/standins/testkit/faultyserver.cpp
+++ b/standins/testkit/faultyserver.cpp
@@ -112,6 +112,14 @@
   this->answer = aAnswer;
 }
 
+void
+FaultyServer::SetStatusLine(const std::string& aLine)
+{
+  const std::lock_guard lock(this->mutex);
+  this->statusLine = aLine;
+  this->answer = FaultyAnswer::StatusLine;
+}
+
 int
 FaultyServer::Runs() const
 {
@@ -248,6 +256,10 @@
                           "Content-Length: 3\r\n\r\nran");
     case FaultyAnswer::RepeatRefusal:
       return aSocket.Send(aLastRefusal + whole);
+    case FaultyAnswer::StatusLine: {
+      const std::lock_guard lock(this->mutex);
+      return aSocket.Send(this->statusLine + whole.substr(whole.find("\r\n")));
+    }
     case FaultyAnswer::NoAnswer:
       return false;
     case FaultyAnswer::Garbage:
--- a/standins/testkit/faultyserver.h
+++ b/standins/testkit/faultyserver.h
@@ -30,6 +30,7 @@
   LongHead,      // Complete, with a head of 60 KB.
   EndlessHead,   // A head that never ends.
   Early,         // Sent before the body of the request is read.
+  StatusLine,    // Complete, with the status line that the test has set.
   NoAnswer,      // The request runs, then the connection is closed.
   Garbage        // Bytes that are not HTTP.
 };
@@ -49,6 +50,9 @@
   /** Sets the kind of answer for all requests that arrive from now on. */
   void SetAnswer(FaultyAnswer aAnswer);
 
+  /** Answers with this status line, without its end, from now on. */
+  void SetStatusLine(const std::string& aLine);
+
   /** The number of requests that ran. */
   int Runs() const;
 
@@ -87,6 +91,7 @@
   std::atomic<int> runs = 0;
   std::atomic<bool> isStopping = false;
   mutable std::mutex mutex;
+  std::string statusLine;
   std::string lastBody;
   std::string lastHead;
   std::list<Connection> connections;
--- a/standins/testkit/fleet.cpp
+++ b/standins/testkit/fleet.cpp
@@ -233,6 +233,16 @@
   return *this->backends.at({ aHost, aPort });
 }
 
+std::vector<std::pair<std::size_t, int>>
+Fleet::Backends() const
+{
+  std::vector<std::pair<std::size_t, int>> started;
+  for (const auto& [key, backend] : this->backends) {
+    started.push_back(key);
+  }
+  return started;
+}
+
 std::string
 Fleet::HostName(std::size_t aHost) const
 {
--- a/standins/testkit/fleet.h
+++ b/standins/testkit/fleet.h
@@ -90,6 +90,9 @@
   /** The backend server that was started last on a host and port. */
   ChildProcess& Backend(std::size_t aHost, int aPort);
 
+  /** Host and port of the backend servers that were started. */
+  std::vector<std::pair<std::size_t, int>> Backends() const;
+
   /** Cuts or restores the link of the linked failure domain. */
   bool SetLinkCut(bool aIsCut) const;
 
--- a/standins/testkit/fleetcaller.h
+++ b/standins/testkit/fleetcaller.h
@@ -38,6 +38,15 @@
   std::map<std::string, std::size_t> reasons;
   std::vector<std::string> doneKeys;
 
+  /**
+   * One text for each of the first calls that were failed, not run, unknown or
+   * broken: the daemon, the time and the headers of the answer.
+   */
+  std::vector<std::string> problems;
+
+  /** The daemons' ids of these calls, as in their logs. */
+  std::vector<std::string> problemIds;
+
   std::size_t Sent() const;
   std::string Describe() const;
 };
@@ -65,8 +74,18 @@
   void Run(std::size_t aThread);
   void CallOnce(std::size_t aFirstDaemon, const std::string& aKey);
 
+  /** One request of a call and its answer. */
+  struct Attempt
+  {
+    std::string url;
+    Millis startedAt = 0; // By the wall clock, as in the logs of daemons.
+    Millis endedAt = 0;
+    TestAnswer answer;
+  };
+
   /** Returns true if the call must be retried at another daemon. */
-  bool Record(const TestAnswer& aAnswer, const std::string& aKey, bool aIsLast);
+  bool Record(const Attempt& aAttempt, const std::string& aKey, bool aIsLast);
+  void RecordProblem(const Attempt& aAttempt);
 
   FleetCallerConfig config;
   std::string keyPrefix;
