Check a whole catalogue before it is submitted

Cause: `lacewingwharfctl check` parses entries one by one. A route without its service, two routes with the same match, a catalogue that is too large for the store, and every error of a site's document were found only after they had been submitted.

Change: new command `lacewingwharfctl review FILE...` for entry files, directories of them, or one document. Errors are found by the functions of the daemons (`ParseEntry`, `FindConflicts`, `FitsInStore`, the translation of documents) and reported all at once with their codes, as text or JSON. Exit status 0, 4 for errors; 7 is reserved for warnings only. The names of the platform stay in `platform/`: main passes the translation as hooks.

--- /dev/null
+++ b/src/catalogue/cataloguecheck_test.cpp
@@ -0,0 +1,69 @@
+#include "catalogue/cataloguecheck.h"
+
+#include <criterion/criterion.h>
+
+#include <fmt/format.h>
+
+using namespace lacewingwharf;
+
+namespace {
+
+const std::string kService =
+  R"({"kind":"service","owner":"shop","class":"interactive"})";
+const std::string kRoute =
+  R"({"kind":"route","owner":"shop","class":"interactive","service":"orders",)"
+  R"("match":{"path":"/orders"}})";
+
+} // namespace
+
+// An entry that is not valid must not hide the errors of the others.
+Test(cataloguecheck, reports_every_entry_and_every_conflict)
+{
+  const CatalogueCheck check = CheckCatalogue({},
+                                              { { "r1", 1, kRoute },
+                                                { "r2", 1, kRoute },
+                                                { "x", 1, "{" },
+                                                { ".y", 1, kService } });
+  cr_expect_null(check.snapshot.get());
+  std::vector<std::string> found;
+  for (const Finding& finding : check.findings) {
+    cr_expect_eq(finding.level, FindingLevel::Error);
+    found.push_back(finding.entry + ' ' + finding.code);
+  }
+  const std::vector<std::string> expected = {
+    ".y bad-field",
+    "r1 dangling-reference",
+    "r2 dangling-reference",
+    "r2 duplicate-match",
+    "x bad-json",
+  };
+  cr_expect(found == expected);
+}
+
+// The check must agree with the validation of the daemons: it accepts what
+// Apply() accepts, and its first error of a conflict is the one that daemons
+// log.
+Test(cataloguecheck, agrees_with_the_validation_of_daemons)
+{
+  const std::vector<std::vector<ChangedEntry>> catalogues = {
+    {},
+    { { "orders", 1, kService }, { "r1", 1, kRoute } },
+    { { "r1", 1, kRoute } },
+    { { "orders", 1, kService }, { "r1", 1, kRoute }, { "r2", 1, kRoute } },
+    { { "orders", 1, kService }, { "orders", 1, kRoute } },
+    { { "r1", 1, kRoute }, { "r1", 1, kService } },
+    { { "orders", 1, "5" } },
+  };
+  for (const auto& entries : catalogues) {
+    const auto delta = DeltaToEntries(*Snapshot::Empty(), { 3, 0, 0 }, entries);
+    const CatalogueCheck check = CheckCatalogue({ 3, 0, 0 }, entries);
+    cr_assert_eq(delta.has_value(), check.snapshot != nullptr);
+    if (delta) {
+      cr_expect_eq(check.snapshot->ContentHash(),
+                   delta.assume_value().contentHash);
+      continue;
+    }
+    cr_assert_not(check.findings.empty());
+    cr_expect(check.findings.front() == ErrorFinding(delta.assume_error()));
+  }
+}
--- a/src/ctl/catalogueeditor.cpp
+++ b/src/ctl/catalogueeditor.cpp
@@ -2,15 +2,12 @@
 
 #include "catalogue/entry.h"
 #include "common/jsonvalue.h"
+#include "ctl/inputfile.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <fstream>
-#include <iostream>
-#include <optional>
-#include <sstream>
 
 namespace lacewingwharf {
 
@@ -20,22 +17,6 @@
 
 constexpr std::string_view kCataloguePrefix = "catalogue/";
 
-std::optional<std::string>
-ReadFileOrStdin(const std::string& aFile)
-{
-  std::ostringstream text;
-  if (aFile == "-") {
-    text << std::cin.rdbuf();
-    return text.str();
-  }
-  std::ifstream stream(aFile);
-  if (!stream) {
-    return std::nullopt;
-  }
-  text << stream.rdbuf();
-  return text.str();
-}
-
 std::string
 AddChangeSet(const std::string& aText,
              const std::string& aId,
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,7 +1,10 @@
 #include "common/clock.h"
+#include "configdocument.h"
 #include "ctl/catalogueeditor.h"
+#include "ctl/cataloguereviewer.h"
 #include "ctl/fleetinspector.h"
 #include "ctl/options.h"
+#include "objectapi.h"
 #include "store/httpobjectstore.h"
 
 #include <fmt/format.h>
@@ -25,12 +28,27 @@
   fmt::print(stderr, "{}", aText);
 }
 
+DocumentFormat
+MakeDocumentFormat(HttpStoreConfig aConfig)
+{
+  DocumentFormat format;
+  format.isDocument = platform::IsConfigDocument;
+  format.read = platform::ReadConfigDocument;
+  format.object = platform::kConfigObjectName;
+  format.makeStore = [config = std::move(aConfig)] {
+    return platform::MakeObjectStore(config);
+  };
+  return format;
+}
+
 ExitCode
 RunCommand(const CtlOptions& aOptions)
 {
   HttpStoreConfig config;
   config.baseUrl = fmt::format("http://{}", aOptions.platform);
-  const ObjectStore store = MakeHttpObjectStore(std::move(config));
+  const ObjectStore store = MakeHttpObjectStore(config);
+  CatalogueReviewer reviewer(
+    aOptions, MakeDocumentFormat(std::move(config)), PrintOut, PrintError);
   CatalogueEditor editor(store, aOptions, PrintOut, PrintError);
   FleetInspector inspector(
     store, aOptions, Clock::Steady(), PrintOut, PrintError);
@@ -45,6 +63,8 @@
       return editor.Delete();
     case CtlCommand::Check:
       return editor.Check();
+    case CtlCommand::Review:
+      return reviewer.Review();
     case CtlCommand::Status:
       return inspector.Status();
     case CtlCommand::Explain:
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -28,6 +28,9 @@
   delete NAME       remove an entry (needs --expect or --force)
   check NAME FILE [NAME FILE ...]
                     check entries without writing them
+  review FILE...    check a whole catalogue before it is submitted: entry files
+                    (NAME.json), directories of them, or one document of a
+                    site's platform
   status            print version and state of each --daemon
   explain NAME      show which calls of an entry are slow or refused, for which
                     callers, since when, and by whose limit; for a team that a
@@ -51,7 +54,8 @@
   --help               print this text
 
 Exit codes: 0 done, 1 platform or daemon failed, 2 usage, 3 conflict with
-another write, 4 rejected, 5 timed out, 6 not found
+another write, 4 rejected, 5 timed out, 6 not found, 7 review found warnings
+only
 )";
 
 enum LongOption
@@ -260,6 +264,8 @@
       return count == 0 && !aOptions.daemons.empty()
                ? ""
                : "expected at least one --daemon and no arguments";
+    case CtlCommand::Review:
+      return count > 0 ? "" : "expected at least one FILE";
     case CtlCommand::List:
       return count == 0 ? "" : "expected no arguments";
   }
@@ -272,6 +278,7 @@
   const bool mayAskDaemons =
     aOptions.command == CtlCommand::Explain && !aOptions.daemons.empty();
   return !mayAskDaemons && aOptions.command != CtlCommand::Check &&
+         aOptions.command != CtlCommand::Review &&
          aOptions.command != CtlCommand::Status &&
          aOptions.command != CtlCommand::Usage &&
          (aOptions.command != CtlCommand::Wait || !aOptions.arguments.empty());
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -19,6 +19,7 @@
   List,
   Delete,
   Check,
+  Review,
   Status,
   Explain,
   Usage,
@@ -31,6 +32,7 @@
                               { CtlCommand::List, "list" },
                               { CtlCommand::Delete, "delete" },
                               { CtlCommand::Check, "check" },
+                              { CtlCommand::Review, "review" },
                               { CtlCommand::Status, "status" },
                               { CtlCommand::Explain, "explain" },
                               { CtlCommand::Usage, "usage" },
@@ -45,7 +47,8 @@
   Conflict = 3,
   Rejected = 4,
   TimedOut = 5,
-  NotFound = 6
+  NotFound = 6,
+  Warnings = 7
 };
 
 /** The options and arguments of the command line. */
