Warn of entries that no call uses in reviews

Cause: a service without a route, limits of an owner that no route has, a team without keys and a host with parts of a URL are valid, so nothing told operators that they have no effect. Of several resources of a document with one name, daemons keep the last one without a word.

A review with warnings only has exit status 7. There is no warning about routes that are hidden by others: two routes for the same requests are a `duplicate-match` error, and every other route matches some request.

--- a/src/catalogue/cataloguecheck.cpp
+++ b/src/catalogue/cataloguecheck.cpp
@@ -2,8 +2,12 @@
 
 #include "catalogue/validation.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <map>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 namespace lacewingwharf {
@@ -29,6 +33,27 @@
   return accepted;
 }
 
+/** Appends a warning for each name that occurs several times. */
+void
+FindRepeatedNames(const std::vector<ChangedEntry>& aEntries,
+                  std::vector<Finding>& aFindings)
+{
+  std::map<std::string_view, int> counts;
+  for (const ChangedEntry& entry : aEntries) {
+    ++counts[entry.name];
+  }
+  for (const auto& [name, count] : counts) {
+    if (count > 1) {
+      aFindings.push_back(
+        { FindingLevel::Warning,
+          kRepeatedNameCode,
+          std::string(name),
+          fmt::format("the name is given {} times; only the last entry counts",
+                      count) });
+    }
+  }
+}
+
 } // namespace
 
 Finding
@@ -49,8 +74,10 @@
     check.findings.push_back(
       ErrorFinding({ conflict.code, conflict.entry, conflict.detail }));
   }
+  const bool isValid = check.findings.empty();
+  FindRepeatedNames(aEntries, check.findings);
   std::ranges::stable_sort(check.findings, {}, &Finding::entry);
-  if (check.findings.empty()) {
+  if (isValid) {
     check.snapshot =
       Snapshot::Build(aStamp, std::move(accepted)).assume_value();
   }
--- a/src/catalogue/cataloguecheck.h
+++ b/src/catalogue/cataloguecheck.h
@@ -30,7 +30,7 @@
   bool operator==(const Finding&) const = default;
 };
 
-/** The errors of a whole catalogue, or its content if there are none. */
+/** The findings of a whole catalogue, and its content if none is an error. */
 struct CatalogueCheck
 {
   std::vector<Finding> findings; // Sorted by entry.
@@ -40,10 +40,14 @@
 Finding
 ErrorFinding(const CatalogueError& aError);
 
+/** The code of the warning about a name that several entries have. */
+inline constexpr const char* kRepeatedNameCode = "repeated-name";
+
 /**
  * Validates all entries of a catalogue with the functions that daemons use.
  * Reports every entry that is not valid and every conflict among the others. If
- * a name occurs several times, the last entry counts, as for daemons.
+ * a name occurs several times, the last entry counts, as for daemons; a warning
+ * says that the others have no effect.
  */
 CatalogueCheck
 CheckCatalogue(VersionStamp aStamp, const std::vector<ChangedEntry>& aEntries);
--- /dev/null
+++ b/src/catalogue/cataloguereview_test.cpp
@@ -0,0 +1,144 @@
+#include "catalogue/reviewharness.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+using namespace lacewingwharf;
+using namespace lacewingwharf::reviewtest;
+
+// A service that no route names gets no calls. Most often its route is missing
+// or names another service.
+Test(cataloguereview, services_without_a_route_are_found)
+{
+  const std::vector<ChangedEntry> entries = {
+    Service("orders"),
+    Service("fonts"),
+    Service("preview"),
+    Service("unused"),
+    Route("a", R"("service":"orders","match":{"path":"/a"})"),
+    // A share of 0 prepares a service for calls, so it is named.
+    Route("b",
+          R"("split":[{"service":"fonts","weight":1},)"
+          R"({"service":"preview","weight":0}],"match":{"path":"/b"})"),
+  };
+  cr_expect(WarningsOf(entries) == Lines({ "unused service-without-route" }));
+}
+
+// Limits of an owner have no effect if its name is spelled differently in the
+// routes.
+Test(cataloguereview, limits_of_owners_without_routes_are_found)
+{
+  const std::vector<ChangedEntry> entries = {
+    Service("orders"),
+    Route("a", R"("service":"orders","match":{"path":"/a"})"),
+    { "limit-1", 1, R"({"kind":"owner","owner":"shop","limits":{"rate":5}})" },
+    { "limit-2", 1, R"({"kind":"owner","owner":"shops","limits":{"rate":5}})" },
+  };
+  cr_expect(WarningsOf(entries) == Lines({ "limit-2 owner-without-routes" }));
+}
+
+// No caller can be of a team that has no keys.
+Test(cataloguereview, teams_without_keys_are_found)
+{
+  const std::vector<ChangedEntry> entries = {
+    { "acme", 1, R"({"kind":"team","owner":"acme","keys":[]})" },
+    { "beta", 1, Team(Digest(1), "") },
+  };
+  cr_expect(WarningsOf(entries) == Lines({ "acme team-without-keys" }));
+}
+
+// A route is compared with the whole Host header, so a URL or spaces in its
+// place match nothing. Ports, addresses and capitals are possible.
+Test(cataloguereview, hosts_that_no_request_has_are_found)
+{
+  const auto warningsFor = [](const std::string& aHost) {
+    return WarningsOf(
+      { Service("orders"),
+        Route("a",
+              fmt::format(R"("service":"orders",)"
+                          R"("match":{{"host":"{}","prefix":"/a/"}})",
+                          aHost)) });
+  };
+  for (const char* host : { "https://a.example",
+                            "a.example/",
+                            " a.example",
+                            "a.example ",
+                            "a b",
+                            "a,b.exa\\nmple",
+                            "caf\xc3\xa9.example" }) {
+    cr_expect(warningsFor(host) == Lines({ "a impossible-host" }), "%s", host);
+  }
+  for (const char* host : { "",
+                            "a.example",
+                            "A.example:8080",
+                            "127.0.0.1:80",
+                            "[::1]:80",
+                            "x_1.internal" }) {
+    cr_expect(warningsFor(host).empty(), "%s", host);
+  }
+}
+
+// There is no warning about routes that are hidden by others. If a valid
+// catalogue could have such a route, this test would find it: it asks for the
+// path of each route in random catalogues that are dense in conflicts.
+Test(cataloguereview, every_route_of_a_valid_catalogue_matches_some_request)
+{
+  constexpr int kCatalogues = 3000;
+  constexpr int kMinValid = 300;
+  std::mt19937 random(17);
+  const auto pick = [&random](const std::vector<std::string>& aTexts) {
+    return aTexts[random() % aTexts.size()];
+  };
+  int validCount = 0;
+  for (int round = 0; round < kCatalogues; ++round) {
+    std::vector<ChangedEntry> entries = { Service("orders") };
+    for (int route = 0; route < 6; ++route) {
+      const std::string path = pick({ R"("path":"/")",
+                                      R"("path":"/a")",
+                                      R"("path":"/a/b")",
+                                      R"("prefix":"/")",
+                                      R"("prefix":"/a/")",
+                                      R"("prefix":"/a//")",
+                                      R"("prefix":"/a/b/")" });
+      const std::string host =
+        pick({ "", R"(,"host":"a.example")", R"(,"host":"b.example")" });
+      const std::string methods = pick({ "",
+                                         R"(,"methods":["GET"])",
+                                         R"(,"methods":["POST","PUT"])",
+                                         R"(,"methods":["GET","PATCH"])" });
+      entries.push_back(Route(
+        fmt::format("r{}", route),
+        fmt::format(
+          R"("service":"orders","match":{{{}{}{}}})", path, host, methods)));
+    }
+    const CatalogueCheck check = CheckCatalogue({}, entries);
+    if (!check.snapshot) {
+      continue;
+    }
+    ++validCount;
+    for (const auto& [name, accepted] : check.snapshot->Entries()) {
+      const Entry& entry = accepted->entry;
+      if (entry.kind != EntryKind::Route) {
+        continue;
+      }
+      const RouteMatch& match = entry.match;
+      const std::string path =
+        match.prefix.empty() ? match.path : match.prefix + "segment";
+      const HttpMethod method =
+        match.methods.empty() ? HttpMethod::Delete : match.methods.front();
+      cr_assert_eq(check.snapshot->MatchRoute(method, path, match.host),
+                   &entry);
+    }
+  }
+  cr_expect_geq(validCount, kMinValid, "%d valid", validCount);
+}
+
+// A warning about a correct catalogue would make operators ignore all of them.
+Test(cataloguereview, a_large_correct_catalogue_gives_nothing)
+{
+  const std::vector<ChangedEntry> entries = LargeCatalogue();
+  cr_expect_gt(entries.size(), 10000U);
+  const Lines found = WarningsOf(entries);
+  cr_expect(found.empty(), "%s", found.empty() ? "" : found.front().c_str());
+}
--- a/src/ctl/cataloguereviewer.cpp
+++ b/src/ctl/cataloguereviewer.cpp
@@ -1,9 +1,12 @@
 #include "ctl/cataloguereviewer.h"
 
+#include "catalogue/cataloguereview.h"
 #include "distribution/storedtext.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lacewingwharf {
@@ -56,6 +59,11 @@
   report.entryCount = input.assume_value().entries.size();
   const CatalogueCheck check = CheckInput(std::move(input).assume_value());
   report.findings = check.findings;
+  if (check.snapshot) {
+    std::ranges::move(CatalogueReview(check.snapshot).FindWarnings(),
+                      std::back_inserter(report.findings));
+    std::ranges::stable_sort(report.findings, {}, &Finding::entry);
+  }
   this->PrintReport(report);
   if (report.Count(FindingLevel::Error) > 0) {
     return ExitCode::Rejected;
--- a/src/ctl/cataloguereviewer_test.cpp
+++ b/src/ctl/cataloguereviewer_test.cpp
@@ -71,6 +71,20 @@
   cr_expect_eq(report.at("findings").at(0).at("level"), "error");
 }
 
+// Scripts must be able to tell warnings from errors and from nothing.
+Test(cataloguereviewer, warnings_alone_have_an_exit_status_of_their_own)
+{
+  const ReviewHarness harness;
+  const std::string service = harness.WriteFile("orders.json", kService);
+  const CtlRun warned = harness.Run({ service });
+  cr_expect_eq(static_cast<int>(warned.code), 7);
+  cr_expect(Contains(warned.out, "warning service-without-route orders: "));
+  cr_expect(Contains(warned.out, "1 entries, 0 errors, 1 warnings\n"));
+  const CtlRun wrong =
+    harness.Run({ service, harness.WriteFile("bad.json", "{") });
+  cr_expect_eq(static_cast<int>(wrong.code), 4);
+}
+
 // Files that can't be read must not pass as a catalogue without their entries.
 Test(cataloguereviewer, unusable_files_are_a_usage_error)
 {
