Warn of limits that contradict each other in reviews

Cause: a target or a wait above the deadline, more retries than a call may make, a body limit above that of the listener, a limit of a route above that of its owner, a burst without a rate and two weights for one service are valid, and the limit that has no effect was not reported.

Change: `CatalogueReview` compares them in the entries in force. Only limits that are set count where the other one may be a default, and body limits of 7,340,032, which the translation of documents gives to every route, leave the limit to the listener. An attempt counts as 1 ms at least.

--- a/src/catalogue/cataloguereview.cpp
+++ b/src/catalogue/cataloguereview.cpp
@@ -53,8 +53,9 @@
 
 } // namespace
 
-CatalogueReview::CatalogueReview(SnapshotPtr aSnapshot)
+CatalogueReview::CatalogueReview(SnapshotPtr aSnapshot, ReviewBounds aBounds)
   : snapshot(std::move(aSnapshot))
+  , bounds(aBounds)
 {
 }
 
@@ -63,6 +64,7 @@
 {
   this->findings.clear();
   this->CheckUse();
+  this->CheckLimits();
   std::ranges::stable_sort(this->findings, {}, &Finding::entry);
   return std::move(this->findings);
 }
--- a/src/catalogue/cataloguereview_test.cpp
+++ b/src/catalogue/cataloguereview_test.cpp
@@ -7,6 +7,23 @@
 using namespace lacewingwharf;
 using namespace lacewingwharf::reviewtest;
 
+namespace {
+
+/** Returns the warnings about a route with these limits, with others beside. */
+Lines
+WarningsOfLimits(const std::string& aLimits,
+                 std::vector<ChangedEntry> aOthers = {})
+{
+  aOthers.push_back(Service("orders"));
+  aOthers.push_back(Route(
+    "a",
+    fmt::format(R"("service":"orders","match":{{"path":"/a"}},"limits":{{{}}})",
+                aLimits)));
+  return WarningsOf(aOthers);
+}
+
+} // namespace
+
 // A service that no route names gets no calls. Most often its route is missing
 // or names another service.
 Test(cataloguereview, services_without_a_route_are_found)
@@ -134,6 +151,119 @@
   cr_expect_geq(validCount, kMinValid, "%d valid", validCount);
 }
 
+// A target above the deadline never ends first. The deadline of the default
+// counts, because it applies.
+Test(cataloguereview, targets_above_the_deadline_are_found)
+{
+  const Lines expected = { "a target-above-deadline" };
+  cr_expect(WarningsOfLimits(R"("target_ms":300,"deadline_ms":299)") ==
+            expected);
+  cr_expect(WarningsOfLimits(R"("target_ms":5001)") == expected);
+  cr_expect(WarningsOfLimits(R"("target_ms":300,"deadline_ms":300)").empty());
+  cr_expect(WarningsOfLimits(R"("target_ms":5000)").empty());
+}
+
+// A call can't wait longer than its deadline. A short deadline beside the
+// default of the wait is no contradiction.
+Test(cataloguereview, waits_above_the_deadline_are_found)
+{
+  cr_expect(WarningsOfLimits(R"("queue_ms":500,"deadline_ms":499)") ==
+            Lines({ "a queue-above-deadline" }));
+  cr_expect(WarningsOfLimits(R"("deadline_ms":499)").empty());
+  cr_expect(WarningsOfLimits(R"("queue_ms":500,"deadline_ms":500)").empty());
+}
+
+// Retries above the number of attempts that daemons make, or above what fits in
+// the deadline at 1 ms each, never happen.
+Test(cataloguereview, retries_that_never_happen_are_found)
+{
+  cr_expect(WarningsOfLimits(R"("retries":5)") ==
+            Lines({ "a retries-above-attempts" }));
+  cr_expect(WarningsOfLimits(R"("retries":4)").empty());
+  cr_expect(WarningsOfLimits(R"("retries":3,"deadline_ms":3)") ==
+            Lines({ "a retries-above-deadline" }));
+  cr_expect(WarningsOfLimits(R"("retries":3,"deadline_ms":4)").empty());
+  cr_expect(WarningsOfLimits(R"("deadline_ms":1)").empty());
+}
+
+// The listener refuses larger bodies before their route is known. Routes that
+// leave the limit to the listener, by a default or by the highest value, as
+// those of documents, contradict nothing.
+Test(cataloguereview, bodies_above_the_listener_are_found)
+{
+  const auto warnings = [](const char* aLimits, const char* aListener) {
+    return WarningsOfLimits(
+      aLimits,
+      { { "callers",
+          1,
+          fmt::format(R"({{"kind":"listener","owner":"x","limits":{{{}}}}})",
+                      aListener) } });
+  };
+  const char* const listener = R"("body_bytes":65536)";
+  cr_expect(warnings(R"("body_bytes":65537)", listener) ==
+            Lines({ "a body-above-listener" }));
+  cr_expect(warnings(R"("body_bytes":65536)", listener).empty());
+  cr_expect(warnings(R"("body_bytes":7340032)", listener).empty());
+  cr_expect(warnings(R"("body_bytes":0)", listener).empty());
+  cr_expect(warnings(R"("rate":1)", listener).empty());
+  cr_expect(warnings(R"("body_bytes":65537)", R"("body_bytes":0)").empty());
+}
+
+// The limit of a route above that of its owner never applies. The sum of the
+// routes may be above it, and a limit of 0 is none.
+Test(cataloguereview, limits_above_those_of_the_owner_are_found)
+{
+  const auto warnings = [](const char* aLimits, const char* aOwner) {
+    return WarningsOfLimits(
+      aLimits,
+      { { "limits",
+          1,
+          fmt::format(R"({{"kind":"owner","owner":"shop","limits":{{{}}}}})",
+                      aOwner) },
+        Route("b",
+              R"("service":"orders","match":{"path":"/b"},)"
+              R"("limits":{"rate":50,"concurrency":10})") });
+  };
+  const char* const owner = R"("rate":50,"concurrency":10)";
+  cr_expect(warnings(R"("rate":51)", owner) == Lines({ "a rate-above-owner" }));
+  cr_expect(warnings(R"("concurrency":11)", owner) ==
+            Lines({ "a concurrency-above-owner" }));
+  cr_expect(warnings(R"("rate":50,"concurrency":10)", owner).empty());
+  cr_expect(warnings(R"("rate":0)", owner).empty());
+  cr_expect(warnings(R"("rate":51,"concurrency":11)", "").empty());
+}
+
+// Two weights for one service in a split are most often a wrong name.
+Test(cataloguereview, splits_that_repeat_a_service_are_found)
+{
+  const auto warnings = [](const char* aOther) {
+    return WarningsOf(
+      { Service("orders"),
+        Service("fonts"),
+        Route("a",
+              fmt::format(R"("split":[{{"service":"orders","weight":1}},)"
+                          R"({{"service":"{}","weight":1}},)"
+                          R"({{"service":"fonts","weight":0}}],)"
+                          R"("match":{{"path":"/a"}})",
+                          aOther)) });
+  };
+  cr_expect(warnings("orders") == Lines({ "a split-repeats-service" }));
+  cr_expect(warnings("fonts") == Lines({ "a split-repeats-service" }));
+}
+
+// Without a rate there is no cap, whatever the burst.
+Test(cataloguereview, bursts_without_a_rate_are_found)
+{
+  const auto warnings = [](const char* aFields) {
+    return WarningsOf({ { "acme", 1, Team(Digest(1), aFields) } });
+  };
+  cr_expect(warnings(R"(,"burst":5)") == Lines({ "acme burst-without-rate" }));
+  cr_expect(warnings(R"(,"burst":5,"rate":0)") ==
+            Lines({ "acme burst-without-rate" }));
+  cr_expect(warnings(R"(,"burst":5,"rate":1)").empty());
+  cr_expect(warnings(R"(,"burst":0)").empty());
+}
+
 // A warning about a correct catalogue would make operators ignore all of them.
 Test(cataloguereview, a_large_correct_catalogue_gives_nothing)
 {
--- a/src/catalogue/reviewharness.h
+++ b/src/catalogue/reviewharness.h
@@ -61,7 +61,7 @@
             check.findings.empty() ? "" : check.findings[0].entry.c_str(),
             check.findings.empty() ? "" : check.findings[0].detail.c_str());
   Lines lines;
-  std::ranges::transform(CatalogueReview(check.snapshot).FindWarnings(),
+  std::ranges::transform(CatalogueReview(check.snapshot, { 5 }).FindWarnings(),
                          std::back_inserter(lines),
                          [](const Finding& aFinding) {
                            return aFinding.entry + ' ' + aFinding.code;
--- a/src/ctl/cataloguereviewer.cpp
+++ b/src/ctl/cataloguereviewer.cpp
@@ -2,6 +2,7 @@
 
 #include "catalogue/cataloguereview.h"
 #include "distribution/storedtext.h"
+#include "execution/entrycall.h"
 
 #include <fmt/format.h>
 
@@ -60,7 +61,8 @@
   const CatalogueCheck check = CheckInput(std::move(input).assume_value());
   report.findings = check.findings;
   if (check.snapshot) {
-    std::ranges::move(CatalogueReview(check.snapshot).FindWarnings(),
+    CatalogueReview review(check.snapshot, { kMaxCallAttempts });
+    std::ranges::move(review.FindWarnings(),
                       std::back_inserter(report.findings));
     std::ranges::stable_sort(report.findings, {}, &Finding::entry);
   }
