Show differences from the version in force in reviews

Cause: before a submission nothing showed what it would change: `put` shows a difference only after a conflict, and only of one entry.

Change: with `--platform`, a review reads the accepted version, or the document in the store of a site; with `--against FILE`, other files. `FindDifferences` compares what entries mean, so layouts, spelled-out defaults and ids of change sets are none. Keys of teams are compared, but only counted. With the version in force known, incomplete change sets are errors (found by `Edits`, as in the acceptor), and a document whose changes daemons would ignore for its version is a warning. Differences are no findings.

--- a/src/ctl/cataloguereviewer.cpp
+++ b/src/ctl/cataloguereviewer.cpp
@@ -1,47 +1,66 @@
 #include "ctl/cataloguereviewer.h"
 
 #include "catalogue/cataloguereview.h"
-#include "distribution/storedtext.h"
+#include "distribution/edits.h"
 #include "execution/entrycall.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace lacewingwharf {
 
 namespace {
 
-/** Checks aInput as the acceptor does, or as the daemons of a site do. */
-CatalogueCheck
-CheckInput(InputCatalogue aInput)
+/**
+ * Returns an error for each change set that the acceptor would refuse as
+ * incomplete if the changed entries were written. Entries that did not change
+ * keep the text in force, because their change sets were accepted before.
+ */
+std::vector<Finding>
+FindIncompleteChanges(const Snapshot& aInForce,
+                      const Snapshot& aNext,
+                      const std::vector<EntryDifference>& aDifferences)
 {
-  if (!aInput.findings.empty()) {
-    return { std::move(aInput.findings), nullptr };
+  std::set<std::string_view> changed;
+  std::ranges::transform(aDifferences,
+                         std::inserter(changed, changed.end()),
+                         &EntryDifference::entry);
+  ObjectList list;
+  list.revision =
+    std::max(aInForce.HighestRevision(), aInForce.Stamp().floorRevision) + 1;
+  for (const auto& [name, accepted] : aNext.Entries()) {
+    const AcceptedEntry* const former = aInForce.Find(name);
+    const bool isChanged = former == nullptr || changed.contains(name);
+    list.objects.push_back({ fmt::format("{}{}", kCataloguePrefix, name),
+                             list.revision,
+                             isChanged ? accepted->text : former->text,
+                             false,
+                             {},
+                             false });
   }
-  CatalogueCheck check = CheckCatalogue(aInput.stamp, aInput.entries);
-  // Documents are stored as they are, not as snapshots.
-  if (check.snapshot && !aInput.isDocument && !FitsInStore(*check.snapshot)) {
-    check.findings.push_back(ErrorFinding(
-      { CatalogueErrorCode::TooLarge,
-        "",
-        fmt::format("the catalogue does not fit in one object of {} bytes of "
-                    "the platform",
-                    kMaxStoredBytes) }));
-    check.snapshot = nullptr;
+  std::vector<Finding> findings;
+  for (const Rejection& rejection : Edits(aInForce, list).TakeRejections()) {
+    if (rejection.code == CatalogueErrorCode::IncompleteChange) {
+      findings.push_back(
+        ErrorFinding({ rejection.code, rejection.entry, rejection.reason }));
+    }
   }
-  return check;
+  return findings;
 }
 
 } // namespace
 
-CatalogueReviewer::CatalogueReviewer(CtlOptions aOptions,
+CatalogueReviewer::CatalogueReviewer(ObjectStore aStore,
+                                     CtlOptions aOptions,
                                      DocumentFormat aFormat,
                                      Print aOut,
                                      Print aError)
-  : options(std::move(aOptions))
+  : store(std::move(aStore))
+  , options(std::move(aOptions))
   , format(std::move(aFormat))
   , out(std::move(aOut))
   , error(std::move(aError))
@@ -51,28 +70,85 @@
 ExitCode
 CatalogueReviewer::Review()
 {
-  auto input = ReadInputCatalogue(this->options.arguments, this->format);
+  const auto input = ReadInputCatalogue(this->options.arguments, this->format);
   if (!input) {
     this->error(input.assume_error().message + '\n');
     return ExitCode::Usage;
   }
   ReviewReport report;
   report.entryCount = input.assume_value().entries.size();
-  const CatalogueCheck check = CheckInput(std::move(input).assume_value());
+  const CatalogueCheck check = CheckInputCatalogue(input.assume_value());
   report.findings = check.findings;
+  ExitCode compared = ExitCode::Ok;
   if (check.snapshot) {
     CatalogueReview review(check.snapshot, { kMaxCallAttempts });
     std::ranges::move(review.FindWarnings(),
                       std::back_inserter(report.findings));
-    std::ranges::stable_sort(report.findings, {}, &Finding::entry);
+    compared = this->Compare(input.assume_value(), *check.snapshot, report);
+  }
+  if (compared == ExitCode::Usage) {
+    return compared;
   }
+  std::ranges::stable_sort(report.findings, {}, &Finding::entry);
   this->PrintReport(report);
   if (report.Count(FindingLevel::Error) > 0) {
     return ExitCode::Rejected;
   }
+  if (compared != ExitCode::Ok) {
+    return compared;
+  }
   return report.findings.empty() ? ExitCode::Ok : ExitCode::Warnings;
 }
 
+/** Adds the differences from the base to the report if there is a base. */
+ExitCode
+CatalogueReviewer::Compare(const InputCatalogue& aInput,
+                           const Snapshot& aSnapshot,
+                           ReviewReport& aReport)
+{
+  if (!this->HasBase()) {
+    return ExitCode::Ok;
+  }
+  const auto base = this->ReadBase(aInput.isDocument);
+  if (!base) {
+    this->error(base.assume_error().message + '\n');
+    return base.assume_error().code;
+  }
+  const Snapshot& inForce = *base.assume_value().snapshot;
+  auto differences = FindDifferences(inForce, aSnapshot);
+  if (!aInput.isDocument) {
+    std::ranges::move(FindIncompleteChanges(inForce, aSnapshot, differences),
+                      std::back_inserter(aReport.findings));
+  } else if (!differences.empty() && aSnapshot.Version() <= inForce.Version()) {
+    aReport.findings.push_back(
+      { FindingLevel::Warning,
+        "version-not-newer",
+        "",
+        fmt::format("daemons ignore version {}, because they have version {}",
+                    aSnapshot.Version(),
+                    inForce.Version()) });
+  }
+  aReport.differences = ReviewDifferences{ base.assume_value().description,
+                                           std::move(differences) };
+  return ExitCode::Ok;
+}
+
+bool
+CatalogueReviewer::HasBase() const
+{
+  return !this->options.against.empty() || !this->options.platform.empty();
+}
+
+ReviewBaseResult
+CatalogueReviewer::ReadBase(bool aIsDocument) const
+{
+  if (!this->options.against.empty()) {
+    return ReadBaseFromFiles(this->options.against, this->format, aIsDocument);
+  }
+  return aIsDocument ? ReadDocumentBase(this->format)
+                     : ReadAcceptedBase(this->store);
+}
+
 void
 CatalogueReviewer::PrintReport(const ReviewReport& aReport)
 {
--- a/src/ctl/cataloguereviewer.h
+++ b/src/ctl/cataloguereviewer.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "ctl/options.h"
+#include "ctl/reviewbase.h"
 #include "ctl/reviewinput.h"
 #include "ctl/reviewreport.h"
+#include "store/objectstore.h"
 
 #include <functional>
 #include <string>
@@ -17,7 +19,9 @@
 public:
   using Print = std::function<void(const std::string&)>;
 
-  CatalogueReviewer(CtlOptions aOptions,
+  /** aStore has the accepted versions of catalogues that are no documents. */
+  CatalogueReviewer(ObjectStore aStore,
+                    CtlOptions aOptions,
                     DocumentFormat aFormat,
                     Print aOut,
                     Print aError);
@@ -25,8 +29,14 @@
   ExitCode Review();
 
 private:
+  ExitCode Compare(const InputCatalogue& aInput,
+                   const Snapshot& aSnapshot,
+                   ReviewReport& aReport);
+  bool HasBase() const;
+  ReviewBaseResult ReadBase(bool aIsDocument) const;
   void PrintReport(const ReviewReport& aReport);
 
+  ObjectStore store;
   CtlOptions options;
   DocumentFormat format;
   Print out;
--- a/src/ctl/cataloguereviewer_test.cpp
+++ b/src/ctl/cataloguereviewer_test.cpp
@@ -1,4 +1,7 @@
 #include "ctl/reviewharness.h"
+#include "distribution/acceptedchain.h"
+#include "distribution/acceptor.h"
+#include "distribution/fakestore.h"
 
 using namespace lacewingwharf;
 
@@ -16,6 +19,23 @@
                      aPath);
 }
 
+const std::string kUnreachable = "127.0.0.1:9";
+
+/** Writes the entries that edits put into aStore as its next version. */
+SnapshotPtr
+AcceptEdits(FakeStore& aStore, const Snapshot& aHeld)
+{
+  const ObjectStore store = aStore.Hooks();
+  const Decision decision =
+    DecideNext(aHeld, store.list(std::string(kCataloguePrefix)).value());
+  cr_assert(decision.next != nullptr);
+  const std::string text = EncodeAccepted({ *decision.delta, "host", "n" });
+  cr_assert(
+    store.put(AcceptedObjectName(decision.next->Version()), text, kCreateOnly)
+      .has_value());
+  return decision.next;
+}
+
 bool
 Contains(const std::string& aText, const std::string& aPart)
 {
@@ -151,3 +171,129 @@
     cr_expect_not(Contains(run.out + run.error, "\x1b"));
   }
 }
+
+// Differences must be those from the accepted version, not from what operators
+// wrote, which may have been rejected. They are no findings.
+Test(cataloguereviewer, differences_from_the_version_in_force_are_printed)
+{
+  FakeStore fake;
+  fake.Edit("catalogue/orders", kService);
+  fake.Edit("catalogue/fonts", kService);
+  fake.Edit("catalogue/route", RouteTo("orders", "/orders"));
+  const SnapshotPtr first = AcceptEdits(fake, *Snapshot::Empty());
+  fake.Edit("catalogue/route", RouteTo("missing", "/orders"));
+  ReviewHarness harness;
+  harness.store = fake.Hooks();
+  const std::vector<std::string> arguments = {
+    harness.WriteFile("orders.json", kService),
+    harness.WriteFile("route.json", RouteTo("orders", "/v2")),
+    "--platform",
+    kUnreachable
+  };
+  const CtlRun run = harness.Run(arguments);
+  cr_expect_eq(run.code, ExitCode::Ok, "%s", run.error.c_str());
+  cr_expect_eq(run.out,
+               "2 entries, 0 errors, 0 warnings\n"
+               "2 entries differ from version 1 in force\n"
+               "removed service fonts\n"
+               "changed route route: match.path /orders -> /v2\n",
+               "%s",
+               run.out.c_str());
+  auto inJson = arguments;
+  inJson.emplace_back("--json");
+  const auto json = nlohmann::json::parse(harness.Run(inJson).out);
+  const auto& changed = json.at("differences").at("entries").at(1);
+  cr_expect_eq(changed.at("change"), "changed");
+  cr_expect_eq(changed.at("fields").at(0).at("field"), "match.path");
+  cr_expect_eq(changed.at("fields").at(0).at("to"), "/v2");
+  cr_expect(nlohmann::json::parse(
+              harness.Run({ arguments[0], arguments[1], "--json" }).out)
+              .at("differences")
+              .is_null());
+}
+
+// Without the version in force, the findings are still of use, but the exit
+// status must say that the comparison is missing.
+Test(cataloguereviewer, a_platform_that_is_down_is_reported)
+{
+  FakeStore fake;
+  fake.isDown = true;
+  ReviewHarness harness;
+  harness.store = fake.Hooks();
+  const std::string file = harness.WriteFile("orders.json", kService);
+  const CtlRun run = harness.Run({ file, "--platform", kUnreachable });
+  cr_expect_eq(run.code, ExitCode::PlatformFailed);
+  cr_expect(Contains(run.out, "warning service-without-route orders"));
+  cr_expect(run.ErrorContains("the version in force cannot be read"));
+  // Errors are certain, whatever the platform says.
+  const std::string bad = harness.WriteFile("bad.json", "{");
+  cr_expect_eq(harness.Run({ bad, "--platform", kUnreachable }).code,
+               ExitCode::Rejected);
+  // With --against, the platform is not asked.
+  cr_expect_eq(
+    harness.Run({ file, "--platform", kUnreachable, "--against", file }).code,
+    ExitCode::Warnings);
+}
+
+// --against compares with files, which must be usable and valid.
+Test(cataloguereviewer, differences_from_files_are_printed)
+{
+  const ReviewHarness harness;
+  const std::string service = harness.WriteFile("new/orders.json", kService);
+  const std::string route =
+    harness.WriteFile("new/route.json", RouteTo("orders", "/orders"));
+  const std::string old = harness.WriteFile("old/orders.json", kService);
+  const CtlRun run = harness.Run({ service, route, "--against", old });
+  cr_expect_eq(run.code, ExitCode::Ok, "%s", run.error.c_str());
+  cr_expect(Contains(run.out, "1 entries differ from " + old + "\n"));
+  cr_expect(Contains(run.out, "added route route\n"));
+  const CtlRun missing =
+    harness.Run({ service, route, "--against", old + ".missing" });
+  cr_expect_eq(missing.code, ExitCode::Usage);
+  cr_expect(missing.out.empty());
+  const CtlRun invalid = harness.Run({ service, route, "--against", route });
+  cr_expect_eq(invalid.code, ExitCode::Usage);
+  cr_expect(invalid.ErrorContains("dangling-reference route: "));
+  const auto wrong = ParseCtl({ "check", "a", "-", "--against", old });
+  cr_expect(wrong.has_error() &&
+            Contains(wrong.error().message, "for review only"));
+}
+
+// A change set that the acceptor would refuse must be an error. Entries in
+// force keep the id of the change set in which they were written, which says
+// nothing about the next change.
+Test(cataloguereviewer, incomplete_change_sets_are_errors)
+{
+  FakeStore fake;
+  const std::string change = R"(,"change":{"id":"c1","size":2}})";
+  const auto with = [&change](std::string aText) {
+    aText.pop_back();
+    return aText + change;
+  };
+  fake.Edit("catalogue/orders", with(kService));
+  fake.Edit("catalogue/route", with(RouteTo("orders", "/orders")));
+  const SnapshotPtr first = AcceptEdits(fake, *Snapshot::Empty());
+  ReviewHarness harness;
+  harness.store = fake.Hooks();
+  const auto review = [&harness](const std::string& aService,
+                                 const std::string& aRoute) {
+    return harness.Run({ harness.WriteFile("orders.json", aService),
+                         harness.WriteFile("route.json", aRoute),
+                         "--platform",
+                         kUnreachable });
+  };
+  // In another layout, with one entry written alone, and without change sets.
+  const std::string layout = " " + with(kService);
+  cr_expect_eq(review(layout, with(RouteTo("orders", "/orders"))).code,
+               ExitCode::Ok);
+  cr_expect_eq(review(layout, RouteTo("orders", "/v2")).code, ExitCode::Ok);
+  cr_expect_eq(review(kService, RouteTo("orders", "/v2")).code, ExitCode::Ok);
+  std::string next = RouteTo("orders", "/v2");
+  next.pop_back();
+  const CtlRun run =
+    review(kService, next + R"(,"change":{"id":"c2","size":2}})");
+  cr_expect_eq(run.code, ExitCode::Rejected);
+  cr_expect(Contains(run.out, "error incomplete-change route: change set 'c2'"),
+            "%s",
+            run.out.c_str());
+}
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -47,8 +47,11 @@
   HttpStoreConfig config;
   config.baseUrl = fmt::format("http://{}", aOptions.platform);
   const ObjectStore store = MakeHttpObjectStore(config);
-  CatalogueReviewer reviewer(
-    aOptions, MakeDocumentFormat(std::move(config)), PrintOut, PrintError);
+  CatalogueReviewer reviewer(store,
+                             aOptions,
+                             MakeDocumentFormat(std::move(config)),
+                             PrintOut,
+                             PrintError);
   CatalogueEditor editor(store, aOptions, PrintOut, PrintError);
   FleetInspector inspector(
     store, aOptions, Clock::Steady(), PrintOut, PrintError);
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -30,7 +30,8 @@
                     check entries without writing them
   review FILE...    check a whole catalogue before it is submitted: entry files
                     (NAME.json), directories of them, or one document of a
-                    site's platform
+                    site's platform; with --platform or --against, also
+                    print the differences
   status            print version and state of each --daemon
   explain NAME      show which calls of an entry are slow or refused, for which
                     callers, since when, and by whose limit; for a team that a
@@ -49,6 +50,8 @@
   --force              write regardless of the entry's revision
   --change ID          accept all entries of this put together or none of them
   --version N          version for wait
+  --against FILE       compare the reviewed catalogue with this one instead of
+                       the version in force; may be repeated
   --timeout MS         time limit for wait in milliseconds (default 15000)
   --json               print data as JSON
   --help               print this text
@@ -66,6 +69,7 @@
   ForceOption,
   ChangeOption,
   VersionOption,
+  AgainstOption,
   TimeoutOption,
   JsonOption,
   HelpOption
@@ -78,6 +82,7 @@
   { "force", no_argument, nullptr, ForceOption },
   { "change", required_argument, nullptr, ChangeOption },
   { "version", required_argument, nullptr, VersionOption },
+  { "against", required_argument, nullptr, AgainstOption },
   { "timeout", required_argument, nullptr, TimeoutOption },
   { "json", no_argument, nullptr, JsonOption },
   { "help", no_argument, nullptr, HelpOption },
@@ -149,6 +154,9 @@
     case VersionOption:
       aOptions.version = number.value_or(0);
       return number.has_value();
+    case AgainstOption:
+      aOptions.against.push_back(value);
+      return !value.empty();
     case TimeoutOption:
       aOptions.timeout = number.value_or(0);
       return number.has_value();
@@ -241,6 +249,9 @@
 CheckArguments(const CtlOptions& aOptions)
 {
   const std::size_t count = aOptions.arguments.size();
+  if (!aOptions.against.empty() && aOptions.command != CtlCommand::Review) {
+    return "--against is for review only";
+  }
   switch (aOptions.command) {
     case CtlCommand::Put:
     case CtlCommand::Check:
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -58,6 +58,7 @@
   std::vector<std::string> arguments;
   std::string platform;             // IPV4:PORT
   std::vector<std::string> daemons; // IPV4:PORT of admin ports.
+  std::vector<std::string> against; // Files for review.
   std::optional<std::int64_t> expectedRevision;
   std::map<std::string, std::int64_t> expectedByName; // --expect NAME=REVISION
   std::string changeId;
--- a/src/ctl/reviewharness.h
+++ b/src/ctl/reviewharness.h
@@ -30,6 +30,7 @@
   ReviewHarness(const ReviewHarness&) = delete;
   ReviewHarness& operator=(const ReviewHarness&) = delete;
 
+  ObjectStore store;
   DocumentFormat format;
 
   /** aName may begin with a directory, which is created. */
@@ -52,6 +53,7 @@
       return run;
     }
     CatalogueReviewer reviewer(
+      this->store,
       options.value(),
       this->format,
       [&run](const std::string& aText) { run.out += aText; },
--- a/src/ctl/reviewreport.cpp
+++ b/src/ctl/reviewreport.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 
 namespace lacewingwharf {
 
@@ -39,6 +40,65 @@
                 aFinding.detail));
 }
 
+std::string
+FormatValue(const std::string& aValue)
+{
+  return aValue.empty() ? "(none)" : aValue;
+}
+
+std::string
+FormatDifference(const EntryDifference& aDifference)
+{
+  std::vector<std::string> fields;
+  std::ranges::transform(aDifference.fields,
+                         std::back_inserter(fields),
+                         [](const FieldDifference& aField) {
+                           return fmt::format("{} {} -> {}",
+                                              aField.field,
+                                              FormatValue(aField.from),
+                                              FormatValue(aField.to));
+                         });
+  return Printable(fmt::format("{} {} {}{}{}",
+                               kEntryChangeNames.NameOf(aDifference.change),
+                               kEntryKindNames.NameOf(aDifference.kind),
+                               aDifference.entry,
+                               fields.empty() ? "" : ": ",
+                               fmt::join(fields, ", ")));
+}
+
+std::string
+FormatDifferences(const ReviewDifferences& aDifferences)
+{
+  std::string text = Printable(fmt::format("{} entries differ from {}",
+                                           aDifferences.entries.size(),
+                                           aDifferences.base));
+  text += '\n';
+  for (const EntryDifference& difference : aDifferences.entries) {
+    text += FormatDifference(difference) + '\n';
+  }
+  return text;
+}
+
+Json
+DifferencesJson(const ReviewDifferences& aDifferences)
+{
+  Json entries = Json::array();
+  for (const EntryDifference& difference : aDifferences.entries) {
+    Json fields = Json::array();
+    for (const FieldDifference& field : difference.fields) {
+      fields.push_back({ { "field", field.field },
+                         { "from", field.from },
+                         { "to", field.to } });
+    }
+    entries.push_back(
+      { { "entry", difference.entry },
+        { "kind", kEntryKindNames.NameOf(difference.kind) },
+        { "change", kEntryChangeNames.NameOf(difference.change) },
+        { "fields", std::move(fields) } });
+  }
+  return { { "base", aDifferences.base }, { "entries", std::move(entries) } };
+}
+
 } // namespace
 
 std::ptrdiff_t
@@ -54,10 +114,12 @@
   for (const Finding& finding : aReport.findings) {
     text += FormatFinding(finding) + '\n';
   }
-  return text + fmt::format("{} entries, {} errors, {} warnings\n",
-                            aReport.entryCount,
-                            aReport.Count(FindingLevel::Error),
-                            aReport.Count(FindingLevel::Warning));
+  text += fmt::format("{} entries, {} errors, {} warnings\n",
+                      aReport.entryCount,
+                      aReport.Count(FindingLevel::Error),
+                      aReport.Count(FindingLevel::Warning));
+  return aReport.differences ? text + FormatDifferences(*aReport.differences)
+                             : text;
 }
 
 std::string
@@ -70,10 +132,14 @@
                          { "entry", finding.entry },
                          { "detail", finding.detail } });
   }
-  const Json report = { { "entries", aReport.entryCount },
-                        { "errors", aReport.Count(FindingLevel::Error) },
-                        { "warnings", aReport.Count(FindingLevel::Warning) },
-                        { "findings", std::move(findings) } };
+  const Json report = {
+    { "entries", aReport.entryCount },
+    { "errors", aReport.Count(FindingLevel::Error) },
+    { "warnings", aReport.Count(FindingLevel::Warning) },
+    { "findings", std::move(findings) },
+    { "differences",
+      aReport.differences ? DifferencesJson(*aReport.differences) : Json() }
+  };
   // Names of files need not be UTF-8.
   return report.dump(-1, ' ', false, Json::error_handler_t::replace) + '\n';
 }
