Warn of rates of teams that the translation raises in reviews

Cause: entries hold whole rates and 0 means no cap, so a site's team with a rate below 1 call a second gets a cap of 1. Operators were not told.

Change: `platform::FindChangedLimits` finds such rates in a valid document; the review gets it as a hook, so the names of the platform stay there.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -4,6 +4,7 @@
 #include "ctl/cataloguereviewer.h"
 #include "ctl/fleetinspector.h"
 #include "ctl/options.h"
+#include "documentreview.h"
 #include "objectapi.h"
 #include "store/httpobjectstore.h"
 
@@ -34,6 +35,7 @@
   DocumentFormat format;
   format.isDocument = platform::IsConfigDocument;
   format.read = platform::ReadConfigDocument;
+  format.findChangedLimits = platform::FindChangedLimits;
   format.object = platform::kConfigObjectName;
   format.makeStore = [config = std::move(aConfig)] {
     return platform::MakeObjectStore(config);
--- a/src/ctl/reviewbase.cpp
+++ b/src/ctl/reviewbase.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lacewingwharf {
@@ -41,15 +42,23 @@
                        aError.detail) };
 }
 
+bool
+HasErrors(const std::vector<Finding>& aFindings)
+{
+  return std::ranges::find(aFindings, FindingLevel::Error, &Finding::level) !=
+         aFindings.end();
+}
+
 } // namespace
 
 CatalogueCheck
 CheckInputCatalogue(const InputCatalogue& aInput)
 {
-  if (!aInput.findings.empty()) {
-    return { aInput.findings, nullptr };
-  }
   CatalogueCheck check = CheckCatalogue(aInput.stamp, aInput.entries);
+  std::ranges::copy(aInput.findings, std::back_inserter(check.findings));
+  if (HasErrors(aInput.findings)) {
+    check.snapshot = nullptr;
+  }
   // Documents are stored as they are, not as snapshots.
   if (check.snapshot && !aInput.isDocument && !FitsInStore(*check.snapshot)) {
     check.findings.push_back(ErrorFinding(
--- a/src/ctl/reviewinput.h
+++ b/src/ctl/reviewinput.h
@@ -20,6 +20,10 @@
   std::function<CatalogueResult<CatalogueDocument>(const std::string& aText)>
     read;
 
+  /** Warnings about limits of a valid document that its entries lack. */
+  std::function<std::vector<Finding>(const std::string& aText)>
+    findChangedLimits;
+
   std::string object; // The store object with the document in force.
   std::function<ObjectStore()> makeStore;
 };
@@ -31,7 +35,10 @@
   std::vector<ChangedEntry> entries;
   bool isDocument = false;
 
-  /** Why the document could not be translated; there are no entries then. */
+  /**
+   * Warnings about the translation of a document, or the error for which it
+   * failed; there are no entries then.
+   */
   std::vector<Finding> findings;
 };
 
