Read only documents from standard input in reviews

Cause: an entry on standard input got the name `-`, which is valid, so it was reviewed under a name that it will not have.

Change: `review -` takes a document; anything else is a usage error.

--- a/src/ctl/cataloguereviewer_test.cpp
+++ b/src/ctl/cataloguereviewer_test.cpp
@@ -3,6 +3,8 @@
 #include "distribution/acceptor.h"
 #include "distribution/fakestore.h"
 
+#include <cstdio>
+
 using namespace lacewingwharf;
 
 namespace {
@@ -122,6 +124,11 @@
   cr_expect(same.ErrorContains("'orders' is given twice"));
   cr_expect_eq(harness.Run({ empty }).code, ExitCode::Usage);
   cr_expect(harness.Run({}).ErrorContains("at least one FILE"));
+  // An entry on standard input would have no name.
+  cr_assert_not_null(std::freopen("/dev/null", "r", stdin));
+  const CtlRun input = harness.Run({ "-" });
+  cr_expect_eq(input.code, ExitCode::Usage);
+  cr_expect(input.ErrorContains("only a document"));
 }
 
 // A catalogue that the acceptor can't store must not pass as correct.
--- a/src/ctl/reviewinput.cpp
+++ b/src/ctl/reviewinput.cpp
@@ -18,6 +18,7 @@
 namespace filesystem = std::filesystem;
 
 constexpr std::string_view kSuffix = ".json";
+constexpr std::string_view kStandardInput = "-";
 
 // Entries have no revision before they are written. It must not be 0, which
 // marks an entry that the store has lost.
@@ -114,6 +115,11 @@
       }
       return success(ReadDocument(*text, aFormat));
     }
+    if (file == kStandardInput) {
+      return failure(
+        UsageError{ "standard input: only a document can be read from it, "
+                    "because an entry has the name of its file" });
+    }
     std::string name = EntryNameOf(file);
     if (!names.insert(name).second) {
       return failure(
--- a/src/ctl/reviewinput.h
+++ b/src/ctl/reviewinput.h
@@ -20,7 +20,7 @@
   std::function<CatalogueResult<CatalogueDocument>(const std::string& aText)>
     read;
 
-  /** Warnings about limits of a valid document that its entries lack. */
+  /** Warnings about limits of a valid document that its entries can't hold. */
   std::function<std::vector<Finding>(const std::string& aText)>
     findChangedLimits;
 
