Describe reviews of configurations

Man page, operations, catalogue, promises, glossary, changes and a design note for `lacewingwharfctl review`. The new test `packaging: PagesListEveryCommandAndWarning` compares commands, exit statuses and codes with the man page and docs/catalogue.md.

--- a/src/ctl/packaging_test.cpp
+++ b/src/ctl/packaging_test.cpp
@@ -1,3 +1,6 @@
+#include "catalogue/cataloguecheck.h"
+#include "catalogue/cataloguereview.h"
+#include "ctl/options.h"
 #include "settings/settingskeys.h"
 #include "settings/settingsreader.h"
 
@@ -102,6 +105,37 @@
   }
 }
 
+// Operators look up commands, exit statuses and the codes of warnings in these
+// pages.
+Test(packaging, PagesListEveryCommandAndWarning)
+{
+  // Hyphens have a backslash in man pages.
+  const std::string manual = std::regex_replace(
+    SourceText("docs/man/lacewingwharfctl.1"), std::regex("\\\\-"), "-");
+  const std::string catalogue = SourceText("docs/catalogue.md");
+  for (const auto& [command, name] : kCtlCommandNames.Rows()) {
+    const std::regex heading(fmt::format("\n\\.TP\n\\.BI?R? \"?{}\\b", name));
+    cr_expect(std::regex_search(manual, heading),
+              "%s is missing",
+              std::string(name).c_str());
+  }
+  for (int code = 0; code <= static_cast<int>(ExitCode::Warnings); ++code) {
+    const std::string heading = fmt::format("\n.TP\n.B {}\n", code);
+    cr_expect(manual.find(heading) != std::string::npos, "%d", code);
+  }
+  std::vector<std::string> codes = { kRepeatedNameCode };
+  for (const auto& [code, name] : kWarningNames.Rows()) {
+    codes.emplace_back(name);
+  }
+  for (const std::string& code : codes) {
+    cr_expect(manual.find(code) != std::string::npos, "%s", code.c_str());
+    cr_expect(catalogue.find(fmt::format("\n| `{}` |", code)) !=
+                std::string::npos,
+              "%s",
+              code.c_str());
+  }
+}
+
 // If the unit's stop timeout were shorter than the daemon's stop limit, systemd
 // would kill the daemon and interrupt calls in flight.
 Test(packaging, UnitWaitsForTheStopLimit)
