--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -28,6 +28,10 @@
   delete NAME       remove an entry (needs --expect or --force)
   check NAME FILE [NAME FILE ...]
                     check entries without writing them
+  review FILE...    check a whole catalogue before it is submitted: entry files
+                    (NAME.json), directories of them, or one document of a
+                    site's platform; with --platform or --against, also
+                    print the differences
   status            print version and state of each --daemon
   explain NAME      show which calls of an entry are slow or refused, for which
                     callers, since when, and by whose limit; for a team that a
@@ -46,12 +50,15 @@
   --force              write regardless of the entry's revision
   --change ID          accept all entries of this put together or none of them
   --version N          version for wait
+  --against FILE       compare the reviewed catalogue with this one instead of
+                       the version in force; may be repeated
   --timeout MS         time limit for wait in milliseconds (default 15000)
   --json               print data as JSON
   --help               print this text
 
 Exit codes: 0 done, 1 platform or daemon failed, 2 usage, 3 conflict with
-another write, 4 rejected, 5 timed out, 6 not found
+another write, 4 rejected, 5 timed out, 6 not found, 7 review found warnings
+only
 )";
 
 enum LongOption
@@ -62,6 +69,7 @@
   ForceOption,
   ChangeOption,
   VersionOption,
+  AgainstOption,
   TimeoutOption,
   JsonOption,
   HelpOption
@@ -74,6 +82,7 @@
   { "force", no_argument, nullptr, ForceOption },
   { "change", required_argument, nullptr, ChangeOption },
   { "version", required_argument, nullptr, VersionOption },
+  { "against", required_argument, nullptr, AgainstOption },
   { "timeout", required_argument, nullptr, TimeoutOption },
   { "json", no_argument, nullptr, JsonOption },
   { "help", no_argument, nullptr, HelpOption },
@@ -145,6 +154,9 @@
     case VersionOption:
       aOptions.version = number.value_or(0);
       return number.has_value();
+    case AgainstOption:
+      aOptions.against.push_back(value);
+      return !value.empty();
     case TimeoutOption:
       aOptions.timeout = number.value_or(0);
       return number.has_value();
@@ -237,6 +249,9 @@
 CheckArguments(const CtlOptions& aOptions)
 {
   const std::size_t count = aOptions.arguments.size();
+  if (!aOptions.against.empty() && aOptions.command != CtlCommand::Review) {
+    return "--against is for review only";
+  }
   switch (aOptions.command) {
     case CtlCommand::Put:
     case CtlCommand::Check:
@@ -260,6 +275,8 @@
       return count == 0 && !aOptions.daemons.empty()
                ? ""
                : "expected at least one --daemon and no arguments";
+    case CtlCommand::Review:
+      return count > 0 ? "" : "expected at least one FILE";
     case CtlCommand::List:
       return count == 0 ? "" : "expected no arguments";
   }
@@ -272,6 +289,7 @@
   const bool mayAskDaemons =
     aOptions.command == CtlCommand::Explain && !aOptions.daemons.empty();
   return !mayAskDaemons && aOptions.command != CtlCommand::Check &&
+         aOptions.command != CtlCommand::Review &&
          aOptions.command != CtlCommand::Status &&
          aOptions.command != CtlCommand::Usage &&
          (aOptions.command != CtlCommand::Wait || !aOptions.arguments.empty());
