Test the relay that keeps its role while the store serves only it

While the store refuses most of a group, nobody gets a rank, and a relay whose watch still works keeps its own (RefreshRelayRole). No test covered this condition, so it could be lost without notice.

Three tests drive a Distributor in a group of 12 whose relayCandidates hook first returns all members and then one or two of them. The role is kept while isWatchWorking is true, also when the members change. It is lost when the watch fails, and a member that was no relay before does not become one. A relay whose watch works gives way while the store serves the whole group.

--- a/src/distribution/distributorrelays_test.cpp
+++ b/src/distribution/distributorrelays_test.cpp
@@ -74,8 +74,131 @@
   return answer;
 }
 
+/** The members of a group in the order in which they become relays. */
+std::vector<std::string>
+GroupOrder(int aMembers)
+{
+  std::vector<std::string> hosts;
+  hosts.reserve(static_cast<std::size_t>(aMembers));
+  for (int index = 0; index < aMembers; ++index) {
+    hosts.push_back(fmt::format("h{}", index));
+  }
+  return RendezvousOrder("feeder/d", hosts);
+}
+
+/** A member of a group with one relay whose watch of the store works. */
+struct GroupMember
+{
+  GroupMember(const std::string& aHost, std::vector<std::string> aMembers)
+    : members(std::move(aMembers))
+    , candidates(this->members)
+    , distributor(Config(aHost),
+                  this->clock.View(),
+                  SeededRandom(1),
+                  this->Hooks())
+  {
+    Log::SetLevel(LogLevel::Error);
+    this->Run();
+  }
+
+  static DistributorConfig Config(const std::string& aHost)
+  {
+    DistributorConfig config;
+    config.host = aHost;
+    config.group = "d";
+    config.relays = 1;
+    config.startWait = 0;
+    return config;
+  }
+
+  DistributorHooks Hooks()
+  {
+    DistributorHooks hooks;
+    hooks.send = [](const std::string&, const wire::Envelope&) {};
+    hooks.reply = [](SessionId, const wire::Envelope&) {};
+    hooks.groupMembers = [this] { return this->members; };
+    hooks.relayCandidates = [this] { return this->candidates; };
+    hooks.acceptorCandidates = [] { return std::vector<std::string>(); };
+    hooks.submit = [](const PlatformJob&) { return false; };
+    hooks.onSnapshotChange = [](const SnapshotPtr&) {};
+    hooks.readDocument = [](const ObjectStore&) {
+      return PlatformResult<std::optional<CatalogueDocument>>(std::nullopt);
+    };
+    hooks.isWatchWorking = [this] { return this->isWatchWorking; };
+    return hooks;
+  }
+
+  /** Runs until the roles have been computed from the present members. */
+  void Run()
+  {
+    this->distributor.Tick();
+    this->clock.Advance(1000);
+    this->distributor.Tick();
+  }
+
+  ManualClock clock{ 1000 };
+  std::vector<std::string> members;
+  std::vector<std::string> candidates;
+  bool isWatchWorking = true;
+  Distributor distributor;
+};
+
 } // namespace
 
+// While the store refuses most of a group, no member gets a rank. The relay
+// that it still serves may be the only one that reads new versions: without its
+// role, the group would wait for a substitute.
+Test(distributorrelays, a_relay_keeps_its_role_while_the_store_serves_only_it)
+{
+  const auto order = GroupOrder(12);
+  GroupMember relay(order.front(), order);
+  cr_assert(relay.distributor.IsRelay());
+  relay.candidates = { order.front(), order.back() };
+  relay.Run();
+  cr_expect(relay.distributor.IsRelay());
+  // The members change while the others are refused.
+  relay.members.push_back("h12");
+  relay.Run();
+  cr_expect(relay.distributor.IsRelay());
+  GroupMember other(order.back(), order);
+  other.candidates = { order.front(), order.back() };
+  other.Run();
+  cr_expect_not(other.distributor.IsRelay(), "it was no relay before");
+}
+
+// A relay whose watch has failed, too, must give up its role, so that the
+// members of its group try the store in turn and not all of them at once.
+Test(distributorrelays, a_relay_that_is_refused_with_most_others_is_none)
+{
+  const auto order = GroupOrder(12);
+  GroupMember relay(order.front(), order);
+  relay.candidates = { order.front(), order.back() };
+  relay.Run();
+  cr_assert(relay.distributor.IsRelay());
+  relay.isWatchWorking = false;
+  relay.candidates = { order.back() };
+  relay.Run();
+  cr_expect_not(relay.distributor.IsRelay(), "after most of the others");
+  GroupMember together(order.front(), order);
+  together.isWatchWorking = false;
+  together.candidates = { order.front(), order.back() };
+  together.Run();
+  cr_expect_not(together.distributor.IsRelay(), "together with the others");
+}
+
+// A relay must give way to a member that precedes it in the order, although its
+// watch works. Each relay costs the store as many calls as the group needs.
+Test(distributorrelays, a_relay_gives_way_while_the_store_serves_the_group)
+{
+  const auto order = GroupOrder(13);
+  GroupMember relay(order[1], { order.begin() + 1, order.end() });
+  cr_assert(relay.distributor.IsRelay());
+  relay.members = order;
+  relay.candidates = order;
+  relay.Run();
+  cr_expect_not(relay.distributor.IsRelay());
+}
+
 // If the store refuses a whole region, its daemons learn of a version only from
 // another one. The first one that fetches it must push it to the others. One
 // that fetches from its own region must not: the push there is on its way.
