Date the answer of a peer from the fetch that it answers

A daemon dated the evidence in a ConfigAnswer from the oldest fetch since the last answer of that peer. An answer to an earlier fetch that arrived after the next one was sent counted from the later fetch, so old evidence passed for younger evidence, and a start could complete with it.

An answer without the number, from a daemon of an earlier build, counts from the first fetch that this process sent to that peer, which is never too late. Daemons of earlier builds skip the new fields.

--- a/src/distribution/confirmedstart_test.cpp
+++ b/src/distribution/confirmedstart_test.cpp
@@ -11,8 +11,10 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace lacewingwharf;
@@ -56,6 +58,8 @@
       if (aSent.__isset.configFetch &&
           aSent.configFetch.held == kVersionQuery) {
         this->queried.push_back(aHost);
+        this->questions[aHost].emplace_back(this->clock.View().Now(),
+                                            aSent.configFetch.question);
       }
     };
     hooks.reply = [this](SessionId, const wire::Envelope& aReply) {
@@ -89,8 +93,13 @@
     this->distributor.Tick();
   }
 
-  /** A peer answers with the newest version. */
-  void Answer(const std::string& aHost, std::optional<Millis> aConfirmed)
+  /**
+   * A peer answers with the newest version. One of an earlier build does not
+   * repeat the number of the question.
+   */
+  void Answer(const std::string& aHost,
+              std::optional<Millis> aConfirmed,
+              std::optional<std::int64_t> aQuestion = std::nullopt)
   {
     const auto delta = DeltaToEntries(
       *Snapshot::Empty(), { kNewest, 0, 0 }, { { "s", 1, ServiceText("o") } });
@@ -100,6 +109,9 @@
     if (aConfirmed) {
       answer.__set_confirmedMillis(*aConfirmed);
     }
+    if (aQuestion) {
+      answer.__set_question(*aQuestion);
+    }
     this->distributor.HandleAnswer(aHost, answer);
     this->distributor.Tick();
   }
@@ -107,6 +119,9 @@
   ManualClock clock{ 100000 };
   std::vector<std::string> queried;
   std::set<std::string> queriedBefore;
+
+  /** Times and numbers of the questions for the version, by host. */
+  std::map<std::string, std::vector<std::pair<Millis, std::int64_t>>> questions;
   wire::ConfigAnswer reply;
   int reads = 0;
   Distributor distributor;
@@ -154,6 +169,69 @@
   cr_expect_not(starting.distributor.IsReady());
 }
 
+// A peer that is slow, or a link that delivers late, may answer a question when
+// the next one was asked already. Evidence that is dated from the later
+// question is younger than it is, and a daemon then serves an outdated version.
+Test(confirmedstart, an_answer_counts_from_its_own_question_and_no_later_one)
+{
+  for (const bool hasNumbers : { true, false }) {
+    Starting starting;
+    starting.Run(50);
+    const std::string peer = starting.queried.front();
+    const auto& questions = starting.questions[peer];
+    const auto number = [&](std::size_t aIndex) {
+      return hasNumbers ? std::optional(questions[aIndex].second)
+                        : std::nullopt;
+    };
+    // It is asked twice before it answers, and again after its first answer,
+    // which is no evidence.
+    starting.Run(600);
+    cr_assert_eq(questions.size(), 2);
+    starting.Answer(peer, std::nullopt, number(0));
+    starting.Run(600);
+    cr_assert_geq(questions.size(), 3);
+    // This is the answer to the second question.
+    starting.Answer(peer, 100, number(1));
+    const auto confirmedAt = starting.distributor.ConfirmedAt();
+    cr_assert(confirmedAt.has_value());
+    cr_expect_eq(*confirmedAt,
+                 questions[hasNumbers ? 1 : 0].first - 100,
+                 "%ld, asked at %ld",
+                 static_cast<long>(*confirmedAt),
+                 static_cast<long>(questions[1].first));
+  }
+}
+
+// An answer that repeats a number which is not open has no known age.
+Test(confirmedstart, an_answer_to_an_unknown_question_is_no_confirmation)
+{
+  Starting starting;
+  starting.Run(50);
+  const std::string peer = starting.queried.front();
+  const std::int64_t number = starting.questions[peer].front().second;
+  starting.Answer(peer, 100, number + 100);
+  cr_expect_not(starting.distributor.ConfirmedAt().has_value());
+  cr_assert_gt(starting.queried.size(), 1U);
+  starting.Answer(starting.queried[1], 100, number);
+  cr_expect_not(starting.distributor.ConfirmedAt().has_value(), "other peer");
+  starting.Answer(peer, 100, number);
+  cr_expect(starting.distributor.ConfirmedAt().has_value());
+}
+
+// A daemon can only date an answer if the number of its question comes back.
+// Daemons of earlier builds send no number and get none.
+Test(confirmedstart, an_answer_repeats_the_number_of_the_question)
+{
+  Starting starting;
+  wire::ConfigFetch fetch;
+  starting.distributor.HandleFetch(1, "h1", fetch);
+  cr_expect_not(starting.reply.__isset.question);
+  fetch.__set_question(42);
+  starting.distributor.HandleFetch(1, "h1", fetch);
+  cr_expect(starting.reply.__isset.question);
+  cr_expect_eq(starting.reply.question, 42);
+}
+
 // An answer that was not asked for has no known age.
 Test(confirmedstart, an_answer_without_a_question_is_no_confirmation)
 {
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -78,6 +78,7 @@
   , startRule(this->clock,
               this->config.startWait,
               this->HasAcceptor() ? StartRule::kDefaultRequiredAnswers : 0)
+  , questions(this->clock)
   , platformReadDueAt(
       this->clock.Now() +
       (this->HasAcceptor()
@@ -230,6 +231,9 @@
   if (const auto confirmedAt = this->ConfirmedAt()) {
     answer.__set_confirmedMillis(this->clock.Now() - *confirmedAt);
   }
+  if (aFetch.__isset.question) {
+    answer.__set_question(aFetch.question);
+  }
   wire::Envelope envelope;
   envelope.__set_configAnswer(answer);
   this->hooks.reply(aSession, envelope);
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -5,6 +5,7 @@
 #include "distribution/divergence.h"
 #include "distribution/fetchplan.h"
 #include "distribution/fetchserver.h"
+#include "distribution/peerquestions.h"
 #include "distribution/relayfailover.h"
 #include "distribution/relaypush.h"
 #include "distribution/startrule.h"
@@ -13,7 +14,6 @@
 #include "peer/peernetwork.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -230,9 +230,7 @@
   RelayFailover failover;
   StartRule startRule;
   VersionEvidence evidence;
-
-  /** When the oldest fetch was sent that a host has not answered. */
-  std::map<std::string, Millis> fetchSentAt;
+  PeerQuestions questions;
   bool isStartupComplete = false;
   bool isPlatformReadStarted = false;
   bool isPlatformReadRunning = false;
--- a/src/distribution/distributorstart.cpp
+++ b/src/distribution/distributorstart.cpp
@@ -17,10 +17,11 @@
 constexpr Millis kConfirmationDivisor = 2;
 
 wire::Envelope
-FetchEnvelope(std::int64_t aHeld)
+FetchEnvelope(std::int64_t aHeld, std::int64_t aQuestion)
 {
   wire::ConfigFetch fetch;
   fetch.held = aHeld;
+  fetch.__set_question(aQuestion);
   wire::Envelope envelope;
   envelope.__set_configFetch(fetch);
   return envelope;
@@ -68,8 +69,7 @@
 void
 Distributor::SendFetch(const std::string& aHost, std::int64_t aHeld)
 {
-  this->fetchSentAt.try_emplace(aHost, this->clock.Now());
-  this->hooks.send(aHost, FetchEnvelope(aHeld));
+  this->hooks.send(aHost, FetchEnvelope(aHeld, this->questions.Ask(aHost)));
 }
 
 void
@@ -131,18 +131,21 @@
 
 /**
  * The age counts from the time at which the fetch was sent, because the answer
- * may have been on its way for long.
+ * may have been on its way for long. The peer may have answered an earlier
+ * fetch than the last one.
  */
 void
 Distributor::RecordConfirmation(const std::string& aFromHost,
                                 const wire::ConfigAnswer& aAnswer)
 {
-  const auto sent = this->fetchSentAt.extract(aFromHost);
-  if (sent.empty() || !aAnswer.__isset.confirmedMillis) {
+  const auto question =
+    aAnswer.__isset.question ? std::optional(aAnswer.question) : std::nullopt;
+  const auto askedAt = this->questions.TakeAskedAt(aFromHost, question);
+  if (!askedAt || !aAnswer.__isset.confirmedMillis) {
     return;
   }
   this->evidence.RecordVersion(aAnswer.held);
-  this->evidence.Confirm(sent.mapped() -
+  this->evidence.Confirm(*askedAt -
                          std::max<Millis>(aAnswer.confirmedMillis, 0));
 }
 
--- a/src/peer/gen-cpp/peer_types.cpp
+++ b/src/peer/gen-cpp/peer_types.cpp
@@ -3832,6 +3832,11 @@
 void ConfigFetch::__set_held(const int64_t val) {
   this->held = val;
 }
+
+void ConfigFetch::__set_question(const int64_t val) {
+  this->question = val;
+__isset.question = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigFetch& obj)
 {
   obj.printTo(out);
@@ -3868,6 +3873,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          this->__isset.question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3889,6 +3902,11 @@
   xfer += oprot->writeI64(this->held);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.question) {
+    xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->question);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3897,24 +3915,29 @@
 void swap(ConfigFetch &a, ConfigFetch &b) {
   using ::std::swap;
   swap(a.held, b.held);
+  swap(a.question, b.question);
   swap(a.__isset, b.__isset);
 }
 
 ConfigFetch::ConfigFetch(const ConfigFetch& other157) noexcept {
   held = other157.held;
+  question = other157.question;
   __isset = other157.__isset;
 }
 ConfigFetch::ConfigFetch(ConfigFetch&& other158) noexcept {
   held = other158.held;
+  question = other158.question;
   __isset = other158.__isset;
 }
 ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other159) noexcept {
   held = other159.held;
+  question = other159.question;
   __isset = other159.__isset;
   return *this;
 }
 ConfigFetch& ConfigFetch::operator=(ConfigFetch&& other160) noexcept {
   held = other160.held;
+  question = other160.question;
   __isset = other160.__isset;
   return *this;
 }
@@ -3922,6 +3945,7 @@
   using ::apache::thrift::to_string;
   out << "ConfigFetch(";
   out << "held=" << to_string(held);
+  out << ", " << "question="; (__isset.question ? (out << to_string(question)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3946,6 +3970,11 @@
   this->confirmedMillis = val;
 __isset.confirmedMillis = true;
 }
+
+void ConfigAnswer::__set_question(const int64_t val) {
+  this->question = val;
+__isset.question = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigAnswer& obj)
 {
   obj.printTo(out);
@@ -4018,6 +4047,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          this->__isset.question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4060,6 +4097,11 @@
     xfer += oprot->writeI64(this->confirmedMillis);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.question) {
+    xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->question);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4071,6 +4113,7 @@
   swap(a.bodies, b.bodies);
   swap(a.retryAfterMillis, b.retryAfterMillis);
   swap(a.confirmedMillis, b.confirmedMillis);
+  swap(a.question, b.question);
   swap(a.__isset, b.__isset);
 }
 
@@ -4079,6 +4122,7 @@
   bodies = other167.bodies;
   retryAfterMillis = other167.retryAfterMillis;
   confirmedMillis = other167.confirmedMillis;
+  question = other167.question;
   __isset = other167.__isset;
 }
 ConfigAnswer::ConfigAnswer(ConfigAnswer&& other168) noexcept {
@@ -4086,6 +4130,7 @@
   bodies = std::move(other168.bodies);
   retryAfterMillis = other168.retryAfterMillis;
   confirmedMillis = other168.confirmedMillis;
+  question = other168.question;
   __isset = other168.__isset;
 }
 ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other169) {
@@ -4093,6 +4138,7 @@
   bodies = other169.bodies;
   retryAfterMillis = other169.retryAfterMillis;
   confirmedMillis = other169.confirmedMillis;
+  question = other169.question;
   __isset = other169.__isset;
   return *this;
 }
@@ -4101,6 +4147,7 @@
   bodies = std::move(other170.bodies);
   retryAfterMillis = other170.retryAfterMillis;
   confirmedMillis = other170.confirmedMillis;
+  question = other170.question;
   __isset = other170.__isset;
   return *this;
 }
@@ -4111,6 +4158,7 @@
   out << ", " << "bodies=" << to_string(bodies);
   out << ", " << "retryAfterMillis=" << to_string(retryAfterMillis);
   out << ", " << "confirmedMillis="; (__isset.confirmedMillis ? (out << to_string(confirmedMillis)) : (out << "<null>"));
+  out << ", " << "question="; (__isset.question ? (out << to_string(question)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen-cpp/peer_types.h
+++ b/src/peer/gen-cpp/peer_types.h
@@ -1553,8 +1553,9 @@
 std::ostream& operator<<(std::ostream& out, const ConfigPush& obj);
 
 typedef struct _ConfigFetch__isset {
-  _ConfigFetch__isset() : held(false) {}
+  _ConfigFetch__isset() : held(false), question(false) {}
   bool held :1;
+  bool question :1;
 } _ConfigFetch__isset;
 
 class ConfigFetch : public virtual ::apache::thrift::TBase {
@@ -1565,7 +1566,8 @@
   ConfigFetch& operator=(const ConfigFetch&) noexcept;
   ConfigFetch& operator=(ConfigFetch&&) noexcept;
   ConfigFetch() noexcept
-              : held(0) {
+              : held(0),
+                question(0) {
   }
 
   virtual ~ConfigFetch() noexcept;
@@ -1574,15 +1576,25 @@
    * maximum value requests only the version number of the peer.
    */
   int64_t held;
+  /**
+   * Number of the question, which the answer repeats.
+   */
+  int64_t question;
 
   _ConfigFetch__isset __isset;
 
   void __set_held(const int64_t val);
 
+  void __set_question(const int64_t val);
+
   bool operator == (const ConfigFetch & rhs) const
   {
     if (!(held == rhs.held))
       return false;
+    if (__isset.question != rhs.__isset.question)
+      return false;
+    else if (__isset.question && !(question == rhs.question))
+      return false;
     return true;
   }
   bool operator != (const ConfigFetch &rhs) const {
@@ -1602,11 +1614,12 @@
 std::ostream& operator<<(std::ostream& out, const ConfigFetch& obj);
 
 typedef struct _ConfigAnswer__isset {
-  _ConfigAnswer__isset() : held(false), bodies(false), retryAfterMillis(false), confirmedMillis(false) {}
+  _ConfigAnswer__isset() : held(false), bodies(false), retryAfterMillis(false), confirmedMillis(false), question(false) {}
   bool held :1;
   bool bodies :1;
   bool retryAfterMillis :1;
   bool confirmedMillis :1;
+  bool question :1;
 } _ConfigAnswer__isset;
 
 class ConfigAnswer : public virtual ::apache::thrift::TBase {
@@ -1619,7 +1632,8 @@
   ConfigAnswer() noexcept
                : held(0),
                  retryAfterMillis(0),
-                 confirmedMillis(0) {
+                 confirmedMillis(0),
+                 question(0) {
   }
 
   virtual ~ConfigAnswer() noexcept;
@@ -1637,6 +1651,10 @@
    * `held`; missing if it does not know.
    */
   int64_t confirmedMillis;
+  /**
+   * `question` of the ConfigFetch that this answers; missing if it had none.
+   */
+  int64_t question;
 
   _ConfigAnswer__isset __isset;
 
@@ -1648,6 +1666,8 @@
 
   void __set_confirmedMillis(const int64_t val);
 
+  void __set_question(const int64_t val);
+
   bool operator == (const ConfigAnswer & rhs) const
   {
     if (!(held == rhs.held))
@@ -1660,6 +1680,10 @@
       return false;
     else if (__isset.confirmedMillis && !(confirmedMillis == rhs.confirmedMillis))
       return false;
+    if (__isset.question != rhs.__isset.question)
+      return false;
+    else if (__isset.question && !(question == rhs.question))
+      return false;
     return true;
   }
   bool operator != (const ConfigAnswer &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -226,6 +226,8 @@
    * maximum value requests only the version number of the peer.
    */
   1: i64 held
+  /** Number of the question, which the answer repeats. */
+  2: optional i64 question
 }
 
 struct ConfigAnswer {
@@ -239,6 +241,8 @@
    * `held`; missing if it does not know.
    */
   4: optional i64 confirmedMillis
+  /** `question` of the ConfigFetch that this answers; missing if it had none. */
+  5: optional i64 question
 }
 
 struct CallRequest {
