Count an answer of the store without changes as an answer

StoreAccess::RecordAnswer() was only called with changes or a full list. A daemon that keeps its watch after a failure, as the only relay left or while it decides a rollout, goes on from the known revision, and on a quiet site that is answered without changes. It then counted as refused until the report of the failure expired after 11 s, so that others watched in its place, although the store served it.

ControlService now records each answer of the watch for versions (onAnswered), with or without changes.

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -206,6 +206,7 @@
   config.onAnswered = [this](Millis aTime) {
     const auto handle = [this, aTime] {
       this->distributor.HandleWatchAnswer(aTime);
+      this->HandleStoreAnswer();
       this->SetWatchTimeout();
     };
     if (this->HasDocuments()) {
--- a/src/daemon/controlservice.h
+++ b/src/daemon/controlservice.h
@@ -133,6 +133,7 @@
     const ObjectStore& aStore) const;
   void HandleDocumentChange(const PlatformResult<ObjectList>& aResult);
   void HandleStoreFailure();
+  void HandleStoreAnswer();
   void RecordPeerStoreEra(std::int64_t aEra);
   void HandleStoreRise();
   void UpdateStoreAccess();
--- a/src/daemon/controlservicesite.cpp
+++ b/src/daemon/controlservicesite.cpp
@@ -154,6 +154,14 @@
   }
 }
 
+/** An answer disproves an earlier failure, also one that has no changes. */
+void
+ControlService::HandleStoreAnswer()
+{
+  this->storeAccess.RecordAnswer();
+  this->UpdateStoreAccess();
+}
+
 /** Takes back the report of a failure when it has expired or been disproved. */
 void
 ControlService::UpdateStoreAccess()
@@ -177,8 +185,6 @@
     }
     return;
   }
-  this->storeAccess.RecordAnswer();
-  this->UpdateStoreAccess();
   const DocumentSource& source = *this->protocol.documents;
   for (const StoredObject& object : aResult.assume_value().objects) {
     if (object.name != source.object || object.isDeleted) {
