Let a daemon that is alone in its region read the store at once

In a region without the store, the first reads of the document are spread over half of startwait (1 s by default), so that the daemons of a region that restarts do not all use the link between the regions. A daemon that is alone there waited, too, and refused calls meanwhile.

The read is now due after the 100 ms that the platform's region uses, once the member list was read and names no other member of the region. A read that fails is repeated after the same pause as before. Where the fleet accepts versions itself, nothing changes: a start there needs the answers of peers in any case.

Daemons of a region whose entries are not in the store yet, and that all start within the time of one read of the member list, do not know of each other and are not spread any more.

--- a/src/daemon/controlservicehooks.cpp
+++ b/src/daemon/controlservicehooks.cpp
@@ -138,6 +138,7 @@
     distribution.relayCandidates = [this] {
       return this->membership.HostsWithStoreAccess();
     };
+    distribution.hasReadMembers = [this] { return this->directory.HasRead(); };
     distribution.readDocument = [this](const ObjectStore& aStore) {
       return this->ReadDocument(aStore);
     };
--- a/src/distribution/confirmedstart_test.cpp
+++ b/src/distribution/confirmedstart_test.cpp
@@ -26,7 +26,10 @@
 constexpr Millis kRolloutTime = 3000;
 constexpr std::int64_t kNewest = 5;
 
-/** A daemon that starts; its reads of the store are counted, not answered. */
+/**
+ * A daemon that starts. Its reads of the store are counted, and not answered
+ * unless the store is down.
+ */
 struct Starting
 {
   explicit Starting(const std::string& aRegion = "east",
@@ -65,20 +68,21 @@
     hooks.reply = [this](SessionId, const wire::Envelope& aReply) {
       this->reply = aReply.configAnswer;
     };
-    hooks.groupMembers = [] {
-      return std::vector<std::string>{ "h0", "h1", "h2", "h3", "h4",
-                                       "h5", "h6", "h7", "h8", "h9" };
-    };
+    hooks.groupMembers = [this] { return this->members; };
+    hooks.hasReadMembers = [this] { return this->hasReadMembers; };
     hooks.acceptorCandidates = [] { return std::vector<std::string>(); };
-    hooks.submit = [this](const PlatformJob&) {
+    hooks.submit = [this](const PlatformJob& aJob) {
       ++this->reads;
+      if (this->isStoreDown) {
+        aJob({})();
+      }
       return true;
     };
     hooks.onSnapshotChange = [](const SnapshotPtr&) {};
     if (aHasDocuments) {
       hooks.readDocument = [](const ObjectStore&)
         -> PlatformResult<std::optional<CatalogueDocument>> {
-        return std::optional<CatalogueDocument>();
+        return PlatformError{ PlatformErrorCode::Unreachable, "" };
       };
     }
     return hooks;
@@ -123,6 +127,10 @@
   /** Times and numbers of the questions for the version, by host. */
   std::map<std::string, std::vector<std::pair<Millis, std::int64_t>>> questions;
   wire::ConfigAnswer reply;
+  std::vector<std::string> members{ "h0", "h1", "h2", "h3", "h4",
+                                    "h5", "h6", "h7", "h8", "h9" };
+  bool hasReadMembers = true;
+  bool isStoreDown = false;
   int reads = 0;
   Distributor distributor;
 };
@@ -295,6 +303,45 @@
   cr_expect_eq(far.reads, 1);
 }
 
+// A daemon that is alone in its region shares the link with nobody, so a delay
+// before its read only makes it refuse calls for longer.
+Test(confirmedstart, a_daemon_alone_in_its_region_reads_at_once)
+{
+  Starting alone("west");
+  alone.members = { "h0" };
+  alone.Run(100);
+  cr_expect_eq(alone.reads, 1);
+  Starting unlisted("west");
+  unlisted.members.clear(); // Not even this daemon is known yet.
+  unlisted.Run(100);
+  cr_expect_eq(unlisted.reads, 1);
+}
+
+// As long as the member list was not read, a daemon in a region that restarts
+// knows no other member. All of them would then read the store at once.
+Test(confirmedstart, a_daemon_is_not_alone_before_it_has_read_the_members)
+{
+  Starting alone("west");
+  alone.members = { "h0" };
+  alone.hasReadMembers = false;
+  alone.Run(100);
+  cr_expect_eq(alone.reads, 0);
+  alone.hasReadMembers = true;
+  alone.Run(kTick);
+  cr_expect_eq(alone.reads, 1);
+}
+
+// A daemon that is alone must not repeat a read that fails on each tick.
+Test(confirmedstart, reads_that_fail_are_repeated_after_a_pause)
+{
+  Starting alone("west");
+  alone.members = { "h0" };
+  alone.isStoreDown = true;
+  alone.Run(1000);
+  cr_expect_geq(alone.reads, 2, "%d", alone.reads);
+  cr_expect_leq(alone.reads, 4, "%d", alone.reads);
+}
+
 // A daemon answers with the age of what it knows itself.
 Test(confirmedstart, an_answer_tells_the_age_of_the_confirmation)
 {
--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -85,6 +85,8 @@
          ? RandomDelay(this->random,
                        this->config.startWait / kPlatformReadDivisor)
          : DocumentReadDelay(this->config, this->random)))
+  , aloneReadDueAt(this->HasAcceptor() ? this->platformReadDueAt
+                                       : this->clock.Now() + kDocumentReadDelay)
   , heldSince(this->clock.Now())
 {
 }
--- a/src/distribution/distributor.h
+++ b/src/distribution/distributor.h
@@ -92,6 +92,12 @@
 
   /** Returns the era of the store to send with heartbeats. Optional. */
   std::function<std::optional<std::int64_t>()> storeEra{};
+
+  /**
+   * Whether the members that the store lists are known. If it is not set, they
+   * are known from the start.
+   */
+  std::function<bool()> hasReadMembers{};
 };
 
 /**
@@ -191,6 +197,8 @@
   void RefreshRoles();
   void RefreshRelayRole();
   void AdvanceStartup();
+  bool IsPlatformReadDue() const;
+  bool IsAloneInGroup() const;
   void QueryPeers(std::vector<std::string> aHosts);
   void SendFetch(const std::string& aHost, std::int64_t aHeld);
   void RecordConfirmation(const std::string& aFromHost,
@@ -235,6 +243,7 @@
   bool isPlatformReadStarted = false;
   bool isPlatformReadRunning = false;
   Millis platformReadDueAt = 0;
+  Millis aloneReadDueAt = 0; // The same while no other member is known.
   Millis roleRefreshDueAt = 0;
   Millis heldSince;                 // When the held version was taken.
   std::vector<std::string> members; // Of the own group, sorted.
--- a/src/distribution/distributordocuments.cpp
+++ b/src/distribution/distributordocuments.cpp
@@ -45,6 +45,7 @@
                  aRead.assume_error().detail);
     this->isPlatformReadStarted = false;
     this->platformReadDueAt = this->clock.Now() + kDocumentRetryDelay;
+    this->aloneReadDueAt = this->platformReadDueAt;
     return;
   }
   this->startRule.RecordPlatformAnswer();
--- a/src/distribution/distributorstart.cpp
+++ b/src/distribution/distributorstart.cpp
@@ -34,8 +34,7 @@
 {
   this->QueryPeers(this->members);
   this->QueryPeers(this->acceptorCandidates);
-  if (!this->isPlatformReadStarted &&
-      this->clock.Now() >= this->platformReadDueAt) {
+  if (!this->isPlatformReadStarted && this->IsPlatformReadDue()) {
     this->isPlatformReadStarted = true;
     this->StartPlatformRead();
   }
@@ -50,6 +49,26 @@
   }
 }
 
+/** A daemon that shares its link with no other member need not wait for one. */
+bool
+Distributor::IsPlatformReadDue() const
+{
+  const Millis now = this->clock.Now();
+  return now >= this->platformReadDueAt ||
+         (now >= this->aloneReadDueAt && this->IsAloneInGroup());
+}
+
+bool
+Distributor::IsAloneInGroup() const
+{
+  const bool areMembersKnown =
+    !this->hooks.hasReadMembers || this->hooks.hasReadMembers();
+  return areMembersKnown &&
+         std::ranges::all_of(this->members, [this](const std::string& aHost) {
+           return aHost == this->config.host;
+         });
+}
+
 void
 Distributor::QueryPeers(std::vector<std::string> aHosts)
 {
