Let a report of a failed watch last until the next try has failed

A member that the store has refused counts as refused for a fixed time of 11 s, which must be longer than the time until its next try has failed: 8 s with a short rollout time, plus the timeout of the store. With a rollout time above 6.4 s the round of the candidates is longer than 8 s, and the timeout of the store can be set up to 60 s. The reports then ended between two tries, relays were chosen again, and the store got more calls.

RefusedTime() computes it from the round, the timeout and a margin of 1 s. With the defaults it is 11 s as before. The interval between tries moved from relayfailover.cpp to storetries.cpp for this, unchanged.

--- a/src/daemon/controlservice.cpp
+++ b/src/daemon/controlservice.cpp
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "common/random.h"
 #include "daemon/serverprobe.h"
+#include "distribution/storetries.h"
 #include "store/httpobjectstore.h"
 
 #include <fmt/format.h>
@@ -175,7 +176,9 @@
                      return this->directory.StoreLeaving(aLeaving);
                    })
   , startedAt(this->clock.Now())
-  , storeAccess(this->clock)
+  , storeAccess(this->clock,
+                RefusedTime(aProtocol.bounds.versionRolloutTime,
+                            aSettings.platformTimeout))
   , aggregator(
       aSettings.domain,
       Clock::Wall(),
--- a/src/distribution/relayfailover.cpp
+++ b/src/distribution/relayfailover.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "distribution/storetries.h"
 
 #include <algorithm>
 
@@ -19,17 +20,6 @@
 constexpr Millis kSilentHeartbeats = 3;
 constexpr Millis kRankDelaysPerRollout = 40;
 
-// The first candidates fail within a second when the store is down. They then
-// try again in turn, so that several of them can be refused within the rollout
-// time and one still sees the store return. The store charges for each call, so
-// a group makes at most 10 in 8 s.
-constexpr Millis kTriesPerRollout = 8;
-constexpr Millis kMinTryInterval = 800;
-
-// How long other members leave the watch to the first candidates after the
-// store has refused them.
-constexpr Millis kStoreRetryDelay = 8000;
-
 // The map then mostly holds former relays and is cleared.
 constexpr std::size_t kMaxRelays = 64;
 
@@ -70,7 +60,7 @@
 Millis
 RelayFailover::TryInterval() const
 {
-  return std::max(this->config.rolloutTime / kTriesPerRollout, kMinTryInterval);
+  return StoreTryInterval(this->config.rolloutTime);
 }
 
 bool
--- a/src/distribution/storeaccess.h
+++ b/src/distribution/storeaccess.h
@@ -14,7 +14,12 @@
 class StoreAccess
 {
 public:
-  explicit StoreAccess(Clock aClock);
+  /**
+   * A failure counts for aRefusedTime. If the reports of all members ended
+   * before these try the store again, the whole group would try it; see
+   * RefusedTime().
+   */
+  StoreAccess(Clock aClock, Millis aRefusedTime);
 
   /**
    * Records that a call of the watch has failed. A daemon that is neither a
@@ -27,11 +32,13 @@
 
 private:
   Clock clock;
+  Millis refusedTime;
   std::optional<Millis> refusedUntil;
 };
 
-inline StoreAccess::StoreAccess(Clock aClock)
+inline StoreAccess::StoreAccess(Clock aClock, Millis aRefusedTime)
   : clock(std::move(aClock))
+  , refusedTime(aRefusedTime)
 {
 }
 
--- a/src/distribution/storeoutage_test.cpp
+++ b/src/distribution/storeoutage_test.cpp
@@ -6,6 +6,7 @@
 #include "distribution/relayfailover.h"
 #include "distribution/relayrank.h"
 #include "distribution/storeaccess.h"
+#include "distribution/storetries.h"
 
 #include <criterion/criterion.h>
 
@@ -30,10 +31,13 @@
 
 struct Member
 {
-  Member(const std::string& aHost, const Clock& aClock)
+  Member(const std::string& aHost,
+         const Clock& aClock,
+         Millis aRolloutTime,
+         Millis aFailTime)
     : host(aHost)
-    , failover({ aHost, 1, kOrderKey, kRolloutTime }, aClock)
-    , access(aClock)
+    , failover({ aHost, 1, kOrderKey, aRolloutTime }, aClock)
+    , access(aClock, RefusedTime(aRolloutTime, aFailTime))
   {
   }
 
@@ -56,7 +60,7 @@
 {
 public:
   /** A call that the store refuses fails after aFailTime. */
-  Group(int aMembers, Millis aFailTime)
+  Group(int aMembers, Millis aFailTime, Millis aRolloutTime = kRolloutTime)
     : failTime(aFailTime)
   {
     Log::SetLevel(LogLevel::Error);
@@ -65,8 +69,8 @@
     }
     this->order = RendezvousOrder(kOrderKey, this->order);
     for (const std::string& host : this->order) {
-      this->members.push_back(
-        std::make_unique<Member>(host, this->clock.View()));
+      this->members.push_back(std::make_unique<Member>(
+        host, this->clock.View(), aRolloutTime, aFailTime));
       this->members.back()->failover.SetCandidates(this->order);
     }
     this->Run(10000);
@@ -254,6 +258,31 @@
   }
 }
 
+// With a long rollout time, or a store that fails late, a member tries the
+// store again later than 11 s after its last try. If the report of its failure
+// has ended by then, relays are chosen again and the group tries it more often.
+Test(storeoutage, reports_of_failures_last_until_the_next_try)
+{
+  const std::vector<std::pair<Millis, Millis>> timesOfSites{
+    { 2000, 600 }, { 2000, 5000 }, { 12000, 0 }, { 12000, 2000 }, { 30000, 0 }
+  };
+  for (const auto& [rolloutTime, failTime] : timesOfSites) {
+    Group group(40, failTime, rolloutTime);
+    group.isStoreDown = true;
+    const Millis round = kFirstCandidates * StoreTryInterval(rolloutTime);
+    group.Run(2 * (round + failTime));
+    for (int count = 0; count < 4; ++count) {
+      group.Run(round);
+      cr_expect_leq(group.CallsIn(round),
+                    kFirstCandidates,
+                    "%ld ms, %ld ms: %ld calls",
+                    static_cast<long>(rolloutTime),
+                    static_cast<long>(failTime),
+                    group.CallsIn(round));
+    }
+  }
+}
+
 // Incident nhf-mix-78825905036: after an outage for all, the store refused 26
 // of 80 daemons. A version must be in force within 3 s, and at most 5 s more
 // while the store is disturbed. 3 s of these are left for reading and pushing.
