--- a/src/distribution/distributor.cpp
+++ b/src/distribution/distributor.cpp
@@ -78,12 +78,15 @@
   , startRule(this->clock,
               this->config.startWait,
               this->HasAcceptor() ? StartRule::kDefaultRequiredAnswers : 0)
+  , questions(this->clock)
   , platformReadDueAt(
       this->clock.Now() +
       (this->HasAcceptor()
          ? RandomDelay(this->random,
                        this->config.startWait / kPlatformReadDivisor)
          : DocumentReadDelay(this->config, this->random)))
+  , aloneReadDueAt(this->HasAcceptor() ? this->platformReadDueAt
+                                       : this->clock.Now() + kDocumentReadDelay)
   , heldSince(this->clock.Now())
 {
 }
@@ -230,6 +233,9 @@
   if (const auto confirmedAt = this->ConfirmedAt()) {
     answer.__set_confirmedMillis(this->clock.Now() - *confirmedAt);
   }
+  if (aFetch.__isset.question) {
+    answer.__set_question(aFetch.question);
+  }
   wire::Envelope envelope;
   envelope.__set_configAnswer(answer);
   this->hooks.reply(aSession, envelope);
--- a/src/distribution/distributorstart.cpp
+++ b/src/distribution/distributorstart.cpp
@@ -17,10 +17,11 @@
 constexpr Millis kConfirmationDivisor = 2;
 
 wire::Envelope
-FetchEnvelope(std::int64_t aHeld)
+FetchEnvelope(std::int64_t aHeld, std::int64_t aQuestion)
 {
   wire::ConfigFetch fetch;
   fetch.held = aHeld;
+  fetch.__set_question(aQuestion);
   wire::Envelope envelope;
   envelope.__set_configFetch(fetch);
   return envelope;
@@ -33,8 +34,7 @@
 {
   this->QueryPeers(this->members);
   this->QueryPeers(this->acceptorCandidates);
-  if (!this->isPlatformReadStarted &&
-      this->clock.Now() >= this->platformReadDueAt) {
+  if (!this->isPlatformReadStarted && this->IsPlatformReadDue()) {
     this->isPlatformReadStarted = true;
     this->StartPlatformRead();
   }
@@ -49,6 +49,26 @@
   }
 }
 
+/** A daemon that shares its link with no other member need not wait for one. */
+bool
+Distributor::IsPlatformReadDue() const
+{
+  const Millis now = this->clock.Now();
+  return now >= this->platformReadDueAt ||
+         (now >= this->aloneReadDueAt && this->IsAloneInGroup());
+}
+
+bool
+Distributor::IsAloneInGroup() const
+{
+  const bool areMembersKnown =
+    !this->hooks.hasReadMembers || this->hooks.hasReadMembers();
+  return areMembersKnown &&
+         std::ranges::all_of(this->members, [this](const std::string& aHost) {
+           return aHost == this->config.host;
+         });
+}
+
 void
 Distributor::QueryPeers(std::vector<std::string> aHosts)
 {
@@ -68,8 +88,7 @@
 void
 Distributor::SendFetch(const std::string& aHost, std::int64_t aHeld)
 {
-  this->fetchSentAt.try_emplace(aHost, this->clock.Now());
-  this->hooks.send(aHost, FetchEnvelope(aHeld));
+  this->hooks.send(aHost, FetchEnvelope(aHeld, this->questions.Ask(aHost)));
 }
 
 void
@@ -131,18 +150,21 @@
 
 /**
  * The age counts from the time at which the fetch was sent, because the answer
- * may have been on its way for long.
+ * may have been on its way for long. The peer may have answered an earlier
+ * fetch than the last one.
  */
 void
 Distributor::RecordConfirmation(const std::string& aFromHost,
                                 const wire::ConfigAnswer& aAnswer)
 {
-  const auto sent = this->fetchSentAt.extract(aFromHost);
-  if (sent.empty() || !aAnswer.__isset.confirmedMillis) {
+  const auto question =
+    aAnswer.__isset.question ? std::optional(aAnswer.question) : std::nullopt;
+  const auto askedAt = this->questions.TakeAskedAt(aFromHost, question);
+  if (!askedAt || !aAnswer.__isset.confirmedMillis) {
     return;
   }
   this->evidence.RecordVersion(aAnswer.held);
-  this->evidence.Confirm(sent.mapped() -
+  this->evidence.Confirm(*askedAt -
                          std::max<Millis>(aAnswer.confirmedMillis, 0));
 }
 
