Keep the tokens of pools that fill for calls that wait

After a restart of all daemons, pools start empty. A request for a call that waits also asks for tokens of calls that are only expected, and each such token was missing for up to 350 ms to a call that waited at another daemon. A pool now grants tokens ahead only from the part above half of its depth. The bound is not concerned: fewer tokens are granted than before in the same state.

A reply without tokens granted ahead names no time to retry, because the pool has tokens for calls.

--- a/src/usage/usageaccountant.cpp
+++ b/src/usage/usageaccountant.cpp
@@ -171,7 +171,7 @@
                   std::clamp(need.waiting, 0, kMaxUsageCount),
                   aNow);
     answer.left = pool->HasLoans() ? pool->Left() : kUsageNoLoans;
-    if (pool->HasLoans() && answer.granted < wanted) {
+    if (pool->HasLoans() && answer.granted < wanted && answer.left == 0) {
       answer.retryAfterMillis = static_cast<std::int32_t>(pool->RetryAfter());
     }
     grant.answers.push_back(std::move(answer));
--- a/src/usage/usageparts_test.cpp
+++ b/src/usage/usageparts_test.cpp
@@ -211,6 +211,36 @@
   cr_assert_eq(test.last.left, left + 3);
 }
 
+// Tokens that are granted ahead of calls are missing to the calls that wait
+// elsewhere, so a pool that fills must not grant any.
+Test(usageparts, AFillingPoolKeepsItsTokensForCallsThatWait)
+{
+  Accounting test(20, 20);
+  test.accountant.Handle(test.Request("a"), test.now);
+  test.now += 200;
+  wire::UsageRequest ahead = test.Request("a");
+  wire::UsageNeed need;
+  need.team = "pulo";
+  need.wanted = 3;
+  need.waiting = 1;
+  ahead.needs.push_back(need);
+  const wire::UsageAnswer answer =
+    test.accountant.Handle(ahead, test.now).answers.at(0);
+  cr_assert_eq(answer.granted, 1);
+  cr_assert_eq(answer.left, 3);
+  cr_assert_eq(answer.retryAfterMillis, 0); // There are tokens for calls.
+  cr_assert_eq(test.Take(test.Request("a"), 3), 3);
+  // A full pool grants ahead.
+  test.now += 1450;
+  test.accountant.Handle(test.Request("a"), test.now);
+  test.now += 1450;
+  need.wanted = 5;
+  ahead = test.Request("a");
+  ahead.needs.push_back(need);
+  cr_assert_eq(test.accountant.Handle(ahead, test.now).answers.at(0).granted,
+               5);
+}
+
 // Granted tokens that may still be spent count towards the depth.
 Test(usageparts, OutstandingTokensLimitThePool)
 {
--- a/src/usage/usagepool.cpp
+++ b/src/usage/usagepool.cpp
@@ -13,6 +13,11 @@
 
 constexpr Millis kMaxRetryAfter = 5000;
 
+// Tokens for calls that are only expected are taken from the part of a pool
+// above this share of its depth. A token that is granted ahead is missing to the
+// calls that wait elsewhere until it is returned or has ended.
+constexpr double kReservedShare = 0.5;
+
 } // namespace
 
 UsagePool::UsagePool(const UsageShare& aShare)
@@ -81,7 +86,12 @@
                  int aWaiting,
                  Millis aNow)
 {
-  const int granted = std::clamp(aWanted, 0, this->Left());
+  const int forWaiting =
+    std::min(std::max(0, aWanted), std::clamp(aWaiting, 0, this->Left()));
+  const double reserve = kReservedShare * this->depth * this->seen.share;
+  const int ahead =
+    static_cast<int>(std::max(0.0, this->level - forWaiting - reserve));
+  const int granted = forWaiting + std::clamp(aWanted - forWaiting, 0, ahead);
   if (granted > 0) {
     this->level = std::max(0.0, this->level - granted);
     this->outstanding += granted;
--- a/src/usage/usagepool.h
+++ b/src/usage/usagepool.h
@@ -48,8 +48,9 @@
   void Advance(const UsageShare& aShare, Millis aNow);
 
   /**
-   * Grants up to aWanted tokens. Of aWaiting calls, those without a token count
-   * as refused.
+   * Grants up to aWanted tokens: one for each of aWaiting calls while there are
+   * any, and more only from the upper part of the pool. Of aWaiting calls,
+   * those without a token count as refused.
    */
   int Grant(const UsageGrantKey& aKey, int aWanted, int aWaiting, Millis aNow);
 
