Name the time at which tokens exist after a start

After a restart of all daemons, Retry-After was not true. A 503 (team-unavailable) named 500 ms, whatever was missing; a 429 (team-rate) named the time at the share of the first lenders, up to 5 s, although the others lend soon after.

A daemon that has not lent since its start names the time at which it lends its own share, if that is later than 500 ms. An accountant counts the members that send requests and do not lend yet, at most every 100 ms, and assumes that the share grows steadily to theirs in the waits of a start. Where all of them lend, nothing changes.

--- a/src/usage/usageaccountant.cpp
+++ b/src/usage/usageaccountant.cpp
@@ -25,6 +25,10 @@
 // one are not given to new pools.
 constexpr std::size_t kMaxShareChanges = 256;
 
+// Lenders are counted again for Retry-After after this time. A team above its
+// cap causes up to 6,000 requests a second in a fleet of 300 daemons.
+constexpr Millis kGrowthInterval = 100;
+
 } // namespace
 
 UsageAccountant::UsageAccountant(std::string aHost,
@@ -172,13 +176,42 @@
                   aNow);
     answer.left = pool->HasLoans() ? pool->Left() : kUsageNoLoans;
     if (pool->HasLoans() && answer.granted < wanted && answer.left == 0) {
-      answer.retryAfterMillis = static_cast<std::int32_t>(pool->RetryAfter());
+      answer.retryAfterMillis = static_cast<std::int32_t>(
+        pool->RetryAfter(this->ExpectedGrowth(UsageGroupOf(need.team), aNow)));
     }
     grant.answers.push_back(std::move(answer));
   }
   return grant;
 }
 
+/**
+ * Daemons that send requests and do not lend yet have just started or have
+ * halves that move here. After a restart of all daemons, the share of the first
+ * lender alone would name times of up to 5 s, while tokens exist within 1 s.
+ */
+double
+UsageAccountant::ExpectedGrowth(int aGroup, Millis aNow)
+{
+  Growth& growth = this->growths[static_cast<std::size_t>(aGroup)];
+  if (growth.at > 0 && aNow < growth.at + kGrowthInterval) {
+    return growth.value;
+  }
+  int present = 0;
+  int lending = 0;
+  for (const auto& [name, lender] : this->lenders) {
+    bool isLending = false;
+    for (int half = 0; half < kUsageHalves; ++half) {
+      const auto loan = static_cast<std::size_t>(LoanIndex(aGroup, half));
+      isLending = isLending || lender.until[loan] > aNow;
+    }
+    lending += isLending ? 1 : 0;
+    present += isLending || lender.seenAt + this->times.silence > aNow ? 1 : 0;
+  }
+  growth.at = aNow;
+  growth.value = static_cast<double>(present) / std::max(1, lending);
+  return growth.value;
+}
+
 /**
  * A process that started after the wall clock was set back has a lower
  * incarnation than the one before. Its echo of a stamp from after the newest
--- a/src/usage/usageaccountant.h
+++ b/src/usage/usageaccountant.h
@@ -75,6 +75,13 @@
     Millis at = 0;
   };
 
+  /** Members that lend or will lend, per member that lends. */
+  struct Growth
+  {
+    double value = 1;
+    Millis at = 0; // When it was counted; 0 for never.
+  };
+
   struct RemovedTeam
   {
     Team team;
@@ -85,6 +92,7 @@
   void KeepRemovedTeams(const std::map<std::string, Team>& aTeams, Millis aNow);
   void RefillNewPool(Team& aTeam, Millis aNow) const;
   void RecordShare(int aGroup, Millis aNow);
+  double ExpectedGrowth(int aGroup, Millis aNow);
   bool IsNew(const Lender& aLender, const wire::UsageRequest& aRequest) const;
   bool UpdateLender(const wire::UsageRequest& aRequest, Millis aNow);
   void AddLoans(const wire::UsageRequest& aRequest, Millis aNow);
@@ -108,6 +116,7 @@
   std::map<std::string, Lender> lenders; // By host.
   std::array<int, kUsageGroups> loans{};
   std::array<UsageShare, kUsageGroups> shares{};
+  std::array<Growth, kUsageGroups> growths{};
   std::map<std::string, Team> teams;
   std::map<std::string, RemovedTeam> removedTeams;
   std::array<std::deque<ShareChange>, kUsageGroups> history; // By time.
--- a/src/usage/usagegate_test.cpp
+++ b/src/usage/usagegate_test.cpp
@@ -182,6 +182,21 @@
   cr_assert_eq(daemon.sent.back().second.needs.front().wanted, 1);
 }
 
+// Callers that come back before the daemon lends its share would be refused
+// again: after a restart of all daemons, there may be no tokens until then.
+Test(usagegate, ARefusalAfterAStartNamesTheTimeOfTheFirstLoan)
+{
+  const UsageTimes times = MakeUsageTimes({});
+  GateDaemon daemon(1);
+  daemon.gate.SetSnapshot(daemon.snapshot);
+  daemon.clock.Advance(300);
+  daemon.Admit("a");
+  daemon.gate.HandleGrant(daemon.gate.HandleRequest(daemon.sent.back().second));
+  const Refusal& refusal = daemon.decided.at("a").refusal;
+  cr_assert_eq(refusal.reason, RefusalReason::TeamUnavailable);
+  cr_assert_eq(refusal.retryAfter, times.relendTime - 300);
+}
+
 // After a start, the pools are empty because nothing is lent to them yet. A
 // refusal that names the cap and its Retry-After would be untrue.
 Test(usagegate, PoolsWithoutLoansAreUnavailable)
--- a/src/usage/usagegaterefusals.cpp
+++ b/src/usage/usagegaterefusals.cpp
@@ -12,6 +12,8 @@
 
 constexpr Log kLog("usage");
 
+// While an accountant moves. A daemon that starts names the time at which it
+// lends its own share if that is later, because there may be no tokens before.
 constexpr Millis kRetryAfterUnavailable = 500;
 
 } // namespace
@@ -62,8 +64,10 @@
   refusal.owner = aTeam.name;
   refusal.bound = aTeam.rate;
   refusal.seen = static_cast<std::int64_t>(left);
-  refusal.retryAfter =
-    isCap ? static_cast<Millis>(1 / perMilli) + 1 : kRetryAfterUnavailable;
+  refusal.retryAfter = isCap
+                         ? static_cast<Millis>(1 / perMilli) + 1
+                         : std::max(kRetryAfterUnavailable,
+                                    this->loans.FirstLoanIn(aTeam.group, aNow));
   ++aTeam.counts.refused;
   kLog.Decision("usage-refused",
                 "call={} team={} reason={} rate={} burst={} version={} "
--- a/src/usage/usageloans.cpp
+++ b/src/usage/usageloans.cpp
@@ -204,6 +204,21 @@
   return this->loans[static_cast<std::size_t>(LoanIndex(aGroup, aHalf))].chosen;
 }
 
+Millis
+UsageLoans::FirstLoanIn(int aGroup, Millis aNow) const
+{
+  Millis wait = 0;
+  for (int half = 0; half < kUsageHalves; ++half) {
+    const Loan& loan =
+      this->loans[static_cast<std::size_t>(LoanIndex(aGroup, half))];
+    if (!loan.holder.empty()) {
+      return 0;
+    }
+    wait = std::max(wait, loan.endsAt - aNow);
+  }
+  return this->hasContact ? wait : std::max(wait, this->times.spreadTime);
+}
+
 int
 UsageLoans::LendTo(const std::string& aHost, Millis aNow)
 {
--- a/src/usage/usageloans.h
+++ b/src/usage/usageloans.h
@@ -59,6 +59,12 @@
   /** The accountant chosen from the members, also while isolated. */
   const std::string& ChosenAccountantOf(int aGroup, int aHalf) const;
 
+  /**
+   * Time until a daemon that has lent nothing of the group since its start may
+   * lend; 0 when it does or may.
+   */
+  Millis FirstLoanIn(int aGroup, Millis aNow) const;
+
   /** The halves that a request to aHost lends, and that its sending renews. */
   int LendTo(const std::string& aHost, Millis aNow);
 
--- a/src/usage/usageparts_test.cpp
+++ b/src/usage/usageparts_test.cpp
@@ -7,6 +7,7 @@
 #include "common/log.h"
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 #include <limits>
 #include <string>
@@ -241,6 +242,31 @@
                5);
 }
 
+// After a restart of all daemons, the share of the first lender alone would
+// name times at which there have been tokens for long.
+Test(usageparts, RetryAfterCountsTheDaemonsThatWillLend)
+{
+  constexpr int kMembers = 12;
+  Accounting test(20, 20);
+  const auto retryAfter = [&test] {
+    test.Take(test.Request("a", kMembers), 1);
+    return test.last.retryAfterMillis;
+  };
+  const int alone = retryAfter();
+  cr_assert_geq(alone, 600); // 20 a second / 12 members.
+  test.now += 100;
+  for (int host = 1; host < kMembers; ++host) {
+    wire::UsageRequest request =
+      test.Request(fmt::format("h{}", host), kMembers);
+    request.lent = 0;
+    test.accountant.Handle(request, test.now);
+  }
+  // Two calls miss tokens now: 1.2 s at the share of one lender.
+  const int together = retryAfter();
+  cr_assert_leq(together, alone);
+  cr_assert_gt(together, 300);
+}
+
 // Granted tokens that may still be spent count towards the depth.
 Test(usageparts, OutstandingTokensLimitThePool)
 {
--- a/src/usage/usagepool.cpp
+++ b/src/usage/usagepool.cpp
@@ -1,6 +1,7 @@
 #include "usage/usagepool.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lacewingwharf {
 
@@ -14,8 +15,8 @@
 constexpr Millis kMaxRetryAfter = 5000;
 
 // Tokens for calls that are only expected are taken from the part of a pool
-// above this share of its depth. A token that is granted ahead is missing to the
-// calls that wait elsewhere until it is returned or has ended.
+// above this share of its depth. A token that is granted ahead is missing to
+// the calls that wait elsewhere until it is returned or has ended.
 constexpr double kReservedShare = 0.5;
 
 } // namespace
@@ -38,6 +39,7 @@
 {
   this->perMilli = aRate * aTimes.rateShare / kMillisPerSecond;
   this->outstandingTime = aTimes.outstandingTime;
+  this->growthTime = aTimes.relendTime + aTimes.spreadTime;
   // The tokens of a token's life are added to the burst, because granted tokens
   // count towards the depth until they are known to be unspent or have ended.
   this->depth = aBurst + aTimes.spareTokens +
@@ -119,15 +121,20 @@
 }
 
 Millis
-UsagePool::RetryAfter() const
+UsagePool::RetryAfter(double aGrowth) const
 {
   const double perMilliHere = this->perMilli * this->seen.share;
   if (perMilliHere <= 0) {
     return kMaxRetryAfter; // A cap without a rate, or no loans.
   }
   const double missing = std::max(0.0, this->refused + 1 - this->level);
-  const auto time = static_cast<Millis>(missing / perMilliHere) + 1;
-  return std::min(time, kMaxRetryAfter);
+  const double steady = missing / perMilliHere;
+  const double rise =
+    std::max(0.0, aGrowth - 1) / static_cast<double>(this->growthTime);
+  // The time t in which t + rise x t^2 / 2 reaches the time without growth.
+  const double time =
+    rise > 0 ? (std::sqrt(1 + 2 * rise * steady) - 1) / rise : steady;
+  return std::min(static_cast<Millis>(time) + 1, kMaxRetryAfter);
 }
 
 int
--- a/src/usage/usagepool.h
+++ b/src/usage/usagepool.h
@@ -61,8 +61,12 @@
    */
   void TakeBack(const UsageGrantKey& aKey, int aCount);
 
-  /** Time until the calls that were refused before and one more have tokens. */
-  Millis RetryAfter() const;
+  /**
+   * Time until the calls that were refused before and one more have tokens, if
+   * the share of the pool grows steadily to aGrowth times its value in the time
+   * in which daemons that have started begin to lend.
+   */
+  Millis RetryAfter(double aGrowth) const;
 
   /** Tokens that can be granted. */
   int Left() const;
@@ -86,6 +90,7 @@
   double perMilli = 0; // Of the whole cap.
   double depth = 0;    // Of the whole cap.
   Millis outstandingTime = 0;
+  Millis growthTime = 0; // In which an expected share arrives.
   double level = 0;
   double refused = 0; // Calls that were refused and may come back.
   int outstanding = 0;
