Keep the requests ahead of what a limit on callers ends

Cause: above a limit, HttpConnection::End refused only a request whose parsing had begun on a connection without answers. In all other cases it closed the connection, with requests that were passed on: a half-read request behind a waiting answer, bytes behind a request with "Connection: close", and waiting answers alone. Where the requests that run were above the limit of their connection, the next request was refused, and then the connection was closed because of the 20 bytes of that refusal. An address above its limit in which nothing could end also hid the other addresses.

Change: what is being read ends first, by 503 behind the answers ahead of it, or is discarded behind the last request. If nothing is being read, answers behind the first one are replaced by 502, the last ones first, until enough is free. Only an answer that is being sent still ends with its connection. Answers are no candidates if the requests of their connection or address alone exceed the limit, or if they are below 1 KiB beside outstanding requests.

Tests: the four new tests of callermemoryserver and the three of callermemory failed without the change (1 run, with only the new count added) and pass with it, as do all others of callermemory_test (17), callermemoryserver_test (11), requestpipeline_test, httpserver_test, pipelining_test, pipelinelimits_test and longheads_test (1 run each).

--- a/src/daemon/callsservicestatus.cpp
+++ b/src/daemon/callsservicestatus.cpp
@@ -156,14 +156,16 @@
   std::ranges::for_each(kCallerLimitNames.Rows(), [&](const auto& aRow) {
     const auto index = static_cast<std::size_t>(aRow.first);
     const std::string limit(aRow.second);
-    set("lacewingwharf_caller_limit_ends",
-        "Requests refused and connections closed because of a limit on callers",
-        { { "limit", limit }, { "outcome", "refused" } },
-        static_cast<double>(counts.refused[index]));
-    set("lacewingwharf_caller_limit_ends",
-        "Requests refused and connections closed because of a limit on callers",
-        { { "limit", limit }, { "outcome", "closed" } },
-        static_cast<double>(counts.closed[index]));
+    const auto setEnds = [&](const char* aOutcome, std::uint64_t aCount) {
+      set("lacewingwharf_caller_limit_ends",
+          "Requests refused, answers dropped and connections closed because of "
+          "a limit on callers",
+          { { "limit", limit }, { "outcome", aOutcome } },
+          static_cast<double>(aCount));
+    };
+    setEnds("refused", counts.refused[index]);
+    setEnds("dropped", counts.dropped[index]);
+    setEnds("closed", counts.closed[index]);
   });
 }
 
--- a/src/proxy/callermemory.cpp
+++ b/src/proxy/callermemory.cpp
@@ -13,6 +13,10 @@
 // of a few kilobytes are still accepted while large bodies are refused.
 constexpr std::size_t kSmallBytes = 16384;
 
+// Answers of a connection with outstanding requests end from this size on.
+// Smaller ones, as of refusals, free less than what their end would lose.
+constexpr std::size_t kLeastAnswerBytes = 1024;
+
 // Requests may use this part of the total, so that answers have the rest.
 constexpr std::size_t kRequestPart = 2;
 
@@ -31,6 +35,15 @@
 // be closed for another one.
 constexpr Millis kMinIdleTime = 1000;
 
+/** What the end of a connection, or of its answers, would free. */
+std::size_t
+BytesToEnd(const HeldBytes& aHeld, bool aHasAnswers)
+{
+  const bool hasAnswers =
+    aHasAnswers && (aHeld.requests == 0 || aHeld.answers >= kLeastAnswerBytes);
+  return aHeld.reading + (hasAnswers ? aHeld.answers : 0);
+}
+
 std::size_t
 WithoutPartForSmall(std::size_t aLimit)
 {
@@ -144,8 +157,10 @@
   this->requests += aHeld.requests - old.requests;
   this->answers += aHeld.answers - old.answers;
   if (this->limits.addressBytes > 0) {
-    this->addresses.find(*aShare.address)->second.bytes +=
-      aHeld.Sum() - old.Sum();
+    HeldBytes& use = this->addresses.find(*aShare.address)->second.held;
+    use.reading += aHeld.reading - old.reading;
+    use.requests += aHeld.requests - old.requests;
+    use.answers += aHeld.answers - old.answers;
   }
   this->mayBeOver = this->mayBeOver || this->IsOver(aShare);
 }
@@ -158,7 +173,7 @@
     return true;
   }
   if (this->limits.addressBytes > 0 &&
-      this->addresses.find(*aShare.address)->second.bytes >
+      this->addresses.find(*aShare.address)->second.held.Sum() >
         this->limits.addressBytes) {
     return true;
   }
@@ -186,9 +201,8 @@
     return std::nullopt;
   }
   std::optional<CallerToEnd> chosen = this->ChooseConnection();
-  if (const std::string* const address = this->FindAddressOver();
-      !chosen && address != nullptr) {
-    chosen = this->Choose({ CallerLimit::AddressBytes, true, 1, address });
+  if (!chosen) {
+    chosen = this->ChooseInAddresses();
   }
   const std::size_t intake = this->reading + this->requests;
   if (!chosen && this->limits.totalBytes > 0 &&
@@ -207,18 +221,23 @@
   return chosen;
 }
 
-/** Returns null if no address exceeds its limit. */
-const std::string*
-CallerMemory::FindAddressOver() const
+std::optional<CallerToEnd>
+CallerMemory::ChooseInAddresses() const
 {
   if (this->limits.addressBytes == 0) {
-    return nullptr;
+    return std::nullopt;
   }
-  const auto over =
-    std::ranges::find_if(this->addresses, [this](const auto& aUse) {
-      return aUse.second.bytes > this->limits.addressBytes;
-    });
-  return over == this->addresses.end() ? nullptr : &over->first;
+  for (const auto& [address, use] : this->addresses) {
+    if (use.held.Sum() <= this->limits.addressBytes) {
+      continue;
+    }
+    const bool hasAnswers = use.held.requests <= this->limits.addressBytes;
+    if (auto chosen = this->Choose(
+          { CallerLimit::AddressBytes, hasAnswers, 1, &address })) {
+      return chosen;
+    }
+  }
+  return std::nullopt;
 }
 
 /** A connection above its own limit ends unless its requests run. */
@@ -229,8 +248,9 @@
     return std::nullopt;
   }
   const auto over = std::ranges::find_if(this->shares, [this](Share* aShare) {
-    return aShare->held.Sum() > this->limits.connectionBytes &&
-           aShare->held.reading + aShare->held.answers > 0;
+    const HeldBytes& held = aShare->held;
+    return held.Sum() > this->limits.connectionBytes &&
+           BytesToEnd(held, held.requests <= this->limits.connectionBytes) > 0;
   });
   if (over == this->shares.end()) {
     return std::nullopt;
@@ -245,8 +265,7 @@
   const Share* chosen = nullptr;
   double most = 0;
   for (const Share* share : this->shares) {
-    const std::size_t bytes =
-      share->held.reading + (aCandidates.hasAnswers ? share->held.answers : 0);
+    const std::size_t bytes = BytesToEnd(share->held, aCandidates.hasAnswers);
     const bool isCandidate =
       bytes >= aCandidates.leastBytes &&
       (aCandidates.address == nullptr || share->address == aCandidates.address);
@@ -280,7 +299,7 @@
       break;
     case CallerLimit::AddressBytes:
       end.bound = this->limits.addressBytes;
-      end.seen = this->addresses.find(*aShare.address)->second.bytes;
+      end.seen = this->addresses.find(*aShare.address)->second.held.Sum();
       break;
     case CallerLimit::RequestBytes:
       end.bound = intake > this->RequestLimit()
@@ -337,6 +356,12 @@
   ++this->closed[static_cast<std::size_t>(aLimit)];
 }
 
+void
+CallerMemory::CountDropped(CallerLimit aLimit)
+{
+  ++this->dropped[static_cast<std::size_t>(aLimit)];
+}
+
 CallerMemoryCounts
 CallerMemory::Counts() const
 {
@@ -344,6 +369,7 @@
   counts.held = { this->reading, this->requests, this->answers };
   std::ranges::copy(this->refused, counts.refused.begin());
   std::ranges::copy(this->closed, counts.closed.begin());
+  std::ranges::copy(this->dropped, counts.dropped.begin());
   return counts;
 }
 
--- a/src/proxy/callermemory.h
+++ b/src/proxy/callermemory.h
@@ -63,6 +63,7 @@
   HeldBytes held;
   std::array<std::uint64_t, kCallerLimitCount> refused{}; // By CallerLimit.
   std::array<std::uint64_t, kCallerLimitCount> closed{};
+  std::array<std::uint64_t, kCallerLimitCount> dropped{}; // Answers.
 };
 
 /** A connection that is to be ended, and why. */
@@ -83,7 +84,8 @@
  *
  * The connection that ends is the one for which the product of its bytes and
  * its time without progress is largest. Requests that were passed on are not
- * ended, as they may have run; they only keep further ones from being read.
+ * ended, as they may have run; they only keep further ones from being read. If
+ * they alone exceed a limit, no answer ends for it.
  *
  * It is designed for 2000 connections of a host with 160 MB. Counting costs a
  * few additions; only above a limit all connections are compared.
@@ -147,6 +149,7 @@
 
   void CountRefused(CallerLimit aLimit);
   void CountClosed(CallerLimit aLimit);
+  void CountDropped(CallerLimit aLimit);
 
   /** May be called from any thread. */
   CallerMemoryCounts Counts() const;
@@ -154,7 +157,7 @@
 private:
   struct AddressUse
   {
-    std::size_t bytes = 0;
+    HeldBytes held;
     std::size_t connections = 0;
   };
 
@@ -162,7 +165,7 @@
 
   std::size_t RequestLimit() const;
   bool IsOver(const Share& aShare) const;
-  const std::string* FindAddressOver() const;
+  std::optional<CallerToEnd> ChooseInAddresses() const;
   CallerToEnd Describe(const Share& aShare, CallerLimit aLimit) const;
   std::optional<CallerToEnd> Choose(const Candidates& aCandidates) const;
   std::optional<CallerToEnd> ChooseConnection() const;
@@ -178,6 +181,7 @@
   std::atomic<std::size_t> answers{ 0 };
   std::array<std::atomic<std::uint64_t>, kCallerLimitCount> refused{};
   std::array<std::atomic<std::uint64_t>, kCallerLimitCount> closed{};
+  std::array<std::atomic<std::uint64_t>, kCallerLimitCount> dropped{};
 };
 
 inline bool
--- a/src/proxy/callermemory_test.cpp
+++ b/src/proxy/callermemory_test.cpp
@@ -301,3 +301,58 @@
   share.Set({}, false);
   cr_expect_eq(fixture.Idle(), 1U);
 }
+
+// If its requests that run are above the limit of a connection or an address,
+// ending answers does not help, and would lose those requests.
+Test(callermemory, answers_do_not_end_for_requests_that_run)
+{
+  CallerMemoryLimits limits;
+  limits.connectionBytes = 2 * kMegabyte;
+  MemoryFixture connection(limits);
+  auto& share = connection.Open();
+  share.Set({ 0, 3 * kMegabyte, kMegabyte }, true);
+  cr_expect_eq(connection.Over(), 0U);
+  share.Set({ 500, 3 * kMegabyte, kMegabyte }, true);
+  cr_expect_eq(connection.Over(), 1U, "what is read can end");
+  limits = {};
+  limits.addressBytes = 2 * kMegabyte;
+  MemoryFixture address(limits);
+  address.Open().Set({ 0, 3 * kMegabyte, 0 }, true);
+  auto& other = address.Open();
+  other.Set({ 0, 0, kMegabyte }, false);
+  cr_expect_eq(address.Over(), 0U);
+  other.Set({ 500, 0, kMegabyte }, false);
+  cr_expect_eq(address.Over(), 2U, "what is read can end");
+}
+
+// An address above its limit in which nothing can end must not hide another
+// one.
+Test(callermemory, each_address_above_its_limit_is_considered)
+{
+  CallerMemoryLimits limits;
+  limits.addressBytes = 2 * kMegabyte;
+  for (const std::size_t reading : { 0U, 1U }) { // The other one runs.
+    MemoryFixture fixture(limits);
+    fixture.Open("127.0.0.1");
+    fixture.Open("127.0.0.2");
+    fixture.shares[1 - reading]->Set({ 0, 3 * kMegabyte, 0 }, true);
+    fixture.shares[reading]->Set({ 3 * kMegabyte, 0, 0 }, false);
+    cr_expect_eq(fixture.Over(), reading + 1);
+  }
+}
+
+// The answer of a refusal frees nothing, so its connection must not end for the
+// total while requests of it run.
+Test(callermemory, small_answers_do_not_end_requests_that_run)
+{
+  MemoryFixture fixture(Total(16 * kMegabyte));
+  fixture.Open().Set({ 0, 1000, 20 }, true);
+  fixture.clock.Advance(600000);
+  fixture.Open().Set({ 0, 0, 20000 }, false);
+  fixture.Open().Set({ 0, 0, 16 * kMegabyte }, false);
+  cr_expect_eq(fixture.Over(), 3U);
+  fixture.shares.back()->Set({ 0, 16 * kMegabyte, 0 }, true);
+  cr_expect_eq(fixture.Over(), 2U);
+  fixture.shares[1]->Set({}, false);
+  cr_expect_eq(fixture.Over(), 0U);
+}
--- a/src/proxy/callermemoryserver_test.cpp
+++ b/src/proxy/callermemoryserver_test.cpp
@@ -172,3 +172,110 @@
   fixture.Answer("/1");
   cr_expect(!first.ReceiveUntil("[/1]").empty());
 }
+
+// A request that is being read must not take the answers of the requests ahead
+// of it with it when it is refused.
+Test(callermemoryserver, a_refused_body_leaves_the_requests_ahead_of_it)
+{
+  constexpr std::size_t kPart = 600 * 1024;
+  PipelineFixture fixture(WithMemory(Total(4 * kMegabyte)));
+  Socket socket = fixture.Send(Get("/1") + Get("/2"));
+  fixture.ExpectRequests(2);
+  fixture.Answer("/2");
+  cr_assert(
+    Eventually([&] { return fixture.server->Memory().held.answers > 0; }));
+  cr_assert(socket.Send(PutHead(kPart + 1) + std::string(kPart, 'x')));
+  cr_assert(
+    Eventually([&] { return fixture.server->Memory().held.reading >= kPart; }));
+  std::vector<Socket> others;
+  for (int i = 0; i < 4; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    others.push_back(
+      fixture.Send(PutHead(kPart + 1) + std::string(kPart, 'x')));
+  }
+  cr_assert(Eventually([&] {
+    const auto counts = fixture.server->Memory();
+    return CountOf(counts.refused, CallerLimit::RequestBytes) +
+             CountOf(counts.closed, CallerLimit::RequestBytes) >=
+           2;
+  }));
+  cr_expect_eq(fixture.Disconnects(), 0U);
+  fixture.Answer("/1");
+  const std::string answers = socket.ReceiveUntil("Retry-After: ");
+  cr_expect(answers.find("[/1]") < answers.find("[/2]"));
+  cr_expect(answers.find("[/2]") < answers.find("HTTP/1.1 503 "));
+  cr_expect(answers.find("HTTP/1.1 503 ") != std::string::npos);
+  cr_expect_eq(
+    CountOf(fixture.server->Memory().closed, CallerLimit::RequestBytes), 0U);
+}
+
+// Bytes behind the last request of a connection, which are never parsed, must
+// not take the answer of that request with them.
+Test(callermemoryserver, bytes_behind_the_last_request_leave_its_answer)
+{
+  CallerMemoryLimits limits;
+  limits.connectionBytes = 16384;
+  PipelineFixture fixture(WithMemory(limits));
+  Socket socket =
+    fixture.Send("GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" +
+                 std::string(40000, 'x'));
+  fixture.ExpectRequests(1);
+  cr_expect_eq(fixture.Disconnects(), 0U);
+  cr_expect_eq(fixture.server->Memory().held.reading, 0U);
+  fixture.Answer("/1");
+  cr_expect(!socket.ReceiveUntil("[/1]").empty());
+}
+
+// Where the requests that run are above the limit of their connection, the next
+// one must be refused behind their answers. Its refusal, an answer, must not
+// end them either.
+Test(callermemoryserver, requests_above_the_limit_of_a_connection_are_answered)
+{
+  constexpr std::size_t kBody = 131000;
+  CallerMemoryLimits limits;
+  limits.connectionBytes = 262144;
+  PipelineFixture fixture(WithMemory(limits));
+  Socket socket =
+    fixture.Send(PutHead(kBody) + std::string(kBody, 'x') + Get("/2"));
+  fixture.ExpectRequests(2);
+  cr_assert_gt(fixture.server->Memory().held.Sum(), limits.connectionBytes);
+  cr_assert(socket.Send("GET /3 HT"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  cr_expect_eq(fixture.Disconnects(), 0U);
+  fixture.Answer("/large");
+  fixture.Answer("/2");
+  const std::string answers = socket.ReceiveUntil("HTTP/1.1 503 ");
+  cr_expect(answers.find("[/large]") < answers.find("[/2]"));
+  cr_expect(answers.find("[/2]") < answers.find("HTTP/1.1 503 "));
+  cr_expect(answers.find("HTTP/1.1 503 ") != std::string::npos);
+}
+
+// Answers that wait for an earlier request must not take that request and all
+// others with them. The last ones are replaced by a status that says that their
+// requests may have run.
+Test(callermemoryserver, waiting_answers_above_a_limit_leave_earlier_requests)
+{
+  CallerMemoryLimits limits;
+  limits.connectionBytes = 4 * kMegabyte;
+  PipelineFixture fixture(WithMemory(limits));
+  Socket socket = fixture.Send(Get("/1") + Get("/2") + Get("/3") + Get("/4"));
+  fixture.ExpectRequests(4);
+  fixture.Answer("/2", { 200, {}, std::string(2 * kMegabyte, 'b') });
+  fixture.Answer("/3", { 200, {}, std::string(3 * kMegabyte, 'c') });
+  cr_assert(Eventually([&] {
+    const auto counts = fixture.server->Memory();
+    return CountOf(counts.dropped, CallerLimit::ConnectionBytes) +
+             CountOf(counts.closed, CallerLimit::ConnectionBytes) >=
+           1;
+  }));
+  cr_expect_eq(fixture.Disconnects(), 0U);
+  cr_expect_leq(fixture.server->Memory().held.Sum(), limits.connectionBytes);
+  fixture.Answer("/4");
+  fixture.Answer("/1");
+  const std::string answers = socket.ReceiveUntil("[/4]");
+  cr_expect_eq(Count(answers, "HTTP/1.1 200 "), 3U);
+  cr_expect_eq(Count(answers, "HTTP/1.1 502 "), 1U);
+  cr_expect(answers.find("[/1]") < answers.find("bbb"));
+  cr_expect(answers.find("bbb") < answers.find("HTTP/1.1 502 "));
+  cr_expect(answers.find("HTTP/1.1 502 ") < answers.find("[/4]"));
+}
--- a/src/proxy/httpconnection.cpp
+++ b/src/proxy/httpconnection.cpp
@@ -20,7 +20,6 @@
 constexpr Log kLog("http");
 
 constexpr int kRequestTimeout = 408;
-constexpr int kServiceUnavailable = 503;
 
 // Capacity of a string that has allocated nothing.
 const std::size_t kInlineBytes = std::string().capacity();
@@ -266,39 +265,6 @@
          this->sendTimer.IsExpired(this->context.limits, now);
 }
 
-void
-HttpConnection::End(const CallerToEnd& aEnd)
-{
-  const Ptr keepAlive = this->shared_from_this();
-  const bool isRefusal =
-    this->state == State::Open && this->parser && this->parser->HasStarted() &&
-    aEnd.limit != CallerLimit::Connections && aEnd.held.answers == 0;
-  const bool hasName =
-    !this->pipeline.IsEmpty() && !this->pipeline.First().name.empty();
-  kLog.Decision(
-    "caller-ended",
-    "request={} caller={} limit={} bound={} seen={} outcome={} reading={} "
-    "requests={} answers={} late_ms={}",
-    hasName ? this->pipeline.First().name : "-",
-    this->callerAddress,
-    kCallerLimitNames.NameOf(aEnd.limit),
-    aEnd.bound,
-    aEnd.seen,
-    isRefusal ? "refused" : "closed",
-    aEnd.held.reading,
-    aEnd.held.requests,
-    aEnd.held.answers,
-    aEnd.late);
-  if (!isRefusal) {
-    this->context.memory.CountClosed(aEnd.limit);
-    this->Close();
-    return;
-  }
-  this->context.memory.CountRefused(aEnd.limit);
-  this->Refuse({ kServiceUnavailable, "no memory for the request" });
-  this->Run();
-}
-
 void
 HttpConnection::Close()
 {
--- a/src/proxy/httpconnection.h
+++ b/src/proxy/httpconnection.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lacewingwharf {
@@ -98,8 +99,9 @@
   void CheckTimeout();
 
   /**
-   * Ends the connection because of a limit: refuses the request that is being
-   * read, which did not run, or closes.
+   * Ends what the connection holds above a limit: the request that is being
+   * read, which did not run and is refused; if there is none, answers that wait
+   * behind others; and only without such answers, the connection.
    */
   void End(const CallerToEnd& aEnd);
   void Close();
@@ -128,6 +130,8 @@
   bool PassOn();
   bool SendContinue();
   void Refuse(const RequestRefusal& aRefusal);
+  void EndUnread(CallerLimit aLimit);
+  void LogEnd(const CallerToEnd& aEnd, std::string_view aOutcome) const;
   void DiscardUnread();
   bool StartAnswer();
   void RecordWait(const PipelinedRequest& aRequest);
--- a/src/proxy/requestpipeline.cpp
+++ b/src/proxy/requestpipeline.cpp
@@ -26,6 +26,16 @@
 // A connection with fewer outstanding requests keeps its memory for them.
 constexpr std::size_t kMaxKeptRequests = 2;
 
+// Dropping a smaller answer would free hardly anything.
+constexpr std::size_t kMinDroppedBytes = 1024;
+
+/** Says that the request may have run, but has no answer that can be sent. */
+HttpAnswer
+AnswerForDropped()
+{
+  return { kBadGateway, {}, "Bad Gateway\n" };
+}
+
 std::size_t
 BytesOf(const HttpHeaders& aHeaders)
 {
@@ -106,6 +116,32 @@
   this->Recount();
 }
 
+std::size_t
+RequestPipeline::DropAnswers(std::size_t aBytes)
+{
+  std::size_t freed = 0;
+  for (std::size_t i = this->requests.size(); i > 1; --i) {
+    PipelinedRequest& request = this->requests[i - 1];
+    const std::size_t bytes = request.answer.body.size();
+    if (freed >= aBytes || request.state != PipelinedRequest::State::Answered ||
+        bytes < kMinDroppedBytes) {
+      continue;
+    }
+    kLog.Decision("answer-dropped",
+                  "request={} status={} bytes={} to_free={} outstanding={}",
+                  request.name.empty() ? "-" : request.name,
+                  request.answer.status,
+                  bytes,
+                  aBytes - freed,
+                  this->requests.size());
+    request.answer = AnswerForDropped();
+    request.bytes = request.answer.body.size();
+    freed += bytes - request.bytes;
+  }
+  this->Recount();
+  return freed;
+}
+
 std::optional<HttpRequest>
 RequestPipeline::PassOn(RequestId aId)
 {
@@ -160,7 +196,7 @@
                   aAnswer.status,
                   aAnswer.body.size(),
                   this->requests.size());
-    aAnswer = { kBadGateway, {}, "Bad Gateway\n" };
+    aAnswer = AnswerForDropped();
   }
   this->LearnFrom(aAnswer.body.size());
   request.state = PipelinedRequest::State::Answered;
--- a/src/proxy/requestpipeline.h
+++ b/src/proxy/requestpipeline.h
@@ -84,6 +84,13 @@
 
   /** Nothing more is read; the last answer closes the connection. */
   void EndReading();
+  bool IsReadingOver() const;
+
+  /**
+   * Replaces answers behind the first one by the status 502, the last ones
+   * first, until at least aBytes are freed. Returns the bytes that were freed.
+   */
+  std::size_t DropAnswers(std::size_t aBytes);
 
   /** Returns the next request if it may run now, and marks it as passed on. */
   std::optional<HttpRequest> PassOn(RequestId aId);
@@ -139,6 +146,12 @@
   return this->requests.empty();
 }
 
+inline bool
+RequestPipeline::IsReadingOver() const
+{
+  return this->isReadingOver;
+}
+
 inline PipelinedRequest&
 RequestPipeline::First()
 {
