Close no kept connection whose next request has arrived

Cause: when all connections are in use, ChooseIdle closes one that has been idle for 1 s. It did not look whether bytes of the next request were in the receive buffer of the socket, which happens when the request arrives while the server thread handles other events. The time also ran from when the answer was there, not from when its last byte was sent: after an answer that took 1 s to send, its connection could be closed at once.

Change: a connection with unread bytes is passed over, and a connection is busy until all its answers are sent.

--- a/src/proxy/callermemory.cpp
+++ b/src/proxy/callermemory.cpp
@@ -315,7 +315,9 @@
 }
 
 std::optional<CallerToEnd>
-CallerMemory::ChooseIdle(std::size_t aMaxConnections) const
+CallerMemory::ChooseIdle(
+  std::size_t aMaxConnections,
+  const std::function<bool(std::uint64_t)>& aMayEnd) const
 {
   const Millis latest = this->clock.Now() - kMinIdleTime;
   const Share* chosen = nullptr;
@@ -328,9 +330,11 @@
       continue;
     }
     // Connections that never sent a whole request come first.
-    if (chosen == nullptr ||
-        std::pair(share->hasSentRequest, share->idleSince) <
-          std::pair(chosen->hasSentRequest, chosen->idleSince)) {
+    const bool isBefore =
+      chosen == nullptr ||
+      std::pair(share->hasSentRequest, share->idleSince) <
+        std::pair(chosen->hasSentRequest, chosen->idleSince);
+    if (isBefore && aMayEnd(share->connection)) {
       chosen = share;
     }
   }
--- a/src/proxy/callermemory.h
+++ b/src/proxy/callermemory.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -105,7 +106,7 @@
     Share(const Share&) = delete;
     Share& operator=(const Share&) = delete;
 
-    /** aIsBusy: a request of the connection is not answered yet. */
+    /** aIsBusy: the answer to a request is not there or not wholly sent. */
     void Set(const HeldBytes& aHeld, bool aIsBusy);
 
     /** The caller has sent bytes of a request or taken bytes of an answer. */
@@ -135,8 +136,14 @@
   /** The connection to end because of a limit on bytes, if any. */
   std::optional<CallerToEnd> ChooseOver();
 
-  /** The connection to close so that another caller can open one, if any. */
-  std::optional<CallerToEnd> ChooseIdle(std::size_t aMaxConnections) const;
+  /**
+   * The connection to close so that another caller can open one, if any.
+   * aMayEnd is asked only for connections that would be chosen; its argument is
+   * the number of a connection.
+   */
+  std::optional<CallerToEnd> ChooseIdle(
+    std::size_t aMaxConnections,
+    const std::function<bool(std::uint64_t)>& aMayEnd) const;
 
   /**
    * Whether a complete request of this size may be passed on besides those that
--- a/src/proxy/callermemory_test.cpp
+++ b/src/proxy/callermemory_test.cpp
@@ -34,9 +34,12 @@
     return end ? end->connection : 0;
   }
 
-  std::uint64_t Idle() const
+  std::uint64_t Idle(std::uint64_t aWithUnreadBytes = 0) const
   {
-    const auto end = this->memory.ChooseIdle(this->shares.size());
+    const auto end = this->memory.ChooseIdle(
+      this->shares.size(), [aWithUnreadBytes](std::uint64_t aConnection) {
+        return aConnection != aWithUnreadBytes;
+      });
     return end ? end->connection : 0;
   }
 
@@ -356,3 +359,18 @@
   fixture.shares[1]->Set({}, false);
   cr_expect_eq(fixture.Over(), 0U);
 }
+
+// A connection with unread bytes is not idle; the next one makes room instead.
+Test(callermemory, a_connection_with_unread_bytes_does_not_make_room)
+{
+  MemoryFixture fixture({});
+  fixture.Open();
+  cr_expect_eq(fixture.Idle(1), 0U);
+  fixture.clock.Advance(1000);
+  cr_expect_eq(fixture.Idle(), 1U);
+  cr_expect_eq(fixture.Idle(1), 0U);
+  fixture.Open();
+  fixture.clock.Advance(1000);
+  cr_expect_eq(fixture.Idle(), 1U);
+  cr_expect_eq(fixture.Idle(1), 2U);
+}
--- a/src/proxy/callermemoryserver_test.cpp
+++ b/src/proxy/callermemoryserver_test.cpp
@@ -279,3 +279,51 @@
   cr_expect(answers.find("bbb") < answers.find("HTTP/1.1 502 "));
   cr_expect(answers.find("HTTP/1.1 502 ") < answers.find("[/4]"));
 }
+
+// A kept connection whose next request has arrived, but was not read yet, must
+// not be closed for another one.
+Test(callermemoryserver, a_connection_with_unread_bytes_stays)
+{
+  PipelineFixture fixture(WithMemory({}, 2));
+  Socket kept = fixture.Send(Get("/1"));
+  fixture.ExpectRequests(1);
+  fixture.Answer("/1");
+  cr_assert(!kept.ReceiveUntil("[/1]").empty());
+  Socket busy = fixture.Send(Get("/2"));
+  fixture.ExpectRequests(2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  Socket waiting;
+  {
+    // The handler waits for the mutex, and with it the thread of the server.
+    const std::lock_guard lock(fixture.mutex);
+    cr_assert(busy.Send(Get("/3")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    cr_assert(waiting.Connect(kAddress, fixture.port));
+    cr_assert(kept.Send(Get("/4")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  fixture.ExpectRequests(4);
+  fixture.Answer("/4");
+  cr_expect(!kept.ReceiveUntil("[/4]").empty());
+}
+
+// A connection is idle from the last byte of its answer on. The caller of a
+// large one must have time to send its next request.
+Test(callermemoryserver, a_connection_is_idle_after_its_whole_answer)
+{
+  PipelineFixture fixture(WithMemory({}, 2));
+  Socket slow = fixture.Send(Get("/1"));
+  Socket busy = fixture.Send(Get("/2"));
+  fixture.ExpectRequests(2);
+  fixture.Answer("/1", { 200, {}, std::string(32 * kMegabyte, 'a') + "[/1]" });
+  Socket waiting;
+  cr_assert(waiting.Connect(kAddress, fixture.port));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  cr_assert_gt(fixture.server->Memory().held.answers, 0U, "it is still sent");
+  cr_assert(!slow.ReceiveUntil("[/1]").empty());
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  cr_assert(slow.Send(Get("/3")));
+  fixture.ExpectRequests(3);
+  fixture.Answer("/3");
+  cr_expect(!slow.ReceiveUntil("[/3]").empty());
+}
--- a/src/proxy/httpconnection.cpp
+++ b/src/proxy/httpconnection.cpp
@@ -336,7 +336,8 @@
     this->unparsed.capacity() > kInlineBytes ? this->unparsed.capacity() : 0;
   held.reading += this->parser ? this->parser->HeldBytes() : 0;
   held.answers += this->outgoingBody.size();
-  this->memoryShare.Set(held, this->pipeline.HasUnanswered());
+  this->memoryShare.Set(
+    held, this->state == State::Open && !this->pipeline.IsEmpty());
 }
 
 } // namespace lacewingwharf
--- a/src/proxy/httpconnection.h
+++ b/src/proxy/httpconnection.h
@@ -109,6 +109,9 @@
   std::uint64_t Id() const;
   int Socket() const;
 
+  /** Whether bytes have arrived that were not read yet. */
+  bool HasUnreadBytes() const;
+
   /** Whether the caller has closed the connection. */
   bool HasHungUp() const;
 
--- a/src/proxy/httpconnectionlimits.cpp
+++ b/src/proxy/httpconnectionlimits.cpp
@@ -3,6 +3,8 @@
 #include "common/log.h"
 #include "proxy/httpconnection.h"
 
+#include <sys/ioctl.h>
+
 namespace lacewingwharf {
 
 namespace {
@@ -13,6 +15,13 @@
 
 } // namespace
 
+bool
+HttpConnection::HasUnreadBytes() const
+{
+  int bytes = 0;
+  return ioctl(this->socket, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 void
 HttpConnection::End(const CallerToEnd& aEnd)
 {
--- a/src/proxy/httpserverlimits.cpp
+++ b/src/proxy/httpserverlimits.cpp
@@ -51,8 +51,12 @@
       this->hasNoDescriptors || !this->listener.HasPending()) {
     return;
   }
+  const auto mayEnd = [this](std::uint64_t aConnection) {
+    const auto found = this->connections.find(aConnection);
+    return found != this->connections.end() && !found->second->HasUnreadBytes();
+  };
   if (const auto end =
-        this->context.memory.ChooseIdle(this->config.maxConnections)) {
+        this->context.memory.ChooseIdle(this->config.maxConnections, mayEnd)) {
     this->End(*end);
   }
 }
