Count the requests of callers that left until they end

Cause: when a caller disconnects, its connection gave back all bytes, but the call keeps the body of the request, and may have a second copy on its way, until the server or the destination answers or the deadline passes. A crowd that sends whole bodies and disconnects could make a daemon hold more than callerbytes.

Change: a request without an answer stays counted, for its address as well, when its connection closes, and is released when its handler answers it or aborts it.

--- a/src/proxy/callermemory.cpp
+++ b/src/proxy/callermemory.cpp
@@ -79,10 +79,8 @@
 {
   this->memory.Replace(*this, {});
   this->memory.shares.erase(this);
-  const auto use = this->memory.addresses.find(*this->address);
-  if (--use->second.connections == 0) {
-    this->memory.addresses.erase(use);
-  }
+  --this->memory.addresses.find(*this->address)->second.connections;
+  this->memory.RemoveIfUnused(std::string(*this->address));
 }
 
 void
@@ -348,6 +346,46 @@
   return end;
 }
 
+void
+CallerMemory::Abandon(std::uint64_t aRequest,
+                      std::size_t aBytes,
+                      const std::string& aAddress)
+{
+  const AbandonedRequest request{ aBytes, aAddress };
+  if (!this->abandoned.emplace(aRequest, request).second) {
+    return;
+  }
+  AddressUse& use = this->addresses[aAddress];
+  ++use.abandoned;
+  use.held.requests += aBytes;
+  this->requests += aBytes;
+}
+
+void
+CallerMemory::Release(std::uint64_t aRequest)
+{
+  const auto found = this->abandoned.find(aRequest);
+  if (found == this->abandoned.end()) {
+    return;
+  }
+  const AbandonedRequest& request = found->second;
+  AddressUse& use = this->addresses.find(request.address)->second;
+  --use.abandoned;
+  use.held.requests -= request.bytes;
+  this->requests -= request.bytes;
+  this->RemoveIfUnused(request.address);
+  this->abandoned.erase(found);
+}
+
+void
+CallerMemory::RemoveIfUnused(const std::string& aAddress)
+{
+  const auto use = this->addresses.find(aAddress);
+  if (use->second.connections == 0 && use->second.abandoned == 0) {
+    this->addresses.erase(use);
+  }
+}
+
 void
 CallerMemory::CountRefused(CallerLimit aLimit)
 {
--- a/src/proxy/callermemory.h
+++ b/src/proxy/callermemory.h
@@ -154,6 +154,17 @@
   /** The longest text of a request that can be passed on; 0: no limit. */
   std::size_t MaxRequestBytes() const;
 
+  /**
+   * The caller of a request that was passed on has disconnected. Its bytes stay
+   * counted until Release(), as its handler still holds them.
+   */
+  void Abandon(std::uint64_t aRequest,
+               std::size_t aBytes,
+               const std::string& aAddress);
+
+  /** A request has ended. Without effect if it was not abandoned. */
+  void Release(std::uint64_t aRequest);
+
   void CountRefused(CallerLimit aLimit);
   void CountClosed(CallerLimit aLimit);
   void CountDropped(CallerLimit aLimit);
@@ -164,8 +175,15 @@
 private:
   struct AddressUse
   {
-    HeldBytes held;
+    HeldBytes held; // Counted only with a limit on it.
     std::size_t connections = 0;
+    std::size_t abandoned = 0; // Requests.
+  };
+
+  struct AbandonedRequest
+  {
+    std::size_t bytes = 0;
+    std::string address;
   };
 
   struct Candidates;
@@ -177,11 +195,13 @@
   std::optional<CallerToEnd> Choose(const Candidates& aCandidates) const;
   std::optional<CallerToEnd> ChooseConnection() const;
   void Replace(Share& aShare, const HeldBytes& aHeld);
+  void RemoveIfUnused(const std::string& aAddress);
 
   CallerMemoryLimits limits;
   Clock clock;
   std::unordered_set<Share*> shares;
   std::unordered_map<std::string, AddressUse> addresses;
+  std::unordered_map<std::uint64_t, AbandonedRequest> abandoned;
   bool mayBeOver = false;
   std::atomic<std::size_t> reading{ 0 };
   std::atomic<std::size_t> requests{ 0 };
--- a/src/proxy/callermemory_test.cpp
+++ b/src/proxy/callermemory_test.cpp
@@ -374,3 +374,35 @@
   cr_expect_eq(fixture.Idle(), 1U);
   cr_expect_eq(fixture.Idle(1), 2U);
 }
+
+// Requests of callers that have disconnected must count, for their address as
+// well, until they end.
+Test(callermemory, abandoned_requests_count_until_they_end)
+{
+  CallerMemoryLimits limits = Total(16 * kMegabyte);
+  limits.addressBytes = 6 * kMegabyte;
+  MemoryFixture fixture(limits);
+  for (std::uint64_t request = 1; request <= 2; ++request) {
+    auto& left = fixture.Open("127.0.0.1");
+    left.Set({ 0, 2 * kMegabyte, 0 }, true);
+    fixture.memory.Abandon(request, 2 * kMegabyte, "127.0.0.1");
+    left.Set({}, false);
+    fixture.shares.clear();
+  }
+  cr_expect_eq(fixture.memory.Counts().held.requests, 4 * kMegabyte);
+  cr_expect_not(fixture.memory.MayPassOn(2 * kMegabyte));
+  auto& same = fixture.Open("127.0.0.1");
+  same.Set({ 3 * kMegabyte, 0, 0 }, false);
+  cr_expect_eq(fixture.Over(), 1U, "its address is above the limit");
+  fixture.memory.Release(1);
+  fixture.memory.Release(1);
+  fixture.memory.Release(77);
+  cr_expect_eq(fixture.memory.Counts().held.requests, 2 * kMegabyte);
+  cr_expect_eq(fixture.Over(), 0U);
+  fixture.shares.clear();
+  fixture.memory.Release(2);
+  cr_expect_eq(fixture.memory.Counts().held.Sum(), 0U);
+  auto& next = fixture.Open("127.0.0.1");
+  next.Set({ 6 * kMegabyte, 0, 0 }, false);
+  cr_expect_eq(fixture.Over(), 0U);
+}
--- a/src/proxy/callermemoryserver_test.cpp
+++ b/src/proxy/callermemoryserver_test.cpp
@@ -327,3 +327,41 @@
   fixture.Answer("/3");
   cr_expect(!slow.ReceiveUntil("[/3]").empty());
 }
+
+// A call keeps the body of its request after its caller has disconnected, so
+// callers that disconnect must not get around the limit.
+Test(callermemoryserver, requests_of_callers_that_left_count_until_they_end)
+{
+  PipelineFixture fixture(WithMemory(Total(8 * kMegabyte)));
+  const std::string request = PutHead(kMegabyte) + std::string(kMegabyte, 'x');
+  {
+    Socket left = fixture.Send(request);
+    fixture.ExpectRequests(1);
+  }
+  cr_assert(Eventually([&] { return fixture.Disconnects() == 1; }));
+  cr_expect_geq(fixture.server->Memory().held.requests, 2 * kMegabyte);
+  Socket second = fixture.Send(request);
+  const std::string answer = second.ReceiveUntil("\r\n\r\n");
+  cr_expect(answer.starts_with("HTTP/1.1 503 "), "%s", answer.c_str());
+  fixture.Answer("/large");
+  cr_assert(
+    Eventually([&] { return fixture.server->Memory().held.Sum() == 0; }));
+  Socket third = fixture.Send(request);
+  fixture.ExpectRequests(2);
+}
+
+// The handler has answered, so nothing is left to wait for.
+Test(callermemoryserver, an_answered_request_does_not_count_after_a_disconnect)
+{
+  PipelineFixture fixture(WithMemory(Total(64 * kMegabyte)));
+  {
+    Socket left = fixture.Send(Get("/1"));
+    fixture.ExpectRequests(1);
+    fixture.Answer("/1", { 200, {}, std::string(32 * kMegabyte, 'a') });
+    cr_assert(
+      Eventually([&] { return fixture.server->Memory().held.requests == 0; }));
+    cr_assert_gt(fixture.server->Memory().held.answers, 0U);
+  }
+  cr_expect(
+    Eventually([&] { return fixture.server->Memory().held.Sum() == 0; }));
+}
--- a/src/proxy/httpconnection.h
+++ b/src/proxy/httpconnection.h
@@ -107,6 +107,7 @@
   void Close();
 
   std::uint64_t Id() const;
+  const std::string& CallerAddress() const;
   int Socket() const;
 
   /** Whether bytes have arrived that were not read yet. */
@@ -175,6 +176,12 @@
   return this->id;
 }
 
+inline const std::string&
+HttpConnection::CallerAddress() const
+{
+  return this->callerAddress;
+}
+
 inline int
 HttpConnection::Socket() const
 {
--- a/src/proxy/httpserver.h
+++ b/src/proxy/httpserver.h
@@ -43,7 +43,8 @@
 
     /**
      * Called on the server thread when the caller of an unanswered request
-     * closes its connection.
+     * closes its connection. The request must still be ended with Answer() or
+     * Abort() once its memory is free: until then it counts for the limits.
      */
     std::function<void(RequestId)> onCallerDisconnected;
 
--- a/src/proxy/httpserverimpl.cpp
+++ b/src/proxy/httpserverimpl.cpp
@@ -146,6 +146,8 @@
   }
   this->HandleQueued(); // Sends the answers that were given before Stop().
   std::ranges::for_each(this->OpenConnections(), &HttpConnection::Close);
+  const std::lock_guard lock(this->mutex);
+  this->unanswered.clear(); // Later answers find no server thread.
 }
 
 void
@@ -192,6 +194,9 @@
   for (FinishedRequest& request : requests) {
     const auto found = this->connections.find(request.connection);
     if (found == this->connections.end()) {
+      kLog.Debug("dropped an answer: the caller of request {} has disconnected",
+                 request.request);
+      this->context.memory.Release(request.request);
       continue;
     }
     const HttpConnection::Ptr connection = found->second;
--- a/src/proxy/httpserverimpl.h
+++ b/src/proxy/httpserverimpl.h
@@ -68,7 +68,8 @@
                      HttpRequest aRequest);
   void HandleAnswered(HttpConnection& aConnection);
   void HandleClosed(HttpConnection& aConnection);
-  void HandleUnfinished(const PipelinedRequest& aRequest, bool aHasHungUp);
+  void HandleUnfinished(const HttpConnection& aConnection,
+                        const PipelinedRequest& aRequest);
   void Finish(RequestId aRequest, std::optional<HttpAnswer> aAnswer);
   void Wake();
 
--- a/src/proxy/httpserverrequests.cpp
+++ b/src/proxy/httpserverrequests.cpp
@@ -43,31 +43,36 @@
   std::ranges::for_each(aConnection.Requests(),
                         [this, &aConnection](const PipelinedRequest& aRequest) {
                           if (aRequest.id != 0) {
-                            this->HandleUnfinished(aRequest,
-                                                   aConnection.HasHungUp());
+                            this->HandleUnfinished(aConnection, aRequest);
                           }
                         });
 }
 
 /** Handles a request whose connection has closed before its answer was sent. */
 void
-HttpServer::Impl::HandleUnfinished(const PipelinedRequest& aRequest,
-                                   bool aHasHungUp)
+HttpServer::Impl::HandleUnfinished(const HttpConnection& aConnection,
+                                   const PipelinedRequest& aRequest)
 {
+  const bool hasHungUp = aConnection.HasHungUp();
   --this->inFlight;
   bool wasUnanswered = false;
   {
     const std::lock_guard lock(this->mutex);
-    wasUnanswered = this->unanswered.erase(aRequest.id) > 0;
+    wasUnanswered = this->unanswered.contains(aRequest.id);
   }
-  if (!aHasHungUp) {
+  if (wasUnanswered) {
+    this->context.memory.Abandon(aRequest.id,
+                                 kRequestCopies * aRequest.heldBytes,
+                                 aConnection.CallerAddress());
+  }
+  if (!hasHungUp) {
     ++this->answersLost;
     kLog.Warning("request {} ended without its whole answer: {}",
                  aRequest.name.empty() ? "-" : aRequest.name,
                  this->isStopping ? "the server stops"
                                   : "its connection was closed");
   }
-  if (!wasUnanswered || (this->isStopping && !aHasHungUp)) {
+  if (!wasUnanswered || (this->isStopping && !hasHungUp)) {
     return;
   }
   kLog.Debug("the caller of request {} has disconnected", aRequest.id);
@@ -86,6 +91,7 @@
     kLog.Debug("dropped an answer: request {} has ended already", aRequest);
     return;
   }
+  // That of a caller that has disconnected still releases its memory.
   this->finished.push_back({ found->second, aRequest, std::move(aAnswer) });
   this->unanswered.erase(found);
   this->Wake();
