Let a complete body hold no more than about its size

Cause: a body grows by doubling from 64 KiB, and a complete one gave back its reserve only from 1 MiB on. The limits count the memory, twice for each request that waits or runs, so bodies of 70 KB to 700 KB counted up to almost twice their size and fewer requests were passed on than the limits say.

Change: a body with an announced length never reserves more than that; it is copied as often as before. A body without one gives its reserve back if that is more than 1/8 of its size.

--- a/src/proxy/requestparser.cpp
+++ b/src/proxy/requestparser.cpp
@@ -37,9 +37,9 @@
 // reserved at once for an announced body.
 constexpr std::size_t kMaxReservedBytes = 65536;
 
-// A body that grows reserves up to twice its size. A complete one that has
-// reserved more than this gives it back; smaller ones are not copied for it.
-constexpr std::size_t kMaxBodyReserve = 1U << 20U;
+// A body without an announced length reserves up to twice its size. A complete
+// one that has reserved more than this part of its size gives it back.
+constexpr std::size_t kMaxReservePart = 8;
 
 std::string
 ToString(beast::string_view aText)
@@ -109,9 +109,10 @@
   void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
                          beast::error_code& /*aError*/) override
   {
-    const std::uint64_t length = aLength.value_or(0);
-    this->request.body.reserve(std::min<std::uint64_t>(
-      length, std::min(this->maxBodyBytes, kMaxReservedBytes)));
+    this->announcedBytes =
+      std::min<std::uint64_t>(aLength.value_or(0), this->maxBodyBytes);
+    this->request.body.reserve(
+      std::min(this->announcedBytes, kMaxReservedBytes));
   }
 
   std::size_t on_body_impl(beast::string_view aBytes,
@@ -122,6 +123,7 @@
       aError = http::make_error_code(http::error::body_limit);
       return 0;
     }
+    this->ReserveFor(this->request.body.size() + aBytes.size());
     this->request.body.append(aBytes.data(), aBytes.size());
     return aBytes.size();
   }
@@ -146,12 +148,28 @@
   void on_finish_impl(beast::error_code& /*aError*/) override
   {
     std::string& body = this->request.body;
-    if (body.capacity() - body.size() >= kMaxBodyReserve) {
+    if (body.capacity() - body.size() > body.size() / kMaxReservePart) {
       body.shrink_to_fit();
     }
   }
 
+  /** Doubles the memory of an announced body, but never above its length. */
+  void ReserveFor(std::size_t aBytes)
+  {
+    std::string& body = this->request.body;
+    if (aBytes <= body.capacity() || aBytes > this->announcedBytes) {
+      return;
+    }
+    // A string that is not empty would reserve at least twice its capacity.
+    std::string larger;
+    larger.reserve(
+      std::min(this->announcedBytes, std::max(aBytes, 2 * body.capacity())));
+    larger.append(body);
+    body.swap(larger);
+  }
+
   std::size_t maxBodyBytes;
+  std::size_t announcedBytes = 0; // 0 without a length.
   bool isHeadComplete = false;
 };
 
--- a/src/proxy/requestparser_test.cpp
+++ b/src/proxy/requestparser_test.cpp
@@ -1,6 +1,7 @@
 #include "proxy/requestparser.h"
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <string>
@@ -161,3 +162,34 @@
     cr_expect_eq(Parse(longer, size).status, 431);
   }
 }
+
+// The memory that a complete body holds must be about its size, or a limit in
+// bytes admits fewer requests than it says. Shown are bodies of all sizes, with
+// and without an announced length.
+Test(requestparser, CompleteBodiesHoldAboutTheirSize)
+{
+  constexpr std::size_t kPiece = 1460;
+  constexpr std::size_t kOfHead = 512;
+  for (const std::size_t size :
+       { 1000UL, 65000UL, 70000UL, 100000UL, 140000UL, 200000UL, 700000UL }) {
+    const std::string body(size, 'x');
+    const std::string chunked =
+      fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", size, body);
+    const std::string head = "PUT / HTTP/1.1\r\nHost: x\r\n";
+    for (const std::string& bytes :
+         { head + fmt::format("Content-Length: {}\r\n\r\n{}", size, body),
+           head + "Transfer-Encoding: chunked\r\n\r\n" + chunked }) {
+      RequestParser parser({ 1024, 1U << 20U });
+      std::string rest;
+      for (std::size_t at = 0; at < bytes.size(); at += kPiece) {
+        rest += bytes.substr(at, kPiece);
+        rest.erase(0, parser.Feed(rest));
+        cr_assert_leq(parser.HeldBytes(), 2 * (size + kOfHead));
+      }
+      cr_assert(parser.State() == RequestState::Complete);
+      cr_expect_leq(
+        parser.HeldBytes(), size + size / 8 + kOfHead, "%zu bytes", size);
+      cr_expect(parser.TakeRequest().body == body);
+    }
+  }
+}
