Close idle connections for others only on the call port

Cause: MakeRoom closed connections without a request for 1 s on every HttpServer with all connections in use, so also those of operators and announcing servers on the admin port and of the readiness and report ports of a site, which are said to end nothing.

Change: HttpServerConfig::makesRoom, which only the call port sets. The tests of callermemoryserver that need it set it as well; their checks are unchanged.

--- a/src/daemon/callsserviceconfig.cpp
+++ b/src/daemon/callsserviceconfig.cpp
@@ -87,6 +87,7 @@
     config.address = aSettings.site.calls.address;
     config.port = aSettings.site.calls.port;
   }
+  config.makesRoom = true;
   config.requestIdHeader = aDialect.requestIdHeader;
   return config;
 }
--- a/src/proxy/callermemoryserver_test.cpp
+++ b/src/proxy/callermemoryserver_test.cpp
@@ -19,6 +19,7 @@
   HttpServerConfig config;
   config.memory = aMemory;
   config.maxConnections = aMaxConnections;
+  config.makesRoom = true;
   config.limits.request.bodyBytes = 8 * kMegabyte;
   return config;
 }
@@ -365,3 +366,21 @@
   cr_expect(
     Eventually([&] { return fixture.server->Memory().held.Sum() == 0; }));
 }
+
+// Servers that are not for callers must not close the idle connections of
+// operators and servers for others.
+Test(callermemoryserver, servers_that_make_no_room_keep_idle_connections)
+{
+  HttpServerConfig config;
+  config.maxConnections = 2;
+  PipelineFixture fixture(config);
+  Socket first = fixture.Send("");
+  Socket second = fixture.Send("");
+  Socket third = fixture.Send(Get("/3"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(4500));
+  fixture.ExpectRequests(0);
+  cr_expect_eq(
+    CountOf(fixture.server->Memory().closed, CallerLimit::Connections), 0U);
+  second.Close();
+  fixture.ExpectRequests(1);
+}
--- a/src/proxy/httpserver.h
+++ b/src/proxy/httpserver.h
@@ -21,6 +21,9 @@
   PipelineLimits pipeline;
   CallerMemoryLimits memory;
 
+  /** Closes idle connections when all are in use and others wait. */
+  bool makesRoom = false;
+
   /** Names the request in the log; empty if requests have no ids. */
   std::string requestIdHeader;
 };
--- a/src/proxy/httpserverlimits.cpp
+++ b/src/proxy/httpserverlimits.cpp
@@ -47,7 +47,8 @@
 void
 HttpServer::Impl::MakeRoom()
 {
-  if (this->connections.size() < this->config.maxConnections ||
+  if (!this->config.makesRoom ||
+      this->connections.size() < this->config.maxConnections ||
       this->hasNoDescriptors || !this->listener.HasPending()) {
     return;
   }
