--- a/src/proxy/callermemory.h
+++ b/src/proxy/callermemory.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -63,6 +64,7 @@
   HeldBytes held;
   std::array<std::uint64_t, kCallerLimitCount> refused{}; // By CallerLimit.
   std::array<std::uint64_t, kCallerLimitCount> closed{};
+  std::array<std::uint64_t, kCallerLimitCount> dropped{}; // Answers.
 };
 
 /** A connection that is to be ended, and why. */
@@ -83,7 +85,8 @@
  *
  * The connection that ends is the one for which the product of its bytes and
  * its time without progress is largest. Requests that were passed on are not
- * ended, as they may have run; they only keep further ones from being read.
+ * ended, as they may have run; they only keep further ones from being read. If
+ * they alone exceed a limit, no answer ends for it.
  *
  * It is designed for 2000 connections of a host with 160 MB. Counting costs a
  * few additions; only above a limit all connections are compared.
@@ -103,7 +106,7 @@
     Share(const Share&) = delete;
     Share& operator=(const Share&) = delete;
 
-    /** aIsBusy: a request of the connection is not answered yet. */
+    /** aIsBusy: the answer to a request is not there or not wholly sent. */
     void Set(const HeldBytes& aHeld, bool aIsBusy);
 
     /** The caller has sent bytes of a request or taken bytes of an answer. */
@@ -133,8 +136,14 @@
   /** The connection to end because of a limit on bytes, if any. */
   std::optional<CallerToEnd> ChooseOver();
 
-  /** The connection to close so that another caller can open one, if any. */
-  std::optional<CallerToEnd> ChooseIdle(std::size_t aMaxConnections) const;
+  /**
+   * The connection to close so that another caller can open one, if any.
+   * aMayEnd is asked only for connections that would be chosen; its argument is
+   * the number of a connection.
+   */
+  std::optional<CallerToEnd> ChooseIdle(
+    std::size_t aMaxConnections,
+    const std::function<bool(std::uint64_t)>& aMayEnd) const;
 
   /**
    * Whether a complete request of this size may be passed on besides those that
@@ -145,8 +154,20 @@
   /** The longest text of a request that can be passed on; 0: no limit. */
   std::size_t MaxRequestBytes() const;
 
+  /**
+   * The caller of a request that was passed on has disconnected. Its bytes stay
+   * counted until Release(), as its handler still holds them.
+   */
+  void Abandon(std::uint64_t aRequest,
+               std::size_t aBytes,
+               const std::string& aAddress);
+
+  /** A request has ended. Without effect if it was not abandoned. */
+  void Release(std::uint64_t aRequest);
+
   void CountRefused(CallerLimit aLimit);
   void CountClosed(CallerLimit aLimit);
+  void CountDropped(CallerLimit aLimit);
 
   /** May be called from any thread. */
   CallerMemoryCounts Counts() const;
@@ -154,30 +175,40 @@
 private:
   struct AddressUse
   {
-    std::size_t bytes = 0;
+    HeldBytes held; // Counted only with a limit on it.
     std::size_t connections = 0;
+    std::size_t abandoned = 0; // Requests.
+  };
+
+  struct AbandonedRequest
+  {
+    std::size_t bytes = 0;
+    std::string address;
   };
 
   struct Candidates;
 
   std::size_t RequestLimit() const;
   bool IsOver(const Share& aShare) const;
-  const std::string* FindAddressOver() const;
+  std::optional<CallerToEnd> ChooseInAddresses() const;
   CallerToEnd Describe(const Share& aShare, CallerLimit aLimit) const;
   std::optional<CallerToEnd> Choose(const Candidates& aCandidates) const;
   std::optional<CallerToEnd> ChooseConnection() const;
   void Replace(Share& aShare, const HeldBytes& aHeld);
+  void RemoveIfUnused(const std::string& aAddress);
 
   CallerMemoryLimits limits;
   Clock clock;
   std::unordered_set<Share*> shares;
   std::unordered_map<std::string, AddressUse> addresses;
+  std::unordered_map<std::uint64_t, AbandonedRequest> abandoned;
   bool mayBeOver = false;
   std::atomic<std::size_t> reading{ 0 };
   std::atomic<std::size_t> requests{ 0 };
   std::atomic<std::size_t> answers{ 0 };
   std::array<std::atomic<std::uint64_t>, kCallerLimitCount> refused{};
   std::array<std::atomic<std::uint64_t>, kCallerLimitCount> closed{};
+  std::array<std::atomic<std::uint64_t>, kCallerLimitCount> dropped{};
 };
 
 inline bool
--- a/src/proxy/httpserver.h
+++ b/src/proxy/httpserver.h
@@ -21,6 +21,9 @@
   PipelineLimits pipeline;
   CallerMemoryLimits memory;
 
+  /** Closes idle connections when all are in use and others wait. */
+  bool makesRoom = false;
+
   /** Names the request in the log; empty if requests have no ids. */
   std::string requestIdHeader;
 };
@@ -43,7 +46,8 @@
 
     /**
      * Called on the server thread when the caller of an unanswered request
-     * closes its connection.
+     * closes its connection. The request must still be ended with Answer() or
+     * Abort() once its memory is free: until then it counts for the limits.
      */
     std::function<void(RequestId)> onCallerDisconnected;
 
