Mend what the review of paced large requests found

- A call that leaves its destination before its body was sent is cancelled there, so that its turn in the link and its memory are free.
- It also leaves a suspect daemon that has granted nothing.
- A destination that never grants counts as silent at the deadline.
- A grant that the full ring buffer refuses is sent later; it was lost.
- A paused sender has at most four parts on the way.
- A body that takes more than half of the time until its deadline is accepted beside a short backlog.
- The quarantine is checked again when the body is complete; a body above what destinations accept is sent whole, as before.
Tests in largerequests_test and requestpacer_test for those that can be seen there.

--- a/src/catalogue/entry.h
+++ b/src/catalogue/entry.h
@@ -203,7 +203,7 @@
   /** Routes only: answers are large, so they can fill the link of a host. */
   bool hasLargeAnswers = false;
 
-  /** Routes only: the same for requests. */
+  /** Routes only: requests are large, so they can fill the link of a host. */
   bool hasLargeRequests = false;
   Limits limits;
   ListenerLimits listenerLimits; // Listeners only.
--- a/src/daemon/callsservice.h
+++ b/src/daemon/callsservice.h
@@ -32,7 +32,7 @@
 struct CallsServiceHooks
 {
   std::function<bool(const PeerAddress&, wire::Envelope)> send;
-  std::function<void(SessionId, wire::Envelope)> reply;
+  std::function<bool(SessionId, wire::Envelope)> reply;
   std::function<bool(std::uint64_t aKeyHash, const std::string& aHolder)> claim;
   std::function<
     void(std::uint64_t aKeyHash, const std::string& aHolder, Outcome)>
--- a/src/daemon/callsserviceconfig.cpp
+++ b/src/daemon/callsserviceconfig.cpp
@@ -26,7 +26,7 @@
 
 // Share of the host's link, in each direction, for large answers and requests.
 // The rest is for small ones, messages between daemons and headers of packets.
-constexpr double kLinkShareOfLarge = 0.85;
+constexpr double kLinkShareOfLargeBodies = 0.85;
 
 } // namespace
 
@@ -148,7 +148,7 @@
   config.maxRequestBytes = static_cast<std::size_t>(aSettings.callerBytes) / 2;
   config.acceptsUnknownEntries = aProtocol.documents.has_value();
   config.answerBytesPerMilli =
-    aSettings.linkRate * kBytesPerMilliOfMbit * kLinkShareOfLarge;
+    aSettings.linkRate * kBytesPerMilliOfMbit * kLinkShareOfLargeBodies;
   config.requestBytesPerMilli = config.answerBytesPerMilli;
   if (aSettings.site.protocol != ProtocolKind::Own) {
     config.address = aSettings.site.server.address;
--- a/src/daemon/callsservicehooks.cpp
+++ b/src/daemon/callsservicehooks.cpp
@@ -57,7 +57,7 @@
   destinationHooks.grant = [this](SessionId aOrigin, wire::BodyGrant aGrant) {
     wire::Envelope envelope;
     envelope.__set_bodyGrant(std::move(aGrant));
-    this->hooks.reply(aOrigin, std::move(envelope));
+    return this->hooks.reply(aOrigin, std::move(envelope));
   };
   destinationHooks.submit = [this](HttpExchange aExchange) {
     return this->client.Submit(std::move(aExchange));
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -122,7 +122,7 @@
       aTo, wire::SessionKind::CALLS, std::move(aEnvelope));
   };
   hooks.reply = [this](SessionId aSession, wire::Envelope aEnvelope) {
-    this->network.Reply(aSession, std::move(aEnvelope));
+    return this->network.Reply(aSession, std::move(aEnvelope));
   };
   hooks.claim = [this](std::uint64_t aKeyHash, const std::string& aHolder) {
     return this->control.Claim(aKeyHash, aHolder);
--- a/src/execution/callsimulationparts.h
+++ b/src/execution/callsimulationparts.h
@@ -272,6 +272,7 @@
   };
   hooks.grant = [this, &aDaemon](SessionId aOrigin, const auto& aGrant) {
     this->ReplyGrant(aDaemon, aOrigin, aGrant);
+    return true;
   };
   hooks.submit = [this, &aDaemon](const HttpExchange& aExchange) {
     this->Post(aDaemon, 1, [this, &aDaemon, aExchange] {
--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -409,7 +409,7 @@
 DestinationCalls::Tick()
 {
   this->admission.Tick();
-  this->RemoveUnreceived();
+  this->RefuseLateBodies();
   this->SendGrants();
   this->SendPacedAnswers();
   this->CheckCutExchanges();
--- a/src/execution/destinationcalls.h
+++ b/src/execution/destinationcalls.h
@@ -64,8 +64,11 @@
   /** aOrigin is 0 for the entry part of this same daemon. */
   std::function<void(SessionId aOrigin, wire::CallAnswer)> answer;
 
-  /** Tells an entry daemon how much of a large request it may send. */
-  std::function<void(SessionId aOrigin, wire::BodyGrant)> grant;
+  /**
+   * Tells an entry daemon how much of a large request it may send. Returns
+   * false if the message could not be sent.
+   */
+  std::function<bool(SessionId aOrigin, wire::BodyGrant)> grant;
   std::function<bool(HttpExchange)> submit;
   std::function<void(const std::string& aCallId)> cancel;
   std::function<bool(std::uint64_t aDigest)> isQuarantined;
@@ -170,8 +173,8 @@
   void ReceiveBody(const std::string& aCallId, Call& aCall);
   std::optional<Refusal> CheckLinkForRequest(const Call& aCall) const;
   void SendGrants();
-  void RemoveUnreceived();
-  void RefuseUnreceived(const std::string& aCallId, RefusalReason aReason);
+  void RefuseLateBodies();
+  void RefuseWithReason(const std::string& aCallId, RefusalReason aReason);
   void StartCall(const std::string& aCallId);
   void RefuseCall(const std::string& aCallId, const Refusal& aRefusal);
   std::string TeamOf(const wire::CallRequest& aRequest) const;
@@ -204,7 +207,8 @@
   Admission admission;
   AnswerPacer pacer;
   RequestPacer requestPacer;
-  std::deque<std::string> receiving;    // Calls in the stage, oldest first.
+  std::deque<std::string> receiving; // Calls in that stage, oldest first.
+  std::optional<PartGrant> unsentGrant;
   std::map<int, std::string> serverIds; // By port.
   std::unordered_map<std::string, Call> calls;
   std::deque<std::pair<Millis, std::string>> finishedQueue;
--- a/src/execution/destinationcallsbodies.cpp
+++ b/src/execution/destinationcallsbodies.cpp
@@ -5,7 +5,9 @@
 #include "execution/serveranswer.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace lacewingwharf {
 
@@ -37,15 +39,28 @@
   this->SendGrants();
 }
 
+/** A grant that the ring buffer to the peer thread refuses is sent later. */
 void
 DestinationCalls::SendGrants()
 {
-  while (const auto part =
-           this->requestPacer.TakeNext(this->clock.PreciseNow())) {
+  while (true) {
+    const auto part = this->unsentGrant
+                        ? std::exchange(this->unsentGrant, std::nullopt)
+                        : this->requestPacer.TakeNext(this->clock.PreciseNow());
+    if (!part) {
+      return;
+    }
+    const auto call = this->calls.find(part->callId);
+    if (call == this->calls.end()) {
+      continue; // Ended in the meantime.
+    }
     wire::BodyGrant grant;
     grant.callId = part->callId;
     grant.bytes = static_cast<std::int64_t>(part->grantedBytes);
-    this->hooks.grant(this->calls.at(part->callId).origin, std::move(grant));
+    if (!this->hooks.grant(call->second.origin, std::move(grant))) {
+      this->unsentGrant = part;
+      return;
+    }
   }
 }
 
@@ -61,7 +76,7 @@
   const bool isNext = aPart.offset == static_cast<std::int64_t>(body.size()) &&
                       aPart.data.size() <= call.bodyBytes - body.size();
   if (!isNext) {
-    this->RefuseUnreceived(aPart.callId, RefusalReason::NotConnected);
+    this->RefuseWithReason(aPart.callId, RefusalReason::NotConnected);
     return;
   }
   if (body.empty()) {
@@ -69,9 +84,11 @@
   }
   body += aPart.data;
   if (body.size() < call.bodyBytes) {
+    this->requestPacer.RecordReceived(aPart.callId, body.size());
     this->SendGrants();
     return;
   }
+  this->requestPacer.Remove(aPart.callId);
   std::erase(this->receiving, aPart.callId);
   call.stage = Stage::Waiting;
   kLog.Decision("request-received",
@@ -81,13 +98,19 @@
                 call.bodyBytes,
                 this->clock.PreciseNow() - call.receivedAt,
                 this->requestPacer.WaitingBytes());
-  this->admission.Offer(this->MakeAdmissionRequest(call));
+  // The daemons may have learned meanwhile that the request crashes servers.
+  if (this->hooks.isQuarantined(
+        static_cast<std::uint64_t>(call.request.digest))) {
+    this->RefuseWithReason(aPart.callId, RefusalReason::Quarantined);
+  } else {
+    this->admission.Offer(this->MakeAdmissionRequest(call));
+  }
   this->SendGrants();
 }
 
-/** Ends calls whose body has not arrived by their deadline. */
+/** Refuses calls whose body has not arrived by their deadline. */
 void
-DestinationCalls::RemoveUnreceived()
+DestinationCalls::RefuseLateBodies()
 {
   const Millis now = this->clock.Now();
   std::vector<std::string> late;
@@ -96,12 +119,12 @@
       return this->calls.at(aId).deadlineAt <= now;
     });
   std::ranges::for_each(late, [this](const std::string& aId) {
-    this->RefuseUnreceived(aId, RefusalReason::DeadlinePassed);
+    this->RefuseWithReason(aId, RefusalReason::DeadlinePassed);
   });
 }
 
 void
-DestinationCalls::RefuseUnreceived(const std::string& aCallId,
+DestinationCalls::RefuseWithReason(const std::string& aCallId,
                                    RefusalReason aReason)
 {
   const wire::CallRequest& request = this->calls.at(aCallId).request;
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -265,12 +265,12 @@
 }
 
 void
-EntryCalls::HandleUnsent(const std::string& aAttemptId, RefusalReason aReason)
+EntryCalls::HandleUnsent(const std::string& aAttemptId)
 {
   wire::CallAnswer answer;
   answer.callId = aAttemptId;
   answer.outcome = wire::CallOutcome::NOT_RUN;
-  answer.reason = kRefusalReasonNames.NameOf(aReason);
+  answer.reason = kRefusalReasonNames.NameOf(RefusalReason::NotConnected);
   this->HandleAnswer(std::move(answer));
 }
 
@@ -278,7 +278,7 @@
 EntryCalls::HandleLostAttempt(const EntryCallPtr& aCall)
 {
   if (IsBodyIncomplete(*aCall)) {
-    this->HandleUnsent(aCall->attempt.id);
+    this->GiveUpAnnounced(*aCall);
     return;
   }
   if (aCall->isIdempotent || !this->queries.MayQuery(*aCall)) {
@@ -349,8 +349,7 @@
     return;
   }
   if (IsBodyIncomplete(*aCall)) {
-    this->queries.Cancel(aCall->attempt);
-    this->HandleUnsent(aCall->attempt.id, RefusalReason::DeadlinePassed);
+    this->EndAnnounced(aCall);
     return;
   }
   this->openCalls.CloseAttempt(aCall->attempt);
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -145,10 +145,10 @@
   void HandleUsageDecision(const std::string& aCallId, UsageDecision aDecision);
 
   /**
-   * Handles the loss of a session. aUnsent lists the attempts whose requests
-   * were certainly not sent. If the session was never connected, other attempts
-   * at that daemon are unaffected: their requests may have been sent on a later
-   * session.
+   * Handles the loss of a session. aUnsent lists the attempts whose requests,
+   * or parts of them, were certainly not sent. If the session was never
+   * connected, other attempts at that daemon are unaffected: their requests may
+   * have been sent on a later session.
    */
   void HandleSessionLost(const PeerAddress& aRemote,
                          bool aWasConnected,
@@ -198,6 +198,8 @@
   bool MustAnnounce(const EntryCall& aCall) const;
   bool Dispatch(const EntryCall& aCall);
   void SendGrantedParts(EntryCall& aCall);
+  void GiveUpAnnounced(const EntryCall& aCall);
+  void EndAnnounced(const EntryCallPtr& aCall);
   bool SendTo(const EndpointInfo& aEndpoint, wire::Envelope aEnvelope);
   void RecordObservation(const EntryCall& aCall,
                          CallEnd aEnd,
@@ -207,8 +209,7 @@
   void DeliverFailure(const EntryCallPtr& aCall);
   void HandleNotRun(const EntryCallPtr& aCall, const wire::CallAnswer& aAnswer);
   void HandleUnknown(const EntryCallPtr& aCall, const std::string& aReason);
-  void HandleUnsent(const std::string& aAttemptId,
-                    RefusalReason aReason = RefusalReason::NotConnected);
+  void HandleUnsent(const std::string& aAttemptId);
   void LeaveSuspectEndpoints();
   void LeaveSuspectEndpoint(const EndpointInfo& aEndpoint);
   bool HasOtherServer(const EntryCall& aCall) const;
--- a/src/execution/entrycallsbodies.cpp
+++ b/src/execution/entrycallsbodies.cpp
@@ -4,6 +4,7 @@
 #include "execution/entrycalls.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingwharf {
 
@@ -11,8 +12,9 @@
 bool
 EntryCalls::MustAnnounce(const EntryCall& aCall) const
 {
-  return aCall.entry->hasLargeRequests &&
-         aCall.http.body.size() >= kMinAnnouncedBytes &&
+  const std::size_t bytes = aCall.http.body.size();
+  return aCall.entry->hasLargeRequests && bytes >= kMinAnnouncedBytes &&
+         bytes <= kMaxEntryBodyBytes &&
          aCall.attempt.endpoint.host != this->config.host;
 }
 
@@ -44,10 +46,35 @@
   part.data = aCall.http.body.substr(attempt.sentBytes,
                                      attempt.grantedBytes - attempt.sentBytes);
   wire::Envelope envelope;
-  envelope.__set_bodyPart(part);
+  // Assigns the field directly, because the generated setter copies the data.
+  envelope.bodyPart = std::move(part);
+  envelope.__isset.bodyPart = true;
   if (this->SendTo(attempt.endpoint, std::move(envelope))) {
     attempt.sentBytes = attempt.grantedBytes;
   }
 }
 
+/**
+ * Sends a call elsewhere whose body was not sent whole, so that it has not run.
+ * The cancel frees the turn and the memory that its destination keeps for it.
+ */
+void
+EntryCalls::GiveUpAnnounced(const EntryCall& aCall)
+{
+  const Attempt attempt = aCall.attempt;
+  this->queries.Cancel(attempt);
+  this->HandleUnsent(attempt.id);
+}
+
+/** Ends such a call at its deadline. The destination counts as silent. */
+void
+EntryCalls::EndAnnounced(const EntryCallPtr& aCall)
+{
+  this->queries.Cancel(aCall->attempt);
+  this->openCalls.CloseAttempt(aCall->attempt);
+  --aCall->deliveries;
+  this->RecordObservation(*aCall, CallEnd::Lost, {});
+  this->RefuseWithReason(aCall, RefusalReason::DeadlinePassed);
+}
+
 } // namespace lacewingwharf
--- a/src/execution/entrycallssuspects.cpp
+++ b/src/execution/entrycallssuspects.cpp
@@ -40,7 +40,15 @@
 void
 EntryCalls::LeaveSuspectEndpoint(const EndpointInfo& aEndpoint)
 {
-  auto calls = this->openCalls.AttemptsAt(AddressOfEndpoint(aEndpoint));
+  const PeerAddress address = AddressOfEndpoint(aEndpoint);
+  std::ranges::for_each(
+    this->openCalls.AttemptsAt(address), [this](const EntryCallPtr& aCall) {
+      if (aCall->attempt.isAnnounced && aCall->attempt.sentBytes == 0 &&
+          aCall->attempts < kMaxCallAttempts && this->HasOtherServer(*aCall)) {
+        this->GiveUpAnnounced(*aCall);
+      }
+    });
+  auto calls = this->openCalls.AttemptsAt(address);
   std::erase_if(calls, [this](const EntryCallPtr& aCall) {
     // Large bodies fill links, and a full link loses pings. Sending such a call
     // again would add to it.
--- a/src/execution/largerequests_test.cpp
+++ b/src/execution/largerequests_test.cpp
@@ -80,7 +80,11 @@
       this->answers.push_back(aAnswer);
     };
     hooks.grant = [this](SessionId, const wire::BodyGrant& aGrant) {
+      if (this->losesGrants) {
+        return false;
+      }
       this->grants.push_back(aGrant);
+      return true;
     };
     hooks.submit = [this](const HttpExchange& aExchange) {
       this->runs.push_back(aExchange);
@@ -168,6 +172,7 @@
   std::vector<wire::BodyGrant> grants;
   std::vector<HttpExchange> runs;
   std::size_t longestRequest = 0;
+  bool losesGrants = false; // The ring buffer to the peer thread is full.
 };
 
 } // namespace
@@ -244,10 +249,43 @@
   fleet.Deliver();
   cr_assert(fleet.runs.empty());
   fleet.entry.calls->HandleSessionLost(first, true, {});
-  cr_assert_eq(fleet.entry.sent.size(), 1U);
   cr_expect_neq(fleet.entry.sent.back().first.port, first.port);
   fleet.Advance(1000);
   cr_expect_eq(fleet.runs.size(), 1U);
+  const DestinationCalls& left =
+    *fleet.destinations.at(static_cast<std::size_t>(first.port));
+  cr_expect_eq(left.WaitingRequestBytes(), 0U);
+  cr_expect_eq(left.RequestBytes(), 0U);
+  cr_expect_eq(left.InFlight(), 0U);
+}
+
+// A daemon that is suspect may be gone. A call that has certainly not run there
+// must not wait for it.
+Test(largerequests, a_call_leaves_a_suspect_daemon_before_its_body_is_sent)
+{
+  LargeRequestFleet fleet;
+  fleet.Begin(1);
+  const PeerAddress first = fleet.entry.sent.back().first;
+  fleet.entry.sent.clear(); // The daemon does not answer.
+  fleet.entry.SetServers(2, first.port);
+  cr_assert_not(fleet.entry.sent.empty());
+  cr_expect_neq(fleet.entry.sent.back().first.port, first.port);
+  fleet.Advance(1000);
+  cr_expect_eq(fleet.runs.size(), 1U);
+}
+
+// A grant that could not be sent must be sent later, or its call would wait
+// until its deadline.
+Test(largerequests, a_grant_that_was_not_sent_is_sent_later)
+{
+  LargeRequestFleet fleet;
+  fleet.losesGrants = true;
+  fleet.Begin(1);
+  fleet.Advance(100);
+  cr_assert(fleet.runs.empty());
+  fleet.losesGrants = false;
+  fleet.Advance(300);
+  cr_expect_eq(fleet.runs.size(), 1U);
 }
 
 // The last part may be lost after the entry daemon has sent it. Then the status
@@ -288,7 +326,7 @@
   cr_expect_eq(fleet.runs[0].request.body.size(), 60000U);
 }
 
-// A daemon that stops to send grants must not cost its callers the truth: until
+// A daemon that stops sending grants must not cost its callers the truth: until
 // its body is complete, a call has not run.
 Test(largerequests, a_call_without_grants_ends_as_not_run)
 {
--- a/src/execution/requestpacer.cpp
+++ b/src/execution/requestpacer.cpp
@@ -13,12 +13,16 @@
 constexpr double kPartMillis = 15;
 constexpr double kMinPartBytes = 8192;
 
+// Parts of a body that were granted and are not there. A sender that was paused
+// sends all of them at once.
+constexpr std::size_t kMaxPartsOnTheWay = 4;
+
 // Parts are granted at ticks of 10 ms and arrive at least a round trip later.
 // Without this lead, the link would be idle in the meantime.
 constexpr double kLeadMillis = 15;
 
-// Part of the time until the limit that the backlog and the body may take. The
-// call still has to wait for a slot and to run.
+// Part of the time that the backlog and the body may take. The call still has
+// to wait for a slot and to run.
 constexpr double kUsableTime = 0.5;
 
 } // namespace
@@ -43,31 +47,55 @@
     return std::nullopt; // No other host would receive it sooner.
   }
   const double own = static_cast<double>(aBytes) / this->rate;
-  const auto usableTime = [aNow](Millis aLimit) {
-    return kUsableTime * (static_cast<double>(aLimit) - aNow);
+  const auto timeUntil = [aNow](Millis aLimit) {
+    return static_cast<double>(aLimit) - aNow;
   };
-  const bool canMeetTarget = aTargetAt && own <= usableTime(*aTargetAt);
-  const double lateness =
-    backlog + own - usableTime(canMeetTarget ? *aTargetAt : aDeadlineAt);
+  double usable = timeUntil(aDeadlineAt);
+  if (own <= kUsableTime * usable) {
+    usable *= kUsableTime;
+  }
+  if (aTargetAt && own <= kUsableTime * timeUntil(*aTargetAt)) {
+    usable = kUsableTime * timeUntil(*aTargetAt);
+  }
+  const double lateness = backlog + own - usable;
   if (lateness <= 0) {
     return std::nullopt;
   }
   return static_cast<Millis>(std::ceil(lateness));
 }
 
+std::size_t
+RequestPacer::PartBytes() const
+{
+  return static_cast<std::size_t>(
+    std::max(kMinPartBytes, kPartMillis * this->rate));
+}
+
+std::deque<RequestPacer::WaitingBody>::iterator
+RequestPacer::Find(const std::string& aCallId)
+{
+  return std::ranges::find(this->waiting, aCallId, &WaitingBody::callId);
+}
+
 void
 RequestPacer::Add(const std::string& aCallId, std::size_t aBytes)
 {
-  this->waiting.push_back({ aCallId, 0, aBytes });
+  this->waiting.push_back({ aCallId, aBytes, 0, 0 });
   this->waitingBytes += aBytes;
 }
 
+void
+RequestPacer::RecordReceived(const std::string& aCallId, std::size_t aBytes)
+{
+  if (const auto body = this->Find(aCallId); body != this->waiting.end()) {
+    body->receivedBytes = aBytes;
+  }
+}
+
 void
 RequestPacer::Remove(const std::string& aCallId)
 {
-  const auto body =
-    std::ranges::find(this->waiting, aCallId, &PartGrant::callId);
-  if (body != this->waiting.end()) {
+  if (const auto body = this->Find(aCallId); body != this->waiting.end()) {
     this->waitingBytes -= body->bodyBytes - body->grantedBytes;
     this->waiting.erase(body);
   }
@@ -76,23 +104,29 @@
 std::optional<PartGrant>
 RequestPacer::TakeNext(double aNow)
 {
-  if (this->waiting.empty() || this->freeAt > aNow + kLeadMillis) {
+  const bool isPaced = this->rate > 0;
+  if (isPaced && this->freeAt > aNow + kLeadMillis) {
+    return std::nullopt;
+  }
+  const auto next =
+    std::ranges::find_if(this->waiting, [&](const WaitingBody& aBody) {
+      return !isPaced || aBody.grantedBytes - aBody.receivedBytes <
+                           kMaxPartsOnTheWay * this->PartBytes();
+    });
+  if (next == this->waiting.end()) {
     return std::nullopt;
   }
-  PartGrant& next = this->waiting.front();
-  const std::size_t left = next.bodyBytes - next.grantedBytes;
-  const double partBytes = std::max(kMinPartBytes, kPartMillis * this->rate);
-  const std::size_t part =
-    this->rate > 0 ? std::min(static_cast<std::size_t>(partBytes), left) : left;
-  next.grantedBytes += part;
+  const std::size_t left = next->bodyBytes - next->grantedBytes;
+  const std::size_t part = isPaced ? std::min(this->PartBytes(), left) : left;
+  next->grantedBytes += part;
   this->waitingBytes -= part;
-  if (this->rate > 0) {
+  if (isPaced) {
     this->freeAt =
       std::max(this->freeAt, aNow) + static_cast<double>(part) / this->rate;
   }
-  PartGrant grant = next;
-  if (grant.grantedBytes == grant.bodyBytes) {
-    this->waiting.pop_front();
+  PartGrant grant{ next->callId, next->grantedBytes };
+  if (next->grantedBytes == next->bodyBytes) {
+    this->waiting.erase(next);
   }
   return grant;
 }
--- a/src/execution/requestpacer.h
+++ b/src/execution/requestpacer.h
@@ -16,7 +16,6 @@
 
   /** What may have been sent of the body with this part. */
   std::size_t grantedBytes = 0;
-  std::size_t bodyBytes = 0;
 };
 
 /**
@@ -37,8 +36,10 @@
 
   /**
    * Returns by how much a body would be late, or nothing if the call can be
-   * accepted. A call that misses its target without any backlog is measured
-   * against its deadline. Without a backlog, every call is accepted.
+   * accepted. Half of the time until the target may pass until the body is
+   * there; if the body alone takes longer, half of the time until the deadline,
+   * and if that is too short as well, all of it. Without a backlog, every call
+   * is accepted.
    */
   std::optional<Millis> LatenessOf(std::size_t aBytes,
                                    std::optional<Millis> aTargetAt,
@@ -48,7 +49,10 @@
   /** Adds an accepted call whose body is to be sent. */
   void Add(const std::string& aCallId, std::size_t aBytes);
 
-  /** Forgets a call whose body is not needed any more. */
+  /** Records how much of a body is there. */
+  void RecordReceived(const std::string& aCallId, std::size_t aBytes);
+
+  /** Forgets a call, if its body was not granted whole. */
   void Remove(const std::string& aCallId);
 
   /** Takes the part that is to be sent now, if the link has room. */
@@ -58,10 +62,21 @@
   std::size_t WaitingBytes() const;
 
 private:
+  struct WaitingBody
+  {
+    std::string callId;
+    std::size_t bodyBytes = 0;
+    std::size_t grantedBytes = 0;
+    std::size_t receivedBytes = 0;
+  };
+
+  std::size_t PartBytes() const;
+  std::deque<WaitingBody>::iterator Find(const std::string& aCallId);
+
   double rate = 0;
   double freeAt = 0; // When the link will have received what was granted.
   std::size_t waitingBytes = 0;
-  std::deque<PartGrant> waiting;
+  std::deque<WaitingBody> waiting;
 };
 
 inline std::size_t
--- a/src/execution/requestpacer_test.cpp
+++ b/src/execution/requestpacer_test.cpp
@@ -64,6 +64,7 @@
   Outcomes outcomes;
   std::map<std::string, Millis> sentAt;
   std::map<std::string, std::size_t> received;
+  std::map<std::string, std::size_t> sizes;
   const auto finish = [&](const std::string& aId, double aArrival) {
     const double answered = aArrival + kServiceTime;
     const bool isInTime =
@@ -85,15 +86,17 @@
         ++outcomes.refused;
       } else {
         pacer.Add(id, bytes);
+        sizes[id] = bytes;
       }
     }
     while (const auto grant =
              now % kTick == 0 ? pacer.TakeNext(time) : std::nullopt) {
       const std::size_t part = grant->grantedBytes - received[grant->callId];
       received[grant->callId] = grant->grantedBytes;
+      pacer.RecordReceived(grant->callId, grant->grantedBytes);
       const double arrival =
         link.Deliver(time + kRoundTrip, static_cast<double>(part));
-      if (grant->grantedBytes == grant->bodyBytes) {
+      if (grant->grantedBytes == sizes.at(grant->callId)) {
         finish(grant->callId, arrival);
       }
     }
@@ -174,7 +177,8 @@
   const auto lateness = pacer.LatenessOf(kBytes, kTarget, kDeadline, 0);
   cr_assert(lateness.has_value());
   for (Millis now = 0; now <= *lateness; now += kTick) {
-    while (pacer.TakeNext(static_cast<double>(now))) {
+    while (const auto grant = pacer.TakeNext(static_cast<double>(now))) {
+      pacer.RecordReceived(grant->callId, grant->grantedBytes);
     }
   }
   cr_expect(pacer.LatenessOf(kBytes,
@@ -210,3 +214,36 @@
   cr_expect_eq(first->grantedBytes, 100000U);
   cr_expect_eq(second->grantedBytes, 200000U);
 }
+
+// A sender that does not send what it was granted must not fill the link later
+// with everything at once, and must not hold up others.
+Test(requestpacer, a_paused_sender_has_few_parts_on_the_way)
+{
+  constexpr std::size_t kBytes = 1000000;
+  RequestPacer pacer(kPacedShare * kLinkBytesPerMilli);
+  pacer.Add("paused", kBytes);
+  pacer.Add("other", kBytes);
+  std::map<std::string, std::size_t> granted;
+  for (Millis now = 0; now < kTarget; now += kTick) {
+    while (const auto grant = pacer.TakeNext(static_cast<double>(now))) {
+      granted[grant->callId] = grant->grantedBytes;
+      if (grant->callId == "other") {
+        pacer.RecordReceived(grant->callId, grant->grantedBytes);
+      }
+    }
+  }
+  cr_expect_lt(granted["paused"], 70000U);
+  cr_expect_gt(granted["other"], 900000U);
+}
+
+// A body that takes most of the time until its deadline must be accepted beside
+// a short backlog, or a link in steady use would never accept it.
+Test(requestpacer, a_body_that_takes_long_is_accepted_beside_a_short_backlog)
+{
+  constexpr std::size_t kBytes = 4000000; // 3,765 ms.
+  RequestPacer pacer(kPacedShare * kLinkBytesPerMilli);
+  pacer.Add("short", 100000);
+  cr_expect(pacer.LatenessOf(kBytes, kTarget, kDeadline, 0) == std::nullopt);
+  pacer.Add("long", 2000000);
+  cr_expect(pacer.LatenessOf(kBytes, kTarget, kDeadline, 0).has_value());
+}
