Count entries with a new change set in reviews

Cause: an entry whose fields equal those in force was reviewed with the text in force, even if its file gave it a new change set. The acceptor compares texts and counts it, so the review reported a false incomplete-change.

Change: an entry is changed too if its file gives a change set whose id or size differs from the one in force. Without a change set in the file, nothing is different from before.

--- a/src/ctl/cataloguereviewer.cpp
+++ b/src/ctl/cataloguereviewer.cpp
@@ -15,10 +15,22 @@
 
 namespace {
 
+/** Whether an entry is given a change set that it does not have in force. */
+bool
+HasNewChangeSet(const Entry& aInForce, const Entry& aNext)
+{
+  const auto& former = aInForce.changeSet;
+  const auto& next = aNext.changeSet;
+  return next &&
+         (!former || former->id != next->id || former->size != next->size);
+}
+
 /**
  * Returns an error for each change set that the acceptor would refuse as
- * incomplete if the changed entries were written. Entries that did not change
- * keep the text in force, because their change sets were accepted before.
+ * incomplete if the changed entries were written. An entry with a new change
+ * set is a change for the acceptor, which compares texts, even if nothing else
+ * differs. Other entries without differences keep the text in force, because
+ * their change sets were accepted before.
  */
 std::vector<Finding>
 FindIncompleteChanges(const Snapshot& aInForce,
@@ -34,7 +46,8 @@
     std::max(aInForce.HighestRevision(), aInForce.Stamp().floorRevision) + 1;
   for (const auto& [name, accepted] : aNext.Entries()) {
     const AcceptedEntry* const former = aInForce.Find(name);
-    const bool isChanged = former == nullptr || changed.contains(name);
+    const bool isChanged = former == nullptr || changed.contains(name) ||
+                           HasNewChangeSet(former->entry, accepted->entry);
     list.objects.push_back({ fmt::format("{}{}", kCataloguePrefix, name),
                              list.revision,
                              isChanged ? accepted->text : former->text,
--- a/src/ctl/cataloguereviewer_test.cpp
+++ b/src/ctl/cataloguereviewer_test.cpp
@@ -304,3 +304,41 @@
             "%s",
             run.out.c_str());
 }
+
+// The acceptor compares texts, so an entry whose only difference is a new
+// change set counts for that set. Otherwise the review would refuse a change
+// that the acceptor takes.
+Test(cataloguereviewer, entries_with_a_new_change_set_count_for_it)
+{
+  const auto with = [](std::string aText, const std::string& aChange) {
+    aText.pop_back();
+    return aText + R"(,"change":)" + aChange + "}";
+  };
+  FakeStore fake;
+  fake.Edit("catalogue/orders", with(kService, R"({"id":"c1","size":1})"));
+  fake.Edit("catalogue/route", RouteTo("orders", "/orders"));
+  const SnapshotPtr first = AcceptEdits(fake, *Snapshot::Empty());
+  ReviewHarness harness;
+  harness.store = fake.Hooks();
+  const std::string next =
+    with(RouteTo("orders", "/v2"), R"({"id":"c2","size":2})");
+  const auto review = [&harness, &next](const std::string& aService) {
+    return harness.Run({ harness.WriteFile("orders.json", aService),
+                         harness.WriteFile("route.json", next),
+                         "--platform",
+                         kUnreachable });
+  };
+  const std::string service = with(kService, R"({"id":"c2","size":2})");
+  const CtlRun run = review(service);
+  cr_expect_eq(run.code, ExitCode::Ok, "%s", run.out.c_str());
+  cr_expect_eq(review(with(kService, R"({"id":"c1","size":1})")).code,
+               ExitCode::Rejected);
+  // The size alone is a new change set too, but an incomplete one.
+  const CtlRun resized = review(with(kService, R"({"id":"c1","size":2})"));
+  cr_expect(Contains(resized.out, "error incomplete-change orders: "),
+            "%s",
+            resized.out.c_str());
+  fake.Edit("catalogue/orders", service);
+  fake.Edit("catalogue/route", next);
+  cr_expect_eq(AcceptEdits(fake, *first)->Version(), 2);
+}
