--- a/src/ctl/cataloguereviewer.cpp
+++ b/src/ctl/cataloguereviewer.cpp
@@ -132,7 +132,10 @@
   if (!aInput.isDocument) {
     std::ranges::move(FindIncompleteChanges(inForce, aSnapshot, differences),
                       std::back_inserter(aReport.findings));
-  } else if (!differences.empty() && aSnapshot.Version() <= inForce.Version()) {
+  } else if (this->options.against.empty() && !differences.empty() &&
+             aSnapshot.Version() <= inForce.Version()) {
+    // Files of --against need not be in force, so their version says nothing
+    // about daemons.
     aReport.findings.push_back(
       { FindingLevel::Warning,
         "version-not-newer",
