Refuse what is no readable file in reviews

Cause: a directory x.json, or a file whose reading fails, was reviewed as an entry with an empty text, and a document on standard input that could not be read passed for something that is no document.

Change: review takes regular files and standard input only, and reports an error while reading; the exit status is 2 and nothing is printed. put and check read files as before.

--- a/src/ctl/cataloguereviewer_test.cpp
+++ b/src/ctl/cataloguereviewer_test.cpp
@@ -131,6 +131,31 @@
   cr_expect(input.ErrorContains("only a document"));
 }
 
+// A directory that is named like an entry, or a file whose reading fails, must
+// not pass as an empty entry.
+Test(cataloguereviewer, what_is_no_readable_file_is_a_usage_error)
+{
+  const ReviewHarness harness;
+  const std::string inner = harness.WriteFile("all/x.json/readme.txt", "");
+  const auto directory = std::filesystem::path(inner).parent_path();
+  const auto link =
+    std::filesystem::path(harness.WriteFile("links/readme.txt", ""))
+      .parent_path();
+  // Reading the first page of a process gives EIO.
+  std::filesystem::create_symlink("/proc/self/mem", link / "y.json");
+  for (const auto& path : { directory.parent_path(), link, link / "y.json" }) {
+    const CtlRun run = harness.Run({ path.string() });
+    cr_expect_eq(run.code, ExitCode::Usage, "%s", path.c_str());
+    cr_expect(run.ErrorContains("cannot be read"), "%s", run.error.c_str());
+    cr_expect(run.out.empty(), "%s", run.out.c_str());
+  }
+  // Reading a directory on standard input gives EISDIR.
+  cr_assert_not_null(std::freopen(link.c_str(), "r", stdin));
+  const CtlRun input = harness.Run({ "-" });
+  cr_expect_eq(input.code, ExitCode::Usage);
+  cr_expect(input.ErrorContains("cannot be read"), "%s", input.error.c_str());
+}
+
 // A catalogue that the acceptor can't store must not pass as correct.
 Test(cataloguereviewer, a_catalogue_above_the_limit_of_the_store_is_an_error)
 {
--- a/src/ctl/reviewinput.cpp
+++ b/src/ctl/reviewinput.cpp
@@ -27,9 +27,10 @@
 UsageError
 UnreadableError(const std::string& aFile)
 {
-  return { fmt::format("{}: cannot be read; check the path and the permissions "
-                       "of the file",
-                       aFile) };
+  return { fmt::format(
+    "{}: cannot be read; check the path, the permissions and "
+    "that it is a regular file",
+    aFile) };
 }
 
 /** Replaces directories by their files, in the order of their names. */
@@ -103,7 +104,7 @@
   InputCatalogue input;
   std::set<std::string> names;
   for (const std::string& file : files.assume_value()) {
-    const auto text = ReadFileOrStdin(file);
+    const auto text = ReadRegularFileOrStdin(file);
     if (!text) {
       return failure(UnreadableError(file));
     }
