Replace control characters in all output of reviews

Cause: messages on standard error repeated names of files and entries as they are, and the controls U+0080 to U+009F in UTF-8 passed everywhere, in JSON together with U+007F. Terminals act on them like on escape sequences.

Change: Printable has a file of its own, replaces these controls too, and is applied to every message of a review. JSON escapes all characters outside ASCII.

--- a/src/ctl/cataloguereviewer.cpp
+++ b/src/ctl/cataloguereviewer.cpp
@@ -1,6 +1,7 @@
 #include "ctl/cataloguereviewer.h"
 
 #include "catalogue/cataloguereview.h"
+#include "ctl/printable.h"
 #include "distribution/edits.h"
 #include "execution/entrycall.h"
 
@@ -85,7 +86,7 @@
 {
   const auto input = ReadInputCatalogue(this->options.arguments, this->format);
   if (!input) {
-    this->error(input.assume_error().message + '\n');
+    this->PrintError(input.assume_error().message);
     return ExitCode::Usage;
   }
   ReviewReport report;
@@ -124,7 +125,7 @@
   }
   const auto base = this->ReadBase(aInput.isDocument);
   if (!base) {
-    this->error(base.assume_error().message + '\n');
+    this->PrintError(base.assume_error().message);
     return base.assume_error().code;
   }
   const Snapshot& inForce = *base.assume_value().snapshot;
@@ -165,6 +166,12 @@
                      : ReadAcceptedBase(this->store);
 }
 
+void
+CatalogueReviewer::PrintError(const std::string& aMessage)
+{
+  this->error(Printable(aMessage) + '\n');
+}
+
 void
 CatalogueReviewer::PrintReport(const ReviewReport& aReport)
 {
--- a/src/ctl/cataloguereviewer.h
+++ b/src/ctl/cataloguereviewer.h
@@ -34,6 +34,7 @@
                    ReviewReport& aReport);
   bool HasBase() const;
   ReviewBaseResult ReadBase(bool aIsDocument) const;
+  void PrintError(const std::string& aMessage);
   void PrintReport(const ReviewReport& aReport);
 
   ObjectStore store;
--- a/src/ctl/cataloguereviewer_test.cpp
+++ b/src/ctl/cataloguereviewer_test.cpp
@@ -204,6 +204,38 @@
   }
 }
 
+// Messages on standard error name files and entries too. A terminal takes the
+// controls U+0080 to U+009F like escape sequences.
+Test(cataloguereviewer, no_output_has_control_characters_of_names)
+{
+  const ReviewHarness harness;
+  const std::string odd = "\x1b[31m\xc2\x9b"
+                          "32m\xc2\x80\x7f\n";
+  const std::string service = harness.WriteFile("orders.json", kService);
+  const std::string one = harness.WriteFile("x/a" + odd + ".json", kService);
+  const std::string two = harness.WriteFile("y/a" + odd + ".json", kService);
+  const std::string empty =
+    std::filesystem::path(harness.WriteFile("z" + odd + "/e.txt", ""))
+      .parent_path()
+      .string();
+  for (const std::vector<std::string>& arguments :
+       { std::vector<std::string>{ one, "--json" },
+         std::vector<std::string>{ one },
+         std::vector<std::string>{ one, two },
+         std::vector<std::string>{ one + ".missing" },
+         std::vector<std::string>{ empty },
+         std::vector<std::string>{ service, "--against", one },
+         std::vector<std::string>{ service, "--against", one + ".missing" } }) {
+    const CtlRun run = harness.Run(arguments);
+    const std::string printed = run.out + run.error;
+    cr_expect(Contains(printed, "[31m"), "%s", printed.c_str());
+    for (const char* control : { "\x1b", "\xc2\x9b", "\xc2\x80", "\x7f" }) {
+      cr_expect_not(Contains(printed, control), "%s", printed.c_str());
+    }
+    cr_expect_not(Contains(printed, "\n.json"), "%s", printed.c_str());
+  }
+}
+
 // Differences must be those from the accepted version, not from what operators
 // wrote, which may have been rejected. They are no findings.
 Test(cataloguereviewer, differences_from_the_version_in_force_are_printed)
--- a/src/ctl/reviewreport.cpp
+++ b/src/ctl/reviewreport.cpp
@@ -1,10 +1,11 @@
 #include "ctl/reviewreport.h"
 
+#include "ctl/printable.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cctype>
 #include <iterator>
 
 namespace lacewingwharf {
@@ -13,22 +14,6 @@
 
 using Json = nlohmann::json;
 
-/**
- * Replaces control characters, which names in files may contain and which could
- * change what a terminal shows.
- */
-std::string
-Printable(std::string aText)
-{
-  std::ranges::replace_if(
-    aText,
-    [](char aCharacter) {
-      return std::iscntrl(static_cast<unsigned char>(aCharacter)) != 0;
-    },
-    '?');
-  return aText;
-}
-
 std::string
 FormatFinding(const Finding& aFinding)
 {
@@ -140,8 +125,10 @@
     { "differences",
       aReport.differences ? DifferencesJson(*aReport.differences) : Json() }
   };
-  // Names of files need not be UTF-8.
-  return report.dump(-1, ' ', false, Json::error_handler_t::replace) + '\n';
+  // Names of files need not be UTF-8, and may have control characters above
+  // U+007E, which are escaped only with all other characters outside ASCII.
+  constexpr bool kIsAscii = true;
+  return report.dump(-1, ' ', kIsAscii, Json::error_handler_t::replace) + '\n';
 }
 
 } // namespace lacewingwharf
