Report each route with one other of the same match

Cause: FindConflicts returned a conflict for each pair of routes with the same match, so one mistake in many routes took memory and lines that grow with the square of their number.

Change: a route is reported with at most one other, the last one by name before it, which was the first that was found before. The time is linear.

--- a/src/catalogue/cataloguecheck_test.cpp
+++ b/src/catalogue/cataloguecheck_test.cpp
@@ -2,12 +2,17 @@
 
 #include <criterion/criterion.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <iterator>
 
 using namespace lacewingwharf;
 
 namespace {
 
+using Lines = std::vector<std::string>;
+
 const std::string kService =
   R"({"kind":"service","owner":"shop","class":"interactive"})";
 const std::string kRoute =
@@ -40,6 +45,52 @@
   cr_expect(found == expected);
 }
 
+// A catalogue with one mistake in all of its routes must not give a finding for
+// each pair of them, whose number grows with the square of the routes. Each
+// route must still be reported, also if it conflicts with a wrong one only.
+Test(cataloguecheck, a_large_invalid_catalogue_gives_one_conflict_per_route)
+{
+  constexpr std::size_t kRoutes = 2000;
+  std::vector<ChangedEntry> entries = { { "orders", 1, kService } };
+  for (std::size_t i = 0; i < kRoutes; ++i) {
+    entries.push_back({ fmt::format("r{:04}", i), 1, kRoute });
+  }
+  const CatalogueCheck check = CheckCatalogue({}, entries);
+  cr_assert_eq(
+    check.findings.size(), kRoutes - 1, "%zu", check.findings.size());
+  for (std::size_t i = 0; i < kRoutes - 1; ++i) {
+    cr_assert_eq(check.findings[i].code, "duplicate-match");
+    cr_assert_eq(check.findings[i].entry, fmt::format("r{:04}", i + 1));
+  }
+  const auto route = [](const char* aName, const char* aMethods) {
+    return ChangedEntry{
+      aName,
+      1,
+      fmt::format(R"({{"kind":"route","owner":"shop","class":"interactive",)"
+                  R"("service":"orders",)"
+                  R"("match":{{"path":"/orders","methods":[{}]}}}})",
+                  aMethods)
+    };
+  };
+  const CatalogueCheck mixed =
+    CheckCatalogue({},
+                   { { "orders", 1, kService },
+                     route("a", R"("GET")"),
+                     route("b", R"("GET","POST")"),
+                     route("c", R"("POST")"),
+                     route("d", R"("PUT")"),
+                     route("e", R"("GET","POST","PUT")") });
+  Lines found;
+  std::ranges::transform(
+    mixed.findings, std::back_inserter(found), &Finding::detail);
+  const Lines expected = {
+    "routes 'a' and 'b' match the same method on '/orders'",
+    "routes 'b' and 'c' match the same method on '/orders'",
+    "routes 'd' and 'e' match the same method on '/orders'",
+  };
+  cr_expect(found == expected);
+}
+
 // The check must agree with the validation of the daemons: it accepts what
 // Apply() accepts, and its first error of a conflict is the one that daemons
 // log.
--- a/src/catalogue/validation.cpp
+++ b/src/catalogue/validation.cpp
@@ -2,15 +2,20 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <bitset>
 #include <unordered_map>
+#include <utility>
 
 namespace lacewingwharf {
 
 namespace {
 
 using Methods = std::bitset<kHttpMethodNames.Rows().size()>;
-using Routes = std::unordered_multimap<std::string, const Entry*>;
+
+/** The last route with each method, or null. */
+using RouteByMethod = std::array<const Entry*, kHttpMethodNames.Rows().size()>;
+using Routes = std::unordered_map<std::string, RouteByMethod>;
 using KeyTeams = std::unordered_map<std::string_view, const Entry*>;
 using Owners = std::unordered_map<std::string_view, const Entry*>;
 
@@ -53,6 +58,11 @@
   }
 }
 
+/**
+ * Reports at most one other route, the last one by name, so that many routes
+ * with the same match do not give a conflict for each pair of them. Routes must
+ * be checked in the order of their names.
+ */
 void
 CheckMatch(Routes& aRoutes,
            const Entry& aRoute,
@@ -60,20 +70,28 @@
 {
   const Methods methods = MethodsOf(aRoute.match);
   const std::string key = MatchKey(aRoute.match);
-  const auto [begin, end] = aRoutes.equal_range(key);
-  for (auto other = begin; other != end; ++other) {
-    if ((MethodsOf(other->second->match) & methods).any()) {
-      aConflicts.push_back(
-        { CatalogueErrorCode::DuplicateMatch,
-          aRoute.name,
-          other->second->name,
-          fmt::format("routes '{}' and '{}' match the same method on '{}'",
-                      other->second->name,
-                      aRoute.name,
-                      key) });
+  RouteByMethod& routes = aRoutes[key];
+  const Entry* other = nullptr;
+  for (std::size_t method = 0; method < methods.size(); ++method) {
+    if (!methods.test(method)) {
+      continue;
+    }
+    const Entry* const former = std::exchange(routes[method], &aRoute);
+    if (former != nullptr && (other == nullptr || other->name < former->name)) {
+      other = former;
     }
   }
-  aRoutes.emplace(key, &aRoute);
+  if (other == nullptr) {
+    return;
+  }
+  aConflicts.push_back(
+    { CatalogueErrorCode::DuplicateMatch,
+      aRoute.name,
+      other->name,
+      fmt::format("routes '{}' and '{}' match the same method on '{}'",
+                  other->name,
+                  aRoute.name,
+                  key) });
 }
 
 void
--- a/src/catalogue/validation.h
+++ b/src/catalogue/validation.h
@@ -23,7 +23,13 @@
   std::string detail;
 };
 
-/** Returns all conflicts; none when the entries form a valid snapshot. */
+/**
+ * Returns the conflicts of all entries; none when the entries form a valid
+ * snapshot. A route is reported with at most one other route, so that the
+ * number of conflicts does not grow with the square of the routes. This is
+ * enough for the acceptor: entries in force are valid, so the first conflict
+ * always has a pending edit, which it rejects before it checks again.
+ */
 std::vector<Conflict>
 FindConflicts(const AcceptedEntries& aEntries);
 
