Do not repeat unknown field names of teams

Cause: the reason for which an entry is refused named the first unknown field. In a team, a key may have been written there, and the reason is printed, stored and logged.

Change: for teams and their change sets, the reason says that there is an unknown field. Other kinds are as before.

--- a/src/catalogue/entry.cpp
+++ b/src/catalogue/entry.cpp
@@ -230,7 +230,9 @@
     return;
   }
   JsonFields fields(*object, "change");
-  fields.AllowOnly({ "id", "size" });
+  fields.AllowOnly({ "id", "size" },
+                   aEntry.kind == EntryKind::Team ? UnknownFields::Unnamed
+                                                  : UnknownFields::Named);
   ChangeSet change;
   change.id = ReadName(fields, "id");
   change.size = static_cast<int>(fields.ReadInteger(
@@ -336,8 +338,10 @@
 void
 ReadTeam(JsonFields& aFields, Entry& aEntry)
 {
+  // A key may have been written in place of the name of a field.
   aFields.AllowOnly(
-    { "kind", "owner", "keys", "rate", "burst", "class", "change" });
+    { "kind", "owner", "keys", "rate", "burst", "class", "change" },
+    UnknownFields::Unnamed);
   TeamPolicy& team = aEntry.team;
   ReadKeyDigests(aFields, team.keyDigests);
   const NumberRange range{ 0, kMaxLimit };
--- a/src/catalogue/jsonfields.cpp
+++ b/src/catalogue/jsonfields.cpp
@@ -40,14 +40,22 @@
 }
 
 void
-JsonFields::AllowOnly(std::initializer_list<std::string_view> aKeys)
+JsonFields::AllowOnly(std::initializer_list<std::string_view> aKeys,
+                      UnknownFields aUnknown)
 {
   if (!this->object.is_object()) {
     return;
   }
   for (const auto& [key, value] : this->object.items()) {
-    if (std::ranges::find(aKeys, key) == aKeys.end()) {
+    if (std::ranges::find(aKeys, key) != aKeys.end()) {
+      continue;
+    }
+    if (aUnknown == UnknownFields::Named) {
       this->AddProblem(key, "is not a known key here");
+    } else if (this->problem.empty()) {
+      this->problem =
+        fmt::format("{} has an unknown field",
+                    this->objectName.empty() ? "the entry" : this->objectName);
     }
   }
 }
--- a/src/catalogue/jsonfields.h
+++ b/src/catalogue/jsonfields.h
@@ -16,6 +16,13 @@
   Required
 };
 
+/** Whether a problem names an unknown field, whose name may be a secret. */
+enum class UnknownFields
+{
+  Named,
+  Unnamed
+};
+
 /** Inclusive bounds of a number. */
 struct NumberRange
 {
@@ -37,7 +44,8 @@
   JsonFields(const nlohmann::json& aObject, std::string aObjectName);
 
   /** Reports a problem for the first key that is not in aKeys. */
-  void AllowOnly(std::initializer_list<std::string_view> aKeys);
+  void AllowOnly(std::initializer_list<std::string_view> aKeys,
+                 UnknownFields aUnknown = UnknownFields::Named);
 
   std::string ReadString(std::string_view aKey, Presence aPresence);
   std::int64_t ReadInteger(std::string_view aKey,
