--- a/src/catalogue/cataloguereview_test.cpp
+++ b/src/catalogue/cataloguereview_test.cpp
@@ -184,6 +184,11 @@
             Lines({ "a retries-above-deadline" }));
   cr_expect(WarningsOfLimits(R"("retries":3,"deadline_ms":4)").empty());
   cr_expect(WarningsOfLimits(R"("deadline_ms":1)").empty());
+  // Attempts that a call does not make need no time.
+  cr_expect(WarningsOfLimits(R"("retries":10,"deadline_ms":5)") ==
+            Lines({ "a retries-above-attempts" }));
+  cr_expect(WarningsOfLimits(R"("retries":10,"deadline_ms":4)") ==
+            Lines({ "a retries-above-attempts", "a retries-above-deadline" }));
 }
 
 // The listener refuses larger bodies before their route is known. Routes that
--- a/src/catalogue/cataloguereviewlimits.cpp
+++ b/src/catalogue/cataloguereviewlimits.cpp
@@ -82,13 +82,13 @@
                            attempts,
                            this->bounds.maxAttempts));
   }
-  if (attempts * kMinAttempt > limits.deadline &&
-      IsLimitSet(aRoute, "retries")) {
+  const int made = std::min(attempts, this->bounds.maxAttempts);
+  if (made * kMinAttempt > limits.deadline && IsLimitSet(aRoute, "retries")) {
     this->Warn(WarningCode::RetriesAboveDeadline,
                aRoute.entry,
                fmt::format("{} attempts of at least {} ms do not fit in the "
                            "deadline of {} ms",
-                           attempts,
+                           made,
                            kMinAttempt,
                            limits.deadline));
   }
