Say in reviews that weights of a repeated service add up

Cause: split-repeats-service was listed as a contradiction of limits, and its text read as if only one weight applied. The weights add up.

--- a/src/catalogue/cataloguereview_test.cpp
+++ b/src/catalogue/cataloguereview_test.cpp
@@ -256,6 +256,26 @@
   cr_expect(warnings("fonts") == Lines({ "a split-repeats-service" }));
 }
 
+// The weights of a service that a split repeats add up; an operator who takes
+// one of them for the whole would change a split that is correct.
+Test(cataloguereview, the_weights_of_a_repeated_service_are_added)
+{
+  const auto findings =
+    FindingsOf({ Service("orders"),
+                 Service("fonts"),
+                 Route("a",
+                       R"("split":[{"service":"orders","weight":1},)"
+                       R"({"service":"fonts","weight":5},)"
+                       R"({"service":"orders","weight":2}],)"
+                       R"("match":{"path":"/a"})") });
+  cr_assert_eq(findings.size(), 1U);
+  cr_expect_eq(findings[0].detail,
+               "the split names the service 'orders' several times; its "
+               "weights add up to 3",
+               "%s",
+               findings[0].detail.c_str());
+}
+
 // Without a rate there is no cap, whatever the burst.
 Test(cataloguereview, bursts_without_a_rate_are_found)
 {
--- a/src/catalogue/cataloguereviewlimits.cpp
+++ b/src/catalogue/cataloguereviewlimits.cpp
@@ -6,7 +6,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <set>
+#include <cstdint>
+#include <map>
+#include <string_view>
 
 namespace lacewingwharf {
 
@@ -149,18 +151,26 @@
 void
 CatalogueReview::CheckSplit(const Entry& aRoute)
 {
-  std::set<std::string_view> services;
-  std::set<std::string_view> repeated;
+  struct Total
+  {
+    int count = 0;
+    std::int64_t weight = 0;
+  };
+  std::map<std::string_view, Total> totals;
   for (const ServiceShare& share : aRoute.split) {
-    if (!services.insert(share.service).second) {
-      repeated.insert(share.service);
-    }
+    Total& total = totals[share.service];
+    ++total.count;
+    total.weight += share.weight;
   }
-  for (const std::string_view service : repeated) {
-    this->Warn(WarningCode::SplitRepeatsService,
-               aRoute,
-               fmt::format("the split has several weights for the service '{}'",
-                           service));
+  for (const auto& [service, total] : totals) {
+    if (total.count > 1) {
+      this->Warn(WarningCode::SplitRepeatsService,
+                 aRoute,
+                 fmt::format("the split names the service '{}' several times; "
+                             "its weights add up to {}",
+                             service,
+                             total.weight));
+    }
   }
 }
 
--- a/src/catalogue/reviewharness.h
+++ b/src/catalogue/reviewharness.h
@@ -51,17 +51,24 @@
     R"({{"kind":"team","owner":"acme","keys":["{}"]{}}})", aDigest, aFields);
 }
 
-/** Returns entry and code of the warnings about a valid catalogue. */
-inline Lines
-WarningsOf(const std::vector<ChangedEntry>& aEntries)
+/** Returns the warnings about a valid catalogue. */
+inline std::vector<Finding>
+FindingsOf(const std::vector<ChangedEntry>& aEntries)
 {
   const CatalogueCheck check = CheckCatalogue({}, aEntries);
   cr_assert(check.snapshot != nullptr,
             "%s: %s",
             check.findings.empty() ? "" : check.findings[0].entry.c_str(),
             check.findings.empty() ? "" : check.findings[0].detail.c_str());
+  return CatalogueReview(check.snapshot, { 5 }).FindWarnings();
+}
+
+/** Returns entry and code of the warnings about a valid catalogue. */
+inline Lines
+WarningsOf(const std::vector<ChangedEntry>& aEntries)
+{
   Lines lines;
-  std::ranges::transform(CatalogueReview(check.snapshot, { 5 }).FindWarnings(),
+  std::ranges::transform(FindingsOf(aEntries),
                          std::back_inserter(lines),
                          [](const Finding& aFinding) {
                            return aFinding.entry + ' ' + aFinding.code;
