Say in reviews how targets and owners' limits apply

Cause: target-above-deadline only repeated the two numbers, and the warnings about owners did not say that the limit holds over the whole fleet.

--- a/src/catalogue/cataloguereview_test.cpp
+++ b/src/catalogue/cataloguereview_test.cpp
@@ -151,8 +151,8 @@
   cr_expect_geq(validCount, kMinValid, "%d valid", validCount);
 }
 
-// A target above the deadline never ends first. The deadline of the default
-// counts, because it applies.
+// A call ends at its deadline, so a target above it can't be reached. The
+// deadline of the default counts, because it applies.
 Test(cataloguereview, targets_above_the_deadline_are_found)
 {
   const Lines expected = { "a target-above-deadline" };
@@ -238,6 +238,33 @@
   cr_expect(warnings(R"("rate":51,"concurrency":11)", "").empty());
 }
 
+// The text must say what the limits do: a target above the deadline can't be
+// reached, because the call has ended by then, and the limits of owners hold
+// over the whole fleet.
+Test(cataloguereview, texts_say_how_limits_apply)
+{
+  const auto findings = FindingsOf(
+    { Service("orders"),
+      { "limits",
+        1,
+        R"({"kind":"owner","owner":"shop","limits":{"rate":5,"concurrency":3}})" },
+      Route(
+        "a",
+        R"("service":"orders","match":{"path":"/a"},"limits":)"
+        R"({"target_ms":300,"deadline_ms":200,"rate":6,"concurrency":4})") });
+  Lines found;
+  std::ranges::transform(findings, std::back_inserter(found), &Finding::detail);
+  const Lines expected = {
+    "the target of 300 ms cannot be reached, because the deadline is 200 ms",
+    "the concurrency of 4 is above 3, the limit of the owner 'shop' over the "
+    "whole fleet in entry 'limits'",
+    "the rate of 6 is above 5, the limit of the owner 'shop' over the whole "
+    "fleet in entry 'limits'",
+  };
+  cr_expect(
+    found == expected, "%s", fmt::format("{}", fmt::join(found, "\n")).c_str());
+}
+
 // Two weights for one service in a split are most often a wrong name.
 Test(cataloguereview, splits_that_repeat_a_service_are_found)
 {
--- a/src/catalogue/cataloguereviewlimits.cpp
+++ b/src/catalogue/cataloguereviewlimits.cpp
@@ -53,7 +53,8 @@
   if (limits.target > limits.deadline) {
     this->Warn(WarningCode::TargetAboveDeadline,
                aRoute.entry,
-               fmt::format("the target of {} ms is above the deadline of {} ms",
+               fmt::format("the target of {} ms cannot be reached, because the "
+                           "deadline is {} ms",
                            limits.target,
                            limits.deadline));
   }
@@ -129,12 +130,12 @@
     if (aOfOwner > 0 && aOfRoute > aOfOwner) {
       this->Warn(aCode,
                  aRoute,
-                 fmt::format("the {} of {} is above that of the owner '{}', {} "
-                             "in entry '{}'",
+                 fmt::format("the {} of {} is above {}, the limit of the owner "
+                             "'{}' over the whole fleet in entry '{}'",
                              aLimit,
                              aOfRoute,
-                             aRoute.owner,
                              aOfOwner,
+                             aRoute.owner,
                              owner->name));
     }
   };
