--- a/src/ctl/cataloguereviewer.cpp
+++ b/src/ctl/cataloguereviewer.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -66,6 +67,17 @@
   return findings;
 }
 
+Finding
+NotPositiveWarning(std::int64_t aVersion)
+{
+  return { FindingLevel::Warning,
+           kVersionNotPositiveCode,
+           "",
+           fmt::format("daemons ignore version {}, because they start with "
+                       "version 0 and take higher ones only",
+                       aVersion) };
+}
+
 } // namespace
 
 CatalogueReviewer::CatalogueReviewer(ObjectStore aStore,
@@ -98,6 +110,9 @@
     CatalogueReview review(check.snapshot, { kMaxCallAttempts });
     std::ranges::move(review.FindWarnings(),
                       std::back_inserter(report.findings));
+    if (input.assume_value().isDocument && check.snapshot->Version() <= 0) {
+      report.findings.push_back(NotPositiveWarning(check.snapshot->Version()));
+    }
     compared = this->Compare(input.assume_value(), *check.snapshot, report);
   }
   if (compared == ExitCode::Usage) {
@@ -134,6 +149,7 @@
     std::ranges::move(FindIncompleteChanges(inForce, aSnapshot, differences),
                       std::back_inserter(aReport.findings));
   } else if (this->options.against.empty() && !differences.empty() &&
+             aSnapshot.Version() > 0 &&
              aSnapshot.Version() <= inForce.Version()) {
     // Files of --against need not be in force, so their version says nothing
     // about daemons.
--- a/src/ctl/cataloguereviewer.h
+++ b/src/ctl/cataloguereviewer.h
@@ -11,6 +11,9 @@
 
 namespace lacewingwharf {
 
+/** The code of the warning about a document that no daemon ever takes. */
+inline constexpr const char* kVersionNotPositiveCode = "version-not-positive";
+
 /**
  * Implements the command that checks a whole catalogue before it is submitted.
  */
