Check all warning codes against the pages

Cause: the codes rate-below-one and version-not-newer were texts within functions, so the packaging test did not look for them.

--- a/src/ctl/cataloguereviewer.cpp
+++ b/src/ctl/cataloguereviewer.cpp
@@ -155,7 +155,7 @@
     // about daemons.
     aReport.findings.push_back(
       { FindingLevel::Warning,
-        "version-not-newer",
+        kVersionNotNewerCode,
         "",
         fmt::format("daemons ignore version {}, because they have version {}",
                     aSnapshot.Version(),
--- a/src/ctl/cataloguereviewer.h
+++ b/src/ctl/cataloguereviewer.h
@@ -11,6 +11,9 @@
 
 namespace lacewingwharf {
 
+/** The code of the warning about a document that daemons have already. */
+inline constexpr const char* kVersionNotNewerCode = "version-not-newer";
+
 /** The code of the warning about a document that no daemon ever takes. */
 inline constexpr const char* kVersionNotPositiveCode = "version-not-positive";
 
--- a/src/ctl/packaging_test.cpp
+++ b/src/ctl/packaging_test.cpp
@@ -1,6 +1,8 @@
 #include "catalogue/cataloguecheck.h"
 #include "catalogue/cataloguereview.h"
+#include "ctl/cataloguereviewer.h"
 #include "ctl/options.h"
+#include "documentreview.h"
 #include "settings/settingskeys.h"
 #include "settings/settingsreader.h"
 
@@ -123,7 +125,10 @@
     const std::string heading = fmt::format("\n.TP\n.B {}\n", code);
     cr_expect(manual.find(heading) != std::string::npos, "%d", code);
   }
-  std::vector<std::string> codes = { kRepeatedNameCode };
+  std::vector<std::string> codes = { kRepeatedNameCode,
+                                     kVersionNotNewerCode,
+                                     kVersionNotPositiveCode,
+                                     platform::kRateBelowOneCode };
   for (const auto& [code, name] : kWarningNames.Rows()) {
     codes.emplace_back(name);
   }
