--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -35,7 +35,7 @@
   DocumentFormat format;
   format.isDocument = platform::IsConfigDocument;
   format.read = platform::ReadConfigDocument;
-  format.findChangedLimits = platform::FindChangedLimits;
+  format.findRaisedRates = platform::FindRaisedRates;
   format.object = platform::kConfigObjectName;
   format.makeStore = [config = std::move(aConfig)] {
     return platform::MakeObjectStore(config);
--- a/src/ctl/reviewinput.cpp
+++ b/src/ctl/reviewinput.cpp
@@ -85,7 +85,7 @@
     input.findings.push_back(ErrorFinding(document.assume_error()));
     return input;
   }
-  input.findings = aFormat.findChangedLimits(aText);
+  input.findings = aFormat.findRaisedRates(aText);
   input.stamp.version = document.assume_value().version;
   input.entries = std::move(document).assume_value().entries;
   return input;
--- a/src/ctl/reviewinput.h
+++ b/src/ctl/reviewinput.h
@@ -21,8 +21,7 @@
     read;
 
   /** Warnings about limits of a valid document that its entries can't hold. */
-  std::function<std::vector<Finding>(const std::string& aText)>
-    findChangedLimits;
+  std::function<std::vector<Finding>(const std::string& aText)> findRaisedRates;
 
   std::string object; // The store object with the document in force.
   std::function<ObjectStore()> makeStore;
