--- a/src/ctl/cataloguereviewer_test.cpp
+++ b/src/ctl/cataloguereviewer_test.cpp
@@ -101,7 +101,7 @@
   const CtlRun warned = harness.Run({ service });
   cr_expect_eq(static_cast<int>(warned.code), 7);
   cr_expect(Contains(warned.out, "warning service-without-route orders: "));
-  cr_expect(Contains(warned.out, "1 entries, 0 errors, 1 warnings\n"));
+  cr_expect(Contains(warned.out, "1 entry, 0 errors, 1 warning\n"));
   const CtlRun wrong =
     harness.Run({ service, harness.WriteFile("bad.json", "{") });
   cr_expect_eq(static_cast<int>(wrong.code), 4);
@@ -309,7 +309,7 @@
   const std::string old = harness.WriteFile("old/orders.json", kService);
   const CtlRun run = harness.Run({ service, route, "--against", old });
   cr_expect_eq(run.code, ExitCode::Ok, "%s", run.error.c_str());
-  cr_expect(Contains(run.out, "1 entries differ from " + old + "\n"));
+  cr_expect(Contains(run.out, "1 entry differs from " + old + "\n"));
   cr_expect(Contains(run.out, "added route route\n"));
   const CtlRun missing =
     harness.Run({ service, route, "--against", old + ".missing" });
--- a/src/ctl/reviewreport.cpp
+++ b/src/ctl/reviewreport.cpp
@@ -14,6 +14,13 @@
 
 using Json = nlohmann::json;
 
+/** Returns a number with the singular or the plural of what it counts. */
+std::string
+FormatCount(std::ptrdiff_t aCount, const char* aOne, const char* aMany)
+{
+  return fmt::format("{} {}", aCount, aCount == 1 ? aOne : aMany);
+}
+
 std::string
 FormatFinding(const Finding& aFinding)
 {
@@ -54,9 +61,11 @@
 std::string
 FormatDifferences(const ReviewDifferences& aDifferences)
 {
-  std::string text = Printable(fmt::format("{} entries differ from {}",
-                                           aDifferences.entries.size(),
-                                           aDifferences.base));
+  std::string text = Printable(fmt::format(
+    "{} from {}",
+    FormatCount(
+      std::ssize(aDifferences.entries), "entry differs", "entries differ"),
+    aDifferences.base));
   text += '\n';
   for (const EntryDifference& difference : aDifferences.entries) {
     text += FormatDifference(difference) + '\n';
@@ -99,10 +108,12 @@
   for (const Finding& finding : aReport.findings) {
     text += FormatFinding(finding) + '\n';
   }
-  text += fmt::format("{} entries, {} errors, {} warnings\n",
-                      aReport.entryCount,
-                      aReport.Count(FindingLevel::Error),
-                      aReport.Count(FindingLevel::Warning));
+  text += fmt::format(
+    "{}, {}, {}\n",
+    FormatCount(
+      static_cast<std::ptrdiff_t>(aReport.entryCount), "entry", "entries"),
+    FormatCount(aReport.Count(FindingLevel::Error), "error", "errors"),
+    FormatCount(aReport.Count(FindingLevel::Warning), "warning", "warnings"));
   return aReport.differences ? text + FormatDifferences(*aReport.differences)
                              : text;
 }
