--- a/src/catalogue/cataloguereviewlimits.cpp
+++ b/src/catalogue/cataloguereviewlimits.cpp
@@ -6,7 +6,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <set>
+#include <cstdint>
+#include <map>
+#include <string_view>
 
 namespace lacewingwharf {
 
@@ -51,7 +53,8 @@
   if (limits.target > limits.deadline) {
     this->Warn(WarningCode::TargetAboveDeadline,
                aRoute.entry,
-               fmt::format("the target of {} ms is above the deadline of {} ms",
+               fmt::format("the target of {} ms cannot be reached, because the "
+                           "deadline is {} ms",
                            limits.target,
                            limits.deadline));
   }
@@ -82,13 +85,13 @@
                            attempts,
                            this->bounds.maxAttempts));
   }
-  if (attempts * kMinAttempt > limits.deadline &&
-      IsLimitSet(aRoute, "retries")) {
+  const int made = std::min(attempts, this->bounds.maxAttempts);
+  if (made * kMinAttempt > limits.deadline && IsLimitSet(aRoute, "retries")) {
     this->Warn(WarningCode::RetriesAboveDeadline,
                aRoute.entry,
                fmt::format("{} attempts of at least {} ms do not fit in the "
                            "deadline of {} ms",
-                           attempts,
+                           made,
                            kMinAttempt,
                            limits.deadline));
   }
@@ -127,12 +130,12 @@
     if (aOfOwner > 0 && aOfRoute > aOfOwner) {
       this->Warn(aCode,
                  aRoute,
-                 fmt::format("the {} of {} is above that of the owner '{}', {} "
-                             "in entry '{}'",
+                 fmt::format("the {} of {} is above {}, the limit of the owner "
+                             "'{}' over the whole fleet in entry '{}'",
                              aLimit,
                              aOfRoute,
-                             aRoute.owner,
                              aOfOwner,
+                             aRoute.owner,
                              owner->name));
     }
   };
@@ -149,18 +152,26 @@
 void
 CatalogueReview::CheckSplit(const Entry& aRoute)
 {
-  std::set<std::string_view> services;
-  std::set<std::string_view> repeated;
+  struct Total
+  {
+    int count = 0;
+    std::int64_t weight = 0;
+  };
+  std::map<std::string_view, Total> totals;
   for (const ServiceShare& share : aRoute.split) {
-    if (!services.insert(share.service).second) {
-      repeated.insert(share.service);
-    }
+    Total& total = totals[share.service];
+    ++total.count;
+    total.weight += share.weight;
   }
-  for (const std::string_view service : repeated) {
-    this->Warn(WarningCode::SplitRepeatsService,
-               aRoute,
-               fmt::format("the split has several weights for the service '{}'",
-                           service));
+  for (const auto& [service, total] : totals) {
+    if (total.count > 1) {
+      this->Warn(WarningCode::SplitRepeatsService,
+                 aRoute,
+                 fmt::format("the split names the service '{}' several times; "
+                             "its weights add up to {}",
+                             service,
+                             total.weight));
+    }
   }
 }
 
--- a/src/ctl/cataloguereviewer.cpp
+++ b/src/ctl/cataloguereviewer.cpp
@@ -1,12 +1,14 @@
 #include "ctl/cataloguereviewer.h"
 
 #include "catalogue/cataloguereview.h"
+#include "ctl/printable.h"
 #include "distribution/edits.h"
 #include "execution/entrycall.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -15,10 +17,22 @@
 
 namespace {
 
+/** Whether an entry is given a change set that it does not have in force. */
+bool
+HasNewChangeSet(const Entry& aInForce, const Entry& aNext)
+{
+  const auto& former = aInForce.changeSet;
+  const auto& next = aNext.changeSet;
+  return next &&
+         (!former || former->id != next->id || former->size != next->size);
+}
+
 /**
  * Returns an error for each change set that the acceptor would refuse as
- * incomplete if the changed entries were written. Entries that did not change
- * keep the text in force, because their change sets were accepted before.
+ * incomplete if the changed entries were written. An entry with a new change
+ * set is a change for the acceptor, which compares texts, even if nothing else
+ * differs. Other entries without differences keep the text in force, because
+ * their change sets were accepted before.
  */
 std::vector<Finding>
 FindIncompleteChanges(const Snapshot& aInForce,
@@ -34,7 +48,8 @@
     std::max(aInForce.HighestRevision(), aInForce.Stamp().floorRevision) + 1;
   for (const auto& [name, accepted] : aNext.Entries()) {
     const AcceptedEntry* const former = aInForce.Find(name);
-    const bool isChanged = former == nullptr || changed.contains(name);
+    const bool isChanged = former == nullptr || changed.contains(name) ||
+                           HasNewChangeSet(former->entry, accepted->entry);
     list.objects.push_back({ fmt::format("{}{}", kCataloguePrefix, name),
                              list.revision,
                              isChanged ? accepted->text : former->text,
@@ -52,6 +67,17 @@
   return findings;
 }
 
+Finding
+NotPositiveWarning(std::int64_t aVersion)
+{
+  return { FindingLevel::Warning,
+           kVersionNotPositiveCode,
+           "",
+           fmt::format("daemons ignore version {}, because they start with "
+                       "version 0 and take higher ones only",
+                       aVersion) };
+}
+
 } // namespace
 
 CatalogueReviewer::CatalogueReviewer(ObjectStore aStore,
@@ -72,7 +98,7 @@
 {
   const auto input = ReadInputCatalogue(this->options.arguments, this->format);
   if (!input) {
-    this->error(input.assume_error().message + '\n');
+    this->PrintError(input.assume_error().message);
     return ExitCode::Usage;
   }
   ReviewReport report;
@@ -84,6 +110,9 @@
     CatalogueReview review(check.snapshot, { kMaxCallAttempts });
     std::ranges::move(review.FindWarnings(),
                       std::back_inserter(report.findings));
+    if (input.assume_value().isDocument && check.snapshot->Version() <= 0) {
+      report.findings.push_back(NotPositiveWarning(check.snapshot->Version()));
+    }
     compared = this->Compare(input.assume_value(), *check.snapshot, report);
   }
   if (compared == ExitCode::Usage) {
@@ -111,7 +140,7 @@
   }
   const auto base = this->ReadBase(aInput.isDocument);
   if (!base) {
-    this->error(base.assume_error().message + '\n');
+    this->PrintError(base.assume_error().message);
     return base.assume_error().code;
   }
   const Snapshot& inForce = *base.assume_value().snapshot;
@@ -119,10 +148,14 @@
   if (!aInput.isDocument) {
     std::ranges::move(FindIncompleteChanges(inForce, aSnapshot, differences),
                       std::back_inserter(aReport.findings));
-  } else if (!differences.empty() && aSnapshot.Version() <= inForce.Version()) {
+  } else if (this->options.against.empty() && !differences.empty() &&
+             aSnapshot.Version() > 0 &&
+             aSnapshot.Version() <= inForce.Version()) {
+    // Files of --against need not be in force, so their version says nothing
+    // about daemons.
     aReport.findings.push_back(
       { FindingLevel::Warning,
-        "version-not-newer",
+        kVersionNotNewerCode,
         "",
         fmt::format("daemons ignore version {}, because they have version {}",
                     aSnapshot.Version(),
@@ -149,6 +182,12 @@
                      : ReadAcceptedBase(this->store);
 }
 
+void
+CatalogueReviewer::PrintError(const std::string& aMessage)
+{
+  this->error(Printable(aMessage) + '\n');
+}
+
 void
 CatalogueReviewer::PrintReport(const ReviewReport& aReport)
 {
--- a/src/ctl/cataloguereviewer.h
+++ b/src/ctl/cataloguereviewer.h
@@ -11,6 +11,12 @@
 
 namespace lacewingwharf {
 
+/** The code of the warning about a document that daemons have already. */
+inline constexpr const char* kVersionNotNewerCode = "version-not-newer";
+
+/** The code of the warning about a document that no daemon ever takes. */
+inline constexpr const char* kVersionNotPositiveCode = "version-not-positive";
+
 /**
  * Implements the command that checks a whole catalogue before it is submitted.
  */
@@ -34,6 +40,7 @@
                    ReviewReport& aReport);
   bool HasBase() const;
   ReviewBaseResult ReadBase(bool aIsDocument) const;
+  void PrintError(const std::string& aMessage);
   void PrintReport(const ReviewReport& aReport);
 
   ObjectStore store;
--- a/src/ctl/cataloguereviewer_test.cpp
+++ b/src/ctl/cataloguereviewer_test.cpp
@@ -101,7 +101,7 @@
   const CtlRun warned = harness.Run({ service });
   cr_expect_eq(static_cast<int>(warned.code), 7);
   cr_expect(Contains(warned.out, "warning service-without-route orders: "));
-  cr_expect(Contains(warned.out, "1 entries, 0 errors, 1 warnings\n"));
+  cr_expect(Contains(warned.out, "1 entry, 0 errors, 1 warning\n"));
   const CtlRun wrong =
     harness.Run({ service, harness.WriteFile("bad.json", "{") });
   cr_expect_eq(static_cast<int>(wrong.code), 4);
@@ -131,6 +131,31 @@
   cr_expect(input.ErrorContains("only a document"));
 }
 
+// A directory that is named like an entry, or a file whose reading fails, must
+// not pass as an empty entry.
+Test(cataloguereviewer, what_is_no_readable_file_is_a_usage_error)
+{
+  const ReviewHarness harness;
+  const std::string inner = harness.WriteFile("all/x.json/readme.txt", "");
+  const auto directory = std::filesystem::path(inner).parent_path();
+  const auto link =
+    std::filesystem::path(harness.WriteFile("links/readme.txt", ""))
+      .parent_path();
+  // Reading the first page of a process gives EIO.
+  std::filesystem::create_symlink("/proc/self/mem", link / "y.json");
+  for (const auto& path : { directory.parent_path(), link, link / "y.json" }) {
+    const CtlRun run = harness.Run({ path.string() });
+    cr_expect_eq(run.code, ExitCode::Usage, "%s", path.c_str());
+    cr_expect(run.ErrorContains("cannot be read"), "%s", run.error.c_str());
+    cr_expect(run.out.empty(), "%s", run.out.c_str());
+  }
+  // Reading a directory on standard input gives EISDIR.
+  cr_assert_not_null(std::freopen(link.c_str(), "r", stdin));
+  const CtlRun input = harness.Run({ "-" });
+  cr_expect_eq(input.code, ExitCode::Usage);
+  cr_expect(input.ErrorContains("cannot be read"), "%s", input.error.c_str());
+}
+
 // A catalogue that the acceptor can't store must not pass as correct.
 Test(cataloguereviewer, a_catalogue_above_the_limit_of_the_store_is_an_error)
 {
@@ -179,6 +204,38 @@
   }
 }
 
+// Messages on standard error name files and entries too. A terminal takes the
+// controls U+0080 to U+009F like escape sequences.
+Test(cataloguereviewer, no_output_has_control_characters_of_names)
+{
+  const ReviewHarness harness;
+  const std::string odd = "\x1b[31m\xc2\x9b"
+                          "32m\xc2\x80\x7f\n";
+  const std::string service = harness.WriteFile("orders.json", kService);
+  const std::string one = harness.WriteFile("x/a" + odd + ".json", kService);
+  const std::string two = harness.WriteFile("y/a" + odd + ".json", kService);
+  const std::string empty =
+    std::filesystem::path(harness.WriteFile("z" + odd + "/e.txt", ""))
+      .parent_path()
+      .string();
+  for (const std::vector<std::string>& arguments :
+       { std::vector<std::string>{ one, "--json" },
+         std::vector<std::string>{ one },
+         std::vector<std::string>{ one, two },
+         std::vector<std::string>{ one + ".missing" },
+         std::vector<std::string>{ empty },
+         std::vector<std::string>{ service, "--against", one },
+         std::vector<std::string>{ service, "--against", one + ".missing" } }) {
+    const CtlRun run = harness.Run(arguments);
+    const std::string printed = run.out + run.error;
+    cr_expect(Contains(printed, "[31m"), "%s", printed.c_str());
+    for (const char* control : { "\x1b", "\xc2\x9b", "\xc2\x80", "\x7f" }) {
+      cr_expect_not(Contains(printed, control), "%s", printed.c_str());
+    }
+    cr_expect_not(Contains(printed, "\n.json"), "%s", printed.c_str());
+  }
+}
+
 // Differences must be those from the accepted version, not from what operators
 // wrote, which may have been rejected. They are no findings.
 Test(cataloguereviewer, differences_from_the_version_in_force_are_printed)
@@ -252,7 +309,7 @@
   const std::string old = harness.WriteFile("old/orders.json", kService);
   const CtlRun run = harness.Run({ service, route, "--against", old });
   cr_expect_eq(run.code, ExitCode::Ok, "%s", run.error.c_str());
-  cr_expect(Contains(run.out, "1 entries differ from " + old + "\n"));
+  cr_expect(Contains(run.out, "1 entry differs from " + old + "\n"));
   cr_expect(Contains(run.out, "added route route\n"));
   const CtlRun missing =
     harness.Run({ service, route, "--against", old + ".missing" });
@@ -304,3 +361,41 @@
             "%s",
             run.out.c_str());
 }
+
+// The acceptor compares texts, so an entry whose only difference is a new
+// change set counts for that set. Otherwise the review would refuse a change
+// that the acceptor takes.
+Test(cataloguereviewer, entries_with_a_new_change_set_count_for_it)
+{
+  const auto with = [](std::string aText, const std::string& aChange) {
+    aText.pop_back();
+    return aText + R"(,"change":)" + aChange + "}";
+  };
+  FakeStore fake;
+  fake.Edit("catalogue/orders", with(kService, R"({"id":"c1","size":1})"));
+  fake.Edit("catalogue/route", RouteTo("orders", "/orders"));
+  const SnapshotPtr first = AcceptEdits(fake, *Snapshot::Empty());
+  ReviewHarness harness;
+  harness.store = fake.Hooks();
+  const std::string next =
+    with(RouteTo("orders", "/v2"), R"({"id":"c2","size":2})");
+  const auto review = [&harness, &next](const std::string& aService) {
+    return harness.Run({ harness.WriteFile("orders.json", aService),
+                         harness.WriteFile("route.json", next),
+                         "--platform",
+                         kUnreachable });
+  };
+  const std::string service = with(kService, R"({"id":"c2","size":2})");
+  const CtlRun run = review(service);
+  cr_expect_eq(run.code, ExitCode::Ok, "%s", run.out.c_str());
+  cr_expect_eq(review(with(kService, R"({"id":"c1","size":1})")).code,
+               ExitCode::Rejected);
+  // The size alone is a new change set too, but an incomplete one.
+  const CtlRun resized = review(with(kService, R"({"id":"c1","size":2})"));
+  cr_expect(Contains(resized.out, "error incomplete-change orders: "),
+            "%s",
+            resized.out.c_str());
+  fake.Edit("catalogue/orders", service);
+  fake.Edit("catalogue/route", next);
+  cr_expect_eq(AcceptEdits(fake, *first)->Version(), 2);
+}
--- a/src/ctl/reviewinput.cpp
+++ b/src/ctl/reviewinput.cpp
@@ -27,9 +27,10 @@
 UsageError
 UnreadableError(const std::string& aFile)
 {
-  return { fmt::format("{}: cannot be read; check the path and the permissions "
-                       "of the file",
-                       aFile) };
+  return { fmt::format(
+    "{}: cannot be read; check the path, the permissions and "
+    "that it is a regular file",
+    aFile) };
 }
 
 /** Replaces directories by their files, in the order of their names. */
@@ -84,7 +85,7 @@
     input.findings.push_back(ErrorFinding(document.assume_error()));
     return input;
   }
-  input.findings = aFormat.findChangedLimits(aText);
+  input.findings = aFormat.findRaisedRates(aText);
   input.stamp.version = document.assume_value().version;
   input.entries = std::move(document).assume_value().entries;
   return input;
@@ -103,7 +104,7 @@
   InputCatalogue input;
   std::set<std::string> names;
   for (const std::string& file : files.assume_value()) {
-    const auto text = ReadFileOrStdin(file);
+    const auto text = ReadRegularFileOrStdin(file);
     if (!text) {
       return failure(UnreadableError(file));
     }
--- a/src/ctl/reviewreport.cpp
+++ b/src/ctl/reviewreport.cpp
@@ -1,10 +1,11 @@
 #include "ctl/reviewreport.h"
 
+#include "ctl/printable.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cctype>
 #include <iterator>
 
 namespace lacewingwharf {
@@ -13,20 +14,11 @@
 
 using Json = nlohmann::json;
 
-/**
- * Replaces control characters, which names in files may contain and which could
- * change what a terminal shows.
- */
+/** Returns a number with the singular or the plural of what it counts. */
 std::string
-Printable(std::string aText)
+FormatCount(std::ptrdiff_t aCount, const char* aOne, const char* aMany)
 {
-  std::ranges::replace_if(
-    aText,
-    [](char aCharacter) {
-      return std::iscntrl(static_cast<unsigned char>(aCharacter)) != 0;
-    },
-    '?');
-  return aText;
+  return fmt::format("{} {}", aCount, aCount == 1 ? aOne : aMany);
 }
 
 std::string
@@ -69,9 +61,11 @@
 std::string
 FormatDifferences(const ReviewDifferences& aDifferences)
 {
-  std::string text = Printable(fmt::format("{} entries differ from {}",
-                                           aDifferences.entries.size(),
-                                           aDifferences.base));
+  std::string text = Printable(fmt::format(
+    "{} from {}",
+    FormatCount(
+      std::ssize(aDifferences.entries), "entry differs", "entries differ"),
+    aDifferences.base));
   text += '\n';
   for (const EntryDifference& difference : aDifferences.entries) {
     text += FormatDifference(difference) + '\n';
@@ -114,10 +108,12 @@
   for (const Finding& finding : aReport.findings) {
     text += FormatFinding(finding) + '\n';
   }
-  text += fmt::format("{} entries, {} errors, {} warnings\n",
-                      aReport.entryCount,
-                      aReport.Count(FindingLevel::Error),
-                      aReport.Count(FindingLevel::Warning));
+  text += fmt::format(
+    "{}, {}, {}\n",
+    FormatCount(
+      static_cast<std::ptrdiff_t>(aReport.entryCount), "entry", "entries"),
+    FormatCount(aReport.Count(FindingLevel::Error), "error", "errors"),
+    FormatCount(aReport.Count(FindingLevel::Warning), "warning", "warnings"));
   return aReport.differences ? text + FormatDifferences(*aReport.differences)
                              : text;
 }
@@ -140,8 +136,10 @@
     { "differences",
       aReport.differences ? DifferencesJson(*aReport.differences) : Json() }
   };
-  // Names of files need not be UTF-8.
-  return report.dump(-1, ' ', false, Json::error_handler_t::replace) + '\n';
+  // Names of files need not be UTF-8, and may have control characters above
+  // U+007E, which are escaped only with all other characters outside ASCII.
+  constexpr bool kIsAscii = true;
+  return report.dump(-1, ' ', kIsAscii, Json::error_handler_t::replace) + '\n';
 }
 
 } // namespace lacewingwharf
