--- a/src/daemon/callsservicehooks.cpp
+++ b/src/daemon/callsservicehooks.cpp
@@ -54,9 +54,10 @@
                                    wire::CallAnswer aAnswer) {
     this->AnswerOrigin(aOrigin, std::move(aAnswer));
   };
-  destinationHooks.grant = [this](SessionId aOrigin, wire::BodyGrant aGrant) {
+  destinationHooks.grant = [this](SessionId aOrigin,
+                                  const wire::BodyGrant& aGrant) {
     wire::Envelope envelope;
-    envelope.__set_bodyGrant(std::move(aGrant));
+    envelope.__set_bodyGrant(aGrant);
     return this->hooks.reply(aOrigin, std::move(envelope));
   };
   destinationHooks.submit = [this](HttpExchange aExchange) {
