--- a/src/proxy/requestparser_test.cpp
+++ b/src/proxy/requestparser_test.cpp
@@ -178,7 +178,8 @@
     const std::string head = "PUT / HTTP/1.1\r\nHost: x\r\n";
     for (const std::string& bytes :
          { head + fmt::format("Content-Length: {}\r\n\r\n{}", size, body),
-           head + "Transfer-Encoding: chunked\r\n\r\n" + chunked }) {
+           fmt::format(
+             "{}Transfer-Encoding: chunked\r\n\r\n{}", head, chunked) }) {
       RequestParser parser({ 1024, 1U << 20U });
       std::string rest;
       for (std::size_t at = 0; at < bytes.size(); at += kPiece) {
