Send parts of large requests at the rate of the own link

Cause: destinations grant parts to the rate of their own links, so that an entry daemon on a slow link sent all of them at once, and its small requests and answers waited behind them.

Change: OutgoingLink spreads the parts over time. A call whose own link was too slow does not count against its destination.

--- a/src/daemon/callsserviceconfig.cpp
+++ b/src/daemon/callsserviceconfig.cpp
@@ -28,6 +28,13 @@
 // The rest is for small ones, messages between daemons and headers of packets.
 constexpr double kLinkShareOfLargeBodies = 0.85;
 
+/** Returns 0 if the rate of the link is not known. */
+double
+LargeBodyRate(const Settings& aSettings)
+{
+  return aSettings.linkRate * kBytesPerMilliOfMbit * kLinkShareOfLargeBodies;
+}
+
 } // namespace
 
 RetryBudgetConfig
@@ -112,6 +119,7 @@
   config.dialect = aProtocol.dialect;
   config.service = aSettings.site.service;
   config.hedging.share = aSettings.hedgeShare;
+  config.requestBytesPerMilli = LargeBodyRate(aSettings);
   if (aProtocol.documents) {
     config.rolloutTime = aProtocol.bounds.versionRolloutTime;
   }
@@ -148,9 +156,8 @@
   // As what the entry part of this daemon may hold of requests.
   config.maxRequestBytes = static_cast<std::size_t>(aSettings.callerBytes) / 2;
   config.acceptsUnknownEntries = aProtocol.documents.has_value();
-  config.answerBytesPerMilli =
-    aSettings.linkRate * kBytesPerMilliOfMbit * kLinkShareOfLargeBodies;
-  config.requestBytesPerMilli = config.answerBytesPerMilli;
+  config.answerBytesPerMilli = LargeBodyRate(aSettings);
+  config.requestBytesPerMilli = LargeBodyRate(aSettings);
   if (aSettings.site.protocol != ProtocolKind::Own) {
     config.address = aSettings.site.server.address;
   }
--- a/src/execution/callrequest.h
+++ b/src/execution/callrequest.h
@@ -3,7 +3,6 @@
 #include "execution/entrycall.h"
 #include "peer_types.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,9 +49,6 @@
              const CallDialect& aDialect,
              const TeamKeys& aKeys);
 
-/** A smaller body occupies a link of 10 Mbit/s for less than 14 ms. */
-inline constexpr std::size_t kMinAnnouncedBytes = 16384;
-
 /** What the entry daemon adds to every request. */
 struct RequestOrigin
 {
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -43,6 +43,7 @@
   , limitMemory(aClock)
   , retryBudget(aClock, this->config.retryBudget)
   , hedging(this->config.hedging, aClock, std::move(aRandom))
+  , outgoingLink(this->config.requestBytesPerMilli)
   , teamKeys(std::move(aClock), this->config.rolloutTime)
 {
 }
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -8,6 +8,7 @@
 #include "execution/hedging.h"
 #include "execution/limitmemory.h"
 #include "execution/opencalls.h"
+#include "execution/outgoinglink.h"
 #include "execution/teamkeys.h"
 #include "peer/peernetwork.h"
 #include "peer_types.h"
@@ -53,6 +54,9 @@
   /** How long the status of a call is queried at its destination. */
   Millis queryWait = 2000;
 
+  /** Rate at which large requests leave this host; 0 means without pacing. */
+  double requestBytesPerMilli = 0;
+
   HedgingConfig hedging;
 };
 
@@ -266,6 +270,7 @@
   LimitMemory limitMemory;
   RetryBudget retryBudget;
   Hedging hedging;
+  OutgoingLink outgoingLink;
   TeamKeys teamKeys;
   RolloutTraffic* rollouts = nullptr; // Null where versions are ignored.
 };
--- a/src/execution/entrycallsbodies.cpp
+++ b/src/execution/entrycallsbodies.cpp
@@ -2,6 +2,7 @@
 
 #include "execution/callrequest.h"
 #include "execution/entrycalls.h"
+#include "execution/linkparts.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,7 +14,7 @@
 EntryCalls::MustAnnounce(const EntryCall& aCall) const
 {
   const std::size_t bytes = aCall.http.body.size();
-  return aCall.entry->hasLargeRequests && bytes >= kMinAnnouncedBytes &&
+  return aCall.entry->hasLargeRequests && bytes >= kMinLargeBytes &&
          bytes <= kMaxEntryBodyBytes &&
          aCall.attempt.endpoint.host != this->config.host;
 }
@@ -32,25 +33,31 @@
   this->SendGrantedParts(*call);
 }
 
-/** What the ring buffer to the peer thread refuses is sent at a later tick. */
+/**
+ * Sends what the own link has room for. The rest, and what the ring buffer to
+ * the peer thread refuses, is sent at a later tick.
+ */
 void
 EntryCalls::SendGrantedParts(EntryCall& aCall)
 {
   Attempt& attempt = aCall.attempt;
-  if (attempt.sentBytes >= attempt.grantedBytes) {
+  const double now = this->clock.PreciseNow();
+  const std::size_t bytes =
+    this->outgoingLink.RoomFor(attempt.grantedBytes - attempt.sentBytes, now);
+  if (bytes == 0) {
     return;
   }
   wire::BodyPart part;
   part.callId = attempt.id;
   part.offset = static_cast<std::int64_t>(attempt.sentBytes);
-  part.data = aCall.http.body.substr(attempt.sentBytes,
-                                     attempt.grantedBytes - attempt.sentBytes);
+  part.data = aCall.http.body.substr(attempt.sentBytes, bytes);
   wire::Envelope envelope;
   // Assigns the field directly, because the generated setter copies the data.
   envelope.bodyPart = std::move(part);
   envelope.__isset.bodyPart = true;
   if (this->SendTo(attempt.endpoint, std::move(envelope))) {
-    attempt.sentBytes = attempt.grantedBytes;
+    attempt.sentBytes += bytes;
+    this->outgoingLink.RecordSent(bytes, now);
   }
 }
 
@@ -66,14 +73,20 @@
   this->HandleUnsent(attempt.id);
 }
 
-/** Ends such a call at its deadline. The destination counts as silent. */
+/**
+ * Ends such a call at its deadline. The destination counts as silent, unless
+ * the own link has not sent what it granted.
+ */
 void
 EntryCalls::EndAnnounced(const EntryCallPtr& aCall)
 {
+  const bool isOwnDelay =
+    aCall->attempt.grantedBytes > aCall->attempt.sentBytes;
   this->queries.Cancel(aCall->attempt);
   this->openCalls.CloseAttempt(aCall->attempt);
   --aCall->deliveries;
-  this->RecordObservation(*aCall, CallEnd::Lost, {});
+  this->RecordObservation(
+    *aCall, isOwnDelay ? CallEnd::Refused : CallEnd::Lost, {});
   this->RefuseWithReason(aCall, RefusalReason::DeadlinePassed);
 }
 
--- a/src/execution/largerequests_test.cpp
+++ b/src/execution/largerequests_test.cpp
@@ -51,8 +51,9 @@
  */
 struct LargeRequestFleet
 {
-  explicit LargeRequestFleet(double aBytesPerMilli = kBytesPerMilli)
-    : entry(EntryConfiguration(), 2, 5000)
+  explicit LargeRequestFleet(double aBytesPerMilli = kBytesPerMilli,
+                             double aEntryBytesPerMilli = 0)
+    : entry(EntryConfiguration(aEntryBytesPerMilli), 2, 5000)
   {
     Log::SetLevel(LogLevel::Error);
     this->entry.calls->SetSnapshot(UploadCatalogue());
@@ -61,10 +62,11 @@
     }
   }
 
-  static EntryCallsConfig EntryConfiguration()
+  static EntryCallsConfig EntryConfiguration(double aBytesPerMilli)
   {
     EntryCallsConfig config;
     config.host = "entry";
+    config.requestBytesPerMilli = aBytesPerMilli;
     config.retriesCapacityRefusals = true;
     return config;
   }
@@ -146,6 +148,7 @@
         std::max(this->longestRequest, aMessage.callRequest.body.size());
       calls.HandleRequest(kSession, aMessage.callRequest);
     } else if (aMessage.__isset.bodyPart) {
+      this->partBytes += aMessage.bodyPart.data.size();
       calls.HandleBodyPart(aMessage.bodyPart);
     } else if (aMessage.__isset.callCancel) {
       calls.HandleCancel(aMessage.callCancel.callId);
@@ -172,7 +175,8 @@
   std::vector<wire::BodyGrant> grants;
   std::vector<HttpExchange> runs;
   std::size_t longestRequest = 0;
-  bool losesGrants = false; // The ring buffer to the peer thread is full.
+  std::size_t partBytes = 0; // That reached a destination.
+  bool losesGrants = false;  // The ring buffer to the peer thread is full.
 };
 
 } // namespace
@@ -383,3 +387,23 @@
   cr_assert_eq(fleet.answers.size(), 1U);
   cr_expect(fleet.answers[0].outcome == wire::CallOutcome::NOT_RUN);
 }
+
+// The link of the entry daemon's host may be the slow one. Bodies that several
+// destinations have granted must not fill it together.
+Test(largerequests, parts_leave_at_the_rate_of_the_entry_daemons_link)
+{
+  constexpr RequestId kRequests = 3;
+  LargeRequestFleet fleet(0, kBytesPerMilli);
+  for (RequestId request = 1; request <= kRequests; ++request) {
+    fleet.Begin(request);
+  }
+  fleet.Deliver();
+  constexpr std::size_t kTwoParts = 30000;
+  cr_expect_leq(fleet.partBytes, kTwoParts, "%zu", fleet.partBytes);
+  fleet.Advance(150);
+  const auto rate = static_cast<std::size_t>(kBytesPerMilli);
+  cr_expect_leq(fleet.partBytes, 150 * rate + kTwoParts);
+  cr_expect_geq(fleet.partBytes, 130 * rate);
+  fleet.Advance(250);
+  cr_expect_eq(fleet.runs.size(), kRequests);
+}
--- a/src/execution/requestpacer.cpp
+++ b/src/execution/requestpacer.cpp
@@ -1,5 +1,7 @@
 #include "execution/requestpacer.h"
 
+#include "execution/linkparts.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,20 +9,10 @@
 
 namespace {
 
-// A small request waits behind at most about one part, so a part must be short
-// compared with the time limits of callers. Shorter parts would cost more
-// messages.
-constexpr double kPartMillis = 15;
-constexpr double kMinPartBytes = 8192;
-
 // Parts of a body that were granted and are not there. A sender that was paused
 // sends all of them at once.
 constexpr std::size_t kMaxPartsOnTheWay = 4;
 
-// Parts are granted at ticks of 10 ms and arrive at least a round trip later.
-// Without this lead, the link would be idle in the meantime.
-constexpr double kLeadMillis = 15;
-
 // Part of the time that the backlog and the body may take. The call still has
 // to wait for a slot and to run.
 constexpr double kUsableTime = 0.5;
@@ -64,13 +56,6 @@
   return static_cast<Millis>(std::ceil(lateness));
 }
 
-std::size_t
-RequestPacer::PartBytes() const
-{
-  return static_cast<std::size_t>(
-    std::max(kMinPartBytes, kPartMillis * this->rate));
-}
-
 std::deque<RequestPacer::WaitingBody>::iterator
 RequestPacer::Find(const std::string& aCallId)
 {
@@ -105,19 +90,20 @@
 RequestPacer::TakeNext(double aNow)
 {
   const bool isPaced = this->rate > 0;
-  if (isPaced && this->freeAt > aNow + kLeadMillis) {
+  if (isPaced && this->freeAt > aNow + kLinkLeadMillis) {
     return std::nullopt;
   }
   const auto next =
     std::ranges::find_if(this->waiting, [&](const WaitingBody& aBody) {
       return !isPaced || aBody.grantedBytes - aBody.receivedBytes <
-                           kMaxPartsOnTheWay * this->PartBytes();
+                           kMaxPartsOnTheWay * PartBytesAt(this->rate);
     });
   if (next == this->waiting.end()) {
     return std::nullopt;
   }
   const std::size_t left = next->bodyBytes - next->grantedBytes;
-  const std::size_t part = isPaced ? std::min(this->PartBytes(), left) : left;
+  const std::size_t part =
+    isPaced ? std::min(PartBytesAt(this->rate), left) : left;
   next->grantedBytes += part;
   this->waitingBytes -= part;
   if (isPaced) {
--- a/src/execution/requestpacer.h
+++ b/src/execution/requestpacer.h
@@ -70,7 +70,6 @@
     std::size_t receivedBytes = 0;
   };
 
-  std::size_t PartBytes() const;
   std::deque<WaitingBody>::iterator Find(const std::string& aCallId);
 
   double rate = 0;
