--- a/src/daemon/callsservicestatus.cpp
+++ b/src/daemon/callsservicestatus.cpp
@@ -125,7 +125,7 @@
     this->metrics
       .Gauge("lacewingwharf_large_answers_waiting_bytes",
              "Large answers that wait for the link of this host, in bytes")
-      ->Set(static_cast<double>(this->destinationCalls.PacedBytes()));
+      ->Set(static_cast<double>(this->destinationCalls.WaitingAnswerBytes()));
     this->metrics
       .Gauge("lacewingwharf_large_requests_waiting_bytes",
              "Large requests that wait for the link of this host, in bytes")
--- a/src/execution/destinationcalls.cpp
+++ b/src/execution/destinationcalls.cpp
@@ -54,7 +54,7 @@
                 [this](const std::string& aId, const Refusal& aRefusal) {
                   this->RefuseCall(aId, aRefusal);
                 } })
-  , pacer(this->config.answerBytesPerMilli)
+  , answerPacer(this->config.answerBytesPerMilli)
   , requestPacer(this->config.requestBytesPerMilli)
 {
 }
@@ -101,14 +101,14 @@
   Call& call =
     this->calls.emplace(id, this->MakeCall(aOrigin, std::move(aRequest)))
       .first->second;
-  call.isPaced = this->pacer.IsEnabled() && accepted != nullptr &&
-                 accepted->entry.hasLargeAnswers;
+  call.hasPacedAnswer = this->answerPacer.IsEnabled() && accepted != nullptr &&
+                        accepted->entry.hasLargeAnswers;
   ++this->inFlight;
   this->requestBytes += call.heldBytes;
   AdmissionRequest admissionRequest = this->MakeAdmissionRequest(call);
   auto refusal = this->CheckMemory(call);
   if (!refusal) {
-    refusal = this->CheckLink(call, admissionRequest);
+    refusal = this->CheckLinkForAnswer(call, admissionRequest);
   }
   if (!refusal && call.stage == Stage::Receiving) {
     refusal = this->CheckLinkForRequest(call);
@@ -117,8 +117,8 @@
     this->RefuseCall(id, *refusal);
     return;
   }
-  if (call.isPaced) {
-    this->pacer.Reserve(id, call.request.entry);
+  if (call.hasPacedAnswer) {
+    this->answerPacer.Reserve(id, call.request.entry);
   }
   if (call.stage == Stage::Receiving) {
     this->ReceiveBody(id, call);
@@ -357,7 +357,7 @@
     return;
   }
   if (call.stage == Stage::Sending && call.request.idempotent) {
-    this->pacer.Remove(aCallId);
+    this->answerPacer.Remove(aCallId);
     this->Deliver(
       aCallId, call, UnknownAnswer(aCallId, "cancelled-while-sending"));
   }
--- a/src/execution/destinationcalls.h
+++ b/src/execution/destinationcalls.h
@@ -128,7 +128,7 @@
   std::size_t RequestBytes() const;
 
   /** Bytes of large answers that wait for the link. */
-  std::size_t PacedBytes() const;
+  std::size_t WaitingAnswerBytes() const;
 
   /** Bytes of large requests that wait for the link. */
   std::size_t WaitingRequestBytes() const;
@@ -152,13 +152,13 @@
     std::string team; // Empty without one.
     Millis deadlineAt = 0;
     std::optional<Millis> targetAt;
-    double receivedAt = 0;
+    double receivedAt = 0; // The request, or its announcement.
     double startedAt = 0;
     double answeredAt = 0;
-    std::size_t bodyBytes = 0;
-    std::size_t heldBytes = 0; // Counted in the limit on requests.
-    bool isPaced = false;      // The answers of its entry are large.
-    wire::CallAnswer answer;   // Set when the call has been answered.
+    std::size_t bodyBytes = 0;   // Of the whole body, also if it is not there.
+    std::size_t heldBytes = 0;   // Counted in the limit on requests.
+    bool hasPacedAnswer = false; // The answers of its entry are large.
+    wire::CallAnswer answer;     // Set when the call has been answered.
   };
 
   /** An exchange that was cut and whose backend server may be about to stop. */
@@ -186,8 +186,9 @@
   void ReportServerGone(const Call& aCall) const;
   void CheckServerLost(const Call& aCall, wire::CallAnswer& aAnswer);
   std::optional<Refusal> CheckMemory(const Call& aCall) const;
-  std::optional<Refusal> CheckLink(const Call& aCall,
-                                   const AdmissionRequest& aRequest) const;
+  std::optional<Refusal> CheckLinkForAnswer(
+    const Call& aCall,
+    const AdmissionRequest& aRequest) const;
   Refusal LinkRefusal(const Call& aCall, Millis aLateness) const;
   void SendPacedAnswers();
   void Finish(const std::string& aCallId,
@@ -205,10 +206,10 @@
   DestinationCallsHooks hooks;
   SnapshotPtr snapshot;
   Admission admission;
-  AnswerPacer pacer;
+  AnswerPacer answerPacer;
   RequestPacer requestPacer;
-  std::deque<std::string> receiving; // Calls in that stage, oldest first.
-  std::optional<PartGrant> unsentGrant;
+  std::deque<std::string> receiving;    // Calls in that stage, oldest first.
+  std::optional<PartGrant> unsentGrant; // The ring buffer was full.
   std::map<int, std::string> serverIds; // By port.
   std::unordered_map<std::string, Call> calls;
   std::deque<std::pair<Millis, std::string>> finishedQueue;
@@ -254,9 +255,9 @@
 }
 
 inline std::size_t
-DestinationCalls::PacedBytes() const
+DestinationCalls::WaitingAnswerBytes() const
 {
-  return this->pacer.WaitingBytes();
+  return this->answerPacer.WaitingBytes();
 }
 
 inline std::size_t
--- a/src/execution/destinationcallsanswers.cpp
+++ b/src/execution/destinationcallsanswers.cpp
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "execution/callrequest.h"
 #include "execution/destinationcalls.h"
+#include "execution/linkparts.h"
 #include "execution/serveranswer.h"
 
 #include <utility>
@@ -13,9 +14,6 @@
 
 constexpr Log kLog("slots");
 
-// A smaller answer occupies a link of 10 Mbit/s for less than 13 ms.
-constexpr std::size_t kMinPacedBytes = 16384;
-
 // Small requests are still accepted in the last part of the limit on requests.
 constexpr std::size_t kSmallRequestBytes = 16384;
 constexpr std::size_t kPartForSmall = 8;
@@ -152,14 +150,14 @@
 
 /** Refuses a call whose large answer would leave this host too late. */
 std::optional<Refusal>
-DestinationCalls::CheckLink(const Call& aCall,
-                            const AdmissionRequest& aRequest) const
+DestinationCalls::CheckLinkForAnswer(const Call& aCall,
+                                     const AdmissionRequest& aRequest) const
 {
-  if (!aCall.isPaced) {
+  if (!aCall.hasPacedAnswer) {
     return std::nullopt;
   }
   const double now = this->clock.PreciseNow();
-  const auto lateness = this->pacer.LatenessOf(
+  const auto lateness = this->answerPacer.LatenessOf(
     aRequest.entry, aRequest.targetAt, aRequest.deadlineAt, now);
   if (!lateness) {
     return std::nullopt;
@@ -192,14 +190,14 @@
     this->requestPacer.Remove(aCallId);
     std::erase(this->receiving, aCallId);
   }
-  if (!aCall.isPaced || aAnswer.body.size() < kMinPacedBytes) {
-    this->pacer.Remove(aCallId);
+  if (!aCall.hasPacedAnswer || aAnswer.body.size() < kMinLargeBytes) {
+    this->answerPacer.Remove(aCallId);
     this->Deliver(aCallId, aCall, std::move(aAnswer));
     return;
   }
   aCall.stage = Stage::Sending;
   aCall.answeredAt = this->clock.PreciseNow();
-  this->pacer.Queue(aCallId, aCall.request.entry, aAnswer.body.size());
+  this->answerPacer.Queue(aCallId, aCall.request.entry, aAnswer.body.size());
   aCall.answer = std::move(aAnswer);
   this->SendPacedAnswers();
 }
@@ -208,7 +206,7 @@
 DestinationCalls::SendPacedAnswers()
 {
   const double now = this->clock.PreciseNow();
-  while (const auto id = this->pacer.TakeNext(now)) {
+  while (const auto id = this->answerPacer.TakeNext(now)) {
     Call& call = this->calls.at(*id);
     wire::CallAnswer answer = std::move(call.answer);
     kLog.Decision("answer-paced",
@@ -217,7 +215,7 @@
                   *id,
                   answer.body.size(),
                   now - call.answeredAt,
-                  this->pacer.WaitingBytes());
+                  this->answerPacer.WaitingBytes());
     this->Deliver(*id, call, std::move(answer));
   }
 }
