Count the requests that a daemon refuses after crashes

The refusals of a quarantined request did not show which daemons know the crash reports: the destination may have refused. The new gauge lacewingwharf_quarantined_requests counts what each daemon itself refuses.

--- a/src/daemon/callsservicestatus.cpp
+++ b/src/daemon/callsservicestatus.cpp
@@ -121,6 +121,10 @@
     .Gauge("lacewingwharf_peer_request_bytes",
            "Bytes of the requests of other daemons that wait or run here")
     ->Set(static_cast<double>(this->destinationCalls.RequestBytes()));
+  this->metrics
+    .Gauge("lacewingwharf_quarantined_requests",
+           "Requests that are refused because they crashed backend servers")
+    ->Set(static_cast<double>(this->quarantine.CountRefused()));
   if (this->settings.linkRate > 0) {
     this->metrics
       .Gauge("lacewingwharf_large_answers_waiting_bytes",
--- a/src/execution/quarantine.cpp
+++ b/src/execution/quarantine.cpp
@@ -51,6 +51,16 @@
            : QuarantineDecision::RunAlone;
 }
 
+std::size_t
+Quarantine::CountRefused()
+{
+  this->Expire();
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->digests, [](const auto& aItem) {
+      return TotalLosses(aItem.second) >= kLossesUntilRefused;
+    }));
+}
+
 void
 Quarantine::CountLoss(std::int64_t aDigest)
 {
--- a/src/execution/quarantine.h
+++ b/src/execution/quarantine.h
@@ -61,6 +61,9 @@
 
   std::size_t Size() const;
 
+  /** Returns how many requests are refused. */
+  std::size_t CountRefused();
+
 private:
   struct Count
   {
--- a/src/execution/quarantine_test.cpp
+++ b/src/execution/quarantine_test.cpp
@@ -39,12 +39,15 @@
   cr_assert_eq(daemon.quarantine.Check(7), QuarantineDecision::Free);
   daemon.quarantine.CountLoss(7);
   cr_assert_eq(daemon.quarantine.Check(7), QuarantineDecision::RunAlone);
+  cr_assert_eq(daemon.quarantine.CountRefused(), 0U);
   daemon.quarantine.CountLoss(7);
   cr_assert_eq(daemon.quarantine.Check(7), QuarantineDecision::Refused);
+  cr_assert_eq(daemon.quarantine.CountRefused(), 1U);
   daemon.clock.Advance(599999);
   cr_assert_eq(daemon.quarantine.Check(7), QuarantineDecision::Refused);
   daemon.clock.Advance(2);
   cr_assert_eq(daemon.quarantine.Check(7), QuarantineDecision::Free);
+  cr_assert_eq(daemon.quarantine.CountRefused(), 0U);
 }
 
 // The losses that two daemons observe must add up, and a crash report must not
@@ -82,6 +85,7 @@
     daemon.quarantine.CountLoss(digest);
   }
   cr_assert_eq(daemon.quarantine.Size(), 100U);
+  cr_assert_eq(daemon.quarantine.CountRefused(), 1U);
   cr_assert_eq(daemon.quarantine.Check(-1), QuarantineDecision::Refused);
   std::size_t sent = 0;
   while (!daemon.quarantine.TakeCrashReports(8).empty()) {
