Wait for the quarantine of each daemon in callfailures_test

On a busy machine all 20 were refusals of the same destination (reason slow-start), and the first request after the crash text was set again ran on another server, whose daemon had not received the reports.

--- a/src/daemon/callfailures_test.cpp
+++ b/src/daemon/callfailures_test.cpp
@@ -2,9 +2,7 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
 #include <future>
-#include <vector>
 
 using namespace lacewingwharf;
 using namespace lacewingwharf::testing;
@@ -48,7 +46,7 @@
 // two losses. Otherwise it crashes one server after the other.
 Test(callfailures, CrashingRequestIsRefusedAfterTwoLostServers, .timeout = 90)
 {
-  CallFleet fleet(2, 5);
+  CallFleet fleet(2, 5, 5, "[status]\nreportinterval = 200\n");
   cr_assert(fleet.WaitUntilReady());
   for (std::size_t host = 1; host < 5; ++host) {
     cr_assert(fleet.SetBehaviour(host, R"({"crash_on":"poison"})"));
@@ -71,24 +69,14 @@
   cr_assert(WaitUntil([&] { return countLostServers() == 2; }),
             "%d servers were lost",
             countLostServers());
-  // Gossip takes a moment to reach the other daemons. Until then no server may
-  // crash on the request.
-  const auto setCrashText = [&fleet](const std::string& aText) {
-    for (auto& [host, backend] : fleet.backends) {
-      cr_assert(!backend.IsRunning() ||
-                fleet.SetBehaviour(host, R"({"crash_on":")" + aText + R"("})"));
-    }
-  };
-  setCrashText("");
+  // Gossip takes a moment to reach the other daemons. Answers do not show when
+  // a daemon knows the crash reports, because the destination may have refused.
   for (std::size_t host = 0; host < 5; ++host) {
-    // A refusal may come from a destination that has the crash reports already.
-    // Twenty refusals in a row show that the daemon itself refuses the request.
     cr_assert(WaitUntil([&] {
-      const std::vector<std::size_t> repeats(20, host);
-      return std::ranges::all_of(repeats, isRefused);
+      return fleet.Metrics(host).find(
+               "\nlacewingwharf_quarantined_requests 1\n") != std::string::npos;
     }));
   }
-  setCrashText("poison");
   for (std::size_t host = 0; host < 5; ++host) {
     cr_assert(isRefused(host));
   }
--- a/src/daemon/callfleet.h
+++ b/src/daemon/callfleet.h
@@ -98,6 +98,15 @@
       aMethod, url, aMethod == "GET" ? "" : aBody, headers);
   }
 
+  std::string Metrics(std::size_t aHost) const
+  {
+    return SendTestRequest("GET",
+                           fmt::format("http://{}:{}/metrics",
+                                       this->AddressOf(aHost),
+                                       kAdminPort))
+      .body;
+  }
+
   static bool IsDone(const TestAnswer& aAnswer)
   {
     return OutcomeOf(aAnswer) == "done";
--- a/src/daemon/hedgefleet_test.cpp
+++ b/src/daemon/hedgefleet_test.cpp
@@ -16,13 +16,9 @@
 bool
 HasEvent(const CallFleet& aFleet, const std::string& aEvent)
 {
-  const auto answer = SendTestRequest("GET",
-                                      fmt::format("http://{}:{}/metrics",
-                                                  aFleet.AddressOf(0),
-                                                  CallFleet::kAdminPort));
   const std::regex series(
     "\nlacewingwharf_second_attempts_total\\{[^}]*event=\"" + aEvent + "\"");
-  return std::regex_search(answer.body, series);
+  return std::regex_search(aFleet.Metrics(0), series);
 }
 
 } // namespace
