--- a/standins/testkit/site.cpp
+++ b/standins/testkit/site.cpp
@@ -241,7 +241,8 @@
 Site::Call(const std::string& aPath,
            const std::string& aMethod,
            const std::string& aBody,
-           const std::string& aHeaderLine) const
+           const std::string& aHeaderLine,
+           std::size_t aHost) const
 {
   std::vector<std::string> headers = { "Host: a.example",
                                        "X-Request-Id: 77",
@@ -251,15 +252,15 @@
   }
   return SendTestRequest(
     aMethod,
-    fmt::format("http://{}:{}{}", Address(0), kCallsPort, aPath),
+    fmt::format("http://{}:{}{}", Address(aHost), kCallsPort, aPath),
     aBody,
     headers);
 }
 
 bool
-Site::IsServed(const std::string& aPath) const
+Site::IsServed(const std::string& aPath, std::size_t aHost) const
 {
-  return this->Call(aPath).status == 200;
+  return this->Call(aPath, "GET", {}, {}, aHost).status == 200;
 }
 
 bool
--- a/standins/testkit/site.h
+++ b/standins/testkit/site.h
@@ -74,13 +74,14 @@
    */
   bool CutStoreConnection(std::size_t aHost, bool aIsCut = true) const;
 
-  /** Sends a call to the daemon of the first host. */
+  /** Sends a call to the daemon of a host. */
   TestAnswer Call(const std::string& aPath,
                   const std::string& aMethod = "GET",
                   const std::string& aBody = {},
-                  const std::string& aHeaderLine = {}) const;
+                  const std::string& aHeaderLine = {},
+                  std::size_t aHost = 0) const;
 
-  bool IsServed(const std::string& aPath) const;
+  bool IsServed(const std::string& aPath, std::size_t aHost = 0) const;
 
   /**
    * Waits until both servers are known and the first version is in force. Sends
