Leave bodies of slow senders out of a link's backlog

Cause: a destination counted all bytes that a body still needs as before the next one, also of a body whose sender does not keep up and which other bodies pass. One upload from a host with a slow link so made its destination refuse others (link-full) while its link was idle.

Change: a body of which four parts are on the way does not count until some of them are there.

requestpacer/a_slow_sender_does_not_fill_its_destination checks it.

--- a/src/execution/requestpacer.cpp
+++ b/src/execution/requestpacer.cpp
@@ -1,9 +1,10 @@
 #include "execution/requestpacer.h"
 
+#include "execution/linklateness.h"
 #include "execution/linkparts.h"
 
 #include <algorithm>
-#include <cmath>
+#include <numeric>
 
 namespace lacewingwharf {
 
@@ -13,10 +14,6 @@
 // sends all of them at once.
 constexpr std::size_t kMaxPartsOnTheWay = 4;
 
-// Part of the time that the backlog and the body may take. The call still has
-// to wait for a slot and to run.
-constexpr double kUsableTime = 0.5;
-
 } // namespace
 
 RequestPacer::RequestPacer(double aBytesPerMilli)
@@ -33,27 +30,26 @@
   if (this->rate <= 0) {
     return std::nullopt;
   }
-  const double backlog = std::max(0.0, this->freeAt - aNow) +
-                         static_cast<double>(this->waitingBytes) / this->rate;
-  if (backlog <= 0) {
-    return std::nullopt; // No other host would receive it sooner.
-  }
-  const double own = static_cast<double>(aBytes) / this->rate;
-  const auto timeUntil = [aNow](Millis aLimit) {
-    return static_cast<double>(aLimit) - aNow;
-  };
-  double usable = timeUntil(aDeadlineAt);
-  if (own <= kUsableTime * usable) {
-    usable *= kUsableTime;
-  }
-  if (aTargetAt && own <= kUsableTime * timeUntil(*aTargetAt)) {
-    usable = kUsableTime * timeUntil(*aTargetAt);
-  }
-  const double lateness = backlog + own - usable;
-  if (lateness <= 0) {
-    return std::nullopt;
-  }
-  return static_cast<Millis>(std::ceil(lateness));
+  const auto waitingBytes =
+    std::accumulate(this->waiting.begin(),
+                    this->waiting.end(),
+                    std::size_t{ 0 },
+                    [this](std::size_t aSum, const WaitingBody& aBody) {
+                      return this->IsPassedOver(aBody)
+                               ? aSum
+                               : aSum + aBody.bodyBytes - aBody.grantedBytes;
+                    });
+  const LinkTimes times{ std::max(0.0, this->freeAt - aNow) +
+                           static_cast<double>(waitingBytes) / this->rate,
+                         static_cast<double>(aBytes) / this->rate };
+  return LatenessOnLink(times, aTargetAt, aDeadlineAt, aNow);
+}
+
+bool
+RequestPacer::IsPassedOver(const WaitingBody& aBody) const
+{
+  return this->rate > 0 && aBody.grantedBytes - aBody.receivedBytes >=
+                             kMaxPartsOnTheWay * PartBytesAt(this->rate);
 }
 
 std::deque<RequestPacer::WaitingBody>::iterator
@@ -94,9 +90,8 @@
     return std::nullopt;
   }
   const auto next =
-    std::ranges::find_if(this->waiting, [&](const WaitingBody& aBody) {
-      return !isPaced || aBody.grantedBytes - aBody.receivedBytes <
-                           kMaxPartsOnTheWay * PartBytesAt(this->rate);
+    std::ranges::find_if(this->waiting, [this](const WaitingBody& aBody) {
+      return !this->IsPassedOver(aBody);
     });
   if (next == this->waiting.end()) {
     return std::nullopt;
--- a/src/execution/requestpacer.h
+++ b/src/execution/requestpacer.h
@@ -35,11 +35,8 @@
   explicit RequestPacer(double aBytesPerMilli);
 
   /**
-   * Returns by how much a body would be late, or nothing if the call can be
-   * accepted. Half of the time until the target may pass until the body is
-   * there; if the body alone takes longer, half of the time until the deadline,
-   * and if that is too short as well, all of it. Without a backlog, every call
-   * is accepted.
+   * See LatenessOnLink(). A body whose sender does not keep up counts only with
+   * what was granted: the link has time for other bodies meanwhile.
    */
   std::optional<Millis> LatenessOf(std::size_t aBytes,
                                    std::optional<Millis> aTargetAt,
@@ -70,6 +67,9 @@
     std::size_t receivedBytes = 0;
   };
 
+  /** Whether too much of a granted body is not there yet. */
+  bool IsPassedOver(const WaitingBody& aBody) const;
+
   std::deque<WaitingBody>::iterator Find(const std::string& aCallId);
 
   double rate = 0;
--- a/src/execution/requestpacer_test.cpp
+++ b/src/execution/requestpacer_test.cpp
@@ -247,3 +247,20 @@
   pacer.Add("long", 2000000);
   cr_expect(pacer.LatenessOf(kBytes, kTarget, kDeadline, 0).has_value());
 }
+
+// One sender with a slow link must not keep others from an idle destination.
+Test(requestpacer, a_slow_sender_does_not_fill_its_destination)
+{
+  constexpr double kRate = 1000;
+  constexpr std::size_t kBytes = 100000;
+  RequestPacer pacer(kRate);
+  pacer.Add("slow", 6 * kBytes);
+  cr_expect(pacer.LatenessOf(kBytes, kTarget / 2, kDeadline, 0));
+  double now = 0;
+  while (now < 200) { // Nothing of the granted parts arrives.
+    pacer.TakeNext(now);
+    now += kTick;
+  }
+  cr_expect_not(pacer.LatenessOf(
+    kBytes, static_cast<Millis>(now) + kTarget / 2, kDeadline, now));
+}
