Count announced calls that end at their deadline as lost again

Cause: ended a call whose granted parts the own link had not sent as refused by its destination. A live destination ends such a call itself at the deadline, so the branch only met silent ones: a dead daemon was no longer ejected for it, and the refusal without slots counted for its whole failure domain (found by a review, read only).

Change: such a call counts as lost, as before.

--- a/src/execution/entrycallsbodies.cpp
+++ b/src/execution/entrycallsbodies.cpp
@@ -73,20 +73,14 @@
   this->HandleUnsent(attempt.id);
 }
 
-/**
- * Ends such a call at its deadline. The destination counts as silent, unless
- * the own link has not sent what it granted.
- */
+/** Ends such a call at its deadline. The destination counts as silent. */
 void
 EntryCalls::EndAnnounced(const EntryCallPtr& aCall)
 {
-  const bool isOwnDelay =
-    aCall->attempt.grantedBytes > aCall->attempt.sentBytes;
   this->queries.Cancel(aCall->attempt);
   this->openCalls.CloseAttempt(aCall->attempt);
   --aCall->deliveries;
-  this->RecordObservation(
-    *aCall, isOwnDelay ? CallEnd::Refused : CallEnd::Lost, {});
+  this->RecordObservation(*aCall, CallEnd::Lost, {});
   this->RefuseWithReason(aCall, RefusalReason::DeadlinePassed);
 }
 
