Send large requests in turns over the link of their entry daemon

Cause: at each tick the link took the parts of the call that came first in a hash table.

Change: OutgoingLink keeps the bodies in the order of their grants and gives each turns of four parts. The entry daemon refuses at once what the granted parts would make late, by the rule of the destination, and sends nothing after the deadline of a call. The simulation of callschedules gives the hosts links of their own.

--- a/src/execution/callsimulationparts.h
+++ b/src/execution/callsimulationparts.h
@@ -121,11 +121,12 @@
   quarantineConfig.host = host;
   daemon.quarantine = std::make_unique<Quarantine>(quarantineConfig, view);
   this->BuildClaims(daemon);
-  daemon.entry =
-    std::make_unique<EntryCalls>(EntryCallsConfig{ host, daemon.incarnation },
-                                 view,
-                                 SeededRandom(this->random()),
-                                 this->EntryHooks(daemon));
+  EntryCallsConfig entryConfig;
+  entryConfig.host = host;
+  entryConfig.incarnation = daemon.incarnation;
+  entryConfig.requestBytesPerMilli = 300;
+  daemon.entry = std::make_unique<EntryCalls>(
+    entryConfig, view, SeededRandom(this->random()), this->EntryHooks(daemon));
   DestinationCallsConfig config;
   config.host = host;
   config.incarnation = daemon.incarnation;
--- a/src/execution/entrycalls.cpp
+++ b/src/execution/entrycalls.cpp
@@ -175,6 +175,10 @@
     this->Refuse(aCall, this->limitMemory.RefusalFor(*aCall));
     return;
   }
+  if (const auto refusal = this->CheckOwnLink(*aCall, choice->endpoint)) {
+    this->Refuse(aCall, *refusal);
+    return;
+  }
   this->StartAttemptAt(aCall, *choice);
 }
 
@@ -186,7 +190,7 @@
   ++aCall->attempts;
   aCall->attempt.endpoint = aChoice.endpoint;
   aCall->attempt.startedAt = this->clock.PreciseNow();
-  aCall->attempt.isAnnounced = this->MustAnnounce(*aCall);
+  aCall->attempt.isAnnounced = this->MustAnnounce(*aCall, aChoice.endpoint);
   aCall->attempt.grantedBytes = 0;
   aCall->attempt.sentBytes = 0;
   aCall->triedEndpoints.insert(KeyOfEndpoint(aChoice.endpoint));
@@ -318,6 +322,7 @@
   std::ranges::for_each(
     this->openCalls.All(),
     [this](const EntryCallPtr& aCall) { this->CheckTimeLimits(aCall); });
+  this->SendParts();
   this->StartSecondAttempts();
 }
 
@@ -344,8 +349,6 @@
   if (!isOver) {
     if (isQuerying) {
       this->queries.Repeat(*aCall);
-    } else {
-      this->SendGrantedParts(*aCall);
     }
     return;
   }
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -199,9 +199,13 @@
   void RecordForRollout(const EntryCall& aCall,
                         CallEnd aEnd,
                         const wire::CallAnswer& aAnswer);
-  bool MustAnnounce(const EntryCall& aCall) const;
+  bool MustAnnounce(const EntryCall& aCall,
+                    const EndpointInfo& aEndpoint) const;
+  std::optional<Refusal> CheckOwnLink(const EntryCall& aCall,
+                                      const EndpointInfo& aEndpoint) const;
   bool Dispatch(const EntryCall& aCall);
-  void SendGrantedParts(EntryCall& aCall);
+  void SendParts();
+  bool SendPart(EntryCall& aCall, const OutgoingPart& aPart);
   void GiveUpAnnounced(const EntryCall& aCall);
   void EndAnnounced(const EntryCallPtr& aCall);
   bool SendTo(const EndpointInfo& aEndpoint, wire::Envelope aEnvelope);
--- a/src/execution/entrycallsbodies.cpp
+++ b/src/execution/entrycallsbodies.cpp
@@ -11,12 +11,40 @@
 
 /** Whether the body is sent only when the destination's link has room. */
 bool
-EntryCalls::MustAnnounce(const EntryCall& aCall) const
+EntryCalls::MustAnnounce(const EntryCall& aCall,
+                         const EndpointInfo& aEndpoint) const
 {
   const std::size_t bytes = aCall.http.body.size();
   return aCall.entry->hasLargeRequests && bytes >= kMinLargeBytes &&
-         bytes <= kMaxEntryBodyBytes &&
-         aCall.attempt.endpoint.host != this->config.host;
+         bytes <= kMaxEntryBodyBytes && aEndpoint.host != this->config.host;
+}
+
+/** Refuses a call whose body would leave this host too late. */
+std::optional<Refusal>
+EntryCalls::CheckOwnLink(const EntryCall& aCall,
+                         const EndpointInfo& aEndpoint) const
+{
+  if (!this->MustAnnounce(aCall, aEndpoint)) {
+    return std::nullopt;
+  }
+  std::optional<Millis> targetAt;
+  if (aCall.entry->limits.target > 0) {
+    targetAt = aCall.targetAt;
+  }
+  const Millis deadlineAt = this->EndOf(aCall);
+  const auto lateness = this->outgoingLink.LatenessOf(
+    aCall.http.body.size(), targetAt, deadlineAt, this->clock.PreciseNow());
+  if (!lateness) {
+    return std::nullopt;
+  }
+  Refusal refusal;
+  refusal.reason = RefusalReason::LinkFull;
+  refusal.entry = aCall.entry->name;
+  refusal.owner = aCall.entry->owner;
+  refusal.bound = targetAt.value_or(deadlineAt) - this->clock.Now();
+  refusal.seen = refusal.bound + *lateness;
+  refusal.retryAfter = *lateness;
+  return refusal;
 }
 
 void
@@ -29,36 +57,53 @@
   }
   const auto granted =
     std::min(static_cast<std::size_t>(aGrant.bytes), call->http.body.size());
-  call->attempt.grantedBytes = std::max(call->attempt.grantedBytes, granted);
-  this->SendGrantedParts(*call);
+  std::size_t& known = call->attempt.grantedBytes;
+  if (granted > known) {
+    this->outgoingLink.Add(aGrant.callId, granted - known);
+    known = granted;
+  }
+  this->SendParts();
 }
 
 /**
  * Sends what the own link has room for. The rest, and what the ring buffer to
- * the peer thread refuses, is sent at a later tick.
+ * the peer thread refuses, is sent at a later tick. After the deadline, the
+ * call can only end as not run while a part is missing.
  */
 void
-EntryCalls::SendGrantedParts(EntryCall& aCall)
+EntryCalls::SendParts()
 {
-  Attempt& attempt = aCall.attempt;
-  const double now = this->clock.PreciseNow();
-  const std::size_t bytes =
-    this->outgoingLink.RoomFor(attempt.grantedBytes - attempt.sentBytes, now);
-  if (bytes == 0) {
-    return;
+  const Millis now = this->clock.Now();
+  this->outgoingLink.RemoveIf([this, now](const std::string& aAttemptId) {
+    const EntryCallPtr call = this->openCalls.FindAttempt(aAttemptId);
+    return !call || call->attempt.id != aAttemptId || now >= this->EndOf(*call);
+  });
+  const double preciseNow = this->clock.PreciseNow();
+  while (const auto part = this->outgoingLink.Next(preciseNow)) {
+    if (!this->SendPart(*this->openCalls.FindAttempt(part->attemptId), *part)) {
+      return;
+    }
+    this->outgoingLink.RecordSent(*part, preciseNow);
   }
+}
+
+bool
+EntryCalls::SendPart(EntryCall& aCall, const OutgoingPart& aPart)
+{
+  Attempt& attempt = aCall.attempt;
   wire::BodyPart part;
   part.callId = attempt.id;
   part.offset = static_cast<std::int64_t>(attempt.sentBytes);
-  part.data = aCall.http.body.substr(attempt.sentBytes, bytes);
+  part.data = aCall.http.body.substr(attempt.sentBytes, aPart.bytes);
   wire::Envelope envelope;
   // Assigns the field directly, because the generated setter copies the data.
   envelope.bodyPart = std::move(part);
   envelope.__isset.bodyPart = true;
-  if (this->SendTo(attempt.endpoint, std::move(envelope))) {
-    attempt.sentBytes += bytes;
-    this->outgoingLink.RecordSent(bytes, now);
+  if (!this->SendTo(attempt.endpoint, std::move(envelope))) {
+    return false;
   }
+  attempt.sentBytes += aPart.bytes;
+  return true;
 }
 
 /**
--- a/src/execution/largerequests_test.cpp
+++ b/src/execution/largerequests_test.cpp
@@ -407,3 +407,57 @@
   fleet.Advance(250);
   cr_expect_eq(fleet.runs.size(), kRequests);
 }
+
+// A call must not be overtaken by all that come after it, or it would end at
+// its deadline although the link carries others.
+Test(largerequests, bodies_leave_in_the_order_of_their_grants)
+{
+  constexpr RequestId kRequests = 5;
+  constexpr std::size_t kBytes = 40000; // Less than a turn.
+  LargeRequestFleet fleet(0, kBytesPerMilli);
+  for (RequestId request = 1; request <= kRequests; ++request) {
+    fleet.Begin(request, kBytes);
+    fleet.Deliver();
+  }
+  fleet.Advance(300);
+  cr_assert_eq(fleet.runs.size(), kRequests);
+  for (RequestId request = 1; request <= kRequests; ++request) {
+    cr_expect(fleet.runs[request - 1].request.body ==
+                LargeRequestFleet::BodyOf(request, kBytes),
+              "%lu",
+              request);
+  }
+}
+
+// A small body must not wait for all of a huge one that came before it.
+Test(largerequests, a_small_body_does_not_wait_for_a_huge_one)
+{
+  LargeRequestFleet fleet(0, kBytesPerMilli);
+  fleet.Begin(1, 1000000);
+  fleet.Deliver();
+  fleet.Advance(50);
+  fleet.Begin(2, 20000);
+  fleet.Advance(120);
+  cr_assert_eq(fleet.runs.size(), 1U);
+  cr_expect_eq(fleet.runs[0].request.body.size(), 20000U);
+  fleet.Advance(1000);
+  cr_expect_eq(fleet.runs.size(), 2U);
+}
+
+// What the own link cannot send in time must be refused at once, as not run.
+Test(largerequests, what_the_own_link_cannot_send_is_refused_at_once)
+{
+  LargeRequestFleet fleet(0, kBytesPerMilli);
+  constexpr RequestId kRequests = 12;
+  for (RequestId request = 1; request <= kRequests; ++request) {
+    fleet.Begin(request);
+    fleet.Deliver();
+  }
+  const HttpAnswer& last = fleet.entry.answers.at(kRequests);
+  cr_expect_eq(last.status, 503);
+  cr_expect(last.headers.contains("Retry-After"));
+  cr_expect_eq(fleet.entry.OutcomeOf(kRequests), "not-run");
+  const std::size_t refused = fleet.entry.answers.size();
+  fleet.Advance(500);
+  cr_expect_eq(fleet.runs.size(), kRequests - refused);
+}
--- a/src/execution/linkparts.h
+++ b/src/execution/linkparts.h
@@ -9,7 +9,7 @@
 // for less than 14 ms.
 inline constexpr std::size_t kMinLargeBytes = 16384;
 
-// A small message waits behind at most about one part, so a part must be short
+// A small message waits behind one or two parts, so a part must be short
 // compared with the time limits of callers. Shorter parts would cost more
 // messages.
 inline constexpr double kPartMillis = 15;
--- a/src/execution/outgoinglink.cpp
+++ b/src/execution/outgoinglink.cpp
@@ -1,34 +1,107 @@
 #include "execution/outgoinglink.h"
 
+#include "execution/linklateness.h"
 #include "execution/linkparts.h"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace lacewingwharf {
 
+namespace {
+
+// Bodies of up to 60 ms of the link are sent in the order of their grants.
+constexpr std::size_t kPartsInTurn = 4;
+
+} // namespace
+
 OutgoingLink::OutgoingLink(double aBytesPerMilli)
   : rate(aBytesPerMilli)
 {
 }
 
-std::size_t
-OutgoingLink::RoomFor(std::size_t aBytes, double aNow) const
+std::optional<Millis>
+OutgoingLink::LatenessOf(std::size_t aBytes,
+                         std::optional<Millis> aTargetAt,
+                         Millis aDeadlineAt,
+                         double aNow) const
 {
   if (this->rate <= 0) {
-    return aBytes;
+    return std::nullopt;
   }
-  return this->freeAt > aNow + kLinkLeadMillis
-           ? 0
-           : std::min(aBytes, PartBytesAt(this->rate));
+  // Other bodies go first with at most as many turns as this one needs.
+  const std::size_t turn = kPartsInTurn * PartBytesAt(this->rate);
+  const std::size_t turnBytes = (aBytes + turn - 1) / turn * turn;
+  const auto bytesBefore =
+    std::accumulate(this->waiting.begin(),
+                    this->waiting.end(),
+                    std::size_t{ 0 },
+                    [turnBytes](std::size_t aSum, const Body& aBody) {
+                      return aSum + std::min(aBody.bytes, turnBytes);
+                    });
+  const LinkTimes times{ std::max(0.0, this->freeAt - aNow) +
+                           static_cast<double>(bytesBefore) / this->rate,
+                         static_cast<double>(aBytes) / this->rate };
+  return LatenessOnLink(times, aTargetAt, aDeadlineAt, aNow);
 }
 
 void
-OutgoingLink::RecordSent(std::size_t aBytes, double aNow)
+OutgoingLink::Add(const std::string& aAttemptId, std::size_t aBytes)
+{
+  const auto body =
+    std::ranges::find(this->waiting, aAttemptId, &Body::attemptId);
+  if (body != this->waiting.end()) {
+    body->bytes += aBytes;
+  } else if (aBytes > 0) {
+    this->waiting.push_back({ aAttemptId, aBytes, 0 });
+  }
+}
+
+void
+OutgoingLink::RemoveIf(const std::function<bool(const std::string&)>& aHasEnded)
+{
+  std::erase_if(this->waiting, [&aHasEnded](const Body& aBody) {
+    return aHasEnded(aBody.attemptId);
+  });
+}
+
+std::optional<OutgoingPart>
+OutgoingLink::Next(double aNow) const
+{
+  if (this->waiting.empty()) {
+    return std::nullopt;
+  }
+  const Body& body = this->waiting.front();
+  if (this->rate <= 0) {
+    return OutgoingPart{ body.attemptId, body.bytes };
+  }
+  if (this->freeAt > aNow + kLinkLeadMillis) {
+    return std::nullopt;
+  }
+  return OutgoingPart{ body.attemptId,
+                       std::min(body.bytes, PartBytesAt(this->rate)) };
+}
+
+void
+OutgoingLink::RecordSent(const OutgoingPart& aPart, double aNow)
 {
   if (this->rate > 0) {
-    this->freeAt =
-      std::max(this->freeAt, aNow) + static_cast<double>(aBytes) / this->rate;
+    this->freeAt = std::max(this->freeAt, aNow) +
+                   static_cast<double>(aPart.bytes) / this->rate;
+  }
+  Body body = std::move(this->waiting.front());
+  this->waiting.pop_front();
+  body.bytes -= aPart.bytes;
+  if (body.bytes == 0) {
+    return;
+  }
+  if (++body.partsInTurn < kPartsInTurn) {
+    this->waiting.push_front(std::move(body));
+    return;
   }
+  body.partsInTurn = 0;
+  this->waiting.push_back(std::move(body));
 }
 
 } // namespace lacewingwharf
