--- a/src/daemon/callsserviceconfig.cpp
+++ b/src/daemon/callsserviceconfig.cpp
@@ -24,8 +24,10 @@
 
 constexpr double kBytesPerMilliOfMbit = 125; // Of 1 Mbit/s.
 
-// Share of the host's link, in each direction, for large answers and requests.
-// The rest is for small ones, messages between daemons and headers of packets.
+// Share of the host's link for large answers, and for large requests in each
+// direction. The rest is for small ones, messages between daemons and headers
+// of packets. Outgoing answers and requests do not share it, see
+// docs/design/large-requests.md.
 constexpr double kLinkShareOfLargeBodies = 0.85;
 
 /** Returns 0 if the rate of the link is not known. */
