--- a/src/proxy/callermemoryserver_test.cpp
+++ b/src/proxy/callermemoryserver_test.cpp
@@ -178,7 +178,7 @@
 // of it with it when it is refused.
 Test(callermemoryserver, a_refused_body_leaves_the_requests_ahead_of_it)
 {
-  constexpr std::size_t kPart = 600 * 1024;
+  constexpr std::size_t kPart = 600UL * 1024;
   PipelineFixture fixture(WithMemory(Total(4 * kMegabyte)));
   Socket socket = fixture.Send(Get("/1") + Get("/2"));
   fixture.ExpectRequests(2);
