Forget ended bodies before the own link refuses a call

- What a lost session had left unsent counted as before the same call's next attempt, so that it was refused (link-full, not run).
The link now forgets ended bodies before it decides, also those of callers that left.

The design names what stays open: several slow senders at one destination, and a server on the same host, which the refusal does not look for.

Tests: largerequests/a_lost_session_frees_the_own_link, outgoinglink/a_refused_body_fits_after_its_retry_time; the refusal's reason is checked.

--- a/src/admission/refusal.h
+++ b/src/admission/refusal.h
@@ -21,7 +21,7 @@
   BodyBytes,
   QueueFull,
   QueueWait,
-  LinkFull, // The link of the host would deliver the answer too late.
+  LinkFull, // The link of a host would deliver the request or answer too late.
   DeadlinePassed,
   Displaced,
   Draining,
--- a/src/execution/entrycalls.h
+++ b/src/execution/entrycalls.h
@@ -202,9 +202,10 @@
   bool MustAnnounce(const EntryCall& aCall,
                     const EndpointInfo& aEndpoint) const;
   std::optional<Refusal> CheckOwnLink(const EntryCall& aCall,
-                                      const EndpointInfo& aEndpoint) const;
+                                      const EndpointInfo& aEndpoint);
   bool Dispatch(const EntryCall& aCall);
   void SendParts();
+  void ForgetEndedBodies();
   bool SendPart(EntryCall& aCall, const OutgoingPart& aPart);
   void GiveUpAnnounced(const EntryCall& aCall);
   void EndAnnounced(const EntryCallPtr& aCall);
--- a/src/execution/entrycallsbodies.cpp
+++ b/src/execution/entrycallsbodies.cpp
@@ -21,19 +21,21 @@
 
 /** Refuses a call whose body would leave this host too late. */
 std::optional<Refusal>
-EntryCalls::CheckOwnLink(const EntryCall& aCall,
-                         const EndpointInfo& aEndpoint) const
+EntryCalls::CheckOwnLink(const EntryCall& aCall, const EndpointInfo& aEndpoint)
 {
   if (!this->MustAnnounce(aCall, aEndpoint)) {
     return std::nullopt;
   }
+  // What an earlier attempt has left unsent must not count.
+  this->ForgetEndedBodies();
   std::optional<Millis> targetAt;
   if (aCall.entry->limits.target > 0) {
     targetAt = aCall.targetAt;
   }
   const Millis deadlineAt = this->EndOf(aCall);
+  const std::size_t bytes = aCall.http.body.size();
   const auto lateness = this->outgoingLink.LatenessOf(
-    aCall.http.body.size(), targetAt, deadlineAt, this->clock.PreciseNow());
+    bytes, targetAt, deadlineAt, this->clock.PreciseNow());
   if (!lateness) {
     return std::nullopt;
   }
@@ -43,7 +45,7 @@
   refusal.owner = aCall.entry->owner;
   refusal.bound = targetAt.value_or(deadlineAt) - this->clock.Now();
   refusal.seen = refusal.bound + *lateness;
-  refusal.retryAfter = *lateness;
+  refusal.retryAfter = this->outgoingLink.RetryAfter(bytes, *lateness);
   return refusal;
 }
 
@@ -73,11 +75,7 @@
 void
 EntryCalls::SendParts()
 {
-  const Millis now = this->clock.Now();
-  this->outgoingLink.RemoveIf([this, now](const std::string& aAttemptId) {
-    const EntryCallPtr call = this->openCalls.FindAttempt(aAttemptId);
-    return !call || call->attempt.id != aAttemptId || now >= this->EndOf(*call);
-  });
+  this->ForgetEndedBodies();
   const double preciseNow = this->clock.PreciseNow();
   while (const auto part = this->outgoingLink.Next(preciseNow)) {
     if (!this->SendPart(*this->openCalls.FindAttempt(part->attemptId), *part)) {
@@ -87,6 +85,17 @@
   }
 }
 
+void
+EntryCalls::ForgetEndedBodies()
+{
+  const Millis now = this->clock.Now();
+  this->outgoingLink.RemoveIf([this, now](const std::string& aAttemptId) {
+    const EntryCallPtr call = this->openCalls.FindAttempt(aAttemptId);
+    return !call || call->attempt.id != aAttemptId || call->hasCallerLeft ||
+           now >= this->EndOf(*call);
+  });
+}
+
 bool
 EntryCalls::SendPart(EntryCall& aCall, const OutgoingPart& aPart)
 {
--- a/src/execution/largerequests_test.cpp
+++ b/src/execution/largerequests_test.cpp
@@ -455,9 +455,22 @@
   }
   const HttpAnswer& last = fleet.entry.answers.at(kRequests);
   cr_expect_eq(last.status, 503);
+  cr_expect_eq(last.headers.find("Lacewingwharf-Reason")->second, "link-full");
   cr_expect(last.headers.contains("Retry-After"));
   cr_expect_eq(fleet.entry.OutcomeOf(kRequests), "not-run");
   const std::size_t refused = fleet.entry.answers.size();
   fleet.Advance(500);
   cr_expect_eq(fleet.runs.size(), kRequests - refused);
 }
+
+// What an attempt has left unsent must not keep its call from another daemon.
+Test(largerequests, a_lost_session_frees_the_own_link)
+{
+  LargeRequestFleet fleet(0, kBytesPerMilli);
+  fleet.Begin(1, 2 * kLargeBytes);
+  const PeerAddress first = fleet.entry.sent.back().first;
+  fleet.Deliver();
+  fleet.entry.calls->HandleSessionLost(first, true, {});
+  fleet.Advance(1000);
+  cr_expect_eq(fleet.runs.size(), 1U);
+}
--- a/src/execution/outgoinglink.cpp
+++ b/src/execution/outgoinglink.cpp
@@ -4,6 +4,7 @@
 #include "execution/linkparts.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <utility>
 
@@ -30,22 +31,46 @@
   if (this->rate <= 0) {
     return std::nullopt;
   }
-  // Other bodies go first with at most as many turns as this one needs.
-  const std::size_t turn = kPartsInTurn * PartBytesAt(this->rate);
-  const std::size_t turnBytes = (aBytes + turn - 1) / turn * turn;
-  const auto bytesBefore =
-    std::accumulate(this->waiting.begin(),
-                    this->waiting.end(),
-                    std::size_t{ 0 },
-                    [turnBytes](std::size_t aSum, const Body& aBody) {
-                      return aSum + std::min(aBody.bytes, turnBytes);
-                    });
   const LinkTimes times{ std::max(0.0, this->freeAt - aNow) +
-                           static_cast<double>(bytesBefore) / this->rate,
+                           static_cast<double>(this->BytesBefore(aBytes)) /
+                             this->rate,
                          static_cast<double>(aBytes) / this->rate };
   return LatenessOnLink(times, aTargetAt, aDeadlineAt, aNow);
 }
 
+Millis
+OutgoingLink::RetryAfter(std::size_t aBytes, Millis aLateness) const
+{
+  // A huge body delays others by the same turn until most of it is sent.
+  const auto bytes =
+    static_cast<double>(this->WaitingBytes() - this->BytesBefore(aBytes));
+  return aLateness + static_cast<Millis>(std::ceil(bytes / this->rate));
+}
+
+/** Other bodies go first with at most as many turns as this one needs. */
+std::size_t
+OutgoingLink::BytesBefore(std::size_t aBytes) const
+{
+  const std::size_t turn = kPartsInTurn * PartBytesAt(this->rate);
+  const std::size_t turnBytes = (aBytes + turn - 1) / turn * turn;
+  return std::accumulate(this->waiting.begin(),
+                         this->waiting.end(),
+                         std::size_t{ 0 },
+                         [turnBytes](std::size_t aSum, const Body& aBody) {
+                           return aSum + std::min(aBody.bytes, turnBytes);
+                         });
+}
+
+std::size_t
+OutgoingLink::WaitingBytes() const
+{
+  return std::accumulate(
+    this->waiting.begin(),
+    this->waiting.end(),
+    std::size_t{ 0 },
+    [](std::size_t aSum, const Body& aBody) { return aSum + aBody.bytes; });
+}
+
 void
 OutgoingLink::Add(const std::string& aAttemptId, std::size_t aBytes)
 {
--- a/src/execution/outgoinglink.h
+++ b/src/execution/outgoinglink.h
@@ -38,6 +38,9 @@
                                    Millis aDeadlineAt,
                                    double aNow) const;
 
+  /** Returns when a body that would be late by so much would no longer be. */
+  Millis RetryAfter(std::size_t aBytes, Millis aLateness) const;
+
   /** Adds bytes of a body that its destination has granted. */
   void Add(const std::string& aAttemptId, std::size_t aBytes);
 
@@ -58,6 +61,9 @@
     std::size_t partsInTurn = 0; // Sent since its turn began.
   };
 
+  std::size_t BytesBefore(std::size_t aBytes) const;
+  std::size_t WaitingBytes() const;
+
   double rate = 0;
   double freeAt = 0; // When the link will have sent what it was given.
   std::deque<Body> waiting;
--- a/src/execution/outgoinglink_test.cpp
+++ b/src/execution/outgoinglink_test.cpp
@@ -79,6 +79,23 @@
   cr_expect_eq(link.LatenessOf(20000, 100, kDeadline, 0).value_or(0), 30);
 }
 
+// The caller of a refused call must not come back too early: a huge body delays
+// a small one by the same turn until most of it is sent.
+Test(outgoinglink, a_refused_body_fits_after_its_retry_time)
+{
+  constexpr Millis kDeadline = 5000;
+  OutgoingLink link(kBytesPerMilli);
+  link.Add("huge", 1000000);
+  link.Add("other", 300000);
+  const auto lateness = link.LatenessOf(20000, 100, kDeadline, 0);
+  cr_assert(lateness);
+  const Millis later = link.RetryAfter(20000, *lateness);
+  cr_expect_lt(later, 1400);
+  SendUntil(link, 0, static_cast<double>(later));
+  const auto now = static_cast<double>(later);
+  cr_expect_not(link.LatenessOf(20000, later + 100, later + kDeadline, now));
+}
+
 // Where the rate of the link is not known, nothing may wait or be refused.
 Test(outgoinglink, without_a_rate_bodies_leave_at_once)
 {
