Ask each seed once before one is asked again

With seeds of four failure domains, 2 of 11 are of its own, and host-04 had found none of them when the test gave up after 20 s. Without a network, 10 of 45 such fleets were not complete after 15 s.

Change: no seed is asked again before all unknown ones were.

--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -129,6 +130,7 @@
   void SendSync(const PeerAddress& aTo);
   std::vector<PeerAddress> Seeds() const;
   std::vector<PeerAddress> UnknownSeeds() const;
+  std::optional<PeerAddress> NextSeed();
   std::optional<PeerAddress> RandomMember(wire::MemberState::type aState) const;
   std::optional<PeerAddress> SyncPartner() const;
   void HandleSync(SessionId aSession, const wire::MemberSync& aSync);
@@ -150,6 +152,7 @@
   MemberSyncer syncer;
   Gossip gossip;
   SummaryExchange exchange;
+  std::set<PeerAddress> triedSeeds;
   Millis startedAt = 0;
   Millis prunedAt = 0;
   bool isComplete = false;       // All members of the own group are known.
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -385,3 +385,28 @@
     }
   }
 }
+
+// Daemons that start together with seeds of all failure domains must find those
+// of their own. Chosen at random each time, the seeds of other domains could
+// keep one alone for more than 20 s.
+Test(membership, daemons_find_their_domain_among_seeds_of_all)
+{
+  constexpr std::uint64_t kFleets = 300;
+  constexpr std::size_t kDomains = 4;
+  constexpr std::size_t kDaemons = 12;
+  constexpr Millis kLimit = 15000;
+  for (std::uint64_t seed = 1; seed <= kFleets; ++seed) {
+    MemoryNetwork network(seed);
+    for (std::size_t node = 0; node < kDaemons; ++node) {
+      network.Add("north", fmt::format("domain-{}", node % kDomains), kDaemons);
+    }
+    network.Run(kLimit);
+    for (std::size_t node = 0; node < kDaemons; ++node) {
+      cr_expect_eq(network.At(node).Table().LiveHosts().size(),
+                   kDaemons / kDomains,
+                   "fleet %lu, node %zu",
+                   seed,
+                   node);
+    }
+  }
+}
--- a/src/membership/membershipsync.cpp
+++ b/src/membership/membershipsync.cpp
@@ -6,6 +6,7 @@
 #include "membership/wiresize.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
@@ -119,12 +120,36 @@
   if (const auto dead = this->RandomMember(wire::MemberState::DEAD)) {
     this->SendSync(*dead);
   }
-  const auto seeds = this->UnknownSeeds();
-  if (!seeds.empty()) {
-    this->SendSync(seeds[RandomBelow(this->random, seeds.size())]);
+  if (const auto seed = this->NextSeed()) {
+    this->SendSync(*seed);
   }
 }
 
+/**
+ * A random seed that is not a known member. None is chosen again before all
+ * were, because most may be of other failure domains.
+ */
+std::optional<PeerAddress>
+Membership::NextSeed()
+{
+  const auto unknown = this->UnknownSeeds();
+  if (unknown.empty()) {
+    return std::nullopt;
+  }
+  std::vector<PeerAddress> left;
+  std::ranges::copy_if(
+    unknown, std::back_inserter(left), [this](const PeerAddress& aSeed) {
+      return !this->triedSeeds.contains(aSeed);
+    });
+  if (left.empty()) {
+    this->triedSeeds.clear();
+    left = unknown;
+  }
+  const PeerAddress seed = left[RandomBelow(this->random, left.size())];
+  this->triedSeeds.insert(seed);
+  return seed;
+}
+
 void
 Membership::SendSync(const PeerAddress& aTo)
 {
