Name the time until a refused body fits on the own link

Retry-After now follows from the sizes: bodies take turns, so the shorter ones end first. What paced destinations will still grant is not known (open, in the design).

Tests: outgoinglink/a_refused_body_fits_after_its_retry_time with more bodies, ownlinkrequests/a_caller_that_leaves_frees_the_own_link.

--- a/src/execution/outgoinglink.cpp
+++ b/src/execution/outgoinglink.cpp
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <numeric>
 #include <utility>
+#include <vector>
 
 namespace lacewingwharf {
 
@@ -41,18 +43,46 @@
 Millis
 OutgoingLink::RetryAfter(std::size_t aBytes, Millis aLateness) const
 {
-  // A huge body delays others by the same turn until most of it is sent.
-  const auto bytes =
-    static_cast<double>(this->WaitingBytes() - this->BytesBefore(aBytes));
-  return aLateness + static_cast<Millis>(std::ceil(bytes / this->rate));
+  // Bodies take turns, so each ends when what is shorter, and as much of every
+  // longer one, is sent. A body delays others by the same turns until then.
+  std::vector<double> sizes;
+  std::ranges::transform(
+    this->waiting, std::back_inserter(sizes), [](const Body& aBody) {
+      return static_cast<double>(aBody.bytes);
+    });
+  std::ranges::sort(sizes);
+  const double tooMany = static_cast<double>(aLateness) * this->rate;
+  const double turns = static_cast<double>(this->TurnBytes(aBytes));
+  double gone = 0;  // Of the turns before the body.
+  double sent = 0;  // Of the bodies that have ended.
+  double bytes = 0; // That are sent when enough turns are gone.
+  auto left = static_cast<double>(sizes.size());
+  for (const double size : sizes) {
+    bytes = sent + size * left;
+    gone += std::min(size, turns);
+    sent += size;
+    --left;
+    if (gone >= tooMany) {
+      break;
+    }
+  }
+  return std::max(aLateness,
+                  static_cast<Millis>(std::ceil(bytes / this->rate)));
+}
+
+/** The bytes of the turns that a body needs. */
+std::size_t
+OutgoingLink::TurnBytes(std::size_t aBytes) const
+{
+  const std::size_t turn = kPartsInTurn * PartBytesAt(this->rate);
+  return (aBytes + turn - 1) / turn * turn;
 }
 
 /** Other bodies go first with at most as many turns as this one needs. */
 std::size_t
 OutgoingLink::BytesBefore(std::size_t aBytes) const
 {
-  const std::size_t turn = kPartsInTurn * PartBytesAt(this->rate);
-  const std::size_t turnBytes = (aBytes + turn - 1) / turn * turn;
+  const std::size_t turnBytes = this->TurnBytes(aBytes);
   return std::accumulate(this->waiting.begin(),
                          this->waiting.end(),
                          std::size_t{ 0 },
@@ -61,16 +91,6 @@
                          });
 }
 
-std::size_t
-OutgoingLink::WaitingBytes() const
-{
-  return std::accumulate(
-    this->waiting.begin(),
-    this->waiting.end(),
-    std::size_t{ 0 },
-    [](std::size_t aSum, const Body& aBody) { return aSum + aBody.bytes; });
-}
-
 void
 OutgoingLink::Add(const std::string& aAttemptId, std::size_t aBytes)
 {
--- a/src/execution/outgoinglink.h
+++ b/src/execution/outgoinglink.h
@@ -38,7 +38,10 @@
                                    Millis aDeadlineAt,
                                    double aNow) const;
 
-  /** Returns when a body that would be late by so much would no longer be. */
+  /**
+   * Returns when a body that would be late by so much would no longer be, if
+   * nothing more is granted.
+   */
   Millis RetryAfter(std::size_t aBytes, Millis aLateness) const;
 
   /** Adds bytes of a body that its destination has granted. */
@@ -61,8 +64,8 @@
     std::size_t partsInTurn = 0; // Sent since its turn began.
   };
 
+  std::size_t TurnBytes(std::size_t aBytes) const;
   std::size_t BytesBefore(std::size_t aBytes) const;
-  std::size_t WaitingBytes() const;
 
   double rate = 0;
   double freeAt = 0; // When the link will have sent what it was given.
--- a/src/execution/outgoinglink_test.cpp
+++ b/src/execution/outgoinglink_test.cpp
@@ -79,21 +79,41 @@
   cr_expect_eq(link.LatenessOf(20000, 100, kDeadline, 0).value_or(0), 30);
 }
 
-// The caller of a refused call must not come back too early: a huge body delays
-// a small one by the same turn until most of it is sent.
-Test(outgoinglink, a_refused_body_fits_after_its_retry_time)
+namespace {
+
+/** Expects that a refused body fits after its retry time. */
+void
+ExpectRoomAfterRetry(const std::vector<std::size_t>& aSizes,
+                     Millis aTarget,
+                     Millis aLatest)
 {
   constexpr Millis kDeadline = 5000;
+  constexpr std::size_t kBytes = 20000;
   OutgoingLink link(kBytesPerMilli);
-  link.Add("huge", 1000000);
-  link.Add("other", 300000);
-  const auto lateness = link.LatenessOf(20000, 100, kDeadline, 0);
+  for (std::size_t i = 0; i < aSizes.size(); ++i) {
+    link.Add(std::to_string(i), aSizes[i]);
+  }
+  const auto lateness = link.LatenessOf(kBytes, aTarget, kDeadline, 0);
   cr_assert(lateness);
-  const Millis later = link.RetryAfter(20000, *lateness);
-  cr_expect_lt(later, 1400);
-  SendUntil(link, 0, static_cast<double>(later));
+  const Millis later = link.RetryAfter(kBytes, *lateness);
+  cr_expect_leq(later, aLatest, "%ld", static_cast<long>(later));
   const auto now = static_cast<double>(later);
-  cr_expect_not(link.LatenessOf(20000, later + 100, later + kDeadline, now));
+  SendUntil(link, 0, now);
+  cr_expect_not(
+    link.LatenessOf(kBytes, later + aTarget, later + kDeadline, now));
+}
+
+} // namespace
+
+// The caller of a refused call must not come back too early: a huge body delays
+// a small one by the same turn until most of it is sent. Nor too late: the end
+// of a shorter one may be enough.
+Test(outgoinglink, a_refused_body_fits_after_its_retry_time)
+{
+  ExpectRoomAfterRetry({ 1000000 }, 100, 1000);
+  ExpectRoomAfterRetry({ 1000000, 300000 }, 100, 1300);
+  ExpectRoomAfterRetry({ 4000000, 40000, 100000 }, 200, 240);
+  ExpectRoomAfterRetry({ 60000, 60000, 60000 }, 100, 180);
 }
 
 // Where the rate of the link is not known, nothing may wait or be refused.
--- a/src/execution/ownlinkrequests_test.cpp
+++ b/src/execution/ownlinkrequests_test.cpp
@@ -93,3 +93,19 @@
   fleet.Advance(1000);
   cr_expect_eq(fleet.runs.size(), 1U);
 }
+
+// A body of a caller that has left must not keep others from the link, even if
+// its destination does not answer the cancel.
+Test(ownlinkrequests, a_caller_that_leaves_frees_the_own_link)
+{
+  LargeRequestFleet fleet(0, kBytesPerMilli);
+  fleet.Begin(1, 2 * kLargeBytes);
+  fleet.Deliver();
+  fleet.entry.calls->CallerLeft(1);
+  fleet.entry.sent.clear();
+  fleet.Begin(2, 2 * kLargeBytes);
+  fleet.Advance(1000);
+  cr_assert_eq(fleet.runs.size(), 1U);
+  cr_expect(fleet.runs[0].request.body ==
+            LargeRequestFleet::BodyOf(2, 2 * kLargeBytes));
+}
--- a/src/membership/membershipsync.cpp
+++ b/src/membership/membershipsync.cpp
@@ -134,6 +134,7 @@
 {
   const auto unknown = this->UnknownSeeds();
   if (unknown.empty()) {
+    this->triedSeeds.clear();
     return std::nullopt;
   }
   std::vector<PeerAddress> left;
