Rename what a newcomer would have to guess in the pacing of requests

Cause: a local waitingBytes hid the member of that name; the sums behind Retry-After (gone, sent, left) did not say of what; the rate of the simulated entry links and the set of tried seeds had no reason.

Change: names and comments only, no decision. The test of a lost session also checks that the call goes to the other daemon.

--- a/src/execution/callsimulationparts.h
+++ b/src/execution/callsimulationparts.h
@@ -124,7 +124,7 @@
   EntryCallsConfig entryConfig;
   entryConfig.host = host;
   entryConfig.incarnation = daemon.incarnation;
-  entryConfig.requestBytesPerMilli = 300;
+  entryConfig.requestBytesPerMilli = 300; // Slower than the destinations.
   daemon.entry = std::make_unique<EntryCalls>(
     entryConfig, view, SeededRandom(this->random()), this->EntryHooks(daemon));
   DestinationCallsConfig config;
--- a/src/execution/entrycallsbodies.cpp
+++ b/src/execution/entrycallsbodies.cpp
@@ -85,6 +85,7 @@
   }
 }
 
+/** Drops what the own link will not send: its calls ended, or soon will. */
 void
 EntryCalls::ForgetEndedBodies()
 {
--- a/src/execution/outgoinglink.cpp
+++ b/src/execution/outgoinglink.cpp
@@ -51,23 +51,23 @@
       return static_cast<double>(aBody.bytes);
     });
   std::ranges::sort(sizes);
-  const double tooMany = static_cast<double>(aLateness) * this->rate;
-  const double turns = static_cast<double>(this->TurnBytes(aBytes));
-  double gone = 0;  // Of the turns before the body.
-  double sent = 0;  // Of the bodies that have ended.
-  double bytes = 0; // That are sent when enough turns are gone.
-  auto left = static_cast<double>(sizes.size());
+  const double excessBytes = static_cast<double>(aLateness) * this->rate;
+  const auto turnBytes = static_cast<double>(this->TurnBytes(aBytes));
+  double endedTurnBytes = 0; // Turns that ended bodies no longer take.
+  double endedBytes = 0;     // Sizes of the ended bodies.
+  double sentBytes = 0;      // Of all bodies until enough have ended.
+  auto bodiesLeft = static_cast<double>(sizes.size());
   for (const double size : sizes) {
-    bytes = sent + size * left;
-    gone += std::min(size, turns);
-    sent += size;
-    --left;
-    if (gone >= tooMany) {
+    sentBytes = endedBytes + size * bodiesLeft;
+    endedTurnBytes += std::min(size, turnBytes);
+    endedBytes += size;
+    --bodiesLeft;
+    if (endedTurnBytes >= excessBytes) {
       break;
     }
   }
   return std::max(aLateness,
-                  static_cast<Millis>(std::ceil(bytes / this->rate)));
+                  static_cast<Millis>(std::ceil(sentBytes / this->rate)));
 }
 
 /** The bytes of the turns that a body needs. */
--- a/src/execution/ownlinkrequests_test.cpp
+++ b/src/execution/ownlinkrequests_test.cpp
@@ -90,6 +90,8 @@
   const PeerAddress first = fleet.entry.sent.back().first;
   fleet.Deliver();
   fleet.entry.calls->HandleSessionLost(first, true, {});
+  cr_assert_not(fleet.entry.sent.empty());
+  cr_expect_neq(fleet.entry.sent.back().first.port, first.port);
   fleet.Advance(1000);
   cr_expect_eq(fleet.runs.size(), 1U);
 }
--- a/src/execution/requestpacer.cpp
+++ b/src/execution/requestpacer.cpp
@@ -30,7 +30,7 @@
   if (this->rate <= 0) {
     return std::nullopt;
   }
-  const auto waitingBytes =
+  const auto bytesBefore =
     std::accumulate(this->waiting.begin(),
                     this->waiting.end(),
                     std::size_t{ 0 },
@@ -40,7 +40,7 @@
                                : aSum + aBody.bodyBytes - aBody.grantedBytes;
                     });
   const LinkTimes times{ std::max(0.0, this->freeAt - aNow) +
-                           static_cast<double>(waitingBytes) / this->rate,
+                           static_cast<double>(bytesBefore) / this->rate,
                          static_cast<double>(aBytes) / this->rate };
   return LatenessOnLink(times, aTargetAt, aDeadlineAt, aNow);
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -152,7 +152,7 @@
   MemberSyncer syncer;
   Gossip gossip;
   SummaryExchange exchange;
-  std::set<PeerAddress> triedSeeds;
+  std::set<PeerAddress> triedSeeds; // Asked since all unknown ones were.
   Millis startedAt = 0;
   Millis prunedAt = 0;
   bool isComplete = false;       // All members of the own group are known.
