--- a/review/standin-2/harness.hpp
+++ b/review/standin-2/harness.hpp
@@ -1094,10 +1094,10 @@
   {
     this->isBeating = false;
     this->isStopping = true;
+    this->server.Stop(); // Ends the listener, then all connections.
     if (this->beats.joinable()) {
       this->beats.join();
     }
-    this->server.Stop();
   }
 
   const Machine machine;
