--- a/review/standin-2/harness.hpp
+++ b/review/standin-2/harness.hpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -906,6 +907,7 @@
     const std::string log = this->folder + "/" + this->machine.name + ".log";
     this->pid = fork();
     if (this->pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL); // Also if the script is ended early.
       const int out =
         open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
       dup2(out, 1);
